Lay out the workspace and serve the whole path, thin

Cause: nothing served a request yet. Change: kernel (messages, records, error table, text, settings, timers, plug-ins, HTTP over h11), decision code free of sockets and clocks, daemon, client, stand-ins of platform and worker.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+PY := .venv/bin/python
+STAMP := .venv/.ready
+SEED ?=
+STEPS ?=
+QUICK ?=
+
+.PHONY: demo test model fuzz bench capacity lint format clean
+
+$(STAMP): requirements-dev.txt requirements.txt $(wildcard packages/*/pyproject.toml) standins/pyproject.toml
+	python3.11 -m venv .venv
+	$(PY) -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	$(PY) -m pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps --config-settings editable_mode=compat \
+		-e packages/kernel -e packages/core -e packages/daemon -e packages/client -e standins
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(PY) -m bench.demo
+
+test: $(STAMP)
+	$(PY) -m tools.run_tests
+
+model: $(STAMP)
+	$(PY) -m models.run
+
+fuzz: $(STAMP)
+	$(PY) -m fuzz.run "$(SEED)" "$(STEPS)"
+
+bench: $(STAMP)
+	QUICK="$(QUICK)" $(PY) -m bench.run
+
+capacity: $(STAMP)
+	$(PY) -m bench.capacity
+
+lint: $(STAMP)
+	$(PY) -m ruff check .
+	$(PY) -m ruff format --check .
+
+format: $(STAMP)
+	$(PY) -m ruff check --fix .
+	$(PY) -m ruff format .
+
+clean:
+	rm -rf .venv out
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the scheduler."""
--- /dev/null
+++ b/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing of the decision code."""
--- /dev/null
+++ b/packages/client/bulrushspur_client/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line client of the operators."""
--- /dev/null
+++ b/packages/core/bulrushspur_core/__init__.py
@@ -0,0 +1,38 @@
+"""Decision code of the scheduler, free of sockets and clocks.
+
+Importing the package registers every part.
+"""
+
+from bulrushspur_core import (
+    authority as authority,
+)
+from bulrushspur_core import (
+    door as door,
+)
+from bulrushspur_core import (
+    ids as ids,
+)
+from bulrushspur_core import (
+    limits as limits,
+)
+from bulrushspur_core import (
+    log_reader as log_reader,
+)
+from bulrushspur_core import (
+    membership as membership,
+)
+from bulrushspur_core import (
+    owner as owner,
+)
+from bulrushspur_core import (
+    workers as workers,
+)
+from bulrushspur_core.node import (
+    Me as Me,
+)
+from bulrushspur_core.node import (
+    Node as Node,
+)
+from bulrushspur_core.node import (
+    make_node as make_node,
+)
--- /dev/null
+++ b/packages/core/bulrushspur_core/cell.py
@@ -0,0 +1,177 @@
+"""The cell as the log defines it: text, keys, rosters and parts of upper limits.
+
+Folding is the same for every process: what a record is worth depends on nothing but
+the records before it.
+"""
+
+import dataclasses
+import typing as t
+
+import msgspec
+
+from bulrushspur_kernel import records as rec
+from bulrushspur_kernel.messages import Member
+from bulrushspur_kernel.text import Team, Text, convert_text
+
+
+class Key(msgspec.Struct, array_like=True):
+    """A key that is in force; only its hash is kept."""
+
+    team: str
+    key_hash: str
+
+
+class Roster(msgspec.Struct, array_like=True):
+    """The entry processes that share the workers of a failure domain."""
+
+    epoch: int = 0
+    members: list[Member] = []
+    voters: list[Member] = []
+    settled: int = 0
+    ids_not_before_s: float = 0.0
+
+
+@dataclasses.dataclass
+class Cell:
+    """State of the fold; ``next_offset`` is the offset it has not seen yet."""
+
+    next_offset: int = 0
+    version: int = 0
+    text: Text | None = None
+    raw_text: dict[str, t.Any] = dataclasses.field(default_factory=dict)
+    keys: dict[str, Key] = dataclasses.field(default_factory=dict)
+    withdrawn: set[str] = dataclasses.field(default_factory=set)
+    rosters: dict[str, list[Roster]] = dataclasses.field(default_factory=dict)
+    parts: dict[str, dict[str, int]] = dataclasses.field(default_factory=dict)
+    outcomes: dict[str, bool] = dataclasses.field(default_factory=dict)
+    changed_at: int = 0
+
+    def roster(self, domain: str) -> Roster:
+        """Return the newest roster of a failure domain."""
+        rosters = self.rosters.get(domain)
+        return rosters[-1] if rosters else Roster()
+
+
+OUTCOMES_KEPT: t.Final = 2000
+ROSTERS_KEPT: t.Final = 8
+
+
+def fold(cell: Cell, entry: rec.Entry) -> bool:
+    """Fold one entry; tell whether its record took effect."""
+    if entry.offset < cell.next_offset:
+        return False
+    cell.next_offset = entry.offset + 1
+    record = entry.record
+    took = _FOLDERS[type(record)](cell, entry.offset, record)
+    if took:
+        cell.changed_at = entry.offset
+    if record.token:
+        cell.outcomes[record.token] = took
+        while len(cell.outcomes) > OUTCOMES_KEPT:
+            del cell.outcomes[next(iter(cell.outcomes))]
+    return took
+
+
+def _fold_published(cell: Cell, offset: int, record: rec.Published) -> bool:
+    if record.base != cell.version:
+        return False
+    parsed = convert_text(record.text)
+    if parsed.is_err():
+        return False
+    cell.text = parsed.unwrap()
+    cell.raw_text = record.text
+    # Offset 0 would be no version at all.
+    cell.version = offset + 1
+    _split_limits(cell, cell.text)
+    return True
+
+
+def _fold_key_given(cell: Cell, offset: int, record: rec.KeyGiven) -> bool:
+    if record.key_id in cell.keys or record.key_id in cell.withdrawn:
+        return False
+    cell.keys[record.key_id] = Key(record.team, record.key_hash)
+    return True
+
+
+def _fold_key_withdrawn(cell: Cell, offset: int, record: rec.KeyWithdrawn) -> bool:
+    cell.withdrawn.add(record.key_id)
+    return cell.keys.pop(record.key_id, None) is not None
+
+
+def _fold_roster(cell: Cell, offset: int, record: rec.RosterSet) -> bool:
+    newest = cell.roster(record.domain)
+    if record.epoch != newest.epoch + 1:
+        return False
+    roster = Roster(
+        record.epoch,
+        record.members,
+        record.voters,
+        max(record.settled, newest.settled),
+        max(record.ids_not_before_s, newest.ids_not_before_s),
+    )
+    rosters = cell.rosters.setdefault(record.domain, [])
+    rosters.append(roster)
+    # Rosters that are settled have no say in anything any more.
+    cell.rosters[record.domain] = [
+        one for one in rosters if one.epoch >= roster.settled
+    ]
+    return True
+
+
+def _fold_parts(cell: Cell, offset: int, record: rec.PartsMoved) -> bool:
+    if record.epoch != cell.roster(record.giver).epoch:
+        return False
+    enough = all(
+        cell.parts.get(team, {}).get(record.giver, 0) >= count > 0
+        for team, count in record.parts.items()
+    )
+    known = cell.text is not None and any(
+        one.name == record.taker for one in cell.text.domains
+    )
+    if not enough or not known:
+        return False
+    for team, count in record.parts.items():
+        held = cell.parts[team]
+        held[record.giver] -= count
+        held[record.taker] = held.get(record.taker, 0) + count
+    return True
+
+
+def _fold_snapshot(cell: Cell, offset: int, record: rec.Snapshot) -> bool:
+    # A process that has folded everything up to here learns nothing from it.
+    return False
+
+
+_FOLDERS: dict[type, t.Callable[[Cell, int, t.Any], bool]] = {
+    rec.Published: _fold_published,
+    rec.KeyGiven: _fold_key_given,
+    rec.KeyWithdrawn: _fold_key_withdrawn,
+    rec.RosterSet: _fold_roster,
+    rec.PartsMoved: _fold_parts,
+    rec.Snapshot: _fold_snapshot,
+}
+
+
+def _split_limits(cell: Cell, text: Text) -> None:
+    """Split each limit over the domains, near to how it was split before."""
+    domains = [one.name for one in text.domains]
+    cell.parts = {
+        team.name: _split_limit(team, domains, cell.parts.get(team.name, {}))
+        for team in text.teams
+    }
+
+
+def _split_limit(
+    team: Team, domains: list[str], held: dict[str, int]
+) -> dict[str, int]:
+    rv = {domain: held.get(domain, 0) for domain in domains}
+    spare = team.limit_tasks - sum(rv.values())
+    step = 1 if spare > 0 else -1
+    order = sorted(domains)
+    while spare:
+        # The poorest gains and the richest loses, so that nobody crosses over.
+        key = min if step > 0 else max
+        domain = key(order, key=lambda one: rv[one])
+        rv[domain] += step
+        spare -= step
+    return rv
--- /dev/null
+++ b/packages/core/bulrushspur_core/effects.py
@@ -0,0 +1,101 @@
+"""What the decision code asks the process around it to do."""
+
+import dataclasses
+
+from bulrushspur_kernel.errors import Refusal
+from bulrushspur_kernel.messages import Message
+from bulrushspur_kernel.records import Record
+from bulrushspur_kernel.work import TaskInfo, Work
+
+
+@dataclasses.dataclass(slots=True)
+class Send:
+    """Send a message to the entry process of that name."""
+
+    to: str
+    message: Message
+
+
+@dataclasses.dataclass(slots=True)
+class Append:
+    """Append a record; its ``token`` tells its outcome in AppendDone and the log."""
+
+    record: Record
+
+
+@dataclasses.dataclass(slots=True)
+class StartTask:
+    """Start a task on a worker, after a last check of the authority of ``epoch``.
+
+    ``door`` and ``ticket`` name the stream of the request body and of the answer.
+    """
+
+    worker: str
+    epoch: int
+    task: TaskInfo
+    work: Work
+    door: str
+    ticket: str
+    lease_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class ActOnTask:
+    """Stop, checkpoint, throttle or resume a task."""
+
+    worker: str
+    task_id: str
+    action: str
+
+
+@dataclasses.dataclass(slots=True)
+class RenewTasks:
+    """Renew the leases of tasks on a worker."""
+
+    worker: str
+    task_ids: list[str]
+    lease_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class ListTasks:
+    """Ask a worker for what it runs; answered by TasksListed."""
+
+    worker: str
+
+
+@dataclasses.dataclass(slots=True)
+class SendBody:
+    """Send the body of a request to the owner that reserved room for it."""
+
+    ticket: str
+    owner: str
+
+
+@dataclasses.dataclass(slots=True)
+class Resolve:
+    """Give a caller its final refusal, at once."""
+
+    ticket: str
+    refusal: Refusal
+
+
+@dataclasses.dataclass(slots=True)
+class Tell:
+    """Tell a waiting caller how long it is likely to wait."""
+
+    ticket: str
+    predicted_wait_s: float
+
+
+Effect = (
+    Send
+    | Append
+    | StartTask
+    | ActOnTask
+    | RenewTasks
+    | ListTasks
+    | SendBody
+    | Resolve
+    | Tell
+)
--- /dev/null
+++ b/packages/core/bulrushspur_core/events.py
@@ -0,0 +1,151 @@
+"""What the process around the decision code tells it, and what parts tell each other.
+
+Events come from outside; signals pass between parts of one process.
+"""
+
+import dataclasses
+
+from bulrushspur_kernel.records import Entry
+from bulrushspur_kernel.work import TaskInfo, Vm, Work
+
+
+@dataclasses.dataclass(slots=True)
+class Submitted:
+    """A caller submitted work whose key was checked; ``digest`` is of its content."""
+
+    ticket: str
+    work: Work
+    digest: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class CancelAsked:
+    """A caller cancelled, or went away from, its request."""
+
+    ticket: str
+
+
+@dataclasses.dataclass(slots=True)
+class AnswerDelivered:
+    """The door has the whole answer of a request."""
+
+    ticket: str
+
+
+@dataclasses.dataclass(slots=True)
+class LogRead:
+    """Records read from the log; ``asked_s`` is when the read was sent.
+
+    ``first`` is the oldest offset kept, ``end`` the end of the log then; the entries
+    are all of ours from the offset asked for to before ``reached``.
+    """
+
+    entries: list[Entry]
+    first: int
+    reached: int
+    end: int
+    asked_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class AppendEnded:
+    """An append was taken (``offset``), refused, or its answer was lost (both None)."""
+
+    token: str
+    offset: int | None = None
+    refused: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class VmsListed:
+    """The platform's lagging list of VMs."""
+
+    vms: list[Vm]
+
+
+@dataclasses.dataclass(slots=True)
+class TasksListed:
+    """What a worker runs and what ended there; None where it did not answer."""
+
+    worker: str
+    running: list[TaskInfo] | None
+    ended: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class TaskEnded:
+    """A task that this process started has ended.
+
+    ``outcome`` is done, failed (the worker answered with a failure), not_started (it
+    certainly did not run), detached (it runs on by itself) or lost (it may have run).
+    """
+
+    worker: str
+    task_id: str
+    ticket: str
+    outcome: str
+    status: int = 0
+    run_time_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class StopAsked:
+    """The process was told to stop gracefully."""
+
+
+# Signals between parts.
+
+
+@dataclasses.dataclass(slots=True)
+class TextChanged:
+    """Another version of the text is in force."""
+
+    version: int
+
+
+@dataclasses.dataclass(slots=True)
+class KeysChanged:
+    """A key was given or withdrawn."""
+
+
+@dataclasses.dataclass(slots=True)
+class RosterChanged:
+    """The log has a newer roster of a failure domain."""
+
+    domain: str
+    epoch: int
+
+
+@dataclasses.dataclass(slots=True)
+class PartsChanged:
+    """The log moved parts of upper limits between failure domains."""
+
+
+@dataclasses.dataclass(slots=True)
+class PeerSeen:
+    """A process, or another incarnation of it, was heard of for the first time."""
+
+    name: str
+    boot: str
+
+
+@dataclasses.dataclass(slots=True)
+class PeerLost:
+    """A process was not heard of for so long that its requests are given up."""
+
+    name: str
+    boot: str
+
+
+@dataclasses.dataclass(slots=True)
+class WorkerGained:
+    """This process became the effective owner of a worker and knows what it runs."""
+
+    worker: str
+
+
+@dataclasses.dataclass(slots=True)
+class WorkerDropped:
+    """This process is no longer the owner of a worker."""
+
+    worker: str
--- /dev/null
+++ b/packages/daemon/bulrushspur_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The process that runs on every entry VM."""
--- /dev/null
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -0,0 +1,150 @@
+"""One entry process: the decision code, and the tasks that carry out its effects."""
+
+import asyncio
+import contextlib
+import dataclasses
+import os
+import signal
+import time
+import typing as t
+
+from bulrushspur_core import Me, events, make_node
+from bulrushspur_core import effects as fx
+from bulrushspur_core.membership import Members
+from bulrushspur_core.node import Node
+from bulrushspur_daemon.callers import make_callers
+from bulrushspur_daemon.operators import make_operators
+from bulrushspur_daemon.peers import Peers, make_peers
+from bulrushspur_daemon.platform import follow_log, follow_vms, make_appender
+from bulrushspur_daemon.runner import Runner, make_runner
+from bulrushspur_daemon.streams import Streams, make_streams
+from bulrushspur_kernel import messages as msg
+from bulrushspur_kernel.http_server import HttpServer
+from bulrushspur_kernel.logs import make_logger
+from bulrushspur_kernel.settings import Settings, split_address
+from bulrushspur_kernel.timers import Timers, make_timers, run_timers
+
+log = make_logger("process")
+
+TIMERS_S: t.Final = 0.05
+STOP_SPREAD_S: t.Final = 1.5
+
+EffectDoer = t.Callable[[t.Any], None]
+
+
+@dataclasses.dataclass
+class Process:
+    """The parts of a running process."""
+
+    settings: Settings
+    node: Node
+    timers: Timers
+    streams: Streams
+    peers: Peers | None = None
+    runner: Runner | None = None
+    doers: dict[type, EffectDoer] = dataclasses.field(default_factory=dict)
+    servers: list[HttpServer] = dataclasses.field(default_factory=list)
+    started_s: float = dataclasses.field(default_factory=time.monotonic)
+    stopping: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    def handle(self, event: t.Any) -> None:
+        """Give an event to the decision code and carry out the effects."""
+        self.carry_out(self.node.handle(event, time.monotonic()))
+
+    def receive(self, sender: msg.Member, message: msg.Message) -> None:
+        """Give a message of a peer to its stream or to the decision code."""
+        if self.streams.take(sender.name, message):
+            return
+        self.carry_out(self.node.receive(sender, message, time.monotonic()))
+
+    def send(self, to: str, message: msg.Message) -> None:
+        """Send a message to a process, which may be this one."""
+        if to == self.settings.name:
+            self.receive(self.node.me.member, message)
+        elif self.peers is not None:
+            self.peers.send(to, message)
+
+    def address_of(self, name: str) -> str | None:
+        """Look up where a peer receives messages."""
+        peer = self.node.state(Members).peers.get(name)
+        return peer.info.address if peer is not None else self.node.seeds.get(name)
+
+    def carry_out(self, effects: list[fx.Effect]) -> None:
+        """Carry out effects in order."""
+        for effect in effects:
+            self.doers[type(effect)](effect)
+
+    def tick(self, now_s: float) -> None:
+        """Run the timers of the decision code."""
+        self.carry_out(self.node.run_timers(now_s))
+
+
+def make_process(settings: Settings) -> Process:
+    """Make a process that does nothing yet."""
+    boot = os.urandom(4).hex()
+    me = Me(
+        settings.name,
+        boot,
+        settings.domain,
+        settings.region,
+        settings.peers_address,
+        settings.operators_address,
+    )
+    seeds = {peer.name: peer.address for peer in settings.peers}
+    seeds.pop(settings.name, None)
+    wall_offset_s = time.time() - time.monotonic()
+    node = make_node(me, int.from_bytes(os.urandom(8)), seeds, wall_offset_s)
+    return Process(settings, node, make_timers(), make_streams(settings.bounds))
+
+
+async def run_process(settings: Settings) -> None:
+    """Run a process until it is told to stop, then stop gracefully."""
+    process = make_process(settings)
+    tasks = await _start(process)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, process.stopping.set)
+    log.info(f"{settings.name} of domain {settings.domain} serves.")
+    await process.stopping.wait()
+    log.info("Stopping: nothing new is taken.")
+    process.handle(events.StopAsked())
+    await asyncio.sleep(STOP_SPREAD_S)
+    for server in process.servers:
+        await server.close(settings.bounds.drain_s)
+    for task in tasks:
+        task.cancel()
+    for task in tasks:
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+    log.info("Stopped.")
+
+
+async def _start(process: Process) -> list[asyncio.Task[None]]:
+    settings = process.settings
+    process.peers = make_peers(process)
+    process.runner = make_runner(process)
+    callers, resolve, tell, send_body = make_callers(process)
+    appender = make_appender(process)
+    process.doers = {
+        fx.Send: lambda effect: process.send(effect.to, effect.message),
+        fx.Append: appender,
+        fx.StartTask: process.runner.start_task,
+        fx.ActOnTask: process.runner.act_on_task,
+        fx.RenewTasks: process.runner.renew_tasks,
+        fx.ListTasks: process.runner.list_tasks,
+        fx.SendBody: send_body,
+        fx.Resolve: resolve,
+        fx.Tell: tell,
+    }
+    process.servers = [callers, make_operators(process)]
+    addresses = (settings.callers_address, settings.operators_address)
+    for server, address in zip(process.servers, addresses, strict=True):
+        await server.listen(*split_address(address))
+    process.timers.every("decide", TIMERS_S, process.tick)
+    jobs = (
+        process.peers.run(),
+        run_timers(process.timers),
+        follow_log(process),
+        follow_vms(process),
+    )
+    return [asyncio.create_task(job) for job in jobs]
--- /dev/null
+++ b/packages/kernel/bulrushspur_kernel/errors.py
@@ -0,0 +1,167 @@
+"""The closed list of error kinds, the table of answers, and the exceptions."""
+
+import enum
+import typing as t
+
+import msgspec
+
+
+class Ran(enum.Enum):
+    """Whether the work of a refused request ran."""
+
+    NO = "no"
+    MAYBE = "maybe"
+    YES = "yes"
+
+
+class ErrorKind(enum.Enum):
+    """Every kind of refusal or failure that a caller or operator can be told."""
+
+    BAD_REQUEST = "bad_request"
+    HEAD_TOO_LARGE = "head_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    SLOW_SENDER = "slow_sender"
+    UNKNOWN_PATH = "unknown_path"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_KIND = "unknown_kind"
+    UNKNOWN_KEY = "unknown_key"
+    UNKNOWN_REQUEST = "unknown_request"
+    WRONG_TEAM = "wrong_team"
+    KEYS_STALE = "keys_stale"
+    NO_TEXT = "no_text"
+    ID_NEEDED = "id_needed"
+    ID_EXPIRED = "id_expired"
+    ID_USED = "id_used"
+    HOME_UNREACHABLE = "home_unreachable"
+    NEVER_FITS = "never_fits"
+    QUEUE_FULL = "queue_full"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DEADLINE_PASSED = "deadline_passed"
+    CANCELLED = "cancelled"
+    NO_OWNER = "no_owner"
+    STOPPING = "stopping"
+    TOO_MANY_CONNECTIONS = "too_many_connections"
+    WORKER_REFUSED = "worker_refused"
+    WORKER_FAILED = "worker_failed"
+    WORKER_LOST = "worker_lost"
+    PEER_LOST = "peer_lost"
+    PLATFORM_DOWN = "platform_down"
+    RACE_LOST = "race_lost"
+    BAD_TEXT = "bad_text"
+    BAD_SETTINGS = "bad_settings"
+    INTERNAL = "internal"
+
+
+class AnswerRow(msgspec.Struct, frozen=True):
+    """One row of the table from kind to answer."""
+
+    status: int
+    exit_code: int
+    advice: str
+
+
+_RETRY = "Send it again after Retry-After seconds."
+_FIX = "Change the request before you send it again."
+
+ANSWERS: t.Final[dict[ErrorKind, AnswerRow]] = {
+    ErrorKind.BAD_REQUEST: AnswerRow(400, 2, _FIX),
+    ErrorKind.HEAD_TOO_LARGE: AnswerRow(431, 2, _FIX),
+    ErrorKind.BODY_TOO_LARGE: AnswerRow(413, 2, _FIX),
+    ErrorKind.SLOW_SENDER: AnswerRow(408, 4, _RETRY),
+    ErrorKind.UNKNOWN_PATH: AnswerRow(404, 2, "See docs/CALLERS.md for the paths."),
+    ErrorKind.UNKNOWN_SERVICE: AnswerRow(404, 2, "Name a service of the text."),
+    ErrorKind.UNKNOWN_KIND: AnswerRow(404, 2, "Name a kind of this service."),
+    ErrorKind.UNKNOWN_KEY: AnswerRow(401, 2, "Ask an operator for a key."),
+    ErrorKind.UNKNOWN_REQUEST: AnswerRow(404, 2, "Check the request id."),
+    ErrorKind.WRONG_TEAM: AnswerRow(403, 2, "Use a key of the team that owns it."),
+    ErrorKind.KEYS_STALE: AnswerRow(503, 4, _RETRY),
+    ErrorKind.NO_TEXT: AnswerRow(503, 4, "Publish a text: bulrushspur publish FILE"),
+    ErrorKind.ID_NEEDED: AnswerRow(
+        400, 2, "Take an id with POST /v1/ids or mark the request idempotent."
+    ),
+    ErrorKind.ID_EXPIRED: AnswerRow(410, 2, "Take a new id with POST /v1/ids."),
+    ErrorKind.ID_USED: AnswerRow(409, 2, "Ask GET /v1/requests/ID for its state."),
+    ErrorKind.HOME_UNREACHABLE: AnswerRow(503, 4, _RETRY),
+    ErrorKind.NEVER_FITS: AnswerRow(422, 2, "Ask for less than the largest worker."),
+    ErrorKind.QUEUE_FULL: AnswerRow(429, 4, _RETRY),
+    ErrorKind.DEADLINE_UNREACHABLE: AnswerRow(503, 4, _RETRY),
+    ErrorKind.DEADLINE_PASSED: AnswerRow(504, 4, "Allow a longer deadline."),
+    ErrorKind.CANCELLED: AnswerRow(409, 0, "Nothing to do."),
+    ErrorKind.NO_OWNER: AnswerRow(503, 4, _RETRY),
+    ErrorKind.STOPPING: AnswerRow(503, 4, _RETRY),
+    ErrorKind.TOO_MANY_CONNECTIONS: AnswerRow(503, 4, _RETRY),
+    ErrorKind.WORKER_REFUSED: AnswerRow(503, 4, _RETRY),
+    ErrorKind.WORKER_FAILED: AnswerRow(502, 4, "Look at the answer of the worker."),
+    ErrorKind.WORKER_LOST: AnswerRow(502, 4, "Ask GET /v1/requests/ID for its state."),
+    ErrorKind.PEER_LOST: AnswerRow(502, 4, "Ask GET /v1/requests/ID for its state."),
+    ErrorKind.PLATFORM_DOWN: AnswerRow(503, 4, "Try again when the platform answers."),
+    ErrorKind.RACE_LOST: AnswerRow(
+        409, 3, "Fetch the version in force: bulrushspur show"
+    ),
+    ErrorKind.BAD_TEXT: AnswerRow(400, 2, "Check it: bulrushspur check FILE"),
+    ErrorKind.BAD_SETTINGS: AnswerRow(400, 2, "See docs/SETTINGS.md."),
+    ErrorKind.INTERNAL: AnswerRow(500, 1, "Report it with: bulrushspur dump"),
+}
+
+
+class Refusal(msgspec.Struct, omit_defaults=True):
+    """What a caller is told in place of an answer; ``retry_after_s`` in seconds."""
+
+    kind: ErrorKind
+    sentence: str
+    ran: Ran = Ran.NO
+    retry_after_s: float | None = None
+
+    @property
+    def row(self) -> AnswerRow:
+        """Look up status, exit code and advice of this kind."""
+        return ANSWERS[self.kind]
+
+
+class BulrushspurError(Exception):
+    """Carry a refusal as an exception and know how to show it."""
+
+    kind: t.ClassVar[ErrorKind] = ErrorKind.INTERNAL
+
+    def __init__(self, sentence: str) -> None:
+        super().__init__(sentence)
+        self.sentence = sentence
+
+    @property
+    def exit_code(self) -> int:
+        """Give the exit code of the client for this kind."""
+        return ANSWERS[self.kind].exit_code
+
+    def show(self) -> str:
+        """Format the sentence and what to do next."""
+        return f"Error: {self.sentence}\nNext: {ANSWERS[self.kind].advice}"
+
+
+class BadSettingsError(BulrushspurError):
+    """Tell what is wrong in a settings file."""
+
+    kind = ErrorKind.BAD_SETTINGS
+
+
+class BadTextError(BulrushspurError):
+    """Tell what is wrong in the operators' text."""
+
+    kind = ErrorKind.BAD_TEXT
+
+
+class PlatformDownError(BulrushspurError):
+    """Tell that the platform did not answer; the action may have taken effect."""
+
+    kind = ErrorKind.PLATFORM_DOWN
+
+
+class RaceLostError(BulrushspurError):
+    """Tell that another operator published first."""
+
+    kind = ErrorKind.RACE_LOST
+
+
+class BadRequestError(BulrushspurError):
+    """Tell what is wrong in a request or a command."""
+
+    kind = ErrorKind.BAD_REQUEST
--- /dev/null
+++ b/packages/kernel/bulrushspur_kernel/http_client.py
@@ -0,0 +1,147 @@
+"""An HTTP/1.1 client: h11 on asyncio streams."""
+
+import asyncio
+import dataclasses
+import typing as t
+
+import h11
+
+from bulrushspur_kernel.settings import split_address
+
+READ_BYTES: t.Final = 65_536
+BUFFER_BYTES: t.Final = 262_144
+
+Headers = list[tuple[str, str]]
+
+
+class NotSentError(Exception):
+    """Tell that nothing of the request can have reached the other side."""
+
+
+class LostError(Exception):
+    """Tell that the connection was lost after something was sent."""
+
+
+@dataclasses.dataclass
+class Call:
+    """One connection with one request and its answer."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    connection: h11.Connection
+    status: int = 0
+    headers: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+
+    async def send_head(self, method: str, path: str, headers: Headers) -> None:
+        """Send the head of the request; raises LostError."""
+        await self._send(h11.Request(method=method, target=path, headers=headers))
+
+    async def send_body(self, data: bytes) -> None:
+        """Send a part of the body and wait while the other side is slow."""
+        await self._send(h11.Data(data=data))
+
+    async def end_body(self) -> None:
+        """End the request."""
+        await self._send(h11.EndOfMessage())
+
+    async def read_head(self) -> int:
+        """Read the head of the answer and return its status; raises LostError."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not isinstance(event, h11.Response):
+                raise LostError("the connection closed before the answer")
+            self.status = event.status_code
+            self.headers = [(k.decode(), v.decode("latin-1")) for k, v in event.headers]
+            return self.status
+
+    async def chunks(self) -> t.AsyncIterator[bytes]:
+        """Yield the body of the answer; raises LostError if it is cut."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return
+            if not isinstance(event, h11.Data):
+                raise LostError("the connection closed inside the answer")
+            yield bytes(event.data)
+
+    async def read_all(self) -> bytes:
+        """Read the whole body of the answer."""
+        return b"".join([data async for data in self.chunks()])
+
+    def reusable(self) -> bool:
+        """Make ready for another request; false if the connection must close."""
+        if (
+            self.connection.our_state is not h11.DONE
+            or self.connection.their_state is not h11.DONE
+            or self.writer.is_closing()
+        ):
+            return False
+        self.connection.start_next_cycle()
+        return True
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.writer.close()
+
+    def abort(self) -> None:
+        """Close the connection and drop what was not sent yet."""
+        self.writer.transport.abort()
+
+    async def _send(self, event: t.Any) -> None:
+        try:
+            data = self.connection.send(event)
+            if data:
+                self.writer.write(data)
+                await self.writer.drain()
+        except (OSError, h11.LocalProtocolError) as exc:
+            raise LostError(str(exc)) from exc
+
+    async def _next_event(self) -> t.Any:
+        try:
+            while True:
+                event = self.connection.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                self.connection.receive_data(await self.reader.read(READ_BYTES))
+        except (OSError, h11.RemoteProtocolError) as exc:
+            raise LostError(str(exc)) from exc
+
+
+async def open_call(address: str, wait_s: float) -> Call:
+    """Connect to ``host:port`` within ``wait_s`` seconds; raises NotSentError."""
+    host, port = split_address(address)
+    try:
+        async with asyncio.timeout(wait_s):
+            reader, writer = await asyncio.open_connection(
+                host, port, limit=BUFFER_BYTES
+            )
+    except (OSError, TimeoutError) as exc:
+        raise NotSentError(f"{address} does not answer") from exc
+    return Call(reader, writer, h11.Connection(h11.CLIENT))
+
+
+async def fetch(
+    method: str,
+    address: str,
+    path: str,
+    body: bytes = b"",
+    headers: Headers | None = None,
+    wait_s: float = 5.0,
+) -> tuple[int, bytes]:
+    """Make one small request; raises NotSentError, or LostError when in doubt."""
+    call = await open_call(address, wait_s)
+    rows = [("host", address), ("content-length", str(len(body))), *(headers or [])]
+    try:
+        async with asyncio.timeout(wait_s):
+            await call.send_head(method, path, rows)
+            if body:
+                await call.send_body(body)
+            await call.end_body()
+            status = await call.read_head()
+            return status, await call.read_all()
+    except TimeoutError as exc:
+        raise LostError(f"{address} did not answer in {wait_s:g} s") from exc
+    finally:
+        call.close()
--- /dev/null
+++ b/packages/kernel/bulrushspur_kernel/keys.py
@@ -0,0 +1,31 @@
+"""Keys of teams: ``bsp_ID_SECRET``; only a hash of a key is ever kept.
+
+A key has 256 random bits, so a plain hash of it cannot be searched.
+"""
+
+import hashlib
+import secrets
+import typing as t
+
+PREFIX: t.Final = "bsp"
+ID_BYTES: t.Final = 6
+SECRET_BYTES: t.Final = 32
+
+
+def make_key() -> tuple[str, str]:
+    """Make a key and return its id and the whole key."""
+    key_id = secrets.token_hex(ID_BYTES)
+    return key_id, f"{PREFIX}_{key_id}_{secrets.token_hex(SECRET_BYTES)}"
+
+
+def split_key(key: str) -> tuple[str, str] | None:
+    """Split a key into its id and its secret; None where it is not a key."""
+    parts = key.split("_")
+    if len(parts) != 3 or parts[0] != PREFIX:
+        return None
+    return parts[1], parts[2]
+
+
+def hash_key(key: str) -> str:
+    """Hash a key the way the log keeps it."""
+    return hashlib.blake2b(key.encode(), digest_size=32).hexdigest()
--- /dev/null
+++ b/packages/kernel/bulrushspur_kernel/metrics.py
@@ -0,0 +1,48 @@
+"""Counters, and histograms of durations, of one process."""
+
+import dataclasses
+import typing as t
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US: t.Final = 10
+HIGHEST_US: t.Final = 3_600_000_000
+DIGITS: t.Final = 2
+
+
+@dataclasses.dataclass
+class Metrics:
+    """Named counters and histograms; made on first use."""
+
+    counters: dict[str, int] = dataclasses.field(default_factory=dict)
+    histograms: dict[str, HdrHistogram] = dataclasses.field(default_factory=dict)
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self.counters[name] = self.counters.get(name, 0) + amount
+
+    def record_s(self, name: str, duration_s: float) -> None:
+        """Record a duration in seconds."""
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+            self.histograms[name] = histogram
+        histogram.record_value(max(int(duration_s * 1e6), LOWEST_US))
+
+    def dump(self) -> dict[str, t.Any]:
+        """Summarise all counters and histograms (milliseconds)."""
+        return {
+            "counters": dict(sorted(self.counters.items())),
+            "histograms_ms": {
+                name: _summarise(one) for name, one in sorted(self.histograms.items())
+            },
+        }
+
+
+def _summarise(histogram: HdrHistogram) -> dict[str, float]:
+    return {
+        "count": histogram.get_total_count(),
+        "p50": histogram.get_value_at_percentile(50) / 1000,
+        "p99": histogram.get_value_at_percentile(99) / 1000,
+        "max": histogram.get_max_value() / 1000,
+    }
--- /dev/null
+++ b/packages/kernel/bulrushspur_kernel/text.py
@@ -0,0 +1,224 @@
+"""The operators' text: teams, services, kinds, and the policy of the cell."""
+
+import typing as t
+
+import msgspec
+from result import Err, Ok, Result
+
+from bulrushspur_kernel.work import Policy, Room, Size
+
+Name = t.Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+Positive = t.Annotated[float, msgspec.Meta(gt=0)]
+Count = t.Annotated[int, msgspec.Meta(ge=0)]
+
+
+class _Strict(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
+    pass
+
+
+class Domain(_Strict):
+    """A failure domain."""
+
+    name: Name
+    region: Name
+
+
+class Team(_Strict):
+    """A team with its share when the cell is full and its upper limit."""
+
+    name: Name
+    share: t.Annotated[float, msgspec.Meta(ge=0)]
+    limit_tasks: Count
+    guaranteed_tasks: Count = 0
+    queue_requests: t.Annotated[int, msgspec.Meta(ge=1)] = 1000
+
+
+class Kind(_Strict):
+    """A kind of work of a service, with the declared size of one task."""
+
+    name: Name
+    size: Size = Size.MIDDLING
+    policy: Policy = Policy.REQUEST
+    slots: Count = 1
+    cores: t.Annotated[float, msgspec.Meta(ge=0)] = 1.0
+    memory_mb: Count = 256
+    accelerators: Count = 0
+    run_time_s: Positive = 1.0
+    deadline_s: Positive = 60.0
+    open: bool = False
+
+    @property
+    def room(self) -> Room:
+        """Give the declared size as room."""
+        return Room(self.slots, self.cores, self.memory_mb, self.accelerators)
+
+
+class Service(_Strict):
+    """A service: its kinds, its declared count of tasks, and what it depends on."""
+
+    name: Name
+    team: Name
+    kinds: list[Kind] = []
+    depends_on: list[Name] = []
+    count: Count = 0
+    slots: Count = 1
+    cores: t.Annotated[float, msgspec.Meta(ge=0)] = 1.0
+    memory_mb: Count = 256
+    accelerators: Count = 0
+    spread: t.Literal["none", "rack", "domain"] = "rack"
+
+    @property
+    def room(self) -> Room:
+        """Give the declared size of one long-running task as room."""
+        return Room(self.slots, self.cores, self.memory_mb, self.accelerators)
+
+
+class CellPolicy(_Strict):
+    """Bounds that hold for the whole cell."""
+
+    keys_fresh_s: Positive = 600.0
+    ids_kept_s: Positive = 900.0
+    open_team: Name = "open"
+    largest_worker: Room | None = None
+
+
+class Text(_Strict):
+    """The one text that operators edit."""
+
+    cell: Name
+    domains: t.Annotated[list[Domain], msgspec.Meta(min_length=1)]
+    teams: t.Annotated[list[Team], msgspec.Meta(min_length=1)]
+    services: list[Service] = []
+    policy: CellPolicy = msgspec.field(default_factory=CellPolicy)
+
+    def find_service(self, name: str) -> Service | None:
+        """Find a service by name."""
+        return next((one for one in self.services if one.name == name), None)
+
+    def find_kind(self, service: str, kind: str) -> Kind | None:
+        """Find a kind of a service by name."""
+        found = self.find_service(service)
+        if found is None:
+            return None
+        return next((one for one in found.kinds if one.name == kind), None)
+
+
+class Fault(msgspec.Struct):
+    """One thing wrong in a text or in settings, with the path to the field."""
+
+    path: str
+    sentence: str
+
+
+def parse_text(data: bytes) -> Result[Text, list[Fault]]:
+    """Parse and check a text from JSON."""
+    try:
+        text = msgspec.json.decode(data, type=Text)
+    except msgspec.DecodeError as exc:
+        return Err([_fault(exc)])
+    return _checked(text)
+
+
+def convert_text(data: dict[str, t.Any]) -> Result[Text, list[Fault]]:
+    """Check a text that was decoded already, as it stands in the log."""
+    try:
+        text = msgspec.convert(data, Text)
+    except msgspec.ValidationError as exc:
+        return Err([_fault(exc)])
+    return _checked(text)
+
+
+def _fault(exc: Exception) -> Fault:
+    sentence, _, path = str(exc).partition(" - at `")
+    return Fault(path.rstrip("`") or "$", sentence)
+
+
+def _checked(text: Text) -> Result[Text, list[Fault]]:
+    faults = check_text(text)
+    return Err(faults) if faults else Ok(text)
+
+
+def check_text(text: Text) -> list[Fault]:
+    """List what contradicts itself in a text whose fields are each valid."""
+    return _check_names(text) + _check_teams(text) + _check_services(text)
+
+
+def _check_names(text: Text) -> list[Fault]:
+    rv = []
+    for field in ("domains", "teams", "services"):
+        seen: set[str] = set()
+        for i, one in enumerate(getattr(text, field)):
+            if one.name in seen:
+                rv.append(Fault(f"$.{field}[{i}].name", f"{one.name} stands twice"))
+            seen.add(one.name)
+    return rv
+
+
+def _check_teams(text: Text) -> list[Fault]:
+    rv = []
+    for i, team in enumerate(text.teams):
+        if team.limit_tasks < team.guaranteed_tasks:
+            sentence = (
+                f"limit_tasks {team.limit_tasks} is below guaranteed_tasks "
+                f"{team.guaranteed_tasks}"
+            )
+            rv.append(Fault(f"$.teams[{i}].limit_tasks", sentence))
+    if not any(team.share > 0 for team in text.teams):
+        rv.append(Fault("$.teams", "no team has a share above 0"))
+    return rv
+
+
+def _check_services(text: Text) -> list[Fault]:
+    rv = []
+    teams = {team.name for team in text.teams}
+    names = {service.name for service in text.services}
+    for i, service in enumerate(text.services):
+        path = f"$.services[{i}]"
+        if service.team not in teams:
+            rv.append(Fault(f"{path}.team", f"team {service.team} is not in the text"))
+        for j, other in enumerate(service.depends_on):
+            if other not in names:
+                sentence = f"service {other} is not in the text"
+                rv.append(Fault(f"{path}.depends_on[{j}]", sentence))
+        rv += _check_sizes(text, i, service)
+    rv += _check_cycles(text)
+    return rv
+
+
+def _check_sizes(text: Text, i: int, service: Service) -> list[Fault]:
+    rv = []
+    largest = text.policy.largest_worker
+    path = f"$.services[{i}]"
+    seen: set[str] = set()
+    for j, kind in enumerate(service.kinds):
+        if kind.name in seen:
+            rv.append(Fault(f"{path}.kinds[{j}].name", f"{kind.name} stands twice"))
+        seen.add(kind.name)
+        if largest is not None and not largest.holds(kind.room):
+            rv.append(Fault(f"{path}.kinds[{j}]", "no worker is as large as this kind"))
+    if largest is not None and service.count and not largest.holds(service.room):
+        rv.append(Fault(path, "no worker is as large as a task of this service"))
+    return rv
+
+
+def _check_cycles(text: Text) -> list[Fault]:
+    order = start_order(text)
+    if order is not None:
+        return []
+    return [Fault("$.services", "depends_on goes round in a circle")]
+
+
+def start_order(text: Text) -> list[str] | None:
+    """Order services so that each follows what it depends on; None in a cycle."""
+    waiting = {one.name: set(one.depends_on) for one in text.services}
+    rv: list[str] = []
+    while waiting:
+        ready = sorted(name for name, needs in waiting.items() if not needs)
+        if not ready:
+            return None
+        rv += ready
+        for name in ready:
+            del waiting[name]
+        for needs in waiting.values():
+            needs.difference_update(ready)
+    return rv
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one file per module."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for developers."""
