--- a/packages/core/bulrushspur_core/door.py
+++ b/packages/core/bulrushspur_core/door.py
@@ -9,15 +9,14 @@
 
 from bulrushspur_core import effects as fx
 from bulrushspur_core import events
-from bulrushspur_core.log_reader import cell_of
-from bulrushspur_core.membership import live_peers
+from bulrushspur_core.admission import check_admission
 from bulrushspur_core.node import Node, every, on, register_state
-from bulrushspur_core.workers import Workers
+from bulrushspur_core.retries import may_retry
+from bulrushspur_core.routing import choose_owner
 from bulrushspur_kernel import messages as msg
 from bulrushspur_kernel.errors import ErrorKind, Ran, Refusal
 from bulrushspur_kernel.work import Work
 
-ATTEMPTS_AT_MOST: t.Final = 3
 SWEEP_S: t.Final = 0.05
 
 
@@ -55,7 +54,7 @@
     work = event.work
     door = node.state(Door)
     request = OpenRequest(event.ticket, work, now_s, now_s + work.deadline_s)
-    refusal = check_admission(node, work)
+    refusal = check_stopping(door) or check_admission(node, work, now_s)
     if refusal is not None:
         node.emit(fx.Resolve(event.ticket, refusal))
         return
@@ -63,37 +62,17 @@
     offer(node, request, now_s)
 
 
-def check_admission(node: Node, work: Work) -> Refusal | None:
-    """Refuse what this process can see will never run, or must not now."""
-    if node.state(Door).stopping:
-        sentence = "This entry process is stopping."
-        return Refusal(ErrorKind.STOPPING, sentence, retry_after_s=1.0)
-    if cell_of(node).text is None:
-        return Refusal(ErrorKind.NO_TEXT, "No text is in force yet.", retry_after_s=5.0)
-    return None
-
-
-def choose_owner(node: Node, work: Work, tried: str = "") -> str | None:
-    """Choose the owner to offer work to: the one with the shortest wait."""
-    mine = [view for view in node.state(Workers).views.values() if view.owned]
-    if mine and tried != node.me.name:
-        return node.me.name
-    peers = [
-        peer
-        for peer in live_peers(node)
-        if peer.load.total_slots and peer.info.name != tried
-    ]
-    best = min(
-        peers, key=lambda peer: (peer.load.wait_s, -peer.load.free_slots), default=None
-    )
-    if best is not None:
-        return best.info.name
-    return node.me.name if mine else None
+def check_stopping(door: Door) -> Refusal | None:
+    """Refuse everything new while this process stops."""
+    if not door.stopping:
+        return None
+    sentence = "This entry process is stopping."
+    return Refusal(ErrorKind.STOPPING, sentence, retry_after_s=1.0)
 
 
 def offer(node: Node, request: OpenRequest, now_s: float) -> None:
     """Offer a request to an owner, or resolve it where there is none."""
-    owner = choose_owner(node, request.work)
+    owner = choose_owner(node, request.work, request.owner, now_s)
     if owner is None:
         sentence = "No process that owns workers can be reached."
         resolve(node, request, Refusal(ErrorKind.NO_OWNER, sentence, Ran.NO, 2.0))
@@ -149,7 +128,7 @@
     request = node.state(Door).open.get(message.ticket)
     if request is None or request.owner != sender.name:
         return
-    if message.elsewhere and request.attempts < ATTEMPTS_AT_MOST:
+    if message.elsewhere and may_retry(node, request.work, request.attempts, now_s):
         offer(node, request, now_s)
     else:
         resolve(node, request, message.refusal)
@@ -164,7 +143,7 @@
     if request is None or request.owner != sender.name:
         return
     safe = message.refusal.ran is Ran.NO or request.work.idempotent
-    if safe and request.attempts < ATTEMPTS_AT_MOST:
+    if safe and may_retry(node, request.work, request.attempts, now_s):
         offer(node, request, now_s)
     else:
         resolve(node, request, message.refusal)
--- a/packages/core/bulrushspur_core/events.py
+++ b/packages/core/bulrushspur_core/events.py
@@ -5,6 +5,8 @@
 
 import dataclasses
 
+from bulrushspur_kernel.errors import Refusal
+from bulrushspur_kernel.messages import IdRecord
 from bulrushspur_kernel.records import Entry
 from bulrushspur_kernel.work import TaskInfo, Vm, Work
 
@@ -149,3 +151,33 @@
     """This process is no longer the owner of a worker."""
 
     worker: str
+
+
+@dataclasses.dataclass(slots=True)
+class PermitsArrived:
+    """This process may start more tasks of some teams than before."""
+
+    teams: list[str]
+
+
+@dataclasses.dataclass(slots=True)
+class IdSettled:
+    """The home of a request id answered a claim, or could not be reached.
+
+    ``fresh`` allows the start. Else ``refusal`` is what the caller is told, with the
+    first ``record`` where there is one.
+    """
+
+    ticket: str
+    fresh: bool
+    record: IdRecord | None = None
+    refusal: Refusal | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class IdFound:
+    """The home of a request id answered a query, or could not be reached."""
+
+    ticket: str
+    record: IdRecord | None = None
+    refusal: Refusal | None = None
--- a/packages/core/bulrushspur_core/ids.py
+++ b/packages/core/bulrushspur_core/ids.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from bulrushspur_core import events
 from bulrushspur_core.node import Node
 
 
@@ -29,3 +30,20 @@
     if len(parts) != 3 or not parts[1].isdigit():
         return None
     return IdParts(parts[0], float(parts[1]), parts[2])
+
+
+def claim(node: Node, ticket: str, request_id: str, digest: str, now_s: float) -> None:
+    """Claim a request id at its home; IdSettled with the ticket tells the outcome."""
+    node.signal(events.IdSettled(ticket, True), now_s)
+
+
+def set_state(node: Node, request_id: str, state: str, now_s: float) -> None:
+    """Tell the home that a request is started, done, failed, lost or not_run.
+
+    ``not_run`` frees the id: it was certain that nothing ran.
+    """
+
+
+def query(node: Node, ticket: str, request_id: str, now_s: float) -> None:
+    """Ask the home for a record; IdFound with the ticket tells the outcome."""
+    node.signal(events.IdFound(ticket), now_s)
