--- a/fuzz/machine.py
+++ b/fuzz/machine.py
@@ -386,6 +386,8 @@
             totals["steps"] += self.steps
             for fault, count in self.world.faults.items():
                 totals[f"fault {fault}"] += count
+            if self.world.oracle.failed:
+                return
             self.world.cut_domains.clear()
             self.world.cut_platform.clear()
             self.world.log.down = self.world.log.lose_answers = False
