--- a/packages/kernel/bulrushspur_kernel/settings.py
+++ b/packages/kernel/bulrushspur_kernel/settings.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from bulrushspur_kernel.errors import BadSettingsError
+from bulrushspur_kernel.faults import Fault, make_fault
 
 Address = t.Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
 Positive = t.Annotated[float, msgspec.Meta(gt=0)]
@@ -24,7 +25,7 @@
     address: Address
 
 
-class Bounds(_Strict):
+class Bounds(_Strict, frozen=True):
     """Bounds on connections, bodies, queues and times."""
 
     connections: Whole = 2000
@@ -40,7 +41,7 @@
     drain_s: Positive = 60.0
 
 
-class LogSettings(_Strict):
+class LogSettings(_Strict, frozen=True):
     """How the process logs."""
 
     json: bool = False
@@ -62,6 +63,16 @@
     log: LogSettings = msgspec.field(default_factory=LogSettings)
 
 
+PORTS: t.Final = 65_536
+
+_STRUCTS: t.Final = {
+    "$": Settings,
+    "peers": PeerSettings,
+    "bounds": Bounds,
+    "log": LogSettings,
+}
+
+
 def load_settings(path: str | pathlib.Path) -> Settings:
     """Read and check a settings file; raises BadSettingsError."""
     try:
@@ -74,9 +85,35 @@
 def parse_settings(data: bytes) -> Settings:
     """Check settings given as JSON; raises BadSettingsError with the path."""
     try:
-        return msgspec.json.decode(data, type=Settings)
+        settings = msgspec.json.decode(data, type=Settings)
     except msgspec.DecodeError as exc:
-        raise BadSettingsError(str(exc)) from exc
+        raise BadSettingsError(str(make_fault(exc, _STRUCTS))) from exc
+    faults = check_settings(settings)
+    if faults:
+        raise BadSettingsError("\n".join(map(str, faults)))
+    return settings
+
+
+def check_settings(settings: Settings) -> list[Fault]:
+    """List what contradicts itself in settings whose fields are each valid."""
+    rv = []
+    own = ("callers_address", "peers_address", "operators_address")
+    listening = {}
+    for field in own:
+        address = getattr(settings, field)
+        if address in listening:
+            sentence = f"{address} is {listening[address]} already"
+            rv.append(Fault(f"$.{field}", sentence))
+        listening.setdefault(address, field)
+    for field in (*own, "platform_address"):
+        if not 0 < split_address(getattr(settings, field))[1] < PORTS:
+            rv.append(Fault(f"$.{field}", f"a port is 1 to {PORTS - 1}"))
+    names = set()
+    for i, peer in enumerate(settings.peers):
+        if peer.name in names:
+            rv.append(Fault(f"$.peers[{i}].name", f"{peer.name} stands twice"))
+        names.add(peer.name)
+    return rv
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/packages/kernel/bulrushspur_kernel/text.py
+++ b/packages/kernel/bulrushspur_kernel/text.py
@@ -5,6 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from bulrushspur_kernel.faults import Fault, make_fault
 from bulrushspur_kernel.work import Policy, Room, Size
 
 Name = t.Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
@@ -73,13 +74,31 @@
         return Room(self.slots, self.cores, self.memory_mb, self.accelerators)
 
 
-class CellPolicy(_Strict):
+class WorkerSize(_Strict, frozen=True):
+    """The size of a worker."""
+
+    slots: Count
+    cores: t.Annotated[float, msgspec.Meta(ge=0)]
+    memory_mb: Count
+    accelerators: Count = 0
+
+    @property
+    def room(self) -> Room:
+        """Give the size as room."""
+        return Room(self.slots, self.cores, self.memory_mb, self.accelerators)
+
+    def holds(self, other: Room) -> bool:
+        """Tell whether an amount of room fits into an empty worker of this size."""
+        return self.room.holds(other)
+
+
+class CellPolicy(_Strict, frozen=True):
     """Bounds that hold for the whole cell."""
 
     keys_fresh_s: Positive = 600.0
     ids_kept_s: Positive = 900.0
     open_team: Name = "open"
-    largest_worker: Room | None = None
+    largest_worker: WorkerSize | None = None
 
 
 class Text(_Strict):
@@ -103,11 +122,15 @@
         return next((one for one in found.kinds if one.name == kind), None)
 
 
-class Fault(msgspec.Struct):
-    """One thing wrong in a text or in settings, with the path to the field."""
-
-    path: str
-    sentence: str
+_STRUCTS: t.Final = {
+    "$": Text,
+    "domains": Domain,
+    "teams": Team,
+    "services": Service,
+    "kinds": Kind,
+    "policy": CellPolicy,
+    "largest_worker": WorkerSize,
+}
 
 
 def parse_text(data: bytes) -> Result[Text, list[Fault]]:
@@ -115,7 +138,7 @@
     try:
         text = msgspec.json.decode(data, type=Text)
     except msgspec.DecodeError as exc:
-        return Err([_fault(exc)])
+        return Err([make_fault(exc, _STRUCTS)])
     return _checked(text)
 
 
@@ -124,15 +147,10 @@
     try:
         text = msgspec.convert(data, Text)
     except msgspec.ValidationError as exc:
-        return Err([_fault(exc)])
+        return Err([make_fault(exc, _STRUCTS)])
     return _checked(text)
 
 
-def _fault(exc: Exception) -> Fault:
-    sentence, _, path = str(exc).partition(" - at `")
-    return Fault(path.rstrip("`") or "$", sentence)
-
-
 def _checked(text: Text) -> Result[Text, list[Fault]]:
     faults = check_text(text)
     return Err(faults) if faults else Ok(text)
@@ -157,17 +175,28 @@
 def _check_teams(text: Text) -> list[Fault]:
     rv = []
     for i, team in enumerate(text.teams):
-        if team.limit_tasks < team.guaranteed_tasks:
-            sentence = (
-                f"limit_tasks {team.limit_tasks} is below guaranteed_tasks "
-                f"{team.guaranteed_tasks}"
-            )
-            rv.append(Fault(f"$.teams[{i}].limit_tasks", sentence))
+        path = f"$.teams[{i}].limit_tasks"
+        for name, count in _owed(text, team):
+            if team.limit_tasks < count:
+                sentence = f"limit_tasks {team.limit_tasks} is below {name} {count}"
+                rv.append(Fault(path, sentence))
+        if team.share > 0 and not team.limit_tasks:
+            sentence = f"a share of nothing: share {team.share:g}, limit_tasks 0"
+            rv.append(Fault(path, sentence))
     if not any(team.share > 0 for team in text.teams):
         rv.append(Fault("$.teams", "no team has a share above 0"))
     return rv
 
 
+def _owed(text: Text, team: Team) -> list[tuple[str, int]]:
+    """List what a team is owed at any time, by where it is declared."""
+    counts = sum(one.count for one in text.services if one.team == team.name)
+    return [
+        ("guaranteed_tasks", team.guaranteed_tasks),
+        ("the count of its services,", counts),
+    ]
+
+
 def _check_services(text: Text) -> list[Fault]:
     rv = []
     teams = {team.name for team in text.teams}
@@ -180,36 +209,71 @@
             if other not in names:
                 sentence = f"service {other} is not in the text"
                 rv.append(Fault(f"{path}.depends_on[{j}]", sentence))
-        rv += _check_sizes(text, i, service)
-    rv += _check_cycles(text)
-    return rv
+        rv += _check_kinds(text, path, service, teams)
+        if service.count:
+            rv += _check_size(text, path, service.room, "a task of this service")
+    return rv + _check_cycles(text)
 
 
-def _check_sizes(text: Text, i: int, service: Service) -> list[Fault]:
+def _check_kinds(
+    text: Text, service_path: str, service: Service, teams: set[str]
+) -> list[Fault]:
     rv = []
-    largest = text.policy.largest_worker
-    path = f"$.services[{i}]"
     seen: set[str] = set()
+    open_team = text.policy.open_team
     for j, kind in enumerate(service.kinds):
+        path = f"{service_path}.kinds[{j}]"
         if kind.name in seen:
-            rv.append(Fault(f"{path}.kinds[{j}].name", f"{kind.name} stands twice"))
+            rv.append(Fault(f"{path}.name", f"{kind.name} stands twice"))
         seen.add(kind.name)
-        if largest is not None and not largest.holds(kind.room):
-            rv.append(Fault(f"{path}.kinds[{j}]", "no worker is as large as this kind"))
-    if largest is not None and service.count and not largest.holds(service.room):
-        rv.append(Fault(path, "no worker is as large as a task of this service"))
+        if kind.open and open_team not in teams:
+            sentence = f"an open kind runs for team {open_team}, not in the text"
+            rv.append(Fault(f"{path}.open", sentence))
+        rv += _check_size(text, path, kind.room, "this kind")
     return rv
 
 
+def _check_size(text: Text, path: str, room: Room, what: str) -> list[Fault]:
+    if room == Room():
+        return [Fault(path, f"{what} takes no room at all")]
+    largest = text.policy.largest_worker
+    if largest is None or largest.holds(room):
+        return []
+    sentences = [
+        f"{field} {getattr(room, field):g} of {getattr(largest, field):g}"
+        for field in room.__struct_fields__
+        if getattr(room, field) > getattr(largest, field)
+    ]
+    sentence = f"no worker is as large as {what}: {', '.join(sentences)}"
+    return [Fault(path, sentence)]
+
+
 def _check_cycles(text: Text) -> list[Fault]:
-    order = start_order(text)
-    if order is not None:
+    circle = find_circle(text)
+    if circle is None:
         return []
-    return [Fault("$.services", "depends_on goes round in a circle")]
+    names = [one.name for one in text.services]
+    sentence = f"depends_on goes round in a circle: {' -> '.join(circle)}"
+    return [Fault(f"$.services[{names.index(circle[0])}].depends_on", sentence)]
+
+
+def find_circle(text: Text) -> list[str] | None:
+    """Find services that depend on each other, the first repeated as the last."""
+    needs = {one.name: one.depends_on for one in text.services}
+    left = set(needs)
+    while ready := {name for name in left if not left.intersection(needs[name])}:
+        left -= ready
+    if not left:
+        return None
+    # Each that is left needs another that is left, so the walk must meet itself.
+    walk = [min(left)]
+    while walk[-1] not in walk[:-1]:
+        walk.append(min(left.intersection(needs[walk[-1]])))
+    return walk[walk.index(walk[-1]) :]
 
 
 def start_order(text: Text) -> list[str] | None:
-    """Order services so that each follows what it depends on; None in a cycle."""
+    """Order services so that each follows what it depends on; None in a circle."""
     waiting = {one.name: set(one.depends_on) for one in text.services}
     rv: list[str] = []
     while waiting:
--- a/standins/bulrushspur_standins/worker.py
+++ b/standins/bulrushspur_standins/worker.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import hashlib
 import random
@@ -22,6 +23,7 @@
 
 ANSWER_CHUNK_BYTES: t.Final = 16_384
 ENDED_KEPT: t.Final = 2000
+HISTORY_KEPT: t.Final = 200_000
 
 
 class TaskHead(msgspec.Struct):
@@ -46,6 +48,19 @@
     report_lag_s: float = 0.0
 
 
+class Ran(msgspec.Struct):
+    """When a task ran, on the monotonic clock of this machine; for the oracle.
+
+    ``ended_s`` is None while it runs.
+    """
+
+    request_id: str
+    team: str
+    started_s: float
+    ended_s: float | None
+    outcome: str
+
+
 @dataclasses.dataclass
 class RunningTask:
     """A task in its room until it ends, is stopped, or its lease lapses."""
@@ -75,6 +90,9 @@
     newest_epoch: int = 0
     starts: int = 0
     open_calls: int = 0
+    history: collections.deque["Ran"] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=HISTORY_KEPT)
+    )
     rng: random.Random = dataclasses.field(default_factory=lambda: random.Random(1))
 
     def violation(self, kind: str, example: str) -> None:
@@ -113,9 +131,22 @@
         if self.running.get(task_id) is task:
             del self.running[task_id]
         self.ended[task_id] = outcome
+        head = task.head
+        ran = Ran(
+            head.request_id, head.info.team, task.started_s, time.monotonic(), outcome
+        )
+        self.history.append(ran)
         while len(self.ended) > ENDED_KEPT:
             del self.ended[next(iter(self.ended))]
 
+    def list_history(self) -> list[Ran]:
+        """List what ran and what runs."""
+        now = [
+            Ran(one.head.request_id, one.head.info.team, one.started_s, None, "")
+            for one in self.running.values()
+        ]
+        return [*self.history, *now]
+
 
 async def run_task(worker: Worker, task: RunningTask) -> str:
     """Run a task to its end and return its outcome."""
@@ -177,6 +208,8 @@
             await send_json(exchange, {})
         elif parts == ["report"]:
             await report(exchange)
+        elif parts == ["history"]:
+            await send_json(exchange, worker.list_history())
         else:
             await send_json(exchange, {"error": "no such path"}, 404)
 
