Repeat, teach and bound the age of what the log says

Cause: a newcomer that found the log's oldest record gone folded from there and so had no text, no withdrawn keys and no rosters; in an outage it had nothing at all. Also: moved parts are numbered by giver so that a lost append can be repeated; what a lowered limit took from a domain comes back to that domain first.

--- a/packages/core/bulrushspur_core/__init__.py
+++ b/packages/core/bulrushspur_core/__init__.py
@@ -24,6 +24,12 @@
 from bulrushspur_core import (
     owner as owner,
 )
+from bulrushspur_core import (
+    repeating as repeating,
+)
+from bulrushspur_core import (
+    teaching as teaching,
+)
 from bulrushspur_core import (
     workers as workers,
 )
--- a/packages/core/bulrushspur_core/cell.py
+++ b/packages/core/bulrushspur_core/cell.py
@@ -11,7 +11,7 @@
 
 from bulrushspur_kernel import records as rec
 from bulrushspur_kernel.messages import Member
-from bulrushspur_kernel.text import Team, Text, convert_text
+from bulrushspur_kernel.text import Text, convert_text
 
 
 class Key(msgspec.Struct, array_like=True):
@@ -33,16 +33,23 @@
 
 @dataclasses.dataclass
 class Cell:
-    """State of the fold; ``next_offset`` is the offset it has not seen yet."""
+    """State of the fold; ``next_offset`` is the offset it has not seen yet.
+
+    ``parts`` and ``debts`` are by team and failure domain: a debt is what a lowered
+    limit took from a domain that may not have read so yet. ``moves`` counts the
+    records of moved parts by their giver.
+    """
 
     next_offset: int = 0
     version: int = 0
     text: Text | None = None
     raw_text: dict[str, t.Any] = dataclasses.field(default_factory=dict)
     keys: dict[str, Key] = dataclasses.field(default_factory=dict)
-    withdrawn: set[str] = dataclasses.field(default_factory=set)
+    withdrawn: dict[str, int] = dataclasses.field(default_factory=dict)
     rosters: dict[str, list[Roster]] = dataclasses.field(default_factory=dict)
     parts: dict[str, dict[str, int]] = dataclasses.field(default_factory=dict)
+    debts: dict[str, dict[str, int]] = dataclasses.field(default_factory=dict)
+    moves: dict[str, int] = dataclasses.field(default_factory=dict)
     outcomes: dict[str, bool] = dataclasses.field(default_factory=dict)
     changed_at: int = 0
 
@@ -51,9 +58,14 @@
         rosters = self.rosters.get(domain)
         return rosters[-1] if rosters else Roster()
 
+    def part(self, team: str, domain: str) -> int:
+        """Return the part of a team's upper limit that a failure domain has."""
+        return self.parts.get(team, {}).get(domain, 0)
+
 
 OUTCOMES_KEPT: t.Final = 2000
-ROSTERS_KEPT: t.Final = 8
+WITHDRAWN_KEPT: t.Final = 2000
+DEBTORS_KEPT: t.Final = 1000
 
 
 def fold(cell: Cell, entry: rec.Entry) -> bool:
@@ -94,7 +106,9 @@
 
 
 def _fold_key_withdrawn(cell: Cell, offset: int, record: rec.KeyWithdrawn) -> bool:
-    cell.withdrawn.add(record.key_id)
+    cell.withdrawn[record.key_id] = offset
+    while len(cell.withdrawn) > WITHDRAWN_KEPT:
+        del cell.withdrawn[next(iter(cell.withdrawn))]
     return cell.keys.pop(record.key_id, None) is not None
 
 
@@ -121,14 +135,19 @@
 def _fold_parts(cell: Cell, offset: int, record: rec.PartsMoved) -> bool:
     if record.epoch != cell.roster(record.giver).epoch:
         return False
+    if record.sequence != cell.moves.get(record.giver, 0) + 1:
+        return False
+    # The first record of a sequence uses it up even if it is void, so that a copy of
+    # it that lands later never takes effect.
+    cell.moves[record.giver] = record.sequence
     enough = all(
-        cell.parts.get(team, {}).get(record.giver, 0) >= count > 0
+        cell.part(team, record.giver) >= count > 0
         for team, count in record.parts.items()
     )
     known = cell.text is not None and any(
         one.name == record.taker for one in cell.text.domains
     )
-    if not enough or not known:
+    if not enough or not known or record.giver == record.taker:
         return False
     for team, count in record.parts.items():
         held = cell.parts[team]
@@ -138,7 +157,7 @@
 
 
 def _fold_snapshot(cell: Cell, offset: int, record: rec.Snapshot) -> bool:
-    # A process that has folded everything up to here learns nothing from it.
+    # Only a process that missed records learns from it: see snapshots.
     return False
 
 
@@ -154,24 +173,40 @@
 
 def _split_limits(cell: Cell, text: Text) -> None:
     """Split each limit over the domains, near to how it was split before."""
-    domains = [one.name for one in text.domains]
-    cell.parts = {
-        team.name: _split_limit(team, domains, cell.parts.get(team.name, {}))
-        for team in text.teams
-    }
-
-
-def _split_limit(
-    team: Team, domains: list[str], held: dict[str, int]
-) -> dict[str, int]:
-    rv = {domain: held.get(domain, 0) for domain in domains}
-    spare = team.limit_tasks - sum(rv.values())
-    step = 1 if spare > 0 else -1
-    order = sorted(domains)
-    while spare:
-        # The poorest gains and the richest loses, so that nobody crosses over.
-        key = min if step > 0 else max
-        domain = key(order, key=lambda one: rv[one])
-        rv[domain] += step
-        spare -= step
-    return rv
+    domains = sorted(one.name for one in text.domains)
+    limits = {team.name: team.limit_tasks for team in text.teams}
+    for team in sorted(limits.keys() | cell.parts.keys()):
+        held = cell.parts.get(team, {})
+        debts = cell.debts.pop(team, {})
+        parts = {domain: held.get(domain, 0) for domain in domains}
+        _split_limit(parts, debts, limits.get(team, 0))
+        for domain in held.keys() - parts.keys():
+            debts[domain] = debts.get(domain, 0) + held[domain]
+        debts = {domain: count for domain, count in debts.items() if count}
+        if debts:
+            cell.debts[team] = debts
+        cell.parts[team] = parts
+    for team in cell.parts.keys() - limits.keys():
+        del cell.parts[team]
+    while len(cell.debts) > DEBTORS_KEPT:
+        del cell.debts[next(iter(cell.debts))]
+
+
+def _split_limit(parts: dict[str, int], debts: dict[str, int], limit: int) -> None:
+    """Change parts and debts in place until the parts add up to the limit."""
+    spare = limit - sum(parts.values())
+    # What was taken from a domain comes back to it first: it may run it still.
+    for domain in sorted(parts):
+        back = min(max(spare, 0), debts.get(domain, 0))
+        parts[domain] += back
+        debts[domain] = debts.get(domain, 0) - back
+        spare -= back
+    while spare > 0:
+        poorest = min(sorted(parts), key=lambda one: parts[one])
+        parts[poorest] += 1
+        spare -= 1
+    while spare < 0:
+        richest = max(sorted(parts), key=lambda one: parts[one])
+        parts[richest] -= 1
+        debts[richest] = debts.get(richest, 0) + 1
+        spare += 1
--- a/packages/daemon/bulrushspur_daemon/platform.py
+++ b/packages/daemon/bulrushspur_daemon/platform.py
@@ -6,7 +6,7 @@
 
 from bulrushspur_core import effects as fx
 from bulrushspur_core import events
-from bulrushspur_core.log_reader import cell_of
+from bulrushspur_core.log_reader import read_from
 from bulrushspur_kernel import platform_log
 from bulrushspur_kernel.logs import make_logger
 
@@ -27,7 +27,7 @@
     while True:
         asked_s = time.monotonic()
         try:
-            from_offset = cell_of(process.node).next_offset
+            from_offset = read_from(process.node)
             page = await platform_log.read_log(address, from_offset, WAIT_S)
         except platform_log.LogError as exc:
             if not down:
@@ -41,7 +41,7 @@
         process.handle(
             events.LogRead(page.entries, page.first, page.reached, page.end, asked_s)
         )
-        if cell_of(process.node).next_offset >= page.end:
+        if read_from(process.node) >= page.end:
             await asyncio.sleep(POLL_S)
 
 
--- a/packages/kernel/bulrushspur_kernel/messages.py
+++ b/packages/kernel/bulrushspur_kernel/messages.py
@@ -64,17 +64,22 @@
 
 
 class LogRequest(_Message):
-    """Ask a peer for the records of the log from an offset on."""
+    """Ask a peer for folded state newer than an offset, and how fresh it is."""
 
     from_offset: int
+    sequence: int = 0
 
 
 class LogRecords(_Message):
-    """Give a peer folded state at ``next_offset``, encoded, for it is behind."""
+    """Give folded state at ``next_offset``, encoded; empty where the asker has it.
+
+    ``fresh_age_s`` is for how long the log may have changed unseen by the sender.
+    """
 
     next_offset: int
     fresh_age_s: float
     state: bytes
+    sequence: int = 0
 
 
 # Ownership of workers.
@@ -143,14 +148,22 @@
 
 
 class PermitRecall(_Message):
-    """Ask an owner to give back unused permits of teams."""
+    """Ask an owner to give back unused permits of teams.
+
+    With ``excess`` the limit was lowered: it gives back as many as its tasks end, too.
+    """
 
     epoch: int
     teams: dict[str, int]
+    excess: bool = False
 
 
 class PermitReport(_Message):
-    """Tell the limit holder all permits that an owner holds; it replaces the last."""
+    """Tell the limit holder all permits that an owner holds; it replaces the last.
+
+    Grants up to ``grant_sequence`` are counted in ``held`` or will never be.
+    ``settled`` tells that the owner has taken over all its workers under this epoch.
+    """
 
     epoch: int
     sequence: int
@@ -175,10 +188,11 @@
     request_id: str
     digest: str
     door: Member
+    ticket: str = ""
 
 
 class IdRecord(msgspec.Struct, array_like=True):
-    """What the home of a request id knows of it, ``age_s`` after its claim."""
+    """What the home of a request id knows of it; ``revision`` counts its changes."""
 
     request_id: str
     digest: str
@@ -186,6 +200,8 @@
     state: str
     age_s: float = 0.0
     owner: str = ""
+    ticket: str = ""
+    revision: int = 0
 
 
 class Claimed(_Message):
@@ -195,10 +211,14 @@
     fresh: bool
     record: IdRecord | None = None
     refusal: Refusal | None = None
+    ticket: str = ""
 
 
 class CopyIds(_Message):
-    """Copy records to the second home before a claim is answered."""
+    """Copy records to another home, before a claim is answered or a roster changes.
+
+    With ``complete`` the sender has sent all that it has for this home and epoch.
+    """
 
     epoch: int
     sequence: int
@@ -219,6 +239,7 @@
     request_id: str
     state: str
     owner: str = ""
+    ticket: str = ""
 
 
 class QueryId(_Message):
--- a/packages/kernel/bulrushspur_kernel/records.py
+++ b/packages/kernel/bulrushspur_kernel/records.py
@@ -57,17 +57,27 @@
 
 
 class PartsMoved(_Record):
-    """Move parts of upper limits; void unless written in the giver's newest epoch."""
+    """Move parts of upper limits; void unless written in the giver's newest epoch.
+
+    ``sequence`` counts the records of a giver: the first of each number is the only
+    one that may take effect, so a record can be appended again when its answer was
+    lost.
+    """
 
     giver: str
     taker: str
     epoch: int
     parts: dict[str, int]
+    sequence: int = 0
     token: str = ""
 
 
 class Snapshot(_Record):
-    """Repeat what is in force at ``as_of``; void if anything came between."""
+    """Repeat what was in force before offset ``as_of``.
+
+    A reader who missed records starts from it and folds all entries from ``as_of`` on;
+    it is void for a reader to whom one of these is no longer kept.
+    """
 
     as_of: int
     state: dict[str, t.Any]
--- a/packages/kernel/bulrushspur_kernel/text.py
+++ b/packages/kernel/bulrushspur_kernel/text.py
@@ -97,6 +97,7 @@
 
     keys_fresh_s: Positive = 600.0
     ids_kept_s: Positive = 900.0
+    log_kept_s: Positive = 3600.0
     open_team: Name = "open"
     largest_worker: WorkerSize | None = None
 
