Send the body only once room is granted, and end each request once

Cause: the thin path started tasks before the door had committed, so a lost or cancelled request could not say 'not run' truly; a late word of an old attempt mixed into a new one; callers' bodies were read whole; a refusal on a connection with unread data was lost to a reset. Ruled out: a confirmation from the owner for each withdrawal (a refusal would be held back by a round trip, or say 'maybe' where 'no' is certain). Change: each attempt has an offer ticket; the owner starts nothing before the first part of the body; bodies beyond a buffer stream and are not replayed; ids are claimed before the offer; later answers, status and cancel through any door; streams know their peer, break with it, and stall for a bounded time; the pool to a worker is bounded; a lost task's room is freed when the worker no longer has it; faults are logged and answered; stop drains.

--- a/packages/core/bulrushspur_core/effects.py
+++ b/packages/core/bulrushspur_core/effects.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from bulrushspur_kernel.errors import Refusal
-from bulrushspur_kernel.messages import Message
+from bulrushspur_kernel.messages import IdRecord, Message
 from bulrushspur_kernel.records import Record
 from bulrushspur_kernel.work import TaskInfo, Work
 
@@ -66,10 +66,37 @@
 
 @dataclasses.dataclass(slots=True)
 class SendBody:
-    """Send the body of a request to the owner that reserved room for it."""
+    """Send the body of a request to the owner that reserved room for it.
+
+    ``offer`` is the ticket of this attempt, which names its streams.
+    """
 
     ticket: str
     owner: str
+    offer: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class BreakStreams:
+    """Break the streams from and to a process that was lost."""
+
+    peer: str
+
+
+@dataclasses.dataclass(slots=True)
+class Accept:
+    """Tell a caller that asks for its answer later that its request is taken."""
+
+    ticket: str
+
+
+@dataclasses.dataclass(slots=True)
+class TellRecord:
+    """Tell what the home of a request id knows of it."""
+
+    ticket: str
+    record: IdRecord | None
+    refusal: Refusal | None
 
 
 @dataclasses.dataclass(slots=True)
@@ -96,6 +123,9 @@
     | RenewTasks
     | ListTasks
     | SendBody
+    | BreakStreams
+    | Accept
+    | TellRecord
     | Resolve
     | Tell
 )
--- a/packages/core/bulrushspur_core/events.py
+++ b/packages/core/bulrushspur_core/events.py
@@ -13,11 +13,17 @@
 
 @dataclasses.dataclass(slots=True)
 class Submitted:
-    """A caller submitted work whose key was checked; ``digest`` is of its content."""
+    """A caller submitted work whose key was checked.
+
+    ``digest`` names the team and the content. A body that is not ``replayable`` can be
+    sent once. The answer of a ``kept`` request is asked for later, by its id.
+    """
 
     ticket: str
     work: Work
     digest: str = ""
+    replayable: bool = True
+    kept: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -27,9 +33,24 @@
     ticket: str
 
 
+@dataclasses.dataclass(slots=True)
+class RecordAsked:
+    """A caller asks for a request that this door did not take."""
+
+    ticket: str
+    request_id: str
+
+
+@dataclasses.dataclass(slots=True)
+class AnswerStarted:
+    """The caller is sent the head of an answer; ``ticket`` is of the offer."""
+
+    ticket: str
+
+
 @dataclasses.dataclass(slots=True)
 class AnswerDelivered:
-    """The door has the whole answer of a request."""
+    """The door has the whole answer of a request; ``ticket`` is of the offer."""
 
     ticket: str
 
--- a/packages/daemon/bulrushspur_daemon/process.py
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -12,10 +12,13 @@
 from bulrushspur_core import effects as fx
 from bulrushspur_core.membership import Members
 from bulrushspur_core.node import Node
+from bulrushspur_core.owner import Owner
 from bulrushspur_daemon.callers import make_callers
+from bulrushspur_daemon.inquiries import make_inquiries
 from bulrushspur_daemon.operators import make_operators
 from bulrushspur_daemon.peers import Peers, make_peers
 from bulrushspur_daemon.platform import follow_log, follow_vms, make_appender
+from bulrushspur_daemon.requests import Requests, make_requests
 from bulrushspur_daemon.runner import Runner, make_runner
 from bulrushspur_daemon.streams import Streams, make_streams
 from bulrushspur_kernel import messages as msg
@@ -28,8 +31,11 @@
 
 TIMERS_S: t.Final = 0.05
 STOP_SPREAD_S: t.Final = 1.5
+STOP_STEP_S: t.Final = 0.05
+CLOSE_S: t.Final = 2.0
 
 EffectDoer = t.Callable[[t.Any], None]
+MessageTaker = t.Callable[[str, t.Any], None]
 
 
 @dataclasses.dataclass
@@ -42,20 +48,39 @@
     streams: Streams
     peers: Peers | None = None
     runner: Runner | None = None
+    requests: Requests | None = None
     doers: dict[type, EffectDoer] = dataclasses.field(default_factory=dict)
+    takers: dict[type, MessageTaker] = dataclasses.field(default_factory=dict)
     servers: list[HttpServer] = dataclasses.field(default_factory=list)
     started_s: float = dataclasses.field(default_factory=time.monotonic)
     stopping: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
     def handle(self, event: t.Any) -> None:
         """Give an event to the decision code and carry out the effects."""
-        self.carry_out(self.node.handle(event, time.monotonic()))
+        with self.fault_barrier(event):
+            self.carry_out(self.node.handle(event, time.monotonic()))
 
     def receive(self, sender: msg.Member, message: msg.Message) -> None:
         """Give a message of a peer to its stream or to the decision code."""
         if self.streams.take(sender.name, message):
             return
-        self.carry_out(self.node.receive(sender, message, time.monotonic()))
+        taker = self.takers.get(type(message))
+        with self.fault_barrier(message):
+            if taker is not None:
+                taker(sender.name, message)
+                return
+            if isinstance(message, msg.Withdraw):
+                self.streams.withdraw(sender.name, message.ticket)
+            self.carry_out(self.node.receive(sender, message, time.monotonic()))
+
+    @contextlib.contextmanager
+    def fault_barrier(self, what: t.Any) -> t.Iterator[None]:
+        """Log a fault of the decision code and go on."""
+        try:
+            yield
+        except Exception as exc:
+            self.node.metrics.count("faults")
+            log.exception(f"{type(what).__name__} failed: {exc!r}.")
 
     def send(self, to: str, message: msg.Message) -> None:
         """Send a message to a process, which may be this one."""
@@ -70,13 +95,15 @@
         return peer.info.address if peer is not None else self.node.seeds.get(name)
 
     def carry_out(self, effects: list[fx.Effect]) -> None:
-        """Carry out effects in order."""
+        """Carry out effects in order; one that fails does not hold up the rest."""
         for effect in effects:
-            self.doers[type(effect)](effect)
+            with self.fault_barrier(effect):
+                self.doers[type(effect)](effect)
 
     def tick(self, now_s: float) -> None:
         """Run the timers of the decision code."""
-        self.carry_out(self.node.run_timers(now_s))
+        with self.fault_barrier(self.tick):
+            self.carry_out(self.node.run_timers(now_s))
 
 
 def make_process(settings: Settings) -> Process:
@@ -106,11 +133,7 @@
         loop.add_signal_handler(number, process.stopping.set)
     log.info(f"{settings.name} of domain {settings.domain} serves.")
     await process.stopping.wait()
-    log.info("Stopping: nothing new is taken.")
-    process.handle(events.StopAsked())
-    await asyncio.sleep(STOP_SPREAD_S)
-    for server in process.servers:
-        await server.close(settings.bounds.drain_s)
+    await _stop(process)
     for task in tasks:
         task.cancel()
     for task in tasks:
@@ -119,11 +142,39 @@
     log.info("Stopped.")
 
 
+async def _stop(process: Process) -> None:
+    """Finish what is held, or give up after ``drain_s`` seconds."""
+    log.info("Stopping: nothing new is taken.")
+    until_s = time.monotonic() + process.settings.bounds.drain_s
+    for server in process.servers:
+        server.begin_close()
+    process.handle(events.StopAsked())
+    # Late callers and peers learn of it before the doors close.
+    await asyncio.sleep(STOP_SPREAD_S)
+    while is_busy(process) and time.monotonic() < until_s:
+        await asyncio.sleep(STOP_STEP_S)
+    if is_busy(process):
+        log.warning("Stopping with work unfinished: drain_s has passed.")
+    for server in process.servers:
+        await server.close(CLOSE_S)
+
+
+def is_busy(process: Process) -> bool:
+    """Tell whether a request, a task or a stream is unfinished here."""
+    callers = process.servers[0].busy > 0
+    held = process.requests is not None and bool(process.requests.pending)
+    runs = process.runner is not None and process.runner.starts > 0
+    owner = process.node.state(Owner)
+    return bool(callers or held or runs or owner.running or owner.queue)
+
+
 async def _start(process: Process) -> list[asyncio.Task[None]]:
     settings = process.settings
     process.peers = make_peers(process)
     process.runner = make_runner(process)
-    callers, resolve, tell, send_body = make_callers(process)
+    requests = process.requests = make_requests(process)
+    inquiries = make_inquiries(process, requests)
+    callers = make_callers(process, requests, inquiries)
     appender = make_appender(process)
     process.doers = {
         fx.Send: lambda effect: process.send(effect.to, effect.message),
@@ -132,9 +183,16 @@
         fx.ActOnTask: process.runner.act_on_task,
         fx.RenewTasks: process.runner.renew_tasks,
         fx.ListTasks: process.runner.list_tasks,
-        fx.SendBody: send_body,
-        fx.Resolve: resolve,
-        fx.Tell: tell,
+        fx.SendBody: requests.send_body,
+        fx.BreakStreams: lambda effect: process.streams.break_peer(effect.peer),
+        fx.Accept: requests.accept,
+        fx.TellRecord: inquiries.tell_record,
+        fx.Resolve: requests.resolve,
+        fx.Tell: requests.tell,
+    }
+    process.takers = {
+        msg.AskRequest: inquiries.take_ask,
+        msg.RequestTold: inquiries.take_told,
     }
     process.servers = [callers, make_operators(process)]
     addresses = (settings.callers_address, settings.operators_address)
--- a/packages/daemon/bulrushspur_daemon/runner.py
+++ b/packages/daemon/bulrushspur_daemon/runner.py
@@ -18,6 +18,7 @@
     spend_credit,
 )
 from bulrushspur_kernel import messages as msg
+from bulrushspur_kernel.errors import ErrorKind, Ran, Refusal
 from bulrushspur_kernel.http_client import Call, LostError, NotSentError
 from bulrushspur_kernel.logs import make_logger
 
@@ -26,14 +27,20 @@
 
 log = make_logger("runner")
 
+BODY_AWAITED_S: t.Final = 5.0
+ABORT_S: t.Final = 10.0
+LAPSE_MARGIN_S: t.Final = 2.0
+GONE_STEP_S: t.Final = 0.2
+
 
 @dataclasses.dataclass
 class Runner:
     """Tasks of this process that talk to workers."""
 
     process: "Process"
-    pool: adapter.WorkerPool = dataclasses.field(default_factory=adapter.WorkerPool)
+    pool: adapter.WorkerPool
     jobs: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
+    starts: int = 0
 
     def spawn(self, job: t.Coroutine[t.Any, t.Any, None]) -> None:
         """Run a job in the background."""
@@ -47,8 +54,9 @@
 
     def start_task(self, effect: fx.StartTask) -> None:
         """Start a task and carry its answer to the door."""
-        inflow = Inflow()
-        self.process.streams.bodies_in[effect.ticket] = inflow
+        inflow = Inflow(effect.door) if effect.door else None
+        if inflow is not None:
+            self.process.streams.bodies_in[effect.ticket] = inflow
         self.spawn(self._run(effect, inflow))
 
     def act_on_task(self, effect: fx.ActOnTask) -> None:
@@ -78,34 +86,77 @@
         else:
             self.process.handle(events.TasksListed(worker, found[0], found[1]))
 
-    async def _run(self, effect: fx.StartTask, inflow: Inflow) -> None:
-        streams = self.process.streams
-        flow = Outflow(streams.bounds.buffer_bytes)
-        streams.answers_out[effect.ticket] = flow
+    async def _run(self, effect: fx.StartTask, inflow: Inflow | None) -> None:
+        flow = Outflow(self.process.streams.bounds.buffer_bytes, effect.door)
+        self.starts += 1
         started_s = time.monotonic()
         outcome, status = "lost", 0
         try:
-            outcome, status = await self._start_and_relay(effect, inflow, flow)
+            outcome, status = await self._with_streams(effect, inflow, flow)
+        except Exception as exc:
+            log.exception(f"The start of {effect.task.task_id} failed: {exc!r}.")
         finally:
-            streams.bodies_in.pop(effect.ticket, None)
-            streams.answers_out.pop(effect.ticket, None)
-            ended = events.TaskEnded(
-                effect.worker,
-                effect.task.task_id,
-                effect.ticket,
-                outcome,
-                status,
-                time.monotonic() - started_s,
-            )
-            self.process.handle(ended)
+            self.starts -= 1
+        if outcome == "lost":
+            self._tell_lost(effect)
+            await self._wait_gone(effect)
+        ended = events.TaskEnded(
+            effect.worker,
+            effect.task.task_id,
+            effect.ticket,
+            outcome,
+            status,
+            time.monotonic() - started_s,
+        )
+        self.process.handle(ended)
+
+    async def _with_streams(
+        self, effect: fx.StartTask, inflow: Inflow | None, flow: Outflow
+    ) -> tuple[str, int]:
+        streams = self.process.streams
+        if effect.door:
+            streams.answers_out[effect.ticket] = flow
+        try:
+            return await self._start_and_relay(effect, inflow, flow)
+        finally:
+            if streams.bodies_in.get(effect.ticket) is inflow:
+                streams.bodies_in.pop(effect.ticket, None)
+            if streams.answers_out.get(effect.ticket) is flow:
+                streams.answers_out.pop(effect.ticket, None)
+
+    def _tell_lost(self, effect: fx.StartTask) -> None:
+        # The door is told at once; the room is free only when the task is gone.
+        sentence = "The worker was lost before its answer was whole."
+        refusal = Refusal(ErrorKind.WORKER_LOST, sentence, Ran.MAYBE)
+        if effect.door:
+            self.process.send(effect.door, msg.AnswerFailed(effect.ticket, refusal))
+
+    async def _wait_gone(self, effect: fx.StartTask) -> None:
+        """Stop a task whose connection was lost, and wait until it is gone.
+
+        A worker that does not answer has let it go when its lease lapsed.
+        """
+        address, task_id = self.address(effect.worker), effect.task.task_id
+        until_s = time.monotonic() + effect.lease_s + LAPSE_MARGIN_S
+        while time.monotonic() < until_s:
+            await adapter.act(address, task_id, "stop")
+            found = await adapter.list_tasks(address)
+            if found is not None and all(one.task_id != task_id for one in found[0]):
+                return
+            await asyncio.sleep(GONE_STEP_S)
 
     async def _start_and_relay(
-        self, effect: fx.StartTask, inflow: Inflow, flow: Outflow
+        self, effect: fx.StartTask, inflow: Inflow | None, flow: Outflow
     ) -> tuple[str, int]:
         address = self.address(effect.worker)
         try:
+            # The door sends the body only while it still wants the answer.
+            while inflow is not None and not inflow.begun():
+                if inflow.broken:
+                    return "not_started", 0
+                await inflow.wait(BODY_AWAITED_S)
             call = await self.pool.take(address)
-        except NotSentError:
+        except (NotSentError, StreamBrokenError):
             return "not_started", 0
         # The check belongs to the epoch of the decision and stands right before the
         # send, so that a pause in between is as short as it can be.
@@ -114,47 +165,64 @@
         if not may_start(node, effect.worker, effect.epoch, now_s):
             self.pool.give_back(address, call)
             return "not_started", 0
+        flow.on_break = lambda: self._abort_later(call)
         try:
-            await adapter.send_start(
-                call, address, effect.task, effect.work, effect.lease_s
-            )
-            await self._send_body(call, effect, inflow)
-            status = await call.read_head()
-            if status == adapter.STARTED_DETACHED:
-                await call.read_all()
-                return "detached", status
-            if status != adapter.ENDED_OK:
-                await call.read_all()
-                return "failed", status
-            await self._relay_answer(call, effect, flow)
+            rv = await self._exchange(call, address, effect, inflow, flow)
         except (LostError, StreamBrokenError):
-            call.abort()
+            self.pool.drop(address, call)
             return "lost", 0
-        except asyncio.CancelledError:
-            call.abort()
+        except BaseException:
+            self.pool.drop(address, call)
             raise
+        finally:
+            flow.on_break = None
         self.pool.give_back(address, call)
+        return rv
+
+    async def _exchange(
+        self,
+        call: Call,
+        address: str,
+        effect: fx.StartTask,
+        inflow: Inflow | None,
+        flow: Outflow,
+    ) -> tuple[str, int]:
+        await adapter.send_start(
+            call, address, effect.task, effect.work, effect.lease_s
+        )
+        await self._send_body(call, effect, inflow)
+        status = await call.read_head()
+        if status == adapter.STARTED_DETACHED:
+            await call.read_all()
+            return "detached", status
+        if status != adapter.ENDED_OK:
+            await call.read_all()
+            return "failed", status
+        await self._relay_answer(call, effect, flow)
         return "done", status
 
+    def _abort_later(self, call: Call) -> None:
+        # The task was told to stop; a worker that says nothing more is given up.
+        asyncio.get_running_loop().call_later(ABORT_S, call.abort_unless_idle)
+
     async def _send_body(
-        self, call: Call, effect: fx.StartTask, inflow: Inflow
+        self, call: Call, effect: fx.StartTask, inflow: Inflow | None
     ) -> None:
         process = self.process
-        parts = read_inflow(
-            inflow,
-            effect.ticket,
-            True,
-            effect.door,
-            process.send,
-            process.settings.bounds,
-        )
-        async for data in parts:
-            await call.send_body(data)
+        if inflow is not None:
+            parts = read_inflow(
+                inflow, effect.ticket, True, process.send, process.settings.bounds
+            )
+            async for data in parts:
+                await call.send_body(data)
         await call.end_body()
 
     async def _relay_answer(
         self, call: Call, effect: fx.StartTask, flow: Outflow
     ) -> None:
+        if not effect.door:
+            await call.read_all()
+            return
         send = self.process.send
         headers = [(k, v) for k, v in call.headers if k == "content-type"]
         send(effect.door, msg.AnswerHead(effect.ticket, call.status, headers))
@@ -167,4 +235,6 @@
 
 def make_runner(process: "Process") -> Runner:
     """Make the runner of a process."""
-    return Runner(process)
+    return Runner(
+        process, adapter.make_pool(process.settings.bounds.worker_connections)
+    )
--- a/packages/daemon/bulrushspur_daemon/worker.py
+++ b/packages/daemon/bulrushspur_daemon/worker.py
@@ -42,9 +42,11 @@
 
 @dataclasses.dataclass
 class WorkerPool:
-    """Connections to workers that are open and idle, by address."""
+    """Connections to workers, by address: a bounded number, those idle kept open."""
 
+    connections: int
     idle: dict[str, list[Call]] = dataclasses.field(default_factory=dict)
+    open: dict[str, int] = dataclasses.field(default_factory=dict)
 
     async def take(self, address: str) -> Call:
         """Take an idle connection or open one; raises NotSentError."""
@@ -53,8 +55,15 @@
             call = calls.pop()
             if not call.reader.at_eof() and not call.writer.is_closing():
                 return call
-            call.close()
-        return await open_call(address, CONNECT_S)
+            self.drop(address, call)
+        if self.open.get(address, 0) >= self.connections:
+            raise NotSentError(f"{address} has {self.connections} connections already")
+        self.open[address] = self.open.get(address, 0) + 1
+        try:
+            return await open_call(address, CONNECT_S)
+        except BaseException:
+            self._count_closed(address)
+            raise
 
     def give_back(self, address: str, call: Call) -> None:
         """Keep a connection whose answer was read whole."""
@@ -62,7 +71,24 @@
         if len(calls) < IDLE_CALLS_AT_MOST and call.reusable():
             calls.append(call)
         else:
-            call.close()
+            self.drop(address, call)
+
+    def drop(self, address: str, call: Call) -> None:
+        """Close a connection at once."""
+        call.abort()
+        self._count_closed(address)
+
+    def _count_closed(self, address: str) -> None:
+        left = self.open.get(address, 0) - 1
+        if left > 0:
+            self.open[address] = left
+        else:
+            self.open.pop(address, None)
+
+
+def make_pool(connections: int) -> WorkerPool:
+    """Make a pool with at most so many connections to each worker."""
+    return WorkerPool(connections)
 
 
 async def send_start(
--- a/packages/kernel/bulrushspur_kernel/errors.py
+++ b/packages/kernel/bulrushspur_kernel/errors.py
@@ -20,6 +20,7 @@
     BAD_REQUEST = "bad_request"
     HEAD_TOO_LARGE = "head_too_large"
     BODY_TOO_LARGE = "body_too_large"
+    ANSWER_TOO_LARGE = "answer_too_large"
     SLOW_SENDER = "slow_sender"
     UNKNOWN_PATH = "unknown_path"
     UNKNOWN_SERVICE = "unknown_service"
@@ -67,6 +68,9 @@
     ErrorKind.BAD_REQUEST: AnswerRow(400, 2, _FIX),
     ErrorKind.HEAD_TOO_LARGE: AnswerRow(431, 2, _FIX),
     ErrorKind.BODY_TOO_LARGE: AnswerRow(413, 2, _FIX),
+    ErrorKind.ANSWER_TOO_LARGE: AnswerRow(
+        507, 2, "Wait for the answer: leave out X-Answer-Later."
+    ),
     ErrorKind.SLOW_SENDER: AnswerRow(408, 4, _RETRY),
     ErrorKind.UNKNOWN_PATH: AnswerRow(404, 2, "See docs/CALLERS.md for the paths."),
     ErrorKind.UNKNOWN_SERVICE: AnswerRow(404, 2, "Name a service of the text."),
--- a/packages/kernel/bulrushspur_kernel/http_client.py
+++ b/packages/kernel/bulrushspur_kernel/http_client.py
@@ -85,6 +85,11 @@
         """Close the connection."""
         self.writer.close()
 
+    def abort_unless_idle(self) -> None:
+        """Abort if a request on this connection has no whole answer yet."""
+        if self.connection.our_state is not h11.IDLE:
+            self.abort()
+
     def abort(self) -> None:
         """Close the connection and drop what was not sent yet."""
         self.writer.transport.abort()
--- a/packages/kernel/bulrushspur_kernel/http_server.py
+++ b/packages/kernel/bulrushspur_kernel/http_server.py
@@ -8,10 +8,16 @@
 
 import h11
 
-from bulrushspur_kernel.errors import ErrorKind, Refusal
+from bulrushspur_kernel.errors import ErrorKind, Ran, Refusal
+from bulrushspur_kernel.logs import make_logger
 from bulrushspur_kernel.settings import Bounds
 
+log = make_logger("http")
+
 READ_BYTES: t.Final = 65_536
+LINGER_S: t.Final = 1.0
+REFUSED_SHARE: t.Final = 2
+DRAIN_STEP_S: t.Final = 0.02
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -61,28 +67,67 @@
 Handler = t.Callable[[Request, "Exchange"], t.Awaitable[None]]
 
 
+class _Reader(asyncio.StreamReader):
+    """A stream reader that tells at once when the other side has closed."""
+
+    on_end: t.Callable[[], None] | None = None
+
+    def feed_eof(self) -> None:
+        """Note the end of the stream."""
+        super().feed_eof()
+        if self.on_end is not None:
+            self.on_end()
+
+    def set_exception(self, exc: BaseException) -> None:
+        """Note that the connection was lost."""
+        super().set_exception(exc)
+        if self.on_end is not None:
+            self.on_end()
+
+
 @dataclasses.dataclass
 class Exchange:
     """One connection, and the request and answer on it now."""
 
-    reader: asyncio.StreamReader
+    reader: _Reader
     writer: asyncio.StreamWriter
-    bounds: Bounds
+    server: "HttpServer"
     connection: h11.Connection
     answered: bool = False
 
+    @property
+    def bounds(self) -> Bounds:
+        """Give the bounds of the server."""
+        return self.server.bounds
+
     async def next_event(self, wait_s: float) -> t.Any:
         """Read until h11 has an event; raises TimeoutError."""
+        event = self.connection.next_event()
+        if event is not h11.NEED_DATA:
+            return event
         async with asyncio.timeout(wait_s):
             while True:
-                event = self.connection.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
                 if self.connection.they_are_waiting_for_100_continue:
                     head = h11.InformationalResponse(status_code=100, headers=[])
                     await self._write(self.connection.send(head))
                 data = await self.reader.read(READ_BYTES)
                 self.connection.receive_data(data)
+                event = self.connection.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+
+    async def wait_first_byte(self, wait_s: float) -> bool:
+        """Wait until another request begins; tell whether one did."""
+        if self.connection.trailing_data[0]:
+            return True
+        try:
+            async with asyncio.timeout(wait_s):
+                data = await self.reader.read(READ_BYTES)
+        except TimeoutError:
+            return False
+        if data:
+            self.connection.receive_data(data)
+        return bool(data)
 
     async def read_body(self) -> t.AsyncIterator[bytes]:
         """Yield the chunks of the body of this request."""
@@ -92,6 +137,10 @@
                 event = await self.next_event(self.bounds.body_wait_s)
             except TimeoutError as exc:
                 raise HttpError(_slow(self.bounds.body_wait_s)) from exc
+            except h11.RemoteProtocolError as exc:
+                if self.reader.at_eof():
+                    raise CallerGoneError from exc
+                raise HttpError(_malformed(exc)) from exc
             if isinstance(event, h11.EndOfMessage):
                 return
             if not isinstance(event, h11.Data):
@@ -104,48 +153,74 @@
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of the answer."""
-        self.answered = True
-        await self._send(h11.Response(status_code=status, headers=headers))
+        await self._write(self._head(status, headers))
 
     async def send_data(self, data: bytes) -> None:
         """Send a part of the answer and wait while the caller is slow."""
-        await self._send(h11.Data(data=data))
+        await self._write(self._encode(h11.Data(data=data)))
 
     async def end(self) -> None:
         """End the answer."""
-        await self._send(h11.EndOfMessage())
+        await self._write(self._encode(h11.EndOfMessage()))
 
     async def answer(
         self, status: int, body: bytes, headers: Headers | None = None
     ) -> None:
         """Send a whole answer of JSON."""
-        rows = [
-            (b"content-type", b"application/json"),
-            (b"content-length", str(len(body)).encode()),
-            *(headers or []),
-        ]
-        await self.start(status, rows)
-        await self.send_data(body)
-        await self.end()
-
-    async def _send(self, event: t.Any) -> None:
+        rows = [(b"content-type", b"application/json"), *(headers or [])]
+        await self.answer_whole(status, [body], rows)
+
+    async def answer_whole(
+        self, status: int, parts: list[bytes], headers: Headers
+    ) -> None:
+        """Send an answer that is here already, in one write."""
+        size = str(sum(map(len, parts))).encode()
+        data = [self._head(status, [*headers, (b"content-length", size)])]
+        data += [self._encode(h11.Data(data=part)) for part in parts if part]
+        data.append(self._encode(h11.EndOfMessage()))
+        await self._write(b"".join(data))
+
+    def on_gone(self, callback: t.Callable[[], None] | None) -> None:
+        """Call back once the caller has closed its side."""
+        self.reader.on_end = callback
+        if callback is not None and self.reader.at_eof():
+            callback()
+
+    def _head(self, status: int, headers: Headers) -> bytes:
+        self.answered = True
+        if self.server.closing:
+            headers = [*headers, (b"connection", b"close")]
+        return self._encode(h11.Response(status_code=status, headers=headers))
+
+    def _encode(self, event: t.Any) -> bytes:
         try:
-            data = self.connection.send(event)
+            return self.connection.send(event) or b""
         except h11.LocalProtocolError as exc:
             raise CallerGoneError from exc
-        if data:
-            await self._write(data)
 
     async def _write(self, data: bytes) -> None:
+        if not data:
+            return
+        if self.writer.is_closing():
+            raise CallerGoneError
+        self.writer.write(data)
+        if not self.writer.transport.get_write_buffer_size():
+            return
         try:
-            self.writer.write(data)
-            await self.writer.drain()
-        except OSError as exc:
+            async with asyncio.timeout(self.bounds.body_wait_s):
+                await self.writer.drain()
+        except (OSError, TimeoutError) as exc:
             raise CallerGoneError from exc
 
-    def caller_gone(self) -> bool:
-        """Tell whether the caller has closed its side."""
-        return self.reader.at_eof() or self.writer.is_closing()
+    async def linger(self) -> None:
+        """Read on for a moment, so that the last answer is not lost to a reset."""
+        with contextlib.suppress(OSError, TimeoutError, RuntimeError):
+            if self.reader.at_eof() or not self.writer.can_write_eof():
+                return
+            self.writer.write_eof()
+            async with asyncio.timeout(LINGER_S):
+                while await self.reader.read(READ_BYTES):
+                    pass
 
 
 def _slow(wait_s: float) -> Refusal:
@@ -165,13 +240,18 @@
     server: asyncio.Server | None = None
     tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
     busy: int = 0
+    faults: int = 0
     closing: bool = False
 
     async def listen(self, host: str, port: int) -> None:
         """Start to listen."""
-        self.server = await asyncio.start_server(
-            self._accept, host, port, limit=self.bounds.buffer_bytes, backlog=1024
-        )
+        loop = asyncio.get_running_loop()
+
+        def make_protocol() -> asyncio.StreamReaderProtocol:
+            reader = _Reader(limit=self.bounds.buffer_bytes, loop=loop)
+            return asyncio.StreamReaderProtocol(reader, self._accept, loop=loop)
+
+        self.server = await loop.create_server(make_protocol, host, port, backlog=1024)
 
     @property
     def port(self) -> int:
@@ -179,9 +259,7 @@
         assert self.server is not None
         return self.server.sockets[0].getsockname()[1]
 
-    async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _accept(self, reader: _Reader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
         self.tasks.add(task)
@@ -189,50 +267,66 @@
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.bounds.head_bytes
         )
-        exchange = Exchange(reader, writer, self.bounds, connection)
+        exchange = Exchange(reader, writer, self, connection)
         try:
             await self._serve(exchange)
         except (CallerGoneError, ConnectionError):
-            pass
+            # What was begun is not whole: the caller must see a cut.
+            writer.transport.abort()
+        except asyncio.CancelledError:
+            # The server closes; nothing waits for this task.
+            writer.transport.abort()
         finally:
             self.tasks.discard(task)
             writer.close()
 
     async def _serve(self, exchange: Exchange) -> None:
+        if len(self.tasks) > self.bounds.connections * REFUSED_SHARE:
+            # So many that not even a refusal can be afforded.
+            raise CallerGoneError
         if len(self.tasks) > self.bounds.connections:
             sentence = f"There are {self.bounds.connections} connections already."
             refusal = Refusal(
                 ErrorKind.TOO_MANY_CONNECTIONS, sentence, retry_after_s=1.0
             )
-            await self.send_refusal(exchange, refusal)
+            await self._refuse(exchange, refusal)
+            await exchange.linger()
             return
-        while not self.closing:
+        wait_s = self.bounds.head_wait_s
+        while await exchange.wait_first_byte(wait_s):
             request = await self._next_request(exchange)
             if request is None:
-                return
+                break
             self.busy += 1
             try:
                 await self._handle(request, exchange)
             finally:
                 self.busy -= 1
-            if not await self._ready_for_next(exchange):
-                return
+            if not self._ready_for_next(exchange):
+                break
+            wait_s = self.bounds.idle_wait_s
+        await exchange.linger()
 
     async def _handle(self, request: Request, exchange: Exchange) -> None:
         try:
             await self.handler(request, exchange)
         except HttpError as exc:
             await self._refuse(exchange, exc.refusal)
-        except h11.RemoteProtocolError as exc:
-            await self._refuse(exchange, _malformed(exc))
+        except (CallerGoneError, ConnectionError):
+            raise
+        except Exception as exc:
+            self.faults += 1
+            log.exception(f"{request.method} {request.path[:200]} failed: {exc!r}.")
+            sentence = "This entry process failed inside; it goes on."
+            refusal = Refusal(ErrorKind.INTERNAL, sentence, Ran.MAYBE)
+            await self._refuse(exchange, refusal)
 
     async def _next_request(self, exchange: Exchange) -> Request | None:
         exchange.answered = False
         try:
             event = await exchange.next_event(self.bounds.head_wait_s)
         except TimeoutError:
-            if exchange.connection.trailing_data[0]:
-                await self._refuse(exchange, _slow(self.bounds.head_wait_s))
+            await self._refuse(exchange, _slow(self.bounds.head_wait_s))
             return None
         except h11.RemoteProtocolError as exc:
             await self._refuse(exchange, _malformed(exc))
@@ -241,34 +335,38 @@
             return None
         return _make_request(event, exchange)
 
-    async def _ready_for_next(self, exchange: Exchange) -> bool:
+    def _ready_for_next(self, exchange: Exchange) -> bool:
         connection = exchange.connection
         if connection.our_state is not h11.DONE:
             return False
-        if connection.their_state is h11.SEND_BODY:
-            return False
         try:
+            while connection.their_state is h11.SEND_BODY:
+                if connection.next_event() is h11.NEED_DATA:
+                    return False
             connection.start_next_cycle()
         except h11.ProtocolError:
             return False
         return True
 
     async def _refuse(self, exchange: Exchange, refusal: Refusal) -> None:
-        if not exchange.answered:
-            with contextlib.suppress(CallerGoneError):
-                await self.send_refusal(exchange, refusal)
+        if exchange.answered:
+            # A part of the answer is out: only a cut tells that it is not whole.
+            raise CallerGoneError
+        await self.send_refusal(exchange, refusal)
+
+    def begin_close(self) -> None:
+        """Ask callers to close: answers say that the connection ends."""
+        self.closing = True
 
     async def close(self, drain_s: float) -> None:
         """Stop listening, let requests end, close what is left after ``drain_s``."""
         self.closing = True
         if self.server is not None:
             self.server.close()
-        try:
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(drain_s):
                 while self.busy:
-                    await asyncio.sleep(0.02)
-        except TimeoutError:
-            pass
+                    await asyncio.sleep(DRAIN_STEP_S)
         for task in list(self.tasks):
             task.cancel()
 
--- a/packages/kernel/bulrushspur_kernel/messages.py
+++ b/packages/kernel/bulrushspur_kernel/messages.py
@@ -299,6 +299,26 @@
     ticket: str
 
 
+class AskRequest(_Message):
+    """Ask the door that took a request for its state or answer, or to cancel it."""
+
+    ticket: str
+    request_id: str
+    team: str
+    action: str
+
+
+class RequestTold(_Message):
+    """Answer AskRequest with a state, or with why there is none.
+
+    An answer that was asked for follows as a stream of the same ticket.
+    """
+
+    ticket: str
+    state: str = ""
+    refusal: Refusal | None = None
+
+
 class Spare(_Message):
     """Tell a busier owner that this one has room for work of others."""
 
@@ -377,6 +397,8 @@
     Refused,
     Granted,
     Withdraw,
+    AskRequest,
+    RequestTold,
     Spare,
     BodyChunk,
     AnswerHead,
--- a/packages/kernel/bulrushspur_kernel/settings.py
+++ b/packages/kernel/bulrushspur_kernel/settings.py
@@ -32,11 +32,13 @@
     head_bytes: Whole = 16_384
     body_bytes: Whole = 64 * 1024 * 1024
     buffer_bytes: Whole = 262_144
+    buffered_body_bytes: Whole = 64 * 1024 * 1024
     kept_answer_bytes: Whole = 1_048_576
     kept_answers: Whole = 1000
     head_wait_s: Positive = 5.0
     body_wait_s: Positive = 20.0
     idle_wait_s: Positive = 30.0
+    worker_connections: Whole = 20
     waiting_requests: Whole = 20_000
     drain_s: Positive = 60.0
 
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,140 @@
+"""Tests of the HTTP server: bad input gets a clear answer and harms nobody else."""
+
+import asyncio
+import unittest
+
+from bulrushspur_kernel.errors import ErrorKind, Refusal
+from bulrushspur_kernel.http_server import CallerGoneError, HttpError, make_http_server
+from bulrushspur_kernel.settings import Bounds
+
+BOUNDS = Bounds(
+    connections=3, head_bytes=2000, body_bytes=5000, head_wait_s=0.2, body_wait_s=0.2
+)
+
+
+async def send_refusal(exchange, refusal):
+    await exchange.answer(refusal.row.status, refusal.kind.value.encode())
+
+
+class HttpServerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.gone = asyncio.Event()
+        self.server = make_http_server(self.handle, send_refusal, BOUNDS)
+        await self.server.listen("127.0.0.1", 0)
+
+    async def asyncTearDown(self):
+        await self.server.close(0.1)
+
+    async def handle(self, request, exchange):
+        if request.path == "/fault":
+            raise KeyError("x")
+        if request.path == "/refused":
+            raise HttpError(Refusal(ErrorKind.UNKNOWN_PATH, "no"))
+        if request.path == "/gone":
+            exchange.on_gone(self.gone.set)
+            await self.gone.wait()
+            raise CallerGoneError
+        if request.path == "/cut":
+            await exchange.start(200, [(b"transfer-encoding", b"chunked")])
+            await exchange.send_data(b"half")
+            raise HttpError(Refusal(ErrorKind.WORKER_LOST, "late"))
+        if request.path == "/stream":
+            async for _ in request.chunks():
+                pass
+        body = await request.read_all(BOUNDS.body_bytes)
+        await exchange.answer(200, request.path.encode() + b" %d" % len(body))
+
+    async def talk(self, data, end=False):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(data)
+        if end:
+            writer.write_eof()
+        async with asyncio.timeout(5):
+            rv = await reader.read(-1)
+        writer.close()
+        return rv
+
+    async def assert_serves(self):
+        answer = await self.talk(b"GET /ok HTTP/1.1\r\nHost: a\r\n\r\n", end=True)
+        self.assertIn(b"/ok 0", answer)
+
+    async def test_malformed_and_oversized_heads(self):
+        answer = await self.talk(b"nonsense\r\n\r\n")
+        self.assertIn(b"400", answer.split(b"\r\n")[0])
+        big = b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 3000
+        self.assertIn(b"head_too_large", await self.talk(big))
+        await self.assert_serves()
+
+    async def test_oversized_body(self):
+        size = 5_000_000
+        for path in (b"/a", b"/stream"):
+            head = b"POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+            answer = await self.talk(head % (path, size) + b"x" * size)
+            self.assertIn(b"body_too_large", answer)
+        await self.assert_serves()
+
+    async def test_slow_senders(self):
+        self.assertIn(b"slow_sender", await self.talk(b"GET / HT"))
+        head = b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nx"
+        self.assertIn(b"slow_sender", await self.talk(head))
+
+    async def test_body_cut_by_the_caller_gets_no_answer(self):
+        head = b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nx"
+        self.assertEqual(await self.talk(head, end=True), b"")
+        await self.assert_serves()
+
+    async def test_malformed_chunk(self):
+        head = (
+            b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"
+        )
+        self.assertIn(b"bad_request", await self.talk(head))
+
+    async def test_pipelined_requests_are_answered_in_order(self):
+        one = b"POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nxy"
+        answer = await self.talk(b"".join(one % i for i in range(5)), end=True)
+        found = [part.split(b" ")[0] for part in answer.split(b"\r\n\r\n")[1:]]
+        self.assertEqual([one[:2] for one in found], [b"/%d" % i for i in range(5)])
+
+    async def test_connection_goes_on_after_a_refusal(self):
+        one = b"GET /refused HTTP/1.1\r\nHost: a\r\n\r\n"
+        two = b"GET /ok HTTP/1.1\r\nHost: a\r\n\r\n"
+        answer = await self.talk(one + two, end=True)
+        self.assertIn(b"unknown_path", answer)
+        self.assertIn(b"/ok 0", answer)
+
+    async def test_fault_of_the_handler_is_told(self):
+        answer = await self.talk(b"GET /fault HTTP/1.1\r\nHost: a\r\n\r\n", end=True)
+        self.assertIn(b"500", answer.split(b"\r\n")[0])
+        self.assertEqual(self.server.faults, 1)
+        await self.assert_serves()
+
+    async def test_answer_that_breaks_is_cut(self):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(b"GET /cut HTTP/1.1\r\nHost: a\r\n\r\n")
+        with self.assertRaises((ConnectionError, asyncio.IncompleteReadError)):
+            await reader.readuntil(b"0\r\n\r\n")
+        writer.close()
+
+    async def test_caller_that_goes_away_is_noticed(self):
+        _, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(b"GET /gone HTTP/1.1\r\nHost: a\r\n\r\n")
+        await asyncio.sleep(0.05)
+        writer.close()
+        async with asyncio.timeout(5):
+            await self.gone.wait()
+
+    async def test_connections_are_bounded(self):
+        held = [
+            await asyncio.open_connection("127.0.0.1", self.server.port)
+            for _ in range(BOUNDS.connections)
+        ]
+        await asyncio.sleep(0.05)
+        answer = await self.talk(b"GET /ok HTTP/1.1\r\nHost: a\r\n\r\n", end=True)
+        self.assertIn(b"too_many_connections", answer)
+        for _, writer in held:
+            writer.close()
+
+    async def test_closing_server_says_so(self):
+        self.server.begin_close()
+        answer = await self.talk(b"GET /ok HTTP/1.1\r\nHost: a\r\n\r\n")
+        self.assertIn(b"connection: close", answer.lower())
