--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -150,6 +150,7 @@
     started.settings = settings
     cluster.entries[name] = started
     vm = Vm(name, "entry", settings["domain"], settings["peers_address"])
+    vm.operators_address = settings["operators_address"]
     await list_vm(cluster, vm)
     await wait_answer(settings["operators_address"], "/status")
     return started
--- a/packages/daemon/bulrushspur_daemon/operators.py
+++ b/packages/daemon/bulrushspur_daemon/operators.py
@@ -1,16 +1,19 @@
-"""The operators' interface of a process: its state dump and its status."""
+"""The operators' interface of a process: its status, its state, and explanations."""
 
+import asyncio
 import time
 import typing as t
 
 import msgspec
 
 from bulrushspur_core.door import Door
+from bulrushspur_core.explaining import explain
 from bulrushspur_core.log_reader import cell_of, fresh_age_s
 from bulrushspur_core.membership import Members
 from bulrushspur_core.owner import Owner
 from bulrushspur_core.workers import Workers
 from bulrushspur_daemon.callers import send_refusal
+from bulrushspur_daemon.plain import make_plain
 from bulrushspur_kernel.errors import ErrorKind, Refusal
 from bulrushspur_kernel.http_server import (
     Exchange,
@@ -23,15 +26,21 @@
 if t.TYPE_CHECKING:
     from bulrushspur_daemon.process import Process
 
+FRESH_AT_MOST_S: t.Final = 1e9
+
 
 def make_operators(process: "Process") -> HttpServer:
     """Make the server for operators."""
 
     async def handle(request: Request, exchange: Exchange) -> None:
         if request.path == "/dump":
-            await exchange.answer(200, msgspec.json.encode(dump(process)))
+            await send_dump(process, request.query.get("part", ""), exchange)
         elif request.path == "/status":
-            await exchange.answer(200, msgspec.json.encode(status(process)))
+            await exchange.answer(200, msgspec.json.encode(make_status(process)))
+        elif request.path == "/explain":
+            name = request.query.get("id", "")
+            reasons = explain(process.node, name, time.monotonic())
+            await exchange.answer(200, msgspec.json.encode(reasons))
         else:
             sentence = f"There is no {request.path}."
             raise HttpError(Refusal(ErrorKind.UNKNOWN_PATH, sentence))
@@ -39,21 +48,27 @@
     return make_http_server(handle, send_refusal, process.settings.bounds)
 
 
-def status(process: "Process") -> dict[str, t.Any]:
+def make_status(process: "Process") -> dict[str, t.Any]:
     """Summarise this process and what it knows of the cell."""
     node = process.node
     now_s = time.monotonic()
     cell = cell_of(node)
+    members = node.state(Members)
     return {
         "name": node.me.name,
         "boot": node.me.boot,
         "domain": node.me.domain,
+        "uptime_s": now_s - process.started_s,
+        "stopping": process.stopping.is_set(),
         "version": cell.version,
         "next_offset": cell.next_offset,
-        "fresh_age_s": min(fresh_age_s(node, now_s), 1e9),
+        "fresh_age_s": min(fresh_age_s(node, now_s), FRESH_AT_MOST_S),
+        "roster_epoch": cell.roster(node.me.domain).epoch,
         "open_requests": len(node.state(Door).open),
         "queued": len(node.state(Owner).queue),
-        "load": node.state(Members).load,
+        "load": {
+            one: getattr(members.load, one) for one in members.load.__struct_fields__
+        },
         "peers": {
             name: {
                 "domain": peer.info.domain,
@@ -61,14 +76,14 @@
                 "seen_s_ago": now_s - peer.seen_s,
                 "operators_address": peer.info.operators_address,
             }
-            for name, peer in sorted(node.state(Members).peers.items())
+            for name, peer in sorted(members.peers.items())
         },
         "workers": {
             name: {
                 "owned": view.owned,
                 "leaving": view.vm.leaving,
                 "tasks": len(view.tasks),
-                "free": view.free,
+                "free": make_plain(view.free),
             }
             for name, view in sorted(node.state(Workers).views.items())
         },
@@ -76,17 +91,26 @@
     }
 
 
-def dump(process: "Process") -> dict[str, t.Any]:
-    """Return the whole state of this process; keys appear as hashes only."""
-    node = process.node
-    return {
-        "status": status(process),
-        "uptime_s": time.monotonic() - process.started_s,
-        "settings": process.settings,
-        "state": {cls.__name__: plain(state) for cls, state in node.states.items()},
-    }
-
+async def send_dump(process: "Process", part: str, exchange: Exchange) -> None:
+    """Send the whole state of this process, or of one part, as JSON.
 
-def plain(state: t.Any) -> t.Any:
-    """Turn the state of a part into what JSON can carry."""
-    return msgspec.to_builtins(state, str_keys=True, enc_hook=str)
+    Each part is told as it stands at one moment; other work goes on between parts.
+    """
+    states = {cls.__name__: state for cls, state in process.node.states.items()}
+    if part and part not in states:
+        sentence = f"There is no part {part}; there are {', '.join(sorted(states))}."
+        raise HttpError(Refusal(ErrorKind.UNKNOWN_PATH, sentence))
+    head = {"status": make_status(process), "settings": make_plain(process.settings)}
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"transfer-encoding", b"chunked"),
+    ]
+    await exchange.start(200, headers)
+    await exchange.send_data(msgspec.json.encode(head)[:-1] + b',"state":{')
+    for i, name in enumerate([part] if part else sorted(states)):
+        comma = b"," if i else b""
+        data = msgspec.json.encode(make_plain(states[name]))
+        await exchange.send_data(comma + msgspec.json.encode(name) + b":" + data)
+        await asyncio.sleep(0)
+    await exchange.send_data(b"}}")
+    await exchange.end()
--- a/packages/kernel/bulrushspur_kernel/work.py
+++ b/packages/kernel/bulrushspur_kernel/work.py
@@ -97,7 +97,10 @@
 
 
 class Vm(msgspec.Struct):
-    """A VM in the lagging list of the platform."""
+    """A VM in the lagging list of the platform.
+
+    ``operators_address`` is a label of entry VMs: where the client finds them.
+    """
 
     name: str
     role: str
@@ -108,3 +111,4 @@
     leaving: bool = False
     room: Room = Room()
     connections: int = 60
+    operators_address: str = ""
