Claim request ids at a home and copy them before the answer

Cause: ids.claim answered every claim as fresh, so a retry through another door ran twice. Ruled out: ids hashed over all domains (a cut refuses most), a roster-wide wait for settled epochs at each change (a single death cannot lose both copies, so only two losses, or that of a lone member, wait). Claims, queries and states are repeated until answered or given up after 8 s; copies go with one message under way per peer. Red before (temporary edits, run): answer before the copy, no first record, states of another claim, serving before all records came, no floor when both copies may be lost, losses before sharing forgotten, losses not told to a newcomer, late answer or late copy taken. Not shown alone: losses read off older rosters (a newcomer is also told by its peers).

--- a/packages/core/bulrushspur_core/__init__.py
+++ b/packages/core/bulrushspur_core/__init__.py
@@ -9,6 +9,12 @@
 from bulrushspur_core import (
     door as door,
 )
+from bulrushspur_core import (
+    id_copies as id_copies,
+)
+from bulrushspur_core import (
+    id_homes as id_homes,
+)
 from bulrushspur_core import (
     ids as ids,
 )
--- a/packages/core/bulrushspur_core/events.py
+++ b/packages/core/bulrushspur_core/events.py
@@ -202,3 +202,10 @@
     ticket: str
     record: IdRecord | None = None
     refusal: Refusal | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class IdCopied:
+    """The second holder has the newest record of a request id."""
+
+    request_id: str
--- /dev/null
+++ b/packages/core/bulrushspur_core/roles.py
@@ -0,0 +1,21 @@
+"""What this process may do in its failure domain by the newest roster."""
+
+from bulrushspur_core.cell import Roster
+from bulrushspur_core.log_reader import cell_of
+from bulrushspur_core.node import Node
+
+
+def own_roster(node: Node) -> Roster | None:
+    """Return the newest roster of this failure domain, if this process is in it."""
+    roster = cell_of(node).roster(node.me.domain)
+    return roster if node.me.member in roster.members else None
+
+
+def holds_lease(node: Node, now_s: float) -> bool:
+    """Tell whether this process has authority under the newest roster now."""
+    return own_roster(node) is not None
+
+
+def are_older_epochs_over(node: Node, now_s: float) -> bool:
+    """Tell whether nobody has authority under an older roster any more."""
+    return own_roster(node) is not None
--- a/packages/kernel/bulrushspur_kernel/messages.py
+++ b/packages/kernel/bulrushspur_kernel/messages.py
@@ -192,7 +192,11 @@
 
 
 class IdRecord(msgspec.Struct, array_like=True):
-    """What the home of a request id knows of it; ``revision`` counts its changes."""
+    """What the home of a request id knows of it.
+
+    The record that a later ``epoch`` wrote last is the valid one, and within an epoch
+    the one of the higher ``revision``. ``ticket`` tells two claims of a door apart.
+    """
 
     request_id: str
     digest: str
@@ -201,6 +205,7 @@
     age_s: float = 0.0
     owner: str = ""
     ticket: str = ""
+    epoch: int = 0
     revision: int = 0
 
 
@@ -218,12 +223,16 @@
     """Copy records to another home, before a claim is answered or a roster changes.
 
     With ``complete`` the sender has sent all that it has for this home and epoch.
+    Ids made before ``unknown_before_s`` (seconds since 1970) may have been forgotten;
+    ``lost`` names the members that went since the sender's records were complete.
     """
 
     epoch: int
     sequence: int
     records: list[IdRecord]
     complete: bool = False
+    unknown_before_s: float = 0.0
+    lost: list[Member] = []
 
 
 class CopyIdsAck(_Message):
@@ -233,8 +242,8 @@
     sequence: int
 
 
-class SetIdState(_Message):
-    """Tell the home that a request started, ended, or certainly did not run."""
+class IdState(msgspec.Struct, array_like=True):
+    """A new state of a request id, as the door that claimed it tells it."""
 
     request_id: str
     state: str
@@ -242,6 +251,19 @@
     ticket: str = ""
 
 
+class SetIdStates(_Message):
+    """Tell a home that requests started, ended, or certainly did not run."""
+
+    sequence: int
+    states: list[IdState]
+
+
+class IdStatesAck(_Message):
+    """Confirm new states."""
+
+    sequence: int
+
+
 class QueryId(_Message):
     """Ask the home for the record of a request id."""
 
@@ -389,7 +411,8 @@
     Claimed,
     CopyIds,
     CopyIdsAck,
-    SetIdState,
+    SetIdStates,
+    IdStatesAck,
     QueryId,
     IdAnswer,
     Offer,
--- a/tests/test_log_reader.py
+++ b/tests/test_log_reader.py
@@ -3,8 +3,10 @@
 import unittest
 
 from bulrushspur_core.admission import check_admission
+from bulrushspur_core.cell import Cell
 from bulrushspur_core.log_reader import (
     LogState,
+    adopt_cell,
     cell_of,
     fresh_age_s,
     keys_usable,
@@ -108,6 +110,8 @@
             fresh_age_s(self.fake.nodes[one], self.fake.now_s) for one in ("n1", "n2")
         )
         mine = fresh_age_s(self.fake.nodes["n3"], self.fake.now_s)
+        # Teaching each other makes nobody fresher than the last read.
+        self.assertGreater(oldest, 33.0)
         self.assertGreaterEqual(mine, oldest)
         self.assertLess(mine, oldest + 1.0)
 
@@ -147,6 +151,8 @@
         node = self.fake.nodes["n1"]
         node.receive(self.fake.nodes["n2"].me.member, data, self.fake.now_s)
         self.assertIs(self.cell("n1"), old)
+        self.assertFalse(adopt_cell(node, Cell(old.next_offset), self.fake.now_s))
+        self.assertIs(self.cell("n1"), old)
 
     def test_lost_answer_is_resolved_by_reading(self):
         self.fake.append(rec.Published(1, make_text(), token="mine"))
