Start work by class, share and best fit instead of first come first served

One queue in order of arrival let a heavy job keep a small one waiting, knew no shares, and walked over every worker and offer at each start. Now: a bounded queue per team in lanes by weight; teams ranked by weighted dominant use with a decay (heap, keys recomputed when they come up); workers in bins by free slots with best fit, accelerators and one worker kept; refusals only where certain, with a time to come back from the pace of the queue; workers that fail everything set apart by how the same kind does elsewhere; a retry budget; queued offers moved to owners that tell spare slots.

--- a/packages/core/bulrushspur_core/__init__.py
+++ b/packages/core/bulrushspur_core/__init__.py
@@ -9,6 +9,12 @@
 from bulrushspur_core import (
     door as door,
 )
+from bulrushspur_core import (
+    estimates as estimates,
+)
+from bulrushspur_core import (
+    health as health,
+)
 from bulrushspur_core import (
     id_copies as id_copies,
 )
@@ -27,6 +33,9 @@
 from bulrushspur_core import (
     membership as membership,
 )
+from bulrushspur_core import (
+    moves as moves,
+)
 from bulrushspur_core import (
     owner as owner,
 )
--- a/packages/core/bulrushspur_core/explaining.py
+++ b/packages/core/bulrushspur_core/explaining.py
@@ -6,7 +6,8 @@
 from bulrushspur_core.door import Door, OpenRequest
 from bulrushspur_core.log_reader import cell_of
 from bulrushspur_core.node import Node
-from bulrushspur_core.owner import Owner, QueuedOffer
+from bulrushspur_core.owner import Owner
+from bulrushspur_core.queues import QueuedOffer, Queues
 from bulrushspur_core.workers import Workers, WorkerView
 from bulrushspur_kernel.text import Service
 from bulrushspur_kernel.work import Policy, Room
@@ -51,7 +52,7 @@
 
 def _explain_queued(node: Node, name: str, now_s: float) -> list[str]:
     rv = []
-    for before, one in enumerate(node.state(Owner).queue.values()):
+    for before, one in enumerate(node.state(Queues).offers.values()):
         if name in (one.ticket, one.work.request_id):
             rv.append(f"It is queued with {before} before it.")
             rv += _tell_queued(node, one)
@@ -119,7 +120,7 @@
     ]
     queued = [
         one
-        for one in node.state(Owner).queue.values()
+        for one in node.state(Queues).offers.values()
         if one.work.service == service.name
     ]
     if queued:
--- a/packages/core/bulrushspur_core/owner.py
+++ b/packages/core/bulrushspur_core/owner.py
@@ -1,36 +1,41 @@
 """The owner: queues offers, starts them where they fit, and frees room when they end.
 
-Thin first form: one queue, first come first served, first worker that fits.
+docs/POLICY.md tells the order. A pass ends as soon as no worker has a free slot.
 """
 
 import dataclasses
 import typing as t
 
 from bulrushspur_core import effects as fx
-from bulrushspur_core import events, limits
-from bulrushspur_core.authority import may_start
+from bulrushspur_core import (
+    estimates,
+    events,
+    health,
+    limits,
+    placement,
+    queues,
+    shares,
+    waits,
+)
+from bulrushspur_core.log_reader import cell_of
 from bulrushspur_core.membership import Members
 from bulrushspur_core.node import Node, every, on, register_state
+from bulrushspur_core.queues import Lane, QueuedOffer, Queues, Rank, TeamQueue
 from bulrushspur_core.workers import Workers, WorkerView
 from bulrushspur_kernel import messages as msg
 from bulrushspur_kernel.errors import ErrorKind, Ran, Refusal
-from bulrushspur_kernel.work import Room, TaskInfo, Work
+from bulrushspur_kernel.work import TaskInfo, Work
 
 TASK_LEASE_S: t.Final = 10.0
+RENEW_S: t.Final = 3.0
+LIST_S: t.Final = 2.0
 DISPATCH_S: t.Final = 0.05
+LEAD_SLOTS: t.Final = 1.0
+LEAD_PART: t.Final = 1.1
+ROOM_KEPT_AFTER_S: t.Final = 2.0
 
 
-@dataclasses.dataclass
-class QueuedOffer:
-    """An offer that waits for room; ``queued_s`` is monotonic."""
-
-    ticket: str
-    door: str
-    work: Work
-    queued_s: float
-
-
-@dataclasses.dataclass
+@dataclasses.dataclass(slots=True)
 class RunningOffer:
     """An offer whose task was started."""
 
@@ -39,15 +44,19 @@
     work: Work
     worker: str
     task_id: str
+    started_s: float = 0.0
     withdrawn: bool = False
+    yielding: bool = False
+    detached: bool = False
 
 
 @dataclasses.dataclass
 class Owner:
-    """Offers that wait and offers that run, by ticket."""
+    """Offers that run, by ticket; teams that wait for permits."""
 
-    queue: dict[str, QueuedOffer] = dataclasses.field(default_factory=dict)
     running: dict[str, RunningOffer] = dataclasses.field(default_factory=dict)
+    by_task: dict[str, str] = dataclasses.field(default_factory=dict)
+    without_permit: set[str] = dataclasses.field(default_factory=set)
     task_count: int = 0
 
 
@@ -59,14 +68,68 @@
 
 @on(msg.Offer)
 def on_offer(node: Node, sender: msg.Member, message: msg.Offer, now_s: float) -> None:
-    """Queue an offer and start what fits."""
-    owner = node.state(Owner)
-    owner.queue[message.ticket] = QueuedOffer(
-        message.ticket, sender.name, message.work, now_s
+    """Queue an offer and start what fits, or refuse it where that is certain."""
+    work = message.work
+    waiting = node.state(Queues)
+    if message.ticket in waiting.offers or message.ticket in node.state(Owner).running:
+        return
+    refusal = check_queue(node, work, now_s)
+    if refusal is not None:
+        node.metrics.count(f"owner.refused.{refusal.kind.value}")
+        node.send(sender.name, msg.Refused(message.ticket, refusal))
+        return
+    offer = QueuedOffer(
+        message.ticket,
+        sender.name,
+        work,
+        estimates.placed_room(node, work),
+        queues.lane_of(work),
+        now_s,
+        now_s + work.deadline_s,
+        estimates.run_time_s(node, work),
+        message.waited_s,
     )
+    if not queues.length_of(waiting, work.team):
+        shares.start_level(node, work.team, now_s)
+    queues.push(waiting, offer, team_key(node, work.team, now_s))
     dispatch(node, now_s)
-    if message.ticket in owner.queue:
-        node.send(sender.name, msg.Queued(message.ticket, 0.0, len(owner.queue)))
+    if offer.live:
+        offer.predicted_s = waits.predict_s(node, offer, now_s)
+        position = queues.length_of(waiting, work.team)
+        node.send(sender.name, msg.Queued(message.ticket, offer.predicted_s, position))
+
+
+def check_queue(node: Node, work: Work, now_s: float) -> Refusal | None:
+    """Refuse what the queue of the team cannot hold or certainly not serve in time."""
+    queue = node.state(Queues).teams.get(work.team)
+    lane = queues.lane_of(work)
+    length = 0 if queue is None else queue.length
+    bound = queue_bound(node, work.team)
+    if length >= bound:
+        sentence = f"{length} requests of team {work.team} wait here already."
+        retry_s = waits.retry_after_s(node, work.team, lane, now_s)
+        return Refusal(ErrorKind.QUEUE_FULL, sentence, Ran.NO, retry_s)
+    least_s = waits.least_wait_s(node, queue, lane)
+    if least_s > work.deadline_s:
+        sentence = (
+            f"The wait is over {least_s:.3g} s, "
+            f"and the deadline {work.deadline_s:.3g} s."
+        )
+        retry_s = waits.retry_after_s(node, work.team, lane, now_s)
+        return Refusal(ErrorKind.DEADLINE_UNREACHABLE, sentence, Ran.NO, retry_s)
+    return None
+
+
+def queue_bound(node: Node, name: str) -> int:
+    """Look up how many requests of a team may wait at one owner."""
+    text = cell_of(node).text
+    teams = text.teams if text is not None else ()
+    return next((one.queue_requests for one in teams if one.name == name), 1)
+
+
+def team_key(node: Node, name: str, now_s: float) -> float:
+    """Give the key by which teams are ranked: the lowest goes first."""
+    return shares.rank_key(shares.find_team(node, name, now_s), now_s)
 
 
 @on(msg.Withdraw)
@@ -74,70 +137,193 @@
     node: Node, sender: msg.Member, message: msg.Withdraw, now_s: float
 ) -> None:
     """Drop an offer, or stop its task."""
-    owner = node.state(Owner)
-    if owner.queue.pop(message.ticket, None) is not None:
+    if queues.pop(node.state(Queues), message.ticket) is not None:
         return
-    running = owner.running.get(message.ticket)
-    if running is not None:
+    running = node.state(Owner).running.get(message.ticket)
+    if running is not None and not running.withdrawn:
         running.withdrawn = True
         node.emit(fx.ActOnTask(running.worker, running.task_id, "stop"))
 
 
+@on(events.PermitsArrived)
+def on_permits_arrived(node: Node, event: events.PermitsArrived, now_s: float) -> None:
+    """Start work that waited for permits."""
+    node.state(Owner).without_permit.difference_update(event.teams)
+    dispatch(node, now_s)
+
+
+@on(events.WorkerGained)
+def on_worker_gained(node: Node, event: events.WorkerGained, now_s: float) -> None:
+    """Count the tasks found on a worker as use of their teams."""
+    view = node.state(Workers).views[event.worker]
+    for task in view.tasks.values():
+        shares.add_use(node, task.team, task.room, 1, now_s)
+    dispatch(node, now_s)
+
+
+@on(events.WorkerDropped)
+def on_worker_dropped(node: Node, event: events.WorkerDropped, now_s: float) -> None:
+    """Count the tasks on a worker no more."""
+    view = node.state(Workers).views.get(event.worker)
+    for task in view.tasks.values() if view is not None else ():
+        shares.add_use(node, task.team, task.room, -1, now_s)
+
+
 @every(DISPATCH_S)
 def dispatch_regularly(node: Node, now_s: float) -> None:
     """Start what fits, for room may have come from elsewhere."""
+    node.state(Owner).without_permit.clear()
+    drop_late(node, now_s)
     dispatch(node, now_s)
-    owner = node.state(Owner)
-    views = [view for view in node.state(Workers).views.values() if view.owned]
-    total = sum(view.vm.room.slots for view in views)
-    free = sum(max(view.free.slots, 0) for view in views)
-    node.state(Members).load = msg.Load(free, total, len(owner.queue))
+    node.state(Members).load = current_load(node, now_s)
+
+
+def current_load(node: Node, now_s: float) -> msg.Load:
+    """Tell how busy the workers of this process are now."""
+    bins = node.state(placement.Bins)
+    waiting = node.state(Queues)
+    total = node.state(shares.Shares).total.slots
+    free = sum(
+        slots * len(names)
+        for side in (bins.plain, bins.accelerated)
+        for slots, names in side.items()
+        if slots > 0
+    )
+    queued = len(waiting.offers)
+    wait_s = waiting.work_s / total if total else 0.0
+    return msg.Load(free, total, queued, waiting.work_s, wait_s)
+
+
+def drop_late(node: Node, now_s: float) -> None:
+    """Refuse the first offers of each line whose deadline has passed."""
+    waiting = node.state(Queues)
+    late = [
+        line[0]
+        for queue in waiting.teams.values()
+        if queue.length
+        for line in queue.lines.values()
+        if line and line[0].live and line[0].deadline_s <= now_s
+    ]
+    for offer in late:
+        queues.pop(waiting, offer.ticket)
+        sentence = "The deadline passed while it waited."
+        refusal = Refusal(ErrorKind.DEADLINE_PASSED, sentence, Ran.NO, 1.0)
+        node.send(offer.door, msg.Refused(offer.ticket, refusal))
 
 
 def dispatch(node: Node, now_s: float) -> None:
-    """Start queued offers in order while they fit."""
+    """Start queued offers in their order while there is room."""
+    waiting = node.state(Queues)
+    if not waiting.offers:
+        return
+    for rank in Rank:
+        _dispatch_rank(node, waiting, rank, now_s)
+
+
+def _dispatch_rank(node: Node, waiting: Queues, rank: Rank, now_s: float) -> None:
+    bins = node.state(placement.Bins)
+    aside: list[TeamQueue] = []
+
+    def key_of(name: str) -> float:
+        return team_key(node, name, now_s)
+
+    while placement.has_free_slot(bins):
+        queue = queues.take_first(waiting, rank, key_of)
+        if queue is None:
+            break
+        if rank is Rank.SMALL and queues.has_been_passed(queue, now_s):
+            aside.append(queue)
+            continue
+        if rank is Rank.SMALL and not _is_near_share(node, waiting, queue, now_s):
+            aside.append(queue)
+            break
+        offer = _start_one(node, queue, rank, now_s)
+        if offer is None:
+            aside.append(queue)
+            continue
+        if rank is Rank.SHARE:
+            shares.note_served(node, shares.find_team(node, queue.name, now_s), now_s)
+        if queues.has_work(queue, rank):
+            queues.enter(waiting, queue, rank, key_of(queue.name))
+    # What could not start now stays in the heap for the next pass.
+    for queue in aside:
+        queues.enter(waiting, queue, rank, key_of(queue.name))
+
+
+def _is_near_share(node: Node, waiting: Queues, queue: TeamQueue, now_s: float) -> bool:
+    """Tell whether a team may pass others with small work: not far above its share."""
+
+    def key_of(name: str) -> float:
+        return team_key(node, name, now_s)
+
+    first = queues.take_first(waiting, Rank.SHARE, key_of)
+    if first is None:
+        return True
+    queues.enter(waiting, first, Rank.SHARE, key_of(first.name))
+    total = max(node.state(shares.Shares).total.slots, 1)
+    team = shares.find_team(node, queue.name, now_s)
+    least = shares.score(shares.find_team(node, first.name, now_s), now_s)
+    lead_s = LEAD_SLOTS / total * shares.NOW_S / team.weight
+    return shares.score(team, now_s) <= least * LEAD_PART + lead_s
+
+
+def _start_one(
+    node: Node, queue: TeamQueue, rank: Rank, now_s: float
+) -> QueuedOffer | None:
+    """Start the first offer of a team that fits, or none."""
     owner = node.state(Owner)
-    for queued in list(owner.queue.values()):
-        view = place(node, queued.work.room, now_s)
+    if queue.name in owner.without_permit:
+        return None
+    for offer in queues.heads(queue, rank, now_s):
+        view = placement.place(node, offer.room, now_s, offer.ticket)
         if view is None:
+            _keep_room(node, offer, now_s)
             continue
-        if limits.take(node, queued.work.team, 1, now_s):
-            del owner.queue[queued.ticket]
-            start(node, queued, view, now_s)
+        if not limits.take(node, queue.name, 1, now_s):
+            owner.without_permit.add(queue.name)
+            limits.want(node, queue.name, min(queue.length, 64), now_s)
+            return None
+        queues.pop(node.state(Queues), offer.ticket)
+        queues.note_started(queue, offer)
+        waits.note_started(node, offer, queue, now_s)
+        start(node, offer, view, now_s)
+        return offer
+    return None
 
 
-def place(node: Node, room: Room, now_s: float) -> WorkerView | None:
-    """Choose a worker with enough room that this process may start tasks on."""
-    for view in node.state(Workers).views.values():
-        ready = view.owned and not view.vm.leaving and not view.gone
-        fits = ready and view.free.holds(room)
-        if fits and may_start(node, view.vm.name, view.epoch, now_s):
-            return view
-    return None
+def _keep_room(node: Node, offer: QueuedOffer, now_s: float) -> None:
+    large = offer.room.slots > 1 or offer.room.accelerators or offer.lane is Lane.HEAVY
+    waited_s = now_s - offer.queued_s
+    if large and offer.lane is not Lane.BATCH and waited_s > ROOM_KEPT_AFTER_S:
+        placement.keep_worker(node, offer.room, offer.ticket, now_s)
 
 
-def start(node: Node, queued: QueuedOffer, view: WorkerView, now_s: float) -> None:
+def start(node: Node, offer: QueuedOffer, view: WorkerView, now_s: float) -> None:
     """Reserve room, ask the door for the body, and start the task."""
     owner = node.state(Owner)
     owner.task_count += 1
-    work = queued.work
+    work = offer.work
     task_id = f"{node.me.name}.{node.me.boot}.{owner.task_count}"
     task = TaskInfo(
-        task_id, work.team, work.service, work.kind, work.policy, work.room, view.epoch
+        task_id, work.team, work.service, work.kind, work.policy, offer.room, view.epoch
     )
     view.add(task)
-    owner.running[queued.ticket] = RunningOffer(
-        queued.ticket, queued.door, work, view.vm.name, task_id
+    view.calls += 1
+    placement.note_started(node, view, offer.ticket, now_s)
+    shares.add_use(node, work.team, offer.room, 1, now_s)
+    owner.running[offer.ticket] = RunningOffer(
+        offer.ticket, offer.door, work, view.vm.name, task_id, now_s
     )
-    node.send(queued.door, msg.Granted(queued.ticket, view.vm.name, task_id))
+    owner.by_task[task_id] = offer.ticket
+    node.send(offer.door, msg.Granted(offer.ticket, view.vm.name, task_id))
     node.emit(
         fx.StartTask(
             view.vm.name,
             view.epoch,
             task,
             work,
-            queued.door,
-            queued.ticket,
+            offer.door,
+            offer.ticket,
             TASK_LEASE_S,
         )
     )
@@ -148,17 +334,115 @@
     """Free the room of a task and tell the door where the answer is not whole."""
     owner = node.state(Owner)
     view = node.state(Workers).views.get(event.worker)
-    task = view.remove(event.task_id) if view is not None else None
-    if task is not None:
-        limits.give_back(node, task.team, 1, now_s)
-    running = owner.running.pop(event.ticket, None)
-    if running is not None and event.outcome in _FAILURES and not running.withdrawn:
-        node.send(
-            running.door, msg.AnswerFailed(event.ticket, _FAILURES[event.outcome])
-        )
+    running = owner.running.get(event.ticket)
+    if view is not None and running is not None and not running.detached:
+        view.calls = max(view.calls - 1, 0)
+    if event.outcome == "detached" and running is not None:
+        running.detached = True
+        return
+    if view is not None:
+        free_task(node, view, event.task_id, now_s)
+        if running is not None and not running.withdrawn and not running.yielding:
+            judge(node, view, running.work, event, now_s)
+    if running is not None:
+        end_running(node, running)
+        if event.outcome in _FAILURES and not running.withdrawn:
+            refusal = _YIELDED if running.yielding else _FAILURES[event.outcome]
+            node.send(running.door, msg.AnswerFailed(event.ticket, refusal))
+    dispatch(node, now_s)
+
+
+def end_running(node: Node, running: RunningOffer) -> None:
+    """Forget an offer that has ended."""
+    owner = node.state(Owner)
+    owner.running.pop(running.ticket, None)
+    owner.by_task.pop(running.task_id, None)
+
+
+def free_task(node: Node, view: WorkerView, task_id: str, now_s: float) -> None:
+    """Free the room, the permit and the share that a task took."""
+    task = view.remove(task_id)
+    if task is None:
+        return
+    limits.give_back(node, task.team, 1, now_s)
+    node.state(Owner).without_permit.discard(task.team)
+    if not view.owned:
+        return
+    shares.add_use(node, task.team, task.room, -1, now_s)
+    placement.note_changed(node, view, now_s, freed=True)
+    queues.enter_again(node.state(Queues), task.team, team_key(node, task.team, now_s))
+
+
+def judge(
+    node: Node, view: WorkerView, work: Work, event: events.TaskEnded, now_s: float
+) -> None:
+    """Learn from an outcome about the kind of work and about the worker."""
+    if event.outcome == "done":
+        estimates.note_run_time(node, work, event.run_time_s)
+        health.note_success(node, view.vm.name, work)
+    elif event.outcome == "failed" and 400 <= event.status < 500:
+        return
+    elif event.outcome == "failed":
+        health.note_failure(node, view, work, now_s)
+    else:
+        health.note_failure(node, view, None, now_s)
+    placement.note_changed(node, view, now_s, freed=False)
+
+
+@every(RENEW_S)
+def renew_leases(node: Node, now_s: float) -> None:
+    """Renew the leases of all tasks on the workers that are owned."""
+    for view in node.state(Workers).views.values():
+        if view.owned and view.tasks and not view.gone:
+            node.emit(fx.RenewTasks(view.vm.name, list(view.tasks), TASK_LEASE_S))
+
+
+@every(LIST_S)
+def list_unwatched(node: Node, now_s: float) -> None:
+    """Ask workers about tasks whose end nobody else tells."""
+    owner = node.state(Owner)
+    for view in node.state(Workers).views.values():
+        if view.owned and any(is_unwatched(owner, one) for one in view.tasks):
+            node.emit(fx.ListTasks(view.vm.name))
+
+
+def is_unwatched(owner: Owner, task_id: str) -> bool:
+    """Tell whether a task ends without TaskEnded: detached, or found at a takeover."""
+    ticket = owner.by_task.get(task_id)
+    return ticket is None or owner.running[ticket].detached
+
+
+@on(events.TasksListed)
+def on_tasks_listed(node: Node, event: events.TasksListed, now_s: float) -> None:
+    """Free the tasks that ended unwatched, and learn from reported usage."""
+    view = node.state(Workers).views.get(event.worker)
+    if view is None or not view.owned or event.running is None:
+        return
+    owner = node.state(Owner)
+    alive = {task.task_id for task in event.running}
+    for task in event.running:
+        known = view.tasks.get(task.task_id)
+        if known is not None and task.used_memory_mb:
+            estimates.note_usage(
+                node,
+                task.service,
+                task.kind,
+                known.room,
+                task.used_cores,
+                task.used_memory_mb,
+            )
+    for task_id in list(view.tasks):
+        if task_id not in alive and is_unwatched(owner, task_id):
+            running = owner.running.get(owner.by_task.get(task_id, ""))
+            free_task(node, view, task_id, now_s)
+            if running is not None:
+                end_running(node, running)
     dispatch(node, now_s)
 
 
+_YIELDED: t.Final = Refusal(
+    ErrorKind.WORKER_REFUSED, "It was checkpointed to make room.", Ran.YES, 1.0
+)
 _FAILURES: t.Final = {
     "not_started": Refusal(
         ErrorKind.WORKER_REFUSED, "The worker did not take the task.", Ran.NO, 1.0
--- a/packages/daemon/bulrushspur_daemon/operators.py
+++ b/packages/daemon/bulrushspur_daemon/operators.py
@@ -10,7 +10,7 @@
 from bulrushspur_core.explaining import explain
 from bulrushspur_core.log_reader import cell_of, fresh_age_s
 from bulrushspur_core.membership import Members
-from bulrushspur_core.owner import Owner
+from bulrushspur_core.queues import Queues
 from bulrushspur_core.workers import Workers
 from bulrushspur_daemon.callers import send_refusal
 from bulrushspur_daemon.plain import make_plain
@@ -65,7 +65,7 @@
         "fresh_age_s": min(fresh_age_s(node, now_s), FRESH_AT_MOST_S),
         "roster_epoch": cell.roster(node.me.domain).epoch,
         "open_requests": len(node.state(Door).open),
-        "queued": len(node.state(Owner).queue),
+        "queued": len(node.state(Queues).offers),
         "load": {
             one: getattr(members.load, one) for one in members.load.__struct_fields__
         },
--- a/packages/daemon/bulrushspur_daemon/process.py
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -13,6 +13,7 @@
 from bulrushspur_core.membership import Members
 from bulrushspur_core.node import Node
 from bulrushspur_core.owner import Owner
+from bulrushspur_core.queues import Queues
 from bulrushspur_daemon.callers import make_callers
 from bulrushspur_daemon.inquiries import make_inquiries
 from bulrushspur_daemon.operators import make_operators
@@ -164,8 +165,9 @@
     callers = process.servers[0].busy > 0
     held = process.requests is not None and bool(process.requests.pending)
     runs = process.runner is not None and process.runner.starts > 0
-    owner = process.node.state(Owner)
-    return bool(callers or held or runs or owner.running or owner.queue)
+    running = process.node.state(Owner).running
+    waiting = process.node.state(Queues).offers
+    return bool(callers or held or runs or running or waiting)
 
 
 async def _start(process: Process) -> list[asyncio.Task[None]]:
