--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STEPS ?=
 QUICK ?=
 
-.PHONY: demo test model fuzz bench capacity lint format clean
+.PHONY: env demo test model fuzz bench capacity lint format clean
 
 $(STAMP): requirements-dev.txt requirements.txt $(wildcard packages/*/pyproject.toml) standins/pyproject.toml
 	python3.11 -m venv .venv
@@ -13,6 +13,8 @@
 		-e packages/kernel -e packages/core -e packages/daemon -e packages/client -e standins
 	touch $(STAMP)
 
+env: $(STAMP)
+
 demo: $(STAMP)
 	$(PY) -m bench.demo
 
