--- a/bench/load.py
+++ b/bench/load.py
@@ -3,12 +3,14 @@
 import asyncio
 import dataclasses
 import hashlib
+import random
+import sys
 import time
 import typing as t
 
 import msgspec
 
-from bulrushspur_kernel.http_client import LostError, NotSentError, open_call
+from bulrushspur_kernel.http_client import Call, LostError, NotSentError, open_call
 
 CONNECT_S: t.Final = 2.0
 
@@ -74,3 +76,102 @@
     if status == 200:
         return end(status, is_own_answer(body, answer))
     return end(status, False, refusal=msgspec.json.decode(answer))
+
+
+@dataclasses.dataclass
+class Session:
+    """A caller that keeps its connection to one address open."""
+
+    address: str
+    call: Call | None = None
+
+    async def post(
+        self, path: str, body: bytes, headers: dict[str, str]
+    ) -> tuple[int, bytes]:
+        """Send one request and read its whole answer; raises LostError."""
+        if self.call is None:
+            self.call = await open_call(self.address, CONNECT_S)
+        call = self.call
+        rows = [("host", self.address), ("content-length", str(len(body)))]
+        try:
+            await call.send_head("POST", path, [*rows, *headers.items()])
+            if body:
+                await call.send_body(body)
+            await call.end_body()
+            status = await call.read_head()
+            answer = await call.read_all()
+        except BaseException:
+            self.close()
+            raise
+        if not call.reusable():
+            self.close()
+        return status, answer
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self.call is not None:
+            self.call.abort()
+            self.call = None
+
+
+class Offered(msgspec.Struct):
+    """What a run of ``offer_load`` saw: times of whole answers, and failures."""
+
+    times_s: list[float]
+    failed: int
+    first_failure: str = ""
+
+
+async def offer_load(
+    address: str, path: str, key: str, rate: float, duration_s: float, seed: int
+) -> Offered:
+    """Send requests at random times, whatever the answers take.
+
+    Times count from when a request was due, so that a late sender hides nothing.
+    """
+    rng = random.Random(seed)
+    rv = Offered([], 0)
+    idle: list[Session] = []
+    jobs: set[asyncio.Task[None]] = set()
+
+    async def send(due_s: float, body: bytes) -> None:
+        session = idle.pop() if idle else Session(address)
+        try:
+            status, answer = await session.post(
+                path, body, {"authorization": f"Bearer {key}"}
+            )
+        except (LostError, NotSentError) as exc:
+            rv.failed += 1
+            rv.first_failure = rv.first_failure or repr(exc)
+            return
+        idle.append(session)
+        if status == 200 and is_own_answer(body, answer):
+            rv.times_s.append(time.monotonic() - due_s)
+        else:
+            rv.failed += 1
+            rv.first_failure = rv.first_failure or repr((status, answer[:200]))
+
+    due_s = time.monotonic()
+    until_s = due_s + duration_s
+    while due_s < until_s:
+        due_s += rng.expovariate(rate)
+        await asyncio.sleep(max(due_s - time.monotonic(), 0))
+        job = asyncio.create_task(send(due_s, rng.randbytes(40)))
+        jobs.add(job)
+        job.add_done_callback(jobs.discard)
+    if jobs:
+        await asyncio.wait(jobs, timeout=5.0)
+    for session in idle:
+        session.close()
+    return rv
+
+
+def main() -> None:
+    """Offer load as the arguments say, and print what was seen as JSON."""
+    address, path, key, rate, duration_s, seed = sys.argv[1:]
+    job = offer_load(address, path, key, float(rate), float(duration_s), int(seed))
+    print(msgspec.json.encode(asyncio.run(job)).decode())
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/daemon/bulrushspur_daemon/peers.py
+++ b/packages/daemon/bulrushspur_daemon/peers.py
@@ -22,6 +22,8 @@
 QUEUED_MESSAGES: t.Final = 20_000
 MESSAGE_BYTES: t.Final = 4 * 1024 * 1024
 RECEIVE_BURST: t.Final = 200
+# What the framing of a message adds on the wire.
+FRAME_BYTES: t.Final = 2
 
 
 @dataclasses.dataclass
@@ -46,7 +48,7 @@
         data = msg.encode(msg.Envelope(msg.PROTOCOL_VERSION, me.name, me.boot, message))
         try:
             dealer.send(data, zmq.NOBLOCK)
-            self.sent_bytes += len(data)
+            self.sent_bytes += len(data) + FRAME_BYTES
         except zmq.ZMQError:
             self.process.node.metrics.count("peers.dropped")
 
@@ -78,7 +80,7 @@
             self.close()
 
     def _take(self, data: bytes) -> None:
-        self.received_bytes += len(data)
+        self.received_bytes += len(data) + FRAME_BYTES
         envelope = msg.decode(data)
         if envelope is None:
             self.process.node.metrics.count("peers.undecodable")
--- a/packages/daemon/bulrushspur_daemon/process.py
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -23,6 +23,7 @@
 from bulrushspur_daemon.runner import Runner, make_runner
 from bulrushspur_daemon.streams import Streams, make_streams
 from bulrushspur_kernel import messages as msg
+from bulrushspur_kernel.http_client import traffic_bytes
 from bulrushspur_kernel.http_server import HttpServer
 from bulrushspur_kernel.logs import make_logger
 from bulrushspur_kernel.settings import Settings, split_address
@@ -31,6 +32,7 @@
 log = make_logger("process")
 
 TIMERS_S: t.Final = 0.05
+WIRE_S: t.Final = 1.0
 STOP_SPREAD_S: t.Final = 1.5
 STOP_STEP_S: t.Final = 0.05
 CLOSE_S: t.Final = 2.0
@@ -101,6 +103,15 @@
             with self.fault_barrier(effect):
                 self.doers[type(effect)](effect)
 
+    def count_wire(self, now_s: float) -> None:
+        """Bring the counters of bytes on the wire up to date."""
+        counters = self.node.metrics.counters
+        if self.peers is not None:
+            counters["wire.peers_sent_bytes"] = self.peers.sent_bytes
+            counters["wire.peers_received_bytes"] = self.peers.received_bytes
+        platform = self.settings.platform_address
+        counters["wire.platform_bytes"] = traffic_bytes[platform]
+
     def tick(self, now_s: float) -> None:
         """Run the timers of the decision code."""
         with self.fault_barrier(self.tick):
@@ -201,6 +212,7 @@
     for server, address in zip(process.servers, addresses, strict=True):
         await server.listen(*split_address(address))
     process.timers.every("decide", TIMERS_S, process.tick)
+    process.timers.every("wire", WIRE_S, process.count_wire)
     jobs = (
         process.peers.run(),
         run_timers(process.timers),
--- a/packages/kernel/bulrushspur_kernel/http_client.py
+++ b/packages/kernel/bulrushspur_kernel/http_client.py
@@ -1,6 +1,7 @@
 """An HTTP/1.1 client: h11 on asyncio streams."""
 
 import asyncio
+import collections
 import dataclasses
 import typing as t
 
@@ -13,6 +14,9 @@
 
 Headers = list[tuple[str, str]]
 
+# Bytes sent and received by fetch, by address.
+traffic_bytes: collections.Counter[str] = collections.Counter()
+
 
 class NotSentError(Exception):
     """Tell that nothing of the request can have reached the other side."""
@@ -31,6 +35,7 @@
     connection: h11.Connection
     status: int = 0
     headers: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+    wire_bytes: int = 0
 
     async def send_head(self, method: str, path: str, headers: Headers) -> None:
         """Send the head of the request; raises LostError."""
@@ -98,6 +103,7 @@
         try:
             data = self.connection.send(event)
             if data:
+                self.wire_bytes += len(data)
                 self.writer.write(data)
                 await self.writer.drain()
         except (OSError, h11.LocalProtocolError) as exc:
@@ -109,7 +115,9 @@
                 event = self.connection.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self.connection.receive_data(await self.reader.read(READ_BYTES))
+                data = await self.reader.read(READ_BYTES)
+                self.wire_bytes += len(data)
+                self.connection.receive_data(data)
         except (OSError, h11.RemoteProtocolError) as exc:
             raise LostError(str(exc)) from exc
 
@@ -149,4 +157,5 @@
     except TimeoutError as exc:
         raise LostError(f"{address} did not answer in {wait_s:g} s") from exc
     finally:
+        traffic_bytes[address] += call.wire_bytes
         call.close()
