Remember over all attempts whether a request ran

Ruled out: a start before the body, the fake world waits for it. Change: the door keeps the worst answer of all attempts.

--- a/packages/core/bulrushspur_core/door.py
+++ b/packages/core/bulrushspur_core/door.py
@@ -9,6 +9,8 @@
 import dataclasses
 import typing as t
 
+import msgspec
+
 from bulrushspur_core import effects as fx
 from bulrushspur_core import events, ids
 from bulrushspur_core.admission import check_admission
@@ -28,7 +30,7 @@
     """A request that has no final answer yet; times are monotonic.
 
     ``granted`` is true once the body was sent, ``answering`` once the caller was sent
-    a part of the answer.
+    a part of the answer. ``ran`` tells of the attempts before this one.
     """
 
     ticket: str
@@ -44,6 +46,7 @@
     granted: bool = False
     answering: bool = False
     attempts: int = 0
+    ran: Ran = Ran.NO
     waited_s: float | None = None
 
 
@@ -162,6 +165,7 @@
     if not close(node, request):
         return
     node.metrics.count(f"refused.{refusal.kind.value}")
+    refusal = msgspec.structs.replace(refusal, ran=worse(refusal.ran, request.ran))
     if request.claimed and request.settled:
         state = _STATES[refusal.ran]
         ids.set_state(node, request.work.request_id, state, now_s)
@@ -250,6 +254,7 @@
     if request is None:
         return
     if may_offer_again(node, request, message.refusal, now_s):
+        request.ran = worse(request.ran, message.refusal.ran)
         offer(node, request, now_s)
     else:
         resolve(node, request, message.refusal, now_s)
@@ -291,8 +296,16 @@
         withdraw(node, request, refusal, now_s)
 
 
+def worse(one: Ran, other: Ran) -> Ran:
+    """Return what two attempts together amount to: yes over maybe over no."""
+    return max(one, other, key=_CERTAINTY.index)
+
+
+_CERTAINTY: t.Final = (Ran.NO, Ran.MAYBE, Ran.YES)
+
+
 def ran_so_far(request: OpenRequest) -> Ran:
-    """Tell whether a request that ends now ran."""
+    """Tell whether the newest attempt of a request that ends now ran."""
     return Ran.MAYBE if request.granted else Ran.NO
 
 
@@ -315,6 +328,7 @@
         sentence = f"Entry process {event.name} was lost while it had this."
         refusal = Refusal(ErrorKind.PEER_LOST, sentence, ran)
         if may_offer_again(node, request, refusal, now_s):
+            request.ran = worse(request.ran, ran)
             offer(node, request, now_s)
         else:
             resolve(node, request, refusal, now_s)
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -183,3 +183,17 @@
         self.node.handle(events.StopAsked(), 0.0)
         effects = self.submit()
         self.assertEqual(self.refusals(effects)[0].kind, ErrorKind.STOPPING)
+
+    def test_an_earlier_attempt_that_ran_is_never_forgotten(self):
+        self.submit()
+        self.grant()
+        self.fail_answer(Ran.YES)
+        refusals = self.refusals(self.node.handle(events.CancelAsked("t"), 2.0))
+        self.assertEqual([one.ran for one in refusals], [Ran.YES])
+
+    def test_an_attempt_at_a_lost_owner_may_have_run(self):
+        self.submit()
+        self.grant()
+        self.node.handle(events.PeerLost("n2", "b2"), 2.0)
+        refusals = self.refusals(self.node.handle(events.CancelAsked("t"), 3.0))
+        self.assertEqual([one.ran for one in refusals], [Ran.MAYBE])
