--- a/bench/demo.py
+++ b/bench/demo.py
@@ -53,6 +53,7 @@
 STOP_AT_S: t.Final = 22.0
 GRACE_S: t.Final = 5.0
 STOP_WAIT_S: t.Final = 30.0
+READY_S: t.Final = 25.0
 
 
 @dataclasses.dataclass
@@ -68,6 +69,7 @@
     calls: list[Call] = dataclasses.field(default_factory=list)
     faults: list[str] = dataclasses.field(default_factory=list)
     started_s: float = 0.0
+    load_s: float = LOAD_S
     withdrawn_s: float = float("inf")
     withdrawn_team: str = ""
 
@@ -113,18 +115,18 @@
     return out.decode().strip()
 
 
-async def set_up(demo: Demo) -> None:
+async def set_up(demo: Demo, domain_of: dict[str, str]) -> None:
     """Start the cell, publish its text and give a key to each team."""
     cluster = demo.cluster
     await cl.start_platform(cluster)
-    domains = sorted(set(DOMAINS.values()))
+    domains = sorted(set(domain_of.values()))
     for i in range(WORKERS):
         domain = domains[i % len(domains)]
         rack = f"{domain}-r{i // len(domains) % 2}"
         await cl.start_worker(cluster, f"w{i}", domain, rack, WORKER_ROOM)
-    plan = cl.plan_entries(cluster, DOMAINS)
+    plan = cl.plan_entries(cluster, domain_of)
     await asyncio.gather(*(cl.start_entry(cluster, one) for one in plan.values()))
-    demo.doors = list(DOMAINS)
+    demo.doors = list(domain_of)
     path = cluster.folder / "text.json"
     path.write_bytes(msgspec.json.encode(demo.text))
     await run_client(demo, "publish", str(path))
@@ -135,17 +137,25 @@
 
 
 async def wait_ready(demo: Demo) -> None:
-    """Wait until each door has had a request answered."""
-    team = demo.text["teams"][0]["name"]
-    for name in DOMAINS:
+    """Wait until each door had a request answered, of those that need an id too."""
+    for name in demo.doors:
+        for kind in ("handbook", "place"):
 
-        async def answered(name: str = name) -> bool:
-            address = demo.cluster.entries[name].address
-            key = demo.keys[team][1]
-            return (await send_one(address, "coursework", "handbook", key, b"")).whole
+            async def answered(name: str = name, kind: str = kind) -> bool:
+                return await probe(demo, demo.cluster.entries[name].address, kind)
 
-        if not await cl.wait_until(answered, 20.0):
-            raise RuntimeError(f"entry process {name} answers no request")
+            if not await cl.wait_until(answered, READY_S):
+                raise RuntimeError(f"{name} answers no request of kind {kind}")
+
+
+async def probe(demo: Demo, address: str, kind: str) -> bool:
+    """Tell whether a request of the first team is answered."""
+    key = demo.keys[demo.text["teams"][0]["name"]][1]
+    headers = {
+        "x-request-id": await make_id(address),
+        "x-idempotent": "no" if kind in AT_MOST_ONCE else "yes",
+    }
+    return (await send_one(address, "coursework", kind, key, b"", headers)).whole
 
 
 def choose_team(demo: Demo, service: str) -> str:
@@ -201,12 +211,11 @@
     """Send requests at random times and wait for the last answer."""
     kinds = list(RATES_PER_S)
     rates = list(RATES_PER_S.values())
-    until_s = demo.started_s + LOAD_S
     due_s = demo.started_s
     async with asyncio.TaskGroup() as group:
         for serial in itertools.count():
             due_s += demo.rng.expovariate(sum(rates))
-            if due_s > until_s:
+            if due_s > demo.started_s + demo.load_s:
                 return
             await asyncio.sleep(max(due_s - time.monotonic(), 0))
             service, kind = demo.rng.choices(kinds, rates)[0]
@@ -257,7 +266,7 @@
     """Run the demo and return the exit code."""
     began_s = time.monotonic()
     demo.started_s = began_s
-    await set_up(demo)
+    await set_up(demo, DOMAINS)
     await wait_ready(demo)
     demo.started_s = time.monotonic()
     demo.say(f"the load begins, after {demo.started_s - began_s:.1f} s of set-up")
@@ -265,20 +274,26 @@
         group.create_task(drive_load(demo))
         group.create_task(make_trouble(demo))
     demo.say("the load has ended")
-    # What detached from its caller may still run.
-    await asyncio.sleep(1.0)
-    reports = await cl.worker_reports(demo.cluster)
-    history = []
+    faults = await tell(demo)
+    print(f"\n{len(demo.calls)} requests, {len(faults)} faults")
+    return 1 if faults else 0
+
+
+async def read_history(demo: Demo) -> list[dict[str, t.Any]]:
+    """Read what each worker has run."""
+    rv = []
     for worker in demo.cluster.workers.values():
         _, body = await fetch("GET", worker.address, "/history")
-        history += msgspec.json.decode(body)
-    return tell(demo, reports, history)
+        rv += msgspec.json.decode(body)
+    return rv
 
 
-def tell(
-    demo: Demo, reports: list[dict[str, t.Any]], history: list[dict[str, t.Any]]
-) -> int:
-    """Print the tables and return the exit code."""
+async def tell(demo: Demo) -> list[str]:
+    """Print the tables and what must never happen but did; return the latter."""
+    # What detached from its caller may still run.
+    await asyncio.sleep(1.0)
+    reports = await cl.worker_reports(demo.cluster)
+    history = await read_history(demo)
     starts = {row["request_id"]: row["started_s"] for row in reversed(history)}
     print_table(
         "Requests (wait: sent to started on a worker)",
@@ -304,8 +319,7 @@
     faults += check_calls(demo.calls, starts, demo.killed, withdrawn)
     for fault in faults:
         print(f"FAULT: {fault}")
-    print(f"\n{len(demo.calls)} requests, {len(faults)} faults")
-    return 1 if faults else 0
+    return faults
 
 
 def summarise(
--- a/bench/demo_checks.py
+++ b/bench/demo_checks.py
@@ -47,6 +47,10 @@
     killed, ``withdrawn`` the team without a key and since when.
     """
     rv = []
+    for kind in sorted({one.kind for one in calls}):
+        # Refusing everything would keep every other promise.
+        if not any(one.whole for one in calls if one.kind == kind):
+            rv.append(f"no request of kind {kind} was answered")
     for one in calls:
         name = f"{one.team} {one.kind} {one.serial} through {one.door}"
         if one.status == 200 and not one.whole:
--- a/tests/test_demo_checks.py
+++ b/tests/test_demo_checks.py
@@ -26,7 +26,14 @@
 class CallsTest(unittest.TestCase):
     def faults(self, call, starts=(), killed=None):
         withdrawn = ("a", 5.0)
-        return check_calls([call], dict.fromkeys(starts, 1.0), killed or {}, withdrawn)
+        fine = Call("b", "place", True, 0, "s", "n1", whole=True, status=200, error="")
+        starts = dict.fromkeys([*starts, "s"], 1.0)
+        return check_calls([call, fine], starts, killed or {}, withdrawn)
+
+    def test_kind_that_is_never_answered(self):
+        call = make_call(refusal={"kind": "home_unreachable", "ran": "maybe"})
+        faults = check_calls([call], {}, {}, ("", 0.0))
+        self.assertEqual(faults, ["no request of kind place was answered"])
 
     def test_whole_answer_is_no_fault(self):
         self.assertEqual(self.faults(make_call(status=200, whole=True), ["r"]), [])
