Keep the room of a task until its end is proven

Cause: a call that broke freed the room, the permit and the share of its task though the task runs on at the worker; a list asked before a detached start freed that task. Both let a VM be overcommitted. Ruled out: the lease, it ends such a task only later. Change: lists tell when they were asked; a lost or detached task is freed only by a list asked after its start can no longer arrive. The fake world now breaks calls and answers lists late.

--- a/fuzz/world.py
+++ b/fuzz/world.py
@@ -387,6 +387,9 @@
         outcome = "done"
         if worker.fails_all:
             outcome, run_time_s = "failed", 0.01
+        if not work.detached and self.rng.random() < 0.02:
+            self._lose_call(slot, worker, task, run_time_s)
+            return
         self.later(run_time_s, lambda: self._end_task(slot, worker, task, outcome))
         if work.detached:
             event = events.TaskEnded(
@@ -394,6 +397,17 @@
             )
             self.later(self._delay_s(), lambda: self.handle(slot, event))
 
+    def _lose_call(
+        self, slot: Slot, worker: FakeWorker, task: FakeTask, run_time_s: float
+    ) -> None:
+        """Break the connection of a start; the task runs on at the worker."""
+        self.faults["call to a worker lost"] += 1
+        task.detached = True
+        event = events.TaskEnded(worker.vm.name, task.info.task_id, task.ticket, "lost")
+        lost_after_s = self.rng.uniform(0.0, run_time_s)
+        self.later(lost_after_s, lambda: self.handle(slot, event))
+        self.later(run_time_s, lambda: self._end_task(slot, worker, task, "done"))
+
     def _check_start(self, worker: FakeWorker, task: FakeTask) -> None:
         everywhere: collections.Counter[str] = collections.Counter()
         places = []
@@ -489,10 +503,16 @@
             self.later(CONNECT_WAIT_S, lambda: self.handle(slot, event))
             return
 
+        asked_s = self.now_s
+
         def answer() -> None:
             running = [one.info for one in worker.running.values()]
-            event = events.TasksListed(effect.worker, running, dict(worker.ended))
-            self.later(self._delay_s(), lambda: self.handle(slot, event))
+            event = events.TasksListed(
+                effect.worker, running, dict(worker.ended), asked_s
+            )
+            late = self.rng.random() < 0.05
+            delay_s = self.rng.uniform(0.0, 1.0) if late else self._delay_s()
+            self.later(delay_s, lambda: self.handle(slot, event))
 
         self.later(self._delay_s(), answer)
 
--- a/packages/core/bulrushspur_core/events.py
+++ b/packages/core/bulrushspur_core/events.py
@@ -88,11 +88,16 @@
 
 @dataclasses.dataclass(slots=True)
 class TasksListed:
-    """What a worker runs and what ended there; None where it did not answer."""
+    """What a worker runs and what ended there; None where it did not answer.
+
+    It is true of some moment after ``asked_s`` (monotonic): a task that was not there
+    yet when the worker was asked may be missing.
+    """
 
     worker: str
     running: list[TaskInfo] | None
     ended: dict[str, str] = dataclasses.field(default_factory=dict)
+    asked_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/bulrushspur_core/owner.py
+++ b/packages/core/bulrushspur_core/owner.py
@@ -30,6 +30,7 @@
 RENEW_S: t.Final = 3.0
 LIST_S: t.Final = 2.0
 DISPATCH_S: t.Final = 0.05
+START_LIVES_S: t.Final = 0.5
 LEAD_SLOTS: t.Final = 1.0
 LEAD_PART: t.Final = 1.1
 ROOM_KEPT_AFTER_S: t.Final = 2.0
@@ -52,9 +53,14 @@
 
 @dataclasses.dataclass
 class Owner:
-    """Offers that run, by ticket; teams that wait for permits."""
+    """Offers that run, by ticket; teams that wait for permits.
+
+    ``unwatched`` has the tasks whose end no call tells, with the time from which a
+    list without them proves that they have ended.
+    """
 
     running: dict[str, RunningOffer] = dataclasses.field(default_factory=dict)
+    unwatched: dict[str, float] = dataclasses.field(default_factory=dict)
     by_task: dict[str, str] = dataclasses.field(default_factory=dict)
     without_permit: set[str] = dataclasses.field(default_factory=set)
     task_count: int = 0
@@ -339,12 +345,16 @@
         view.calls = max(view.calls - 1, 0)
     if event.outcome == "detached" and running is not None:
         running.detached = True
+        owner.unwatched[event.task_id] = now_s
         return
-    if view is not None:
+    if event.outcome == "lost":
+        # It may run on, or its start may still be on the way: it keeps its room.
+        owner.unwatched[event.task_id] = now_s + START_LIVES_S
+    elif view is not None:
         free_task(node, view, event.task_id, now_s)
-        if running is not None and not running.withdrawn and not running.yielding:
-            judge(node, view, running.work, event, now_s)
     if running is not None:
+        if view is not None and not running.withdrawn and not running.yielding:
+            judge(node, view, running.work, event, now_s)
         end_running(node, running)
         if event.outcome in _FAILURES and not running.withdrawn:
             refusal = _YIELDED if running.yielding else _FAILURES[event.outcome]
@@ -362,6 +372,7 @@
 def free_task(node: Node, view: WorkerView, task_id: str, now_s: float) -> None:
     """Free the room, the permit and the share that a task took."""
     task = view.remove(task_id)
+    node.state(Owner).unwatched.pop(task_id, None)
     if task is None:
         return
     limits.give_back(node, task.team, 1, now_s)
@@ -407,9 +418,8 @@
 
 
 def is_unwatched(owner: Owner, task_id: str) -> bool:
-    """Tell whether a task ends without TaskEnded: detached, or found at a takeover."""
-    ticket = owner.by_task.get(task_id)
-    return ticket is None or owner.running[ticket].detached
+    """Tell whether no call tells the end of a task: detached, lost, or taken over."""
+    return task_id in owner.unwatched or task_id not in owner.by_task
 
 
 @on(events.TasksListed)
@@ -432,7 +442,8 @@
                 task.used_memory_mb,
             )
     for task_id in list(view.tasks):
-        if task_id not in alive and is_unwatched(owner, task_id):
+        listed = event.asked_s >= owner.unwatched.get(task_id, 0.0)
+        if listed and task_id not in alive and is_unwatched(owner, task_id):
             running = owner.running.get(owner.by_task.get(task_id, ""))
             free_task(node, view, task_id, now_s)
             if running is not None:
--- a/packages/daemon/bulrushspur_daemon/runner.py
+++ b/packages/daemon/bulrushspur_daemon/runner.py
@@ -80,11 +80,12 @@
         )
 
     async def _list(self, worker: str) -> None:
+        asked_s = time.monotonic()
         found = await adapter.list_tasks(self.address(worker))
         if found is None:
             self.process.handle(events.TasksListed(worker, None))
         else:
-            self.process.handle(events.TasksListed(worker, found[0], found[1]))
+            self.process.handle(events.TasksListed(worker, found[0], found[1], asked_s))
 
     async def _run(self, effect: fx.StartTask, inflow: Inflow | None) -> None:
         flow = Outflow(self.process.streams.bounds.buffer_bytes, effect.door)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -3,7 +3,7 @@
 import collections
 import unittest
 
-from bulrushspur_core import queues
+from bulrushspur_core import events, queues
 from bulrushspur_core.queues import Queues
 from bulrushspur_kernel import messages as msg
 from bulrushspur_kernel.errors import ErrorKind, Ran
@@ -140,3 +140,30 @@
         moved = [one for one in self.owner.sent if isinstance(one, msg.Refused)]
         self.assertEqual([(moved[0].ticket, moved[0].elsewhere)], [(small, "n2")])
         self.assertIn(heavy, self.owner.node.state(Queues).offers)
+
+    def list_tasks(self, running, asked_s):
+        event = events.TasksListed("w0", running, {}, asked_s)
+        self.owner.take(self.owner.node.handle(event, self.owner.now_s))
+
+    def test_a_lost_task_keeps_its_room_until_a_later_list_lacks_it(self):
+        self.owner = FakeOwner(TEXT, [SMALL_WORKER])
+        first = self.owner.fill(8)[0]
+        waiting = self.owner.offer("b", Size.SMALL)
+        self.owner.started = []
+        self.owner.end(first, outcome="lost")
+        self.list_tasks([], asked_s=self.owner.now_s)
+        self.assertEqual(self.owner.started, [])
+        self.owner.now_s += 5.0
+        self.list_tasks([], asked_s=self.owner.now_s)
+        self.assertEqual([one.ticket for one in self.owner.started], [waiting])
+
+    def test_a_list_asked_before_a_detached_start_proves_nothing(self):
+        self.owner = FakeOwner(TEXT, [SMALL_WORKER])
+        first = self.owner.fill(8)[0]
+        self.owner.offer("b", Size.SMALL)
+        asked_s = self.owner.now_s
+        self.owner.now_s += 0.1
+        self.owner.started = []
+        self.owner.end(first, outcome="detached")
+        self.list_tasks([], asked_s)
+        self.assertEqual(self.owner.started, [])
