Decide who may start by rosters, promises and seals

Cause: the thin form shared workers out by who seemed to live, so two processes that saw each other differently could both start on one worker. Change: rosters in the log with epochs, promises of a majority of voters bounded by the holder's clock from the moment of sending, seals, releases, evidence of death, and a listing of the worker after all earlier owners are over. Heartbeats to other domains go to a few random peers and pass on what is known. Boots sort by age, so that a late message of an old incarnation is no evidence against the new one. Ruled out: renewing only the newest epoch's lease (a gap on every roster change).

--- a/packages/core/bulrushspur_core/__init__.py
+++ b/packages/core/bulrushspur_core/__init__.py
@@ -12,6 +12,9 @@
 from bulrushspur_core import (
     estimates as estimates,
 )
+from bulrushspur_core import (
+    evidence as evidence,
+)
 from bulrushspur_core import (
     health as health,
 )
@@ -24,6 +27,9 @@
 from bulrushspur_core import (
     ids as ids,
 )
+from bulrushspur_core import (
+    leaving as leaving,
+)
 from bulrushspur_core import (
     limits as limits,
 )
@@ -42,6 +48,9 @@
 from bulrushspur_core import (
     repeating as repeating,
 )
+from bulrushspur_core import (
+    rosters as rosters,
+)
 from bulrushspur_core import (
     teaching as teaching,
 )
--- /dev/null
+++ b/packages/core/bulrushspur_core/adoption.py
@@ -0,0 +1,100 @@
+"""Learns what runs on a worker before the first start there, and when it has ended."""
+
+import typing as t
+
+from bulrushspur_core import effects as fx
+from bulrushspur_core import events
+from bulrushspur_core.cell import Roster
+from bulrushspur_core.log_reader import cell_of
+from bulrushspur_core.node import Node, every, on
+from bulrushspur_core.promises import TRANSIT_S, lease_until_s
+from bulrushspur_core.takeover import Takeover, is_cleared, owner_in
+from bulrushspur_core.workers import Workers, WorkerView
+
+ASK_AGAIN_S: t.Final = 2.5
+WATCH_S: t.Final = 1.0
+
+
+def ask_for_tasks(node: Node, view: WorkerView, epoch: int, now_s: float) -> None:
+    """Ask a worker what runs, now that nobody else can start anything there."""
+    if view.ready_s is None or view.ready_epoch != epoch:
+        view.ready_s = now_s
+        view.ready_epoch = epoch
+        view.asked_s = float("-inf")
+    if now_s >= view.asked_s + ASK_AGAIN_S:
+        view.asked_s = now_s
+        node.emit(fx.ListTasks(view.vm.name))
+
+
+@on(events.TasksListed)
+def on_tasks_listed(node: Node, event: events.TasksListed, now_s: float) -> None:
+    """Gain a worker that has told what it runs, or note what has ended there."""
+    view = node.state(Workers).views.get(event.worker)
+    if view is None or event.running is None:
+        return
+    if view.owned:
+        _drop_ended(node, view, event, now_s)
+        return
+    newest = cell_of(node).roster(node.me.domain)
+    if view.ready_s is None or event.asked_s < view.ready_s:
+        # It was asked before the earlier owners were over.
+        return
+    if _may_gain(node, view, newest, now_s):
+        _adopt(node, view, event, now_s)
+        view.owned = True
+        view.epoch = newest.epoch
+        node.metrics.count("authority.gained")
+        node.signal(events.WorkerGained(event.worker), now_s)
+
+
+def _may_gain(node: Node, view: WorkerView, newest: Roster, now_s: float) -> bool:
+    return (
+        not view.gone
+        and view.ready_epoch == newest.epoch
+        and owner_in(node, newest, view.vm.name) == node.me.member
+        and lease_until_s(node, newest.epoch) > now_s
+        and is_cleared(node, newest, view.vm.name, now_s)
+    )
+
+
+def _adopt(
+    node: Node, view: WorkerView, event: events.TasksListed, now_s: float
+) -> None:
+    """Count what the worker runs and what its last owner had under way."""
+    running = {task.task_id: task for task in event.running or ()}
+    handed = node.state(Takeover).handed.pop(event.worker, None)
+    if handed is not None:
+        for task in handed.tasks:
+            if task.task_id not in event.ended:
+                running.setdefault(task.task_id, task)
+    for task_id in view.adopted - running.keys():
+        view.remove(task_id)
+    view.adopted &= running.keys()
+    for task_id, task in running.items():
+        if task_id not in view.tasks:
+            view.add(task)
+            view.adopted.add(task_id)
+    view.adopted_s = now_s
+
+
+@every(WATCH_S)
+def watch_adopted(node: Node, now_s: float) -> None:
+    """Ask the workers with adopted tasks whether these still run."""
+    for view in node.state(Workers).views.values():
+        if view.owned and view.adopted:
+            node.emit(fx.ListTasks(view.vm.name))
+
+
+def _drop_ended(
+    node: Node, view: WorkerView, event: events.TasksListed, now_s: float
+) -> None:
+    # A start of the last owner may have been under way when this one gained it.
+    if not view.adopted or event.asked_s < view.adopted_s + TRANSIT_S:
+        return
+    running = {task.task_id for task in event.running or ()}
+    for task_id in sorted(view.adopted - running):
+        view.adopted.discard(task_id)
+        task = view.remove(task_id)
+        if task is not None:
+            ended = events.AdoptedEnded(event.worker, task, event.ended.get(task_id))
+            node.signal(ended, now_s)
--- a/packages/core/bulrushspur_core/events.py
+++ b/packages/core/bulrushspur_core/events.py
@@ -167,14 +167,44 @@
 
 @dataclasses.dataclass(slots=True)
 class WorkerGained:
-    """This process became the effective owner of a worker and knows what it runs."""
+    """This process became the effective owner of a worker and knows what it runs.
+
+    What it runs stands in the view's ``tasks``; ``adopted`` names those among them that
+    another process, or another incarnation, has started.
+    """
 
     worker: str
 
 
 @dataclasses.dataclass(slots=True)
 class WorkerDropped:
-    """This process is no longer the owner of a worker."""
+    """This process is no longer the owner of a worker; its tasks there run on."""
+
+    worker: str
+
+
+@dataclasses.dataclass(slots=True)
+class AdoptedEnded:
+    """A task that was adopted with its worker runs no more; its room is free again.
+
+    ``outcome`` is what the worker told of its end, None where it knows nothing of it.
+    """
+
+    worker: str
+    task: TaskInfo
+    outcome: str | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class WorkerLeaving:
+    """A worker is listed as leaving: nothing new, and what it runs is to move."""
+
+    worker: str
+
+
+@dataclasses.dataclass(slots=True)
+class WorkerGone:
+    """A worker is no longer in the list of VMs, or another VM has its name."""
 
     worker: str
 
--- a/packages/core/bulrushspur_core/node.py
+++ b/packages/core/bulrushspur_core/node.py
@@ -28,7 +28,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Me:
-    """Who this process is and where it is reached."""
+    """Who this process is and where it is reached.
+
+    ``boot`` is greater (longer, or of the same length and later in order) than that of
+    any earlier incarnation of the name.
+    """
 
     name: str
     boot: str
--- a/packages/daemon/bulrushspur_daemon/process.py
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -120,7 +120,8 @@
 
 def make_process(settings: Settings) -> Process:
     """Make a process that does nothing yet."""
-    boot = os.urandom(4).hex()
+    # Of two incarnations of a name the later one has the greater boot.
+    boot = f"{time.time_ns() // 1_000_000:012x}{os.urandom(2).hex()}"
     me = Me(
         settings.name,
         boot,
--- a/packages/kernel/bulrushspur_kernel/messages.py
+++ b/packages/kernel/bulrushspur_kernel/messages.py
@@ -52,8 +52,21 @@
     wait_s: float = 0.0
 
 
+class PeerNews(msgspec.Struct, array_like=True):
+    """Pass on how busy another process was ``age_ms`` ago."""
+
+    name: str
+    boot: str
+    age_ms: int
+    load: Load
+
+
 class Heartbeat(_Message):
-    """Tell a peer that this process lives, what it knows and how busy it is."""
+    """Tell a peer that this process lives, what it knows and how busy it is.
+
+    ``leaving`` names the workers of the domain that leave, as the list of VMs had it
+    ``list_age_s`` ago; it goes to members of the own domain only.
+    """
 
     info: PeerInfo
     epoch: int
@@ -61,6 +74,9 @@
     fresh_age_s: float
     load: Load
     others: list[PeerInfo] = []
+    news: list[PeerNews] = []
+    leaving: list[str] = []
+    list_age_s: float | None = None
 
 
 class LogRequest(_Message):
@@ -88,6 +104,7 @@
 class PromiseRequest(_Message):
     """Ask a voter not to support a successor for ``lease_s`` seconds."""
 
+    domain: str
     epoch: int
     sequence: int
     lease_s: float
@@ -96,6 +113,7 @@
 class Promise(_Message):
     """Promise the member of that epoch the lease of request ``sequence``."""
 
+    domain: str
     epoch: int
     sequence: int
 
@@ -103,6 +121,7 @@
 class PromiseRefused(_Message):
     """Tell a member that its epoch is sealed, or not known yet, at this voter."""
 
+    domain: str
     epoch: int
     sequence: int
     newest_epoch: int
@@ -111,6 +130,7 @@
 class SealRequest(_Message):
     """Ask a voter of ``epoch`` to promise nothing more under it."""
 
+    domain: str
     epoch: int
     newer_epoch: int
 
@@ -118,13 +138,15 @@
 class Sealed(_Message):
     """Tell how long promises made under a sealed epoch still last, by member name."""
 
+    domain: str
     epoch: int
     remaining_s: dict[str, float]
 
 
 class Released(_Message):
-    """Give up workers under an epoch, with what runs on each."""
+    """Give up workers under all epochs before ``epoch``, with what runs on each."""
 
+    domain: str
     epoch: int
     tasks: dict[str, list[TaskInfo]]
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -37,6 +37,7 @@
     delays: t.Callable[[str, str, t.Any], float] = lambda sender, to, message: DELAY_S
     effects: dict[str, list[fx.Effect]] = dataclasses.field(default_factory=dict)
     signals: dict[str, list[t.Any]] = dataclasses.field(default_factory=dict)
+    held: dict[str, list] = dataclasses.field(default_factory=dict)
     queue: list = dataclasses.field(default_factory=list)
     order: t.Iterator[int] = dataclasses.field(default_factory=itertools.count)
     sent: int = 0
@@ -50,6 +51,7 @@
         for other in self.nodes.values():
             other.seeds.setdefault(name, name)
         self.nodes[name] = node
+        self.held.pop(name, None)
         self.effects[name] = []
         self.signals[name] = []
         self._record_signals(node)
@@ -70,6 +72,12 @@
         """End a node at once."""
         del self.nodes[name]
 
+    def resume(self, name):
+        """Continue a paused node with the messages that waited for it."""
+        self.paused.discard(name)
+        for deliver in self.held.pop(name, []):
+            deliver()
+
     def later(self, delay_s, action):
         """Do something after a delay."""
         heapq.heappush(self.queue, (self.now_s + delay_s, next(self.order), action))
@@ -124,7 +132,10 @@
 
         def deliver():
             target = self.nodes.get(effect.to)
-            if target is None or effect.to in self.paused:
+            if target is None:
+                return
+            if effect.to in self.paused:
+                self.held.setdefault(effect.to, []).append(deliver)
                 return
             copy = msg.decode(data)
             sender = msg.Member(copy.sender, copy.boot)
