Leave the end of adopted tasks to the owner, but not too early

Cause: the owner module frees tasks that a listing lacks, and it sees the very listing by which a worker was gained; a start of the last owner that was still under way was forgotten at once (red: test_graceful_stop_hands_over_at_once_with_what_runs). Change: a task handed over is not freed by a listing asked within TRANSIT_S of the takeover; the second watch over adopted tasks in adoption.py goes.

--- a/packages/core/bulrushspur_core/adoption.py
+++ b/packages/core/bulrushspur_core/adoption.py
@@ -1,4 +1,4 @@
-"""Learns what runs on a worker before the first start there, and when it has ended."""
+"""Learns what runs on a worker before the first start there."""
 
 import typing as t
 
@@ -6,13 +6,12 @@
 from bulrushspur_core import events
 from bulrushspur_core.cell import Roster
 from bulrushspur_core.log_reader import cell_of
-from bulrushspur_core.node import Node, every, on
+from bulrushspur_core.node import Node, on
 from bulrushspur_core.promises import TRANSIT_S, lease_until_s
 from bulrushspur_core.takeover import Takeover, is_cleared, owner_in
 from bulrushspur_core.workers import Workers, WorkerView
 
 ASK_AGAIN_S: t.Final = 2.5
-WATCH_S: t.Final = 1.0
 
 
 def ask_for_tasks(node: Node, view: WorkerView, epoch: int, now_s: float) -> None:
@@ -28,12 +27,9 @@
 
 @on(events.TasksListed)
 def on_tasks_listed(node: Node, event: events.TasksListed, now_s: float) -> None:
-    """Gain a worker that has told what it runs, or note what has ended there."""
+    """Gain a worker that has told what it runs."""
     view = node.state(Workers).views.get(event.worker)
-    if view is None or event.running is None:
-        return
-    if view.owned:
-        _drop_ended(node, view, event, now_s)
+    if view is None or view.owned or event.running is None:
         return
     newest = cell_of(node).roster(node.me.domain)
     if view.ready_s is None or event.asked_s < view.ready_s:
@@ -77,24 +73,6 @@
     view.adopted_s = now_s
 
 
-@every(WATCH_S)
-def watch_adopted(node: Node, now_s: float) -> None:
-    """Ask the workers with adopted tasks whether these still run."""
-    for view in node.state(Workers).views.values():
-        if view.owned and view.adopted:
-            node.emit(fx.ListTasks(view.vm.name))
-
-
-def _drop_ended(
-    node: Node, view: WorkerView, event: events.TasksListed, now_s: float
-) -> None:
-    # A start of the last owner may have been under way when this one gained it.
-    if not view.adopted or event.asked_s < view.adopted_s + TRANSIT_S:
-        return
-    running = {task.task_id for task in event.running or ()}
-    for task_id in sorted(view.adopted - running):
-        view.adopted.discard(task_id)
-        task = view.remove(task_id)
-        if task is not None:
-            ended = events.AdoptedEnded(event.worker, task, event.ended.get(task_id))
-            node.signal(ended, now_s)
+def may_arrive(view: WorkerView, task_id: str, asked_s: float) -> bool:
+    """Tell whether a start of the last owner may arrive later than ``asked_s``."""
+    return task_id in view.adopted and asked_s < view.adopted_s + TRANSIT_S
--- a/packages/core/bulrushspur_core/events.py
+++ b/packages/core/bulrushspur_core/events.py
@@ -183,18 +183,6 @@
     worker: str
 
 
-@dataclasses.dataclass(slots=True)
-class AdoptedEnded:
-    """A task that was adopted with its worker runs no more; its room is free again.
-
-    ``outcome`` is what the worker told of its end, None where it knows nothing of it.
-    """
-
-    worker: str
-    task: TaskInfo
-    outcome: str | None = None
-
-
 @dataclasses.dataclass(slots=True)
 class WorkerLeaving:
     """A worker is listed as leaving: nothing new, and what it runs is to move."""
--- a/packages/core/bulrushspur_core/owner.py
+++ b/packages/core/bulrushspur_core/owner.py
@@ -17,6 +17,7 @@
     shares,
     waits,
 )
+from bulrushspur_core.adoption import may_arrive
 from bulrushspur_core.log_reader import cell_of
 from bulrushspur_core.membership import Members
 from bulrushspur_core.node import Node, every, on, register_state
@@ -442,6 +443,8 @@
                 task.used_memory_mb,
             )
     for task_id in list(view.tasks):
+        if may_arrive(view, task_id, event.asked_s):
+            continue
         listed = event.asked_s >= owner.unwatched.get(task_id, 0.0)
         if listed and task_id not in alive and is_unwatched(owner, task_id):
             running = owner.running.get(owner.by_task.get(task_id, ""))
