Show a key only when the entry processes know it

Ruled out: the change of ownership (the door had refused before it looked for an owner). Change: give waits, like publish and withdraw, until all have it, at most 3 s.

--- a/packages/client/bulrushspur_client/commands.py
+++ b/packages/client/bulrushspur_client/commands.py
@@ -24,6 +24,7 @@
 from bulrushspur_kernel.keys import hash_key, make_key, split_key
 from bulrushspur_kernel.text import parse_text
 
+KEY_WAIT_S: t.Final = 3.0
 # Exit code of what was accepted, but not confirmed everywhere in time.
 NOT_CONFIRMED: t.Final = 5
 IN_FORCE_WAIT_S: t.Final = 14.0
@@ -145,9 +146,12 @@
             raise BadRequestError(f"Team {team} is not in the text in force ({known}).")
         key_id, key = make_key()
         record = rec.KeyGiven(key_id, team, hash_key(key), _token())
-        _, took = await append_and_see(self._platform, record)
+        log, took = await append_and_see(self._platform, record)
         if not took:
             raise RaceLostError(f"The id {key_id} is taken. Give another key.")
+        # The next command of who takes the key may be a request with it.
+        entries = await find_entries(self._platform, self._entries)
+        await wait_for(entries, log.offsets[record.token], KEY_WAIT_S)
         data = {"key_id": key_id, "team": team, "key": key}
         return self._output(data, key)
 
