--- a/packages/core/bulrushspur_core/authority.py
+++ b/packages/core/bulrushspur_core/authority.py
@@ -11,7 +11,7 @@
 from bulrushspur_core.adoption import ask_for_tasks
 from bulrushspur_core.cell import Roster
 from bulrushspur_core.log_reader import cell_of
-from bulrushspur_core.node import Node, every, register_state
+from bulrushspur_core.node import Node, every, on, register_state
 from bulrushspur_core.promises import lease_until_s
 from bulrushspur_core.takeover import earlier_rosters, is_cleared, owner_in
 from bulrushspur_core.workers import Workers, WorkerView
@@ -79,6 +79,14 @@
         view.ready_s = None
 
 
+@on(events.WorkerGone)
+def on_worker_gone(node: Node, event: events.WorkerGone, now_s: float) -> None:
+    """Ask a VM that comes under the name of this one afresh."""
+    view = node.state(Workers).views[event.worker]
+    if view.owned:
+        drop(node, view, now_s)
+
+
 def drop(node: Node, view: WorkerView, now_s: float) -> None:
     """Stop being the effective owner of a worker."""
     view.owned = False
--- a/packages/core/bulrushspur_core/gossip.py
+++ b/packages/core/bulrushspur_core/gossip.py
@@ -2,14 +2,14 @@
 
 import random
 import typing as t
+import zlib
 
 from bulrushspur_kernel import messages as msg
 
-OTHERS_AT_MOST: t.Final = 2
-NEWS_TO_DOMAIN: t.Final = 6
-NEWS_TO_OTHERS: t.Final = 8
+OTHERS_AT_MOST: t.Final = 1
+NEWS_AT_MOST: t.Final = 8
 OTHERS_AGE_S: t.Final = 8.0
-NEWS_AGE_S: t.Final = 6.0
+NEWS_AGE_S: t.Final = 10.0
 
 
 class KnownPeer(t.Protocol):
@@ -50,25 +50,22 @@
     return rv
 
 
-def choose_news(
-    rng: random.Random,
-    peers: t.Mapping[str, KnownPeer],
-    my_domain: str,
-    to_domain: bool,
-    now_s: float,
-) -> list[msg.PeerNews]:
-    """Choose the youngest loads; the own domain hears its own members directly."""
-    count = NEWS_TO_DOMAIN if to_domain else NEWS_TO_OTHERS
+def choose_news(peers: t.Mapping[str, KnownPeer], now_s: float) -> list[msg.PeerNews]:
+    """Choose the processes whose loads are the youngest to pass these on."""
     known = [
-        (peer.load_s, rng.random(), name)
+        (peer.load_s, name)
         for name, peer in peers.items()
         if now_s - peer.load_s < NEWS_AGE_S
-        and not (to_domain and peer.info.domain == my_domain)
     ]
     known.sort(reverse=True)
     rv = []
-    for _, _, name in known[:count]:
+    for load_s, name in known[:NEWS_AT_MOST]:
         peer = peers[name]
-        age_ms = int((now_s - peer.load_s) * 1000)
-        rv.append(msg.PeerNews(name, peer.info.boot, age_ms, peer.load))
+        age_ms = int((now_s - load_s) * 1000)
+        rv.append(msg.PeerNews(name, mark(peer.info.boot), age_ms, peer.load))
     return rv
+
+
+def mark(boot: str) -> int:
+    """Shorten an incarnation to two bytes; a load may be of the wrong one, no more."""
+    return zlib.crc32(boot.encode()) & 0xFFFF
--- a/packages/core/bulrushspur_core/membership.py
+++ b/packages/core/bulrushspur_core/membership.py
@@ -17,7 +17,7 @@
 HEARTBEAT_S: t.Final = 1.0
 SWEEP_S: t.Final = 0.25
 LOST_AFTER_S: t.Final = 3.5
-FAR_LOST_AFTER_S: t.Final = 12.0
+FAR_LOST_AFTER_S: t.Final = 18.0
 FORGET_AFTER_S: t.Final = 600.0
 STALLED_S: t.Final = 1.0
 FAR_BEATS: t.Final = 2
@@ -52,6 +52,7 @@
     load: msg.Load = dataclasses.field(default_factory=msg.Load)
     stopping: bool = False
     beats: int = 0
+    round: list[str] = dataclasses.field(default_factory=list)
     awake_s: float | None = None
     swept_s: float = 0.0
 
@@ -110,7 +111,7 @@
     """Tell the own domain, fellow voters and a few random others that it lives."""
     members = node.state(Members)
     near, far = _targets(node)
-    chosen = node.rng.sample(far, min(FAR_BEATS, len(far)))
+    chosen = _next_far(node, far)
     for name in near:
         node.send(name, _heartbeat(node, _in_domain(node, name), now_s))
     for name in chosen:
@@ -118,6 +119,18 @@
     members.beats += 1
 
 
+def _next_far(node: Node, far: list[str]) -> list[str]:
+    """Choose whom to tell in other domains: each once, in random order, then again."""
+    members = node.state(Members)
+    rv = []
+    for _ in range(min(FAR_BEATS, len(far))):
+        members.round = [one for one in members.round if one in far and one not in rv]
+        if not members.round:
+            members.round = node.rng.sample(far, len(far))
+        rv.append(members.round.pop())
+    return rv
+
+
 def _targets(node: Node) -> tuple[list[str], list[str]]:
     members = node.state(Members)
     near = {
@@ -159,12 +172,13 @@
         cell.next_offset,
         fresh_age_s(node, now_s),
         members.load,
-        gossip.choose_others(node.rng, members.peers, now_s),
-        gossip.choose_news(node.rng, members.peers, node.me.domain, to_domain, now_s),
     )
     if to_domain:
         beat.leaving = leaving_workers(node)
         beat.list_age_s = list_age_s(node, now_s)
+    else:
+        beat.others = gossip.choose_others(node.rng, members.peers, now_s)
+        beat.news = gossip.choose_news(members.peers, now_s)
     return beat
 
 
@@ -250,7 +264,7 @@
 def _learn(node: Node, news: msg.PeerNews, now_s: float) -> None:
     """Take over how busy a process of another domain is, where that is newer."""
     peer = node.state(Members).peers.get(news.name)
-    if peer is None or peer.info.boot != news.boot:
+    if peer is None or gossip.mark(peer.info.boot) != news.mark:
         return
     said_s = now_s - news.age_ms / 1000
     if said_s > peer.load_s:
--- a/packages/daemon/bulrushspur_daemon/process.py
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -10,6 +10,7 @@
 
 from bulrushspur_core import Me, events, make_node
 from bulrushspur_core import effects as fx
+from bulrushspur_core.leaving import is_handed_over
 from bulrushspur_core.membership import Members
 from bulrushspur_core.node import Node
 from bulrushspur_core.owner import Owner
@@ -177,9 +178,13 @@
     callers = process.servers[0].busy > 0
     held = process.requests is not None and bool(process.requests.pending)
     runs = process.runner is not None and process.runner.starts > 0
-    running = process.node.state(Owner).running
-    waiting = process.node.state(Queues).offers
-    return bool(callers or held or runs or running or waiting)
+    node = process.node
+    # Tasks that run on by themselves go to who takes their worker over.
+    rows = node.state(Owner).running.values()
+    running = any(not one.detached for one in rows)
+    waiting = node.state(Queues).offers
+    owns = not is_handed_over(node)
+    return bool(callers or held or runs or running or waiting or owns)
 
 
 async def _start(process: Process) -> list[asyncio.Task[None]]:
--- a/packages/daemon/bulrushspur_daemon/runner.py
+++ b/packages/daemon/bulrushspur_daemon/runner.py
@@ -8,6 +8,7 @@
 from bulrushspur_core import effects as fx
 from bulrushspur_core import events
 from bulrushspur_core.authority import may_start
+from bulrushspur_core.promises import TRANSIT_S
 from bulrushspur_core.workers import Workers
 from bulrushspur_daemon import worker as adapter
 from bulrushspur_daemon.streams import (
@@ -168,7 +169,8 @@
             return "not_started", 0
         flow.on_break = lambda: self._abort_later(call)
         try:
-            rv = await self._exchange(call, address, effect, inflow, flow)
+            await self._send_start(call, address, effect, now_s)
+            rv = await self._exchange(call, effect, inflow, flow)
         except (LostError, StreamBrokenError):
             self.pool.drop(address, call)
             return "lost", 0
@@ -180,17 +182,29 @@
         self.pool.give_back(address, call)
         return rv
 
+    async def _send_start(
+        self, call: Call, address: str, effect: fx.StartTask, checked_s: float
+    ) -> None:
+        """Write a start; one written too long after its check may meet a successor."""
+        try:
+            async with asyncio.timeout(TRANSIT_S):
+                await adapter.send_start(
+                    call, address, effect.task, effect.work, effect.lease_s
+                )
+        except TimeoutError as exc:
+            self.process.node.metrics.count("runner.late_start")
+            raise LostError("the start could not be written") from exc
+        if time.monotonic() - checked_s > TRANSIT_S:
+            self.process.node.metrics.count("runner.late_start")
+            raise LostError("the start was written too late")
+
     async def _exchange(
         self,
         call: Call,
-        address: str,
         effect: fx.StartTask,
         inflow: Inflow | None,
         flow: Outflow,
     ) -> tuple[str, int]:
-        await adapter.send_start(
-            call, address, effect.task, effect.work, effect.lease_s
-        )
         await self._send_body(call, effect, inflow)
         status = await call.read_head()
         if status == adapter.STARTED_DETACHED:
--- a/packages/daemon/bulrushspur_daemon/worker.py
+++ b/packages/daemon/bulrushspur_daemon/worker.py
@@ -5,10 +5,12 @@
 
 import asyncio
 import dataclasses
+import socket
 import typing as t
 
 import msgspec
 
+from bulrushspur_core.promises import TRANSIT_S
 from bulrushspur_kernel.http_client import (
     Call,
     LostError,
@@ -19,6 +21,7 @@
 from bulrushspur_kernel.work import TaskInfo, Work
 
 CONNECT_S: t.Final = 1.0
+UNACKNOWLEDGED_S: t.Final = 0.8 * TRANSIT_S
 ASK_S: t.Final = 2.0
 IDLE_CALLS_AT_MOST: t.Final = 8
 ENDED_OK: t.Final = 200
@@ -60,10 +63,12 @@
             raise NotSentError(f"{address} has {self.connections} connections already")
         self.open[address] = self.open.get(address, 0) + 1
         try:
-            return await open_call(address, CONNECT_S)
+            call = await open_call(address, CONNECT_S)
         except BaseException:
             self._count_closed(address)
             raise
+        bound_transit(call)
+        return call
 
     def give_back(self, address: str, call: Call) -> None:
         """Keep a connection whose answer was read whole."""
@@ -86,6 +91,19 @@
             self.open.pop(address, None)
 
 
+def bound_transit(call: Call) -> None:
+    """Let the connection break when what was sent is not acknowledged in time.
+
+    Else the kernel goes on repeating a start until a cut heals, long after a successor
+    has taken the worker over.
+    """
+    sock = call.writer.get_extra_info("socket")
+    if sock is not None and hasattr(socket, "TCP_USER_TIMEOUT"):
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(UNACKNOWLEDGED_S * 1000)
+        )
+
+
 def make_pool(connections: int) -> WorkerPool:
     """Make a pool with at most so many connections to each worker."""
     return WorkerPool(connections)
--- a/packages/kernel/bulrushspur_kernel/messages.py
+++ b/packages/kernel/bulrushspur_kernel/messages.py
@@ -53,10 +53,10 @@
 
 
 class PeerNews(msgspec.Struct, array_like=True):
-    """Pass on how busy another process was ``age_ms`` ago."""
+    """Pass on how busy another process was ``age_ms`` ago; ``mark`` is of its boot."""
 
     name: str
-    boot: str
+    mark: int
     age_ms: int
     load: Load
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 import typing as t
+import zlib
 
 from bulrushspur_core import Me, Node, events, make_node
 from bulrushspur_core import effects as fx
@@ -49,7 +50,9 @@
         """Start a node; it replaces one of the same name."""
         seeds = {one: one for one in self.nodes if one != name}
         me = Me(name, boot, domain, "region", name, name)
-        node = make_node(me, 7, seeds, WALL_OFFSET_S)
+        # One seed for all would make them choose alike.
+        seed = zlib.crc32(f"{name}/{boot}".encode())
+        node = make_node(me, seed, seeds, WALL_OFFSET_S)
         for other in self.nodes.values():
             other.seeds.setdefault(name, name)
         self.nodes[name] = node
