Keep upper limits by permits in a domain and parts between domains

Cause: each process counted its own tasks only, so a team could run its limit once per process. Ruled out: asking the fleet (cut off), a limit holder that trusts its ledger over a new roster (tasks of the dead would be counted twice or never).

--- a/packages/core/bulrushspur_core/__init__.py
+++ b/packages/core/bulrushspur_core/__init__.py
@@ -45,6 +45,12 @@
 from bulrushspur_core import (
     owner as owner,
 )
+from bulrushspur_core import (
+    parts as parts,
+)
+from bulrushspur_core import (
+    permits as permits,
+)
 from bulrushspur_core import (
     repeating as repeating,
 )
--- a/packages/core/bulrushspur_core/roles.py
+++ b/packages/core/bulrushspur_core/roles.py
@@ -3,6 +3,7 @@
 from bulrushspur_core.cell import Roster
 from bulrushspur_core.log_reader import cell_of
 from bulrushspur_core.node import Node
+from bulrushspur_kernel.messages import Member
 
 
 def own_roster(node: Node) -> Roster | None:
@@ -19,3 +20,14 @@
 def are_older_epochs_over(node: Node, now_s: float) -> bool:
     """Tell whether nobody has authority under an older roster any more."""
     return own_roster(node) is not None
+
+
+def limit_holder(node: Node) -> Member | None:
+    """Name the limit holder of this failure domain: the first member of its roster."""
+    members = cell_of(node).roster(node.me.domain).members
+    return members[0] if members else None
+
+
+def is_limit_holder(node: Node) -> bool:
+    """Tell whether this process is the limit holder of its domain."""
+    return limit_holder(node) == node.me.member
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -4,6 +4,7 @@
 
 from bulrushspur_core.cell import Cell, fold
 from bulrushspur_kernel import records as rec
+from tests.fakes import make_text
 from tests.test_text import TEXT
 
 
@@ -28,3 +29,40 @@
     def test_first_roster_of_an_epoch_wins(self):
         self.assertTrue(self.fold(rec.RosterSet("north", 1, [], [])))
         self.assertFalse(self.fold(rec.RosterSet("north", 1, [], [])))
+
+    def publish(self, limit, domains=("north", "south")):
+        text = make_text(limit, domains)
+        self.assertTrue(self.fold(rec.Published(self.cell.version, text)))
+
+    def move(self, count, sequence, taker="south"):
+        record = rec.PartsMoved("north", taker, 1, {"a": count}, sequence)
+        return self.fold(record)
+
+    def test_first_record_of_a_sequence_uses_it_up(self):
+        self.fold(rec.RosterSet("north", 1, [], []))
+        self.publish(10)
+        self.assertFalse(self.move(6, 1))
+        self.publish(20)
+        # A copy of the void record lands when it would have been valid.
+        self.assertFalse(self.move(6, 1))
+        self.assertTrue(self.move(6, 2))
+        self.assertFalse(self.move(4, 2))
+        self.assertEqual(self.cell.parts["a"], {"north": 4, "south": 16})
+
+    def test_newer_roster_makes_moves_of_the_older_one_void(self):
+        self.fold(rec.RosterSet("north", 1, [], []))
+        self.publish(10)
+        self.fold(rec.RosterSet("north", 2, [], []))
+        self.assertFalse(self.move(1, 1))
+
+    def test_raised_limit_goes_first_to_the_domain_that_it_was_taken_from(self):
+        self.fold(rec.RosterSet("north", 1, [], []))
+        self.publish(10)
+        self.move(5, 1)
+        self.publish(4)
+        self.assertEqual(self.cell.parts["a"], {"north": 0, "south": 4})
+        self.publish(9)
+        self.assertEqual(self.cell.parts["a"], {"north": 0, "south": 9})
+        self.publish(12)
+        self.assertEqual(self.cell.parts["a"], {"north": 2, "south": 10})
+        self.assertEqual(self.cell.debts, {})
