Take authority for homes and limits from rosters and leases

A home now answers only under a lease, and after two losses only when older epochs are over. The tests of one owner got a roster and the whole limits, for without a roster there are no permits; what they check is the same. Tests of limits now run on nodes that own workers by leases; their hand-made starts are noted with the owner, which else took lists of before the start as proof of the end (seen as 11 tasks of 10).

--- a/packages/core/bulrushspur_core/limits.py
+++ b/packages/core/bulrushspur_core/limits.py
@@ -274,7 +274,6 @@
         if not limits.held[team] and not limits.used.get(team, 0):
             for rows in (limits.held, limits.used, limits.lowest_idle):
                 rows.pop(team, None)
-    limits.settled = limits.settled or _has_all_workers(node)
     _report(node)
 
 
@@ -291,6 +290,7 @@
     holder = limit_holder(node)
     if holder is None or own_roster(node) is None:
         return
+    limits.settled = limits.settled or _has_all_workers(node)
     limits.report_sequence += 1
     held = {team: count for team, count in limits.held.items() if count}
     report = msg.PermitReport(
--- a/packages/core/bulrushspur_core/roles.py
+++ b/packages/core/bulrushspur_core/roles.py
@@ -3,6 +3,8 @@
 from bulrushspur_core.cell import Roster
 from bulrushspur_core.log_reader import cell_of
 from bulrushspur_core.node import Node
+from bulrushspur_core.promises import lease_until_s
+from bulrushspur_core.takeover import settled_epoch
 from bulrushspur_kernel.messages import Member
 
 
@@ -14,12 +16,14 @@
 
 def holds_lease(node: Node, now_s: float) -> bool:
     """Tell whether this process has authority under the newest roster now."""
-    return own_roster(node) is not None
+    roster = own_roster(node)
+    return roster is not None and now_s < lease_until_s(node, roster.epoch)
 
 
 def are_older_epochs_over(node: Node, now_s: float) -> bool:
     """Tell whether nobody has authority under an older roster any more."""
-    return own_roster(node) is not None
+    roster = own_roster(node)
+    return roster is not None and settled_epoch(node, now_s) >= roster.epoch - 1
 
 
 def limit_holder(node: Node) -> Member | None:
--- a/tests/fake_owner.py
+++ b/tests/fake_owner.py
@@ -4,6 +4,7 @@
 
 from bulrushspur_core import Me, events, make_node, placement
 from bulrushspur_core import effects as fx
+from bulrushspur_core.cell import Roster
 from bulrushspur_core.log_reader import LogState
 from bulrushspur_core.workers import Workers, WorkerView
 from bulrushspur_kernel import messages as msg
@@ -39,11 +40,20 @@
             self.node.state(Workers).views[vm.name] = WorkerView(
                 vm, owned=True, epoch=1
             )
+            self.node.state(Workers).listed[vm.name] = vm
+        self.hold_limits(text)
         placement.refresh(self.node, self.now_s)
         self.started = []
         self.sent = []
         self.acted = []
 
+    def hold_limits(self, text):
+        """Make the node the limit holder of its domain, with the whole limits."""
+        cell = self.node.state(LogState).cell
+        cell.parts = {team.name: {"north": team.limit_tasks} for team in text.teams}
+        cell.rosters = {"north": [Roster(1, [ME], [ME])]}
+        self.node.handle(events.RosterChanged("north", 1), self.now_s)
+
     def take(self, effects):
         for effect in effects:
             if isinstance(effect, fx.StartTask):
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -6,14 +6,11 @@
 import typing as t
 import zlib
 
-import msgspec
-
 from bulrushspur_core import Me, Node, events, make_node
 from bulrushspur_core import effects as fx
 from bulrushspur_core.log_reader import read_from
 from bulrushspur_kernel import messages as msg
 from bulrushspur_kernel import records as rec
-from bulrushspur_kernel.work import Room, Vm
 from fuzz.log import FakeLog
 
 TICK_S = 0.05
@@ -110,12 +107,9 @@
             return []
         entries, first = self.log.read(read_from(node), self.now_s)
         end = self.log.next_offset
-        read = events.LogRead(entries, first, end, end, self.now_s)
-        effects = node.handle(read, self.now_s)
-        if self.log.vms:
-            listed = events.VmsListed([copy_vm(vm) for vm in self.log.vms.values()])
-            effects += node.handle(listed, self.now_s)
-        return effects
+        return node.handle(
+            events.LogRead(entries, first, end, end, self.now_s), self.now_s
+        )
 
     def carry_out(self, name, effects):
         """Deliver messages and appends; keep the other effects."""
@@ -186,22 +180,11 @@
         settled = epoch - 1 if settled is None else settled
         self.append(rec.RosterSet(domain, epoch, members, members, settled, **more))
 
-    def add_workers(self, domain, *names):
-        """List workers of a domain."""
-        for name in names:
-            vm = Vm(name, "worker", domain, name, room=Room(100, 100, 100_000))
-            self.log.set_vm(vm, name, self.now_s)
-
     def got(self, name, cls):
         """List the signals of a class that a node has had."""
         return [one for one in self.signals[name] if isinstance(one, cls)]
 
 
-def copy_vm(vm):
-    """Copy a VM, for the decision code keeps what it is given."""
-    return msgspec.structs.replace(vm)
-
-
 def make_cell(**names):
     """Make a cell of nodes given their domains by name."""
     cell = FakeCell()
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -5,22 +5,26 @@
 from unittest import mock
 
 from bulrushspur_core import events, limits
+from bulrushspur_core.authority import may_start
 from bulrushspur_core.limits import Limits
 from bulrushspur_core.log_reader import cell_of
+from bulrushspur_core.owner import Owner
 from bulrushspur_core.workers import Workers
 from bulrushspur_kernel import messages as msg
 from bulrushspur_kernel import records as rec
-from bulrushspur_kernel.work import Policy, Room, TaskInfo
-from tests.fakes import make_cell, make_text
+from tests.fakes import make_text
+from tests.owners import OwnersCell, make_task
 
 DOMAINS = {"n1": "north", "n2": "north", "s1": "south", "s2": "south"}
 
 
 class LimitsTest(unittest.TestCase):
     def setUp(self):
-        self.fake = make_cell(**DOMAINS)
-        self.fake.add_workers("north", *(f"wn{i}" for i in range(6)))
-        self.fake.add_workers("south", *(f"ws{i}" for i in range(6)))
+        self.fake = OwnersCell()
+        for name, domain in DOMAINS.items():
+            self.fake.start(name, domain)
+        for domain in ("north", "south"):
+            self.fake.add_workers(domain, 6)
         self.count = 0
         self.publish(10)
         self.fake.set_roster("north", 1, ["n1", "n2"])
@@ -32,25 +36,36 @@
         self.fake.append(rec.Published(version, make_text(limit)))
 
     def views(self, name):
-        views = self.fake.nodes[name].state(Workers).views.values()
-        return [view for view in views if view.owned]
+        node = self.fake.nodes[name]
+        return [
+            view
+            for view in node.state(Workers).views.values()
+            if may_start(node, view.vm.name, view.epoch, self.fake.now_s)
+        ]
 
     def start(self, name, wanted=1):
         """Start as many tasks as there are permits for now, and want the others."""
 
         def action(node, now_s):
-            can = min(limits.available(node, "a"), wanted)
+            views = self.views(name)
+            can = min(limits.available(node, "a"), wanted) if views else 0
             if can and limits.take(node, "a", can, now_s):
                 for _ in range(can):
                     self.count += 1
-                    self.views(name)[self.count % len(self.views(name))].add(
-                        make_task(f"{name}.{self.count}")
-                    )
+                    self.add_task(views[self.count % len(views)], name)
             limits.want(node, "a", wanted - can, now_s)
             return can
 
         return self.fake.run(name, action)
 
+    def add_task(self, view, name):
+        task = make_task(f"{name}.{self.count}", view.epoch)
+        view.add(task)
+        # A list that was asked for before the start proves nothing of this task.
+        started_s = self.fake.now_s + 0.001
+        self.fake.nodes[name].state(Owner).unwatched[task.task_id] = started_s
+        self.fake.running.setdefault(view.vm.name, {})[task.task_id] = task
+
     def start_for(self, name, wanted, wait_s):
         """Try to start for a while, as an owner with a queue does."""
         for _ in range(int(wait_s / 0.1)):
@@ -65,25 +80,26 @@
             for view in self.views(name):
                 for task_id in list(view.tasks)[: count - self.ended]:
                     view.remove(task_id)
+                    del self.fake.running[view.vm.name][task_id]
                     self.ended += 1
                     limits.give_back(node, "a", 1, now_s)
 
         self.ended = 0
         self.fake.run(name, action)
 
-    def running(self, *names):
-        return sum(
-            len(view.tasks) for one in names or DOMAINS for view in self.views(one)
-        )
+    def running(self):
+        return sum(len(tasks) for tasks in self.fake.running.values())
 
     def held(self, *names):
         states = [self.fake.nodes[one].state(Limits) for one in names]
         return sum(one.held.get("a", 0) for one in states)
 
     def test_nothing_starts_without_a_roster(self):
-        fake = make_cell(n1="north")
+        fake = OwnersCell()
+        fake.start("n1", "north")
+        fake.by_hand.add("north")
         fake.append(rec.Published(0, make_text(10)))
-        fake.add_workers("north", "wn0")
+        fake.add_workers("north", 1)
         fake.advance(5.0)
         taken = fake.run("n1", lambda node, now_s: limits.take(node, "a", 1, now_s))
         self.assertFalse(taken)
@@ -326,7 +342,3 @@
             self.assertLessEqual(self.running(), 10)
             most = max(most, self.running())
         self.assertGreaterEqual(most, 6)
-
-
-def make_task(name):
-    return TaskInfo(name, "a", "coursework", "place", Policy.REQUEST, Room(1, 1, 100))
