--- a/packages/core/bulrushspur_core/door.py
+++ b/packages/core/bulrushspur_core/door.py
@@ -46,6 +46,7 @@
     granted: bool = False
     answering: bool = False
     attempts: int = 0
+    moves: int = 0
     ran: Ran = Ran.NO
     waited_s: float | None = None
 
@@ -223,7 +224,12 @@
     request = find_offer(node, sender, message.ticket)
     if request is None:
         return
-    if message.elsewhere and may_offer_again(node, request, message.refusal, now_s):
+    # A move of what only waited is no retry: it costs no budget and nothing ran.
+    moved = bool(message.elsewhere) and not request.granted
+    request.moves += moved
+    if moved or (
+        message.elsewhere and may_offer_again(node, request, message.refusal, now_s)
+    ):
         reachable = {peer.info.name for peer in live_peers(node)} | {node.me.name}
         owner = message.elsewhere if message.elsewhere in reachable else ""
         offer(node, request, now_s, owner)
@@ -241,7 +247,7 @@
         harmless
         and possible
         and not request.answering
-        and may_retry(node, request.work, request.attempts, now_s)
+        and may_retry(node, request.work, request.attempts - request.moves, now_s)
     )
 
 
--- a/packages/core/bulrushspur_core/owner.py
+++ b/packages/core/bulrushspur_core/owner.py
@@ -21,20 +21,21 @@
 from bulrushspur_core.log_reader import cell_of
 from bulrushspur_core.membership import Members
 from bulrushspur_core.node import Node, every, on, register_state
-from bulrushspur_core.queues import Lane, QueuedOffer, Queues, Rank, TeamQueue
+from bulrushspur_core.queues import Lane, Parked, QueuedOffer, Queues, Rank, TeamQueue
 from bulrushspur_core.workers import Workers, WorkerView
 from bulrushspur_kernel import messages as msg
 from bulrushspur_kernel.errors import ErrorKind, Ran, Refusal
-from bulrushspur_kernel.work import TaskInfo, Work
+from bulrushspur_kernel.work import Room, TaskInfo, Work
 
 TASK_LEASE_S: t.Final = 10.0
 RENEW_S: t.Final = 3.0
 LIST_S: t.Final = 2.0
 DISPATCH_S: t.Final = 0.05
 START_LIVES_S: t.Final = 0.5
-LEAD_SLOTS: t.Final = 1.0
-LEAD_PART: t.Final = 1.1
-ROOM_KEPT_AFTER_S: t.Final = 2.0
+LATE_S: t.Final = 0.5
+ROOM_KEPT_AFTER_S: t.Final = 5.0
+WANTED_AT_MOST: t.Final = 64
+BRIEF_S: t.Final = 0.2
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,6 +64,7 @@
     running: dict[str, RunningOffer] = dataclasses.field(default_factory=dict)
     unwatched: dict[str, float] = dataclasses.field(default_factory=dict)
     by_task: dict[str, str] = dataclasses.field(default_factory=dict)
+    light: set[str] = dataclasses.field(default_factory=set)
     without_permit: set[str] = dataclasses.field(default_factory=set)
     task_count: int = 0
 
@@ -180,7 +182,6 @@
 def dispatch_regularly(node: Node, now_s: float) -> None:
     """Start what fits, for room may have come from elsewhere."""
     node.state(Owner).without_permit.clear()
-    drop_late(node, now_s)
     dispatch(node, now_s)
     node.state(Members).load = current_load(node, now_s)
 
@@ -201,16 +202,16 @@
     return msg.Load(free, total, queued, waiting.work_s, wait_s)
 
 
+@every(LATE_S)
 def drop_late(node: Node, now_s: float) -> None:
     """Refuse the first offers of each line whose deadline has passed."""
     waiting = node.state(Queues)
-    late = [
-        line[0]
+    firsts = [
+        line.first()
         for queue in waiting.teams.values()
-        if queue.length
         for line in queue.lines.values()
-        if line and line[0].live and line[0].deadline_s <= now_s
     ]
+    late = [one for one in firsts if one is not None and one.deadline_s <= now_s]
     for offer in late:
         queues.pop(waiting, offer.ticket)
         sentence = "The deadline passed while it waited."
@@ -223,83 +224,82 @@
     waiting = node.state(Queues)
     if not waiting.offers:
         return
+    _start_kept(node, waiting, now_s)
     for rank in Rank:
         _dispatch_rank(node, waiting, rank, now_s)
 
 
 def _dispatch_rank(node: Node, waiting: Queues, rank: Rank, now_s: float) -> None:
     bins = node.state(placement.Bins)
-    aside: list[TeamQueue] = []
+    parked = Parked()
 
     def key_of(name: str) -> float:
         return team_key(node, name, now_s)
 
-    while placement.has_free_slot(bins):
-        queue = queues.take_first(waiting, rank, key_of)
+    def fits(room: Room) -> bool:
+        return placement.may_fit(bins, room)
+
+    while True:
+        queue = queues.find_first(waiting, rank, fits, key_of, parked)
         if queue is None:
             break
-        if rank is Rank.SMALL and queues.has_been_passed(queue, now_s):
-            aside.append(queue)
-            continue
-        if rank is Rank.SMALL and not _is_near_share(node, waiting, queue, now_s):
-            aside.append(queue)
-            break
-        offer = _start_one(node, queue, rank, now_s)
-        if offer is None:
-            aside.append(queue)
-            continue
-        if rank is Rank.SHARE:
-            shares.note_served(node, shares.find_team(node, queue.name, now_s), now_s)
-        if queues.has_work(queue, rank):
-            queues.enter(waiting, queue, rank, key_of(queue.name))
-    # What could not start now stays in the heap for the next pass.
-    for queue in aside:
-        queues.enter(waiting, queue, rank, key_of(queue.name))
+        passes = rank is not Rank.SMALL or _may_pass(node, queue, now_s)
+        if not passes or not _start_one(node, queue, rank, now_s):
+            parked.teams.add(queue.name)
+    queues.unpark(waiting, parked)
 
 
-def _is_near_share(node: Node, waiting: Queues, queue: TeamQueue, now_s: float) -> bool:
-    """Tell whether a team may pass others with small work: not far above its share."""
+def _may_pass(node: Node, queue: TeamQueue, now_s: float) -> bool:
+    if queues.has_been_passed(queue, now_s, queues.PASSED_FACTOR_SMALL):
+        return False
+    return shares.may_pass(node, queue.name, now_s)
 
-    def key_of(name: str) -> float:
-        return team_key(node, name, now_s)
 
-    first = queues.take_first(waiting, Rank.SHARE, key_of)
-    if first is None:
-        return True
-    queues.enter(waiting, first, Rank.SHARE, key_of(first.name))
-    total = max(node.state(shares.Shares).total.slots, 1)
-    team = shares.find_team(node, queue.name, now_s)
-    least = shares.score(shares.find_team(node, first.name, now_s), now_s)
-    lead_s = LEAD_SLOTS / total * shares.NOW_S / team.weight
-    return shares.score(team, now_s) <= least * LEAD_PART + lead_s
-
-
-def _start_one(
-    node: Node, queue: TeamQueue, rank: Rank, now_s: float
-) -> QueuedOffer | None:
-    """Start the first offer of a team that fits, or none."""
-    owner = node.state(Owner)
-    if queue.name in owner.without_permit:
-        return None
+def _start_kept(node: Node, waiting: Queues, now_s: float) -> None:
+    """Start the work that a worker is kept for, as soon as it fits there."""
+    kept = node.state(placement.Bins).kept
+    offer = waiting.offers.get(kept.ticket) if kept is not None else None
+    if kept is None or offer is None:
+        return
+    view = placement.place_on(node, kept.worker, offer.room, now_s)
+    if view is not None:
+        _try_start(node, waiting.teams[offer.work.team], offer, view, now_s)
+
+
+def _start_one(node: Node, queue: TeamQueue, rank: Rank, now_s: float) -> bool:
+    """Start the first offer of a team that fits; tell whether one did."""
+    if queue.name in node.state(Owner).without_permit:
+        return False
     for offer in queues.heads(queue, rank, now_s):
-        view = placement.place(node, offer.room, now_s, offer.ticket)
+        brief = offer.run_time_s <= BRIEF_S
+        view = placement.place(node, offer.room, now_s, brief)
         if view is None:
             _keep_room(node, offer, now_s)
             continue
-        if not limits.take(node, queue.name, 1, now_s):
-            owner.without_permit.add(queue.name)
-            limits.want(node, queue.name, min(queue.length, 64), now_s)
-            return None
-        queues.pop(node.state(Queues), offer.ticket)
-        queues.note_started(queue, offer)
-        waits.note_started(node, offer, queue, now_s)
-        start(node, offer, view, now_s)
-        return offer
-    return None
+        if not _try_start(node, queue, offer, view, now_s):
+            return False
+        if rank is Rank.SHARE:
+            shares.note_served(node, shares.find_team(node, queue.name, now_s), now_s)
+        return True
+    return False
+
+
+def _try_start(
+    node: Node, queue: TeamQueue, offer: QueuedOffer, view: WorkerView, now_s: float
+) -> bool:
+    if not limits.take(node, queue.name, 1, now_s):
+        node.state(Owner).without_permit.add(queue.name)
+        limits.want(node, queue.name, min(queue.length, WANTED_AT_MOST), now_s)
+        return False
+    queues.pop(node.state(Queues), offer.ticket)
+    queues.note_started(queue, offer)
+    waits.note_started(node, offer, queue, now_s)
+    start(node, offer, view, now_s)
+    return True
 
 
 def _keep_room(node: Node, offer: QueuedOffer, now_s: float) -> None:
-    large = offer.room.slots > 1 or offer.room.accelerators or offer.lane is Lane.HEAVY
+    large = offer.room.slots > 1 or offer.room.accelerators
     waited_s = now_s - offer.queued_s
     if large and offer.lane is not Lane.BATCH and waited_s > ROOM_KEPT_AFTER_S:
         placement.keep_worker(node, offer.room, offer.ticket, now_s)
@@ -322,6 +322,9 @@
         offer.ticket, offer.door, work, view.vm.name, task_id, now_s
     )
     owner.by_task[task_id] = offer.ticket
+    if offer.lane is Lane.SMALL:
+        owner.light.add(task_id)
+        shares.add_light(node, work.team, offer.room.slots, now_s)
     node.send(offer.door, msg.Granted(offer.ticket, view.vm.name, task_id))
     node.emit(
         fx.StartTask(
@@ -376,8 +379,12 @@
     node.state(Owner).unwatched.pop(task_id, None)
     if task is None:
         return
+    owner = node.state(Owner)
     limits.give_back(node, task.team, 1, now_s)
-    node.state(Owner).without_permit.discard(task.team)
+    if task_id in owner.light:
+        owner.light.discard(task_id)
+        shares.add_light(node, task.team, -task.room.slots, now_s)
+    owner.without_permit.discard(task.team)
     if not view.owned:
         return
     shares.add_use(node, task.team, task.room, -1, now_s)
--- a/packages/core/bulrushspur_core/queues.py
+++ b/packages/core/bulrushspur_core/queues.py
@@ -1,8 +1,9 @@
 """The queues of an owner: one for each team, in lanes by weight and room.
 
 A cancelled offer is only marked and skipped later, so that a wave of cancellations
-costs each time the same. Teams stand in a heap for each rank; a key is recomputed when
-it comes up, so that the cost of a start does not grow with the teams that wait.
+costs each time the same. Teams stand in a heap for each rank and room; a key is
+recomputed when it comes up, so that the cost of a start does not grow with the teams
+that wait.
 """
 
 import collections
@@ -15,9 +16,11 @@
 from bulrushspur_core.node import Node, register_state
 from bulrushspur_kernel.work import Policy, Room, Size, Work
 
-PASSES_AT_MOST: t.Final = 32
+PASSED_FACTOR: t.Final = 4.0
+PASSED_FACTOR_SMALL: t.Final = 8.0
 PASSED_AFTER_S: t.Final = 5.0
-BATCH_STARVES_S: t.Final = 60.0
+DEAD_AT_MOST: t.Final = 64
+KEY_SLACK: t.Final = 1e-6
 
 
 class Lane(enum.IntEnum):
@@ -67,11 +70,6 @@
 }
 
 
-def ranks_of(lane: Lane) -> tuple[Rank, ...]:
-    """Tell the ranks in which work of a lane may start."""
-    return _RANKS[lane]
-
-
 @dataclasses.dataclass(slots=True)
 class QueuedOffer:
     """An offer that waits for room; times are monotonic."""
@@ -89,24 +87,39 @@
     live: bool = True
 
 
-Line = collections.deque[QueuedOffer]
+@dataclasses.dataclass(slots=True)
+class Line:
+    """Offers of one lane and room, the oldest first; ``live`` of them still wait."""
+
+    offers: collections.deque[QueuedOffer] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    live: int = 0
+
+    def first(self) -> QueuedOffer | None:
+        """Return the oldest offer that still waits."""
+        offers = self.offers
+        while offers and not offers[0].live:
+            offers.popleft()
+        return offers[0] if offers else None
+
+
+Place = tuple[Rank, Room]
+Entry = tuple[float, int, "TeamQueue"]
+KeyOf = t.Callable[[str], float]
 
 
 @dataclasses.dataclass(slots=True)
 class TeamQueue:
-    """Offers of one team; ``passes`` counts starts that passed a heavier one."""
+    """Offers of one team; ``passed_s`` sums the slot time that passed heavier work."""
 
     name: str
     lines: dict[tuple[Lane, Room], Line] = dataclasses.field(default_factory=dict)
     counts: dict[Lane, int] = dataclasses.field(default_factory=dict)
     work_s: float = 0.0
     length: int = 0
-    dead: int = 0
-    passes: int = 0
-    entries: dict[Rank, int] = dataclasses.field(default_factory=dict)
-
-
-Entry = tuple[float, int, str]
+    passed_s: float = 0.0
+    entries: dict[Place, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass
@@ -115,8 +128,8 @@
 
     teams: dict[str, TeamQueue] = dataclasses.field(default_factory=dict)
     offers: dict[str, QueuedOffer] = dataclasses.field(default_factory=dict)
-    heaps: dict[Rank, list[Entry]] = dataclasses.field(
-        default_factory=lambda: {rank: [] for rank in Rank}
+    heaps: dict[Rank, dict[Room, list[Entry]]] = dataclasses.field(
+        default_factory=lambda: {rank: {} for rank in Rank}
     )
     counter: t.Iterator[int] = dataclasses.field(default_factory=itertools.count)
     work_s: float = 0.0
@@ -142,13 +155,13 @@
         queue = queues.teams[name] = TeamQueue(name)
     line = queue.lines.get((offer.lane, offer.room))
     if line is None:
-        line = queue.lines[offer.lane, offer.room] = collections.deque()
-    line.append(offer)
+        line = queue.lines[offer.lane, offer.room] = Line()
+    line.offers.append(offer)
     queues.offers[offer.ticket] = offer
-    _count(queues, queue, offer, 1)
+    _count(queues, queue, line, offer, 1)
     for rank in _RANKS[offer.lane]:
-        if rank not in queue.entries:
-            enter(queues, queue, rank, key)
+        if (rank, offer.room) not in queue.entries:
+            enter(queues, queue, rank, offer.room, key)
 
 
 def pop(queues: Queues, ticket: str) -> QueuedOffer | None:
@@ -157,37 +170,33 @@
     if offer is None:
         return None
     queue = queues.teams[offer.work.team]
+    place = (offer.lane, offer.room)
+    line = queue.lines[place]
     offer.live = False
-    queue.dead += 1
-    _count(queues, queue, offer, -1)
-    if queue.dead > 64 and queue.dead > 4 * queue.length:
-        _compact(queue)
+    _count(queues, queue, line, offer, -1)
+    if not line.live:
+        del queue.lines[place]
+    elif len(line.offers) > DEAD_AT_MOST + 2 * line.live:
+        line.offers = collections.deque(one for one in line.offers if one.live)
     return offer
 
 
-def _count(queues: Queues, queue: TeamQueue, offer: QueuedOffer, sign: int) -> None:
+def _count(
+    queues: Queues, queue: TeamQueue, line: Line, offer: QueuedOffer, sign: int
+) -> None:
+    line.live += sign
     queue.length += sign
     queue.counts[offer.lane] = queue.counts.get(offer.lane, 0) + sign
-    work_s = sign * offer.run_time_s * max(offer.room.slots, 1)
+    work_s = sign * slot_time_s(offer)
     queue.work_s += work_s
     queues.work_s += work_s
 
 
-def _compact(queue: TeamQueue) -> None:
-    queue.dead = 0
-    for key, line in list(queue.lines.items()):
-        kept = collections.deque(one for one in line if one.live)
-        if kept:
-            queue.lines[key] = kept
-        else:
-            del queue.lines[key]
-
-
-def enter(queues: Queues, queue: TeamQueue, rank: Rank, key: float) -> None:
-    """Put a team into the heap of a rank; an older entry of it counts no more."""
+def enter(queues: Queues, queue: TeamQueue, rank: Rank, room: Room, key: float) -> None:
+    """Put a team into a heap; an older entry of it there counts no more."""
     number = next(queues.counter)
-    queue.entries[rank] = number
-    heapq.heappush(queues.heaps[rank], (key, number, queue.name))
+    queue.entries[rank, room] = number
+    heapq.heappush(queues.heaps[rank].setdefault(room, []), (key, number, queue))
 
 
 def enter_again(queues: Queues, team: str, key: float) -> None:
@@ -195,65 +204,92 @@
     queue = queues.teams.get(team)
     if queue is None:
         return
-    for rank in list(queue.entries):
-        enter(queues, queue, rank, key)
+    for rank, room in list(queue.entries):
+        enter(queues, queue, rank, room, key)
+
+
+@dataclasses.dataclass(slots=True)
+class Parked:
+    """Teams that cannot start in this pass, and their entries taken off the heaps."""
+
+    teams: set[str] = dataclasses.field(default_factory=set)
+    entries: list[tuple[Rank, Room, Entry]] = dataclasses.field(default_factory=list)
+
 
+def unpark(queues: Queues, parked: Parked) -> None:
+    """Put the entries back that a pass took off the heaps."""
+    for rank, room, entry in parked.entries:
+        heapq.heappush(queues.heaps[rank].setdefault(room, []), entry)
 
-def take_first(
-    queues: Queues, rank: Rank, key_of: t.Callable[[str], float]
+
+def find_first(
+    queues: Queues,
+    rank: Rank,
+    fits: t.Callable[[Room], bool],
+    key_of: KeyOf,
+    parked: Parked | None = None,
 ) -> TeamQueue | None:
-    """Take the team that is owed most out of the heap of a rank."""
-    heap = queues.heaps[rank]
-    while heap:
-        key, number, name = heapq.heappop(heap)
-        queue = queues.teams[name]
-        if queue.entries.get(rank) != number:
-            continue
-        del queue.entries[rank]
-        if not has_work(queue, rank):
+    """Find the team that is owed most among those with work of a rank that fits."""
+    best: tuple[float, TeamQueue] | None = None
+    heaps = queues.heaps[rank]
+    for room in list(heaps):
+        if not fits(room):
             continue
-        true_key = key_of(name)
-        if heap and true_key > heap[0][0] and true_key > key + 1e-9:
-            enter(queues, queue, rank, true_key)
-            continue
-        return queue
+        top = _find_top(queues, rank, room, key_of, parked)
+        if top is not None and (best is None or top[0] < best[0]):
+            best = top
+        if not heaps[room]:
+            del heaps[room]
+    return None if best is None else best[1]
+
+
+def _find_top(
+    queues: Queues, rank: Rank, room: Room, key_of: KeyOf, parked: Parked | None
+) -> tuple[float, TeamQueue] | None:
+    heap = queues.heaps[rank][room]
+    while heap:
+        key, number, queue = heap[0]
+        if queue.entries.get((rank, room)) != number:
+            heapq.heappop(heap)
+        elif not has_work(queue, rank, room):
+            heapq.heappop(heap)
+            del queue.entries[rank, room]
+        elif parked is not None and queue.name in parked.teams:
+            parked.entries.append((rank, room, heapq.heappop(heap)))
+        else:
+            true_key = key_of(queue.name)
+            if true_key <= key + KEY_SLACK:
+                return true_key, queue
+            heapq.heapreplace(heap, (true_key, number, queue))
     return None
 
 
-def has_work(queue: TeamQueue, rank: Rank) -> bool:
-    """Tell whether a team has offers of a rank."""
-    counts = queue.counts
-    if rank is Rank.URGENT:
-        return counts.get(Lane.URGENT, 0) > 0
-    if rank is Rank.SMALL:
-        return counts.get(Lane.SMALL, 0) > 0
-    if rank is Rank.BATCH:
-        return counts.get(Lane.BATCH, 0) > 0
-    return queue.length > counts.get(Lane.URGENT, 0) + counts.get(Lane.BATCH, 0)
-
-
 _RANK_LANES: t.Final = {
-    Rank.URGENT: (Lane.URGENT, Lane.URGENT),
-    Rank.SMALL: (Lane.SMALL, Lane.SMALL),
-    Rank.SHARE: (Lane.SMALL, Lane.HEAVY),
-    Rank.BATCH: (Lane.BATCH, Lane.BATCH),
+    Rank.URGENT: (Lane.URGENT,),
+    Rank.SMALL: (Lane.SMALL,),
+    Rank.SHARE: (Lane.SMALL, Lane.MIDDLING, Lane.HEAVY),
+    Rank.BATCH: (Lane.BATCH,),
 }
 
 
+def lanes_of(rank: Rank) -> tuple[Lane, ...]:
+    """Tell the lanes whose work may start in a rank."""
+    return _RANK_LANES[rank]
+
+
+def has_work(queue: TeamQueue, rank: Rank, room: Room) -> bool:
+    """Tell whether a team has offers of a rank and room."""
+    return any((lane, room) in queue.lines for lane in _RANK_LANES[rank])
+
+
 def heads(queue: TeamQueue, rank: Rank, now_s: float) -> list[QueuedOffer]:
     """List the first offer of each line of a rank, in the order to try them."""
-    first, last = _RANK_LANES[rank]
+    lanes = _RANK_LANES[rank]
     rv = []
-    for key, line in list(queue.lines.items()):
-        if not first <= key[0] <= last:
-            continue
-        while line and not line[0].live:
-            line.popleft()
-            queue.dead -= 1
-        if line:
-            rv.append(line[0])
-        else:
-            del queue.lines[key]
+    for (lane, _), line in queue.lines.items():
+        first = line.first() if lane in lanes else None
+        if first is not None:
+            rv.append(first)
     if len(rv) < 2:
         return rv
     rv.sort(key=lambda one: (one.lane, one.queued_s))
@@ -264,23 +300,29 @@
     return rv
 
 
-def has_been_passed(queue: TeamQueue, now_s: float) -> bool:
-    """Tell whether lighter work of a team has passed heavier often enough."""
-    if queue.passes < PASSES_AT_MOST:
+def has_been_passed(
+    queue: TeamQueue, now_s: float, factor: float = PASSED_FACTOR
+) -> bool:
+    """Tell whether so many times its own slot time has passed heavier work."""
+    if not queue.passed_s:
         return False
-    return any(
-        line[0].lane in (Lane.MIDDLING, Lane.HEAVY)
-        and now_s - line[0].queued_s > PASSED_AFTER_S
-        for line in queue.lines.values()
-        if line
-    )
+    for (lane, _), line in queue.lines.items():
+        first = line.first() if lane in (Lane.MIDDLING, Lane.HEAVY) else None
+        if first is not None and now_s - first.queued_s > PASSED_AFTER_S:
+            return queue.passed_s >= factor * slot_time_s(first)
+    return False
+
+
+def slot_time_s(offer: QueuedOffer) -> float:
+    """Estimate the slot seconds of an offer."""
+    return offer.run_time_s * max(offer.room.slots, 1)
 
 
 def note_started(queue: TeamQueue, offer: QueuedOffer) -> None:
-    """Count the starts that passed heavier work of the same team."""
+    """Count the slot time of starts that passed heavier work of the same team."""
     heavier = any(
         queue.counts.get(lane, 0)
         for lane in (Lane.MIDDLING, Lane.HEAVY)
         if lane > offer.lane
     )
-    queue.passes = queue.passes + 1 if heavier else 0
+    queue.passed_s = queue.passed_s + slot_time_s(offer) if heavier else 0.0
--- a/packages/core/bulrushspur_core/shares.py
+++ b/packages/core/bulrushspur_core/shares.py
@@ -18,6 +18,7 @@
 
 MEMORY_S: t.Final = 5.0
 NOW_S: t.Final = 2.0
+LIGHT_SLOTS: t.Final = 2
 SMALLEST_SHARE: t.Final = 1e-3
 SMALLEST_SCORE: t.Final = 1e-9
 
@@ -31,6 +32,7 @@
     cores: float = 0.0
     memory_mb: float = 0.0
     accelerators: float = 0.0
+    light_slots: int = 0
     use: float = 0.0
     past_s: float = 0.0
     at_s: float = 0.0
@@ -42,6 +44,7 @@
 
     teams: dict[str, TeamUse] = dataclasses.field(default_factory=dict)
     total: Room = dataclasses.field(default_factory=Room)
+    weights: float = 0.0
     level_s: float = 0.0
     level_at_s: float = 0.0
 
@@ -56,6 +59,7 @@
 def on_text_changed(node: Node, event: events.TextChanged, now_s: float) -> None:
     """Take over the shares of the text."""
     shares = node.state(Shares)
+    shares.weights = 0.0
     for name, team in shares.teams.items():
         _decay(team, now_s)
         team.weight = weight_of(node, name)
@@ -78,6 +82,26 @@
     return team
 
 
+def add_light(node: Node, name: str, slots: int, now_s: float) -> None:
+    """Count slots that small work of a team takes, or frees (below 0)."""
+    find_team(node, name, now_s).light_slots += slots
+
+
+def may_pass(node: Node, name: str, now_s: float) -> bool:
+    """Tell whether small work of a team may pass all others.
+
+    It may while the small work alone has no more slots than the share of the team, or
+    one: what it takes is charged to the team all the same.
+    """
+    shares = node.state(Shares)
+    if not shares.weights:
+        text = cell_of(node).text
+        shares.weights = sum(one.share for one in text.teams) if text else 1.0
+    team = find_team(node, name, now_s)
+    due = team.weight / shares.weights * shares.total.slots
+    return team.light_slots < max(due, LIGHT_SLOTS)
+
+
 def set_total(node: Node, total: Room, now_s: float) -> None:
     """Set the room that shares are parts of."""
     shares = node.state(Shares)
--- a/packages/core/bulrushspur_core/waits.py
+++ b/packages/core/bulrushspur_core/waits.py
@@ -77,12 +77,12 @@
     if queue is None:
         return 0.0
     least_s = 0.0
-    for key, line in queue.lines.items():
-        if key[0] == lane and line:
-            # A line has one room, and mostly one kind; dead offers do not count.
-            run_s = estimates.least_run_time_s(node, line[0].work)
-            live = min(len(line), queue.counts.get(lane, 0))
-            least_s += live * run_s * key[1].slots
+    for (one, room), line in queue.lines.items():
+        first = line.first() if one == lane else None
+        if first is not None:
+            # A line has one room, and mostly one kind.
+            run_s = estimates.least_run_time_s(node, first.work)
+            least_s += line.live * run_s * room.slots
     return least_s / max(cell_slots(node), 1)
 
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -53,7 +53,7 @@
         self.owner.now_s += 6
         tickets = []
         running = collections.deque(running)
-        for _ in range(2 * queues.PASSES_AT_MOST):
+        for _ in range(4 * int(queues.PASSED_FACTOR_SMALL)):
             self.owner.started = []
             self.owner.end(running.popleft())
             running.extend(self.owner.started)
