Check ownership exhaustively, with thirteen mutants

Each of the 13 mutants is refuted by its invariant: no wait, no seal, a promise counted from receipt, a restarted voter that votes or seals, no majority, no transit time, no clock check; tasks not counted, asked before the end of the old owner, handed over and forgotten, sent in another epoch, not checked.

--- a/models/run.py
+++ b/models/run.py
@@ -12,7 +12,7 @@
 
 from bulrushspur_kernel import plugins
 
-MODULES: t.Final[list[str]] = ["config_stream", "limits"]
+MODULES: t.Final[list[str]] = ["config_stream", "limits", "ownership"]
 
 STATES_AT_MOST: t.Final = 5_000_000
 
