Freeze what lives as long as the process

Cause: at 300 requests/s the door's own p99 was 11.1 ms (max 18.2) against a p50 of 3.1: full passes of the garbage collector over what was imported. Ruled out: waiting for room (wait p99 0.015 ms) and the worker (p50 steady). Change: gc.freeze() once the process serves.

--- a/packages/daemon/bulrushspur_daemon/process.py
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import gc
 import os
 import signal
 import time
@@ -145,6 +146,9 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, process.stopping.set)
+    # What exists by now lives as long as the process: the collector may pass it over.
+    gc.collect()
+    gc.freeze()
     log.info(f"{settings.name} of domain {settings.domain} serves.")
     await process.stopping.wait()
     await _stop(process)
