Test the callers' interface on real processes and leave nothing behind

Cause: later answers, cancel, streams and stop were tested nowhere whole. Red before, each fault put in alone: no team check, streams not forgotten, caller gone unseen, stop that does not wait, other doors not answered, no credit given back.

--- a/packages/daemon/bulrushspur_daemon/headers.py
+++ b/packages/daemon/bulrushspur_daemon/headers.py
@@ -54,7 +54,6 @@
         _number(given, "X-Run-Time-S", kind.run_time_s, LONGEST_S),
         _read_room(given, kind.room),
         tasks,
-        detached=kind.policy is Policy.GANG,
     )
     return Asked(work, bool(request_id), _yes_or_no(given, "X-Answer-Later", False))
 
--- a/packages/daemon/bulrushspur_daemon/operators.py
+++ b/packages/daemon/bulrushspur_daemon/operators.py
@@ -100,7 +100,11 @@
     if part and part not in states:
         sentence = f"There is no part {part}; there are {', '.join(sorted(states))}."
         raise HttpError(Refusal(ErrorKind.UNKNOWN_PATH, sentence))
-    head = {"status": make_status(process), "settings": make_plain(process.settings)}
+    head = {
+        "status": make_status(process),
+        "settings": make_plain(process.settings),
+        "streams": process.streams.counts(),
+    }
     headers = [
         (b"content-type", b"application/json"),
         (b"transfer-encoding", b"chunked"),
--- a/packages/daemon/bulrushspur_daemon/process.py
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -37,7 +37,7 @@
 WIRE_S: t.Final = 1.0
 STOP_SPREAD_S: t.Final = 1.5
 STOP_STEP_S: t.Final = 0.05
-CLOSE_S: t.Final = 2.0
+CLOSE_S: t.Final = 0.5
 
 EffectDoer = t.Callable[[t.Any], None]
 MessageTaker = t.Callable[[str, t.Any], None]
--- a/packages/daemon/bulrushspur_daemon/runner.py
+++ b/packages/daemon/bulrushspur_daemon/runner.py
@@ -213,14 +213,11 @@
         if inflow is not None and not inflow.taken:
             await self._send_body(call, effect, inflow)
         status = await call.read_head()
-        if status == adapter.STARTED_DETACHED:
-            await call.read_all()
-            return "detached", status
-        if status != adapter.ENDED_OK:
+        if status not in (adapter.ENDED_OK, adapter.STARTED_DETACHED):
             await call.read_all()
             return "failed", status
         await self._relay_answer(call, effect, flow)
-        return "done", status
+        return "detached" if status == adapter.STARTED_DETACHED else "done", status
 
     def _abort_later(self, call: Call) -> None:
         # The task was told to stop; a worker that says nothing more is given up.
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -32,20 +32,29 @@
 STREAMS = {"bodies_in": 0, "answers_in": 0, "bodies_out": 0, "answers_out": 0}
 
 
-class CallersTest(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self):
-        self.cluster = cl.make_cluster()
-        self.addCleanup(self.cluster.stop)
-        await cl.start_platform(self.cluster)
+class Cell:
+    """Two entry processes and a worker, started once for all tests of a class."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.cluster = cl.make_cluster()
+        cls.addClassCleanup(cls.cluster.stop)
+        asyncio.run(cls.start())
+
+    @classmethod
+    async def start(cls):
+        await cl.start_platform(cls.cluster)
         room = Room(8, 16.0, 32_768, 0)
-        await cl.start_worker(self.cluster, "w1", "north", "r1", room)
-        plan = cl.plan_entries(self.cluster, {"n1": "north", "s1": "south"})
+        await cl.start_worker(cls.cluster, "w1", "north", "r1", room)
+        plan = cl.plan_entries(cls.cluster, {"n1": "north", "s1": "south"})
         for settings in plan.values():
-            await cl.start_entry(self.cluster, settings)
-        await cl.publish(self.cluster, TEXT, 0)
-        self.keys = {}
+            await cl.start_entry(cls.cluster, settings)
+        await cl.publish(cls.cluster, TEXT, 0)
+        cls.keys = {}
         for team in ("a", "b"):
-            _, self.keys[team] = await cl.give_key(self.cluster, team)
+            _, cls.keys[team] = await cl.give_key(cls.cluster, team)
+
+    async def asyncSetUp(self):
         for entry in ("n1", "s1"):
             ready = await cl.wait_until(lambda entry=entry: self.works(entry))
             self.assertTrue(ready, entry)
@@ -82,6 +91,8 @@
         for entry in ("n1", "s1"):
             self.assertTrue(await cl.wait_until(lambda one=entry: left(one), 5.0))
 
+
+class CallersTest(Cell, unittest.IsolatedAsyncioTestCase):
     async def test_answer_asked_for_later_through_any_door(self):
         for door, other in (("n1", "s1"), ("s1", "n1")):
             status, told = await self.run_one(
@@ -156,15 +167,23 @@
     async def test_caller_that_goes_away_is_withdrawn(self):
         for entry in ("n1", "s1"):
             call = await open_call(self.cluster.entries[entry].address, 2.0)
-            rows = [("host", "x"), ("authorization", f"Bearer {self.keys['a']}")]
+            rows = [
+                ("host", "x"),
+                ("authorization", f"Bearer {self.keys['a']}"),
+                ("x-run-time-s", "30"),
+            ]
             await call.send_whole("POST", "/v1/run/coursework/wall", rows, b"")
             await asyncio.sleep(0.2)
             call.abort()
         await self.assert_nothing_left()
 
+
+class StopTest(Cell, unittest.IsolatedAsyncioTestCase):
     async def test_graceful_stop_cuts_no_answer(self):
         jobs = [
-            asyncio.create_task(self.run_one(entry, "wall", b"kept"))
+            asyncio.create_task(
+                self.run_one(entry, "wall", b"kept", x_run_time_s="3.5")
+            )
             for entry in ("n1", "s1", "s1")
         ]
         await asyncio.sleep(0.3)
