Show the epoch check, the own pause and the storm limit red first

Cause: three mutants on a scratch copy passed all tests: the epoch of a start ignored (the lease of the old epoch had lapsed by then), the own pause taken for the loss of others (a heartbeat came at the very moment), appends without a budget (two halves cannot even seal each other's epoch).

--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -6,7 +6,7 @@
 from bulrushspur_core import events
 from bulrushspur_core.authority import may_start
 from bulrushspur_core.log_reader import cell_of
-from bulrushspur_core.promises import DRIFT_S, LEASE_S
+from bulrushspur_core.promises import DRIFT_S, LEASE_S, lease_until_s
 from bulrushspur_core.workers import Workers
 from tests.owners import make_owners_cell as make_cell
 from tests.owners import make_task
@@ -89,14 +89,17 @@
 
     def test_start_belongs_to_the_epoch_it_was_checked_in(self):
         cell = make_cell()
-        before = {one: name for one, name in self.owned_by(cell).items() if name}
+        owned = self.owned_by(cell)
+        worker = next(one for one in WORKERS if owned[one] == "n2")
+        node = cell.nodes["n2"]
+        view = node.state(Workers).views[worker]
         cell.kill("n1")
-        cell.advance(10)
-        for worker, name in before.items():
-            if name != "n1":
-                node = cell.nodes[name]
-                self.assertFalse(may_start(node, worker, 1, cell.now_s))
-                self.assertTrue(may_start(node, worker, 2, cell.now_s))
+        while view.epoch == 1:
+            cell.advance(0.05)
+        # The lease of the first epoch lasts, but a start of it comes too late.
+        self.assertGreater(lease_until_s(node, 1), cell.now_s)
+        self.assertFalse(may_start(node, worker, 1, cell.now_s))
+        self.assertTrue(may_start(node, worker, 2, cell.now_s))
 
     def test_nothing_starts_on_a_worker_that_left_after_the_decision(self):
         cell = make_cell(1)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -28,7 +28,7 @@
         cell = make_cell(n1="north", n2="north")
         cell.advance(3)
         cell.paused.add("n1")
-        cell.advance(60)
+        cell.advance(60.4)
         cell.held.clear()
         cell.resume("n1")
         cell.advance(3)
--- a/tests/test_rosters.py
+++ b/tests/test_rosters.py
@@ -50,13 +50,12 @@
         self.assertEqual(len(self.roster(cell).members), 2)
         self.assertEqual(len(self.records(cell)), 2)
 
-    def test_halves_that_only_the_platform_connects_do_not_storm(self):
-        cell = make_owners_cell(2)
+    def test_two_members_that_do_not_hear_each_other_do_not_storm(self):
+        # The third hears both, and so each of them is taken in again.
+        cell = make_owners_cell(3)
         cell.cut("n1", "n2")
         cell.advance(600)
-        self.assertLess(len(self.records(cell)), 6 + 2 * 61 + 2)
-        per_s = len(self.records(cell)) / 600
-        self.assertLess(per_s, 0.25)
+        self.assertLess(len(self.records(cell)), 3 * (6 + 60))
 
     def test_process_cut_off_from_all_leaves_the_roster_alone(self):
         cell = make_owners_cell(3)
