--- a/packages/core/bulrushspur_core/workers.py
+++ b/packages/core/bulrushspur_core/workers.py
@@ -1,6 +1,7 @@
 """The workers of this failure domain as their owner sees them."""
 
 import dataclasses
+import typing as t
 
 from bulrushspur_core import events
 from bulrushspur_core.log_reader import cell_of
@@ -8,6 +9,8 @@
 from bulrushspur_kernel import messages as msg
 from bulrushspur_kernel.work import Room, TaskInfo, Vm
 
+FORGET_AFTER_S: t.Final = 600.0
+
 
 @dataclasses.dataclass
 class WorkerView:
@@ -27,6 +30,7 @@
     calls: int = 0
     set_apart_until_s: float = 0.0
     gone: bool = False
+    gone_s: float = 0.0
     adopted: set[str] = dataclasses.field(default_factory=set)
     adopted_s: float = 0.0
     ready_s: float | None = None
@@ -97,10 +101,14 @@
         elif vm.role == "entry":
             workers.once_listed.add(vm.name)
             workers.missing_s.pop(vm.name, None)
-    for name, view in workers.views.items():
-        if name not in workers.listed and not view.gone:
-            view.gone = True
+    for name, view in list(workers.views.items()):
+        if name in workers.listed:
+            continue
+        if not view.gone:
+            view.gone, view.gone_s = True, now_s
             node.signal(events.WorkerGone(name), now_s)
+        elif now_s - view.gone_s > FORGET_AFTER_S and not view.tasks:
+            del workers.views[name]
     # A list without any entry process says nothing of those that are missing.
     if any(vm.role == "entry" for vm in event.vms):
         for member in _known_voters(node):
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -3,7 +3,7 @@
 import unittest
 
 from bulrushspur_core import events
-from bulrushspur_core.workers import Workers
+from bulrushspur_core.workers import FORGET_AFTER_S, Workers
 from tests.owners import make_owners_cell
 
 
@@ -59,3 +59,8 @@
         self.assertEqual(len(self.cell.got(self.name, events.WorkerGone)), 1)
         self.assertEqual(len(self.cell.got(self.name, events.WorkerDropped)), 1)
         self.assertTrue(self.view().owned)
+
+    def test_worker_long_gone_is_forgotten(self):
+        del self.cell.vms["north-w0"]
+        self.cell.advance(FORGET_AFTER_S + 5)
+        self.assertNotIn("north-w0", self.cell.nodes[self.name].state(Workers).views)
