Keep slots for small work, and move queued offers to owners that have room

Ruled out: a wider search at the door; its view of loads is as old as a heartbeat. Now an owner asks three others for room as soon as a small offer waits, and keeps as many slots for small work as its mean need (and half a root more while nothing queues for long).

--- a/packages/core/bulrushspur_core/moves.py
+++ b/packages/core/bulrushspur_core/moves.py
@@ -7,21 +7,25 @@
 """
 
 import dataclasses
+import itertools
 import typing as t
 
-from bulrushspur_core import events, queues
+from bulrushspur_core import events, placement, queues, waits
 from bulrushspur_core.membership import Members, live_peers
 from bulrushspur_core.node import Node, every, on, register_state
-from bulrushspur_core.owner import current_load, team_key
-from bulrushspur_core.queues import QueuedOffer, Queues, Rank
+from bulrushspur_core.owner import spare_slots, team_key
+from bulrushspur_core.queues import Lane, QueuedOffer, Queues, Rank
 from bulrushspur_kernel import messages as msg
 from bulrushspur_kernel.errors import ErrorKind, Ran, Refusal
 
 ASK_S: t.Final = 0.01
 ASK_AT_MOST_S: t.Final = 0.32
+FLOOR_GROWTH: t.Final = 1.1
+FLOOR_AT_MOST_S: t.Final = 0.1
 ASKED_AT_ONCE: t.Final = 3
 PROMISED_S: t.Final = 0.02
 MOVED_AT_MOST: t.Final = 64
+SEEN_AT_MOST: t.Final = 300
 
 
 @dataclasses.dataclass
@@ -29,7 +33,9 @@
     """When this owner asks for room next, and what it promised to others."""
 
     ask_s: float = 0.0
+    asked_s: float = 0.0
     pause_s: float = ASK_S
+    floor_s: float = ASK_S
     promised: int = 0
     promised_until_s: float = 0.0
 
@@ -40,6 +46,17 @@
     return Moves()
 
 
+@on(msg.Offer)
+def on_offer(node: Node, sender: msg.Member, message: msg.Offer, now_s: float) -> None:
+    """Ask for room at once where a small offer has to wait."""
+    offer = node.state(Queues).offers.get(message.ticket)
+    moves = node.state(Moves)
+    if offer is None or offer.lane > Lane.SMALL:
+        return
+    moves.ask_s = min(moves.ask_s, moves.asked_s + moves.floor_s)
+    ask_for_room(node, now_s)
+
+
 @every(ASK_S)
 def ask_for_room(node: Node, now_s: float) -> None:
     """Ask a few owners for room while work waits here."""
@@ -50,64 +67,97 @@
         return
     if now_s < moves.ask_s:
         return
+    small = min(count_small(node), MOVED_AT_MOST)
     peers = [one for one in live_peers(node) if one.load.total_slots]
     node.rng.shuffle(peers)
     peers.sort(key=lambda peer: -min(peer.load.free_slots, 1))
     for peer in peers[:ASKED_AT_ONCE]:
-        # Below 0: so many are to be taken.
-        node.send(peer.info.name, msg.Spare([], -min(waiting, MOVED_AT_MOST)))
+        node.send(peer.info.name, msg.Spare(-min(waiting, MOVED_AT_MOST), -small))
+    moves.asked_s = now_s
     moves.ask_s = now_s + moves.pause_s
     moves.pause_s = min(2 * moves.pause_s, ASK_AT_MOST_S)
+    # Where nobody ever has room, even small work asks less often.
+    moves.floor_s = min(FLOOR_GROWTH * moves.floor_s, FLOOR_AT_MOST_S)
+    node.metrics.count("asked")
 
 
 @on(msg.Spare)
 def on_spare(node: Node, sender: msg.Member, message: msg.Spare, now_s: float) -> None:
     """Answer how many offers fit here, or give up as many as fit there."""
     if message.slots < 0:
-        _answer(node, sender, -message.slots, now_s)
+        _answer(node, sender, -message.slots, -message.small_slots, now_s)
         return
     moves = node.state(Moves)
     moves.pause_s = ASK_S
+    moves.floor_s = ASK_S
     moves.ask_s = now_s
     sentence = "Another owner has room for it."
-    for offer in first_offers(node, min(message.slots, MOVED_AT_MOST), now_s):
+    slots = min(message.slots, MOVED_AT_MOST)
+    small_slots = min(message.small_slots, MOVED_AT_MOST)
+    for offer in first_offers(node, slots, small_slots, now_s):
+        queue = node.state(Queues).teams[offer.work.team]
         queues.pop(node.state(Queues), offer.ticket)
+        waits.note_left(node, offer, queue, now_s)
         refusal = Refusal(ErrorKind.QUEUE_FULL, sentence, Ran.NO, 1.0)
         node.send(offer.door, msg.Refused(offer.ticket, refusal, sender.name))
         node.metrics.count("moved")
 
 
-def _answer(node: Node, sender: msg.Member, wanted: int, now_s: float) -> None:
+def _answer(
+    node: Node, sender: msg.Member, wanted: int, wanted_small: int, now_s: float
+) -> None:
     moves = node.state(Moves)
+    if node.state(Members).stopping:
+        return
     if now_s >= moves.promised_until_s:
         moves.promised = 0
-    load = current_load(node, now_s)
-    slots = min(load.free_slots - moves.promised, wanted)
-    if slots <= 0 or load.queued or node.state(Members).stopping:
+    free = placement.free_slots(node.state(placement.Bins)) - moves.promised
+    slots = max(min(spare_slots(node, now_s) - moves.promised, wanted), 0)
+    small_slots = max(min(free - slots, wanted_small), 0)
+    if not slots and not small_slots:
         return
-    moves.promised += slots
+    moves.promised += slots + small_slots
     moves.promised_until_s = now_s + PROMISED_S
-    node.send(sender.name, msg.Spare([], slots))
+    node.send(sender.name, msg.Spare(slots, small_slots))
+
 
+def count_small(node: Node) -> int:
+    """Count the small offers that wait."""
+    teams = node.state(Queues).teams.values()
+    return sum(one.counts.get(Lane.SMALL, 0) for one in teams)
 
-def first_offers(node: Node, slots: int, now_s: float) -> list[QueuedOffer]:
+
+def first_offers(
+    node: Node, slots: int, small_slots: int, now_s: float
+) -> list[QueuedOffer]:
     """List the offers that would start first in so many slots."""
-    waiting = node.state(Queues)
-    rv: list[QueuedOffer] = []
-    taken: set[str] = set()
+    rv: dict[str, QueuedOffer] = {}
+    for offer in itertools.islice(_in_order(node, now_s), SEEN_AT_MOST):
+        need = max(offer.room.slots, 1)
+        if offer.ticket in rv:
+            continue
+        if offer.lane is Lane.SMALL and need <= small_slots:
+            small_slots -= need
+        elif need <= slots:
+            slots -= need
+        else:
+            continue
+        rv[offer.ticket] = offer
+        if slots <= 0 and small_slots <= 0:
+            break
+    return list(rv.values())
+
+
+def _in_order(node: Node, now_s: float) -> t.Iterator[QueuedOffer]:
+    """Go through the queue nearly in the order in which it would start."""
+    teams = [one for one in node.state(Queues).teams.values() if one.length]
+    teams.sort(key=lambda one: team_key(node, one.name, now_s))
     for rank in Rank:
         lanes = queues.lanes_of(rank)
-        ranked = [one for one in waiting.teams.values() if one.length]
-        ranked.sort(key=lambda one: team_key(node, one.name, now_s))
-        for queue in ranked:
+        for queue in teams:
             for (lane, _), line in queue.lines.items():
-                for offer in line.offers if lane in lanes else ():
-                    if len(rv) >= slots:
-                        return rv
-                    if offer.live and offer.ticket not in taken:
-                        taken.add(offer.ticket)
-                        rv.append(offer)
-    return rv
+                if lane in lanes:
+                    yield from (one for one in line.offers if one.live)
 
 
 @on(events.PeerLost)
--- a/packages/core/bulrushspur_core/owner.py
+++ b/packages/core/bulrushspur_core/owner.py
@@ -10,6 +10,7 @@
 from bulrushspur_core import (
     estimates,
     events,
+    express,
     health,
     limits,
     placement,
@@ -101,6 +102,7 @@
     if not queues.length_of(waiting, work.team):
         shares.start_level(node, work.team, now_s)
     queues.push(waiting, offer, team_key(node, work.team, now_s))
+    express.note_arrival(node, offer, now_s)
     dispatch(node, now_s)
     if offer.live:
         offer.predicted_s = waits.predict_s(node, offer, now_s)
@@ -191,12 +193,7 @@
     bins = node.state(placement.Bins)
     waiting = node.state(Queues)
     total = node.state(shares.Shares).total.slots
-    free = sum(
-        slots * len(names)
-        for side in (bins.plain, bins.accelerated)
-        for slots, names in side.items()
-        if slots > 0
-    )
+    free = placement.free_slots(bins)
     queued = len(waiting.offers)
     wait_s = waiting.work_s / total if total else 0.0
     return msg.Load(free, total, queued, waiting.work_s, wait_s)
@@ -240,11 +237,14 @@
         return placement.may_fit(bins, room)
 
     while True:
+        left = spare_slots(node, now_s) if rank >= Rank.SHARE else None
+        if left is not None and left <= 0:
+            break
         queue = queues.find_first(waiting, rank, fits, key_of, parked)
         if queue is None:
             break
         passes = rank is not Rank.SMALL or _may_pass(node, queue, now_s)
-        if not passes or not _start_one(node, queue, rank, now_s):
+        if not passes or not _start_one(node, queue, rank, left, now_s):
             parked.teams.add(queue.name)
     queues.unpark(waiting, parked)
 
@@ -266,11 +266,23 @@
         _try_start(node, waiting.teams[offer.work.team], offer, view, now_s)
 
 
-def _start_one(node: Node, queue: TeamQueue, rank: Rank, now_s: float) -> bool:
-    """Start the first offer of a team that fits; tell whether one did."""
+def spare_slots(node: Node, now_s: float) -> int:
+    """Count the free slots that are not kept for small work."""
+    total = node.state(shares.Shares).total.slots
+    free = placement.free_slots(node.state(placement.Bins))
+    return free - express.kept_slots(node, total, now_s)
+
+
+def _start_one(
+    node: Node, queue: TeamQueue, rank: Rank, left: int | None, now_s: float
+) -> bool:
+    """Start the first offer of a team that fits in ``left`` slots, if any does."""
     if queue.name in node.state(Owner).without_permit:
         return False
     for offer in queues.heads(queue, rank, now_s):
+        if left is not None and offer.room.slots > left:
+            _keep_room(node, offer, now_s)
+            continue
         brief = offer.run_time_s <= BRIEF_S
         view = placement.place(node, offer.room, now_s, brief)
         if view is None:
@@ -325,6 +337,7 @@
     if offer.lane is Lane.SMALL:
         owner.light.add(task_id)
         shares.add_light(node, work.team, offer.room.slots, now_s)
+        node.state(express.Express).running += offer.room.slots
     node.send(offer.door, msg.Granted(offer.ticket, view.vm.name, task_id))
     node.emit(
         fx.StartTask(
@@ -384,6 +397,7 @@
     if task_id in owner.light:
         owner.light.discard(task_id)
         shares.add_light(node, task.team, -task.room.slots, now_s)
+        node.state(express.Express).running -= task.room.slots
     owner.without_permit.discard(task.team)
     if not view.owned:
         return
--- a/packages/core/bulrushspur_core/placement.py
+++ b/packages/core/bulrushspur_core/placement.py
@@ -180,6 +180,16 @@
     note_changed(node, view, now_s, freed=False)
 
 
+def free_slots(bins: Bins) -> int:
+    """Count the free slots of the workers that may be used."""
+    return sum(
+        slots * len(names)
+        for side in (bins.plain, bins.accelerated)
+        for slots, names in side.items()
+        if slots > 0
+    )
+
+
 def may_fit(bins: Bins, room: Room) -> bool:
     """Tell whether a search for a room may find a worker."""
     freed = bins.misfits.get(room)
--- a/packages/core/bulrushspur_core/routing.py
+++ b/packages/core/bulrushspur_core/routing.py
@@ -10,7 +10,8 @@
 
 from bulrushspur_core.membership import Peer, live_peers
 from bulrushspur_core.node import Node, on, register_state
-from bulrushspur_core.owner import current_load
+from bulrushspur_core.owner import current_load, spare_slots
+from bulrushspur_core.queues import Lane, lane_of
 from bulrushspur_core.retries import note_first_attempt
 from bulrushspur_kernel import messages as msg
 from bulrushspur_kernel.work import Work
@@ -57,7 +58,9 @@
     if not tried:
         note_first_attempt(node, work)
     mine = current_load(node, now_s)
-    if tried != node.me.name and mine.free_slots > 0 and not mine.queued:
+    small = lane_of(work) <= Lane.SMALL
+    here = mine.free_slots if small else spare_slots(node, now_s)
+    if tried != node.me.name and here >= max(work.room.slots, 1):
         return node.me.name
     peers = [
         peer
--- a/packages/core/bulrushspur_core/waits.py
+++ b/packages/core/bulrushspur_core/waits.py
@@ -45,6 +45,16 @@
     node: Node, offer: QueuedOffer, queue: TeamQueue, now_s: float
 ) -> None:
     """Learn from a start, and from how true its prediction was."""
+    note_left(node, offer, queue, now_s)
+    if offer.predicted_s is not None:
+        true_s = now_s - offer.queued_s
+        off_s = abs(true_s - offer.predicted_s)
+        near = off_s <= max(0.25 * true_s, 0.1)
+        node.metrics.count("predicted.near" if near else "predicted.off")
+
+
+def note_left(node: Node, offer: QueuedOffer, queue: TeamQueue, now_s: float) -> None:
+    """Learn the pace at which offers leave a lane: started, or moved elsewhere."""
     paces = node.state(Waits).paces
     pace = paces.setdefault((offer.work.team, offer.lane), Pace())
     if pace.waiting:
@@ -53,11 +63,6 @@
         pace.gap_s += gain * (now_s - pace.last_s - pace.gap_s)
     pace.last_s = now_s
     pace.waiting = queue.counts.get(offer.lane, 0) > 0
-    if offer.predicted_s is not None:
-        true_s = now_s - offer.queued_s
-        off_s = abs(true_s - offer.predicted_s)
-        near = off_s <= max(0.25 * true_s, 0.1)
-        node.metrics.count("predicted.near" if near else "predicted.off")
 
 
 def predict_s(node: Node, offer: QueuedOffer, now_s: float) -> float:
--- a/packages/kernel/bulrushspur_kernel/messages.py
+++ b/packages/kernel/bulrushspur_kernel/messages.py
@@ -364,10 +364,13 @@
 
 
 class Spare(_Message):
-    """Tell a busier owner that this one has room for work of others."""
+    """Ask another owner for room (below 0), or tell a busier one what is free here.
+
+    ``slots`` are for any work, ``small_slots`` for small work only.
+    """
 
-    room: list[Work] = []
     slots: int = 0
+    small_slots: int = 0
 
 
 # Streams between a door and an owner in another process.
