Offer work only to owners that have a worker large enough

An offer that needs an accelerator could queue for ever at an owner without one: loads tell slots only. Who owns which listed worker follows from list and rosters, so the door works it out (only where not all workers are large enough), and moves check it too. A corrected size larger than any worker falls back to the declared. Ruled out: telling rooms in heartbeats (grows with the workers). Tests of moves, kept slots, admission, routing, retries and estimates; red before: the budget test with 0.1 a request (rounding), the routing test without the filter.

--- a/packages/core/bulrushspur_core/moves.py
+++ b/packages/core/bulrushspur_core/moves.py
@@ -11,6 +11,7 @@
 import typing as t
 
 from bulrushspur_core import events, placement, queues, waits
+from bulrushspur_core.capable import capable_owners
 from bulrushspur_core.membership import Members, live_peers
 from bulrushspur_core.node import Node, every, on, register_state
 from bulrushspur_core.owner import spare_slots, team_key
@@ -95,6 +96,9 @@
     slots = min(message.slots, MOVED_AT_MOST)
     small_slots = min(message.small_slots, MOVED_AT_MOST)
     for offer in first_offers(node, slots, small_slots, now_s):
+        capable = capable_owners(node, offer.room)
+        if capable is not None and sender.name not in capable:
+            continue
         queue = node.state(Queues).teams[offer.work.team]
         queues.pop(node.state(Queues), offer.ticket)
         waits.note_left(node, offer, queue, now_s)
--- a/packages/core/bulrushspur_core/owner.py
+++ b/packages/core/bulrushspur_core/owner.py
@@ -92,7 +92,7 @@
         message.ticket,
         sender.name,
         work,
-        estimates.placed_room(node, work),
+        placement.bounded_room(node, estimates.placed_room(node, work), work.room),
         queues.lane_of(work),
         now_s,
         now_s + work.deadline_s,
--- a/packages/core/bulrushspur_core/placement.py
+++ b/packages/core/bulrushspur_core/placement.py
@@ -190,6 +190,13 @@
     )
 
 
+def bounded_room(node: Node, room: Room, declared: Room) -> Room:
+    """Return a corrected room, or the declared where no worker is as large."""
+    if room is declared or any(one.holds(room) for one in node.state(Bins).largest):
+        return room
+    return declared
+
+
 def may_fit(bins: Bins, room: Room) -> bool:
     """Tell whether a search for a room may find a worker."""
     freed = bins.misfits.get(room)
--- a/packages/core/bulrushspur_core/retries.py
+++ b/packages/core/bulrushspur_core/retries.py
@@ -10,7 +10,7 @@
 from bulrushspur_kernel.work import Work
 
 ATTEMPTS_AT_MOST: t.Final = 3
-EARNED: t.Final = 0.1
+EARNED: t.Final = 0.125
 SAVED_AT_FIRST: t.Final = 10.0
 SAVED_AT_MOST: t.Final = 100.0
 
--- a/packages/core/bulrushspur_core/routing.py
+++ b/packages/core/bulrushspur_core/routing.py
@@ -8,6 +8,7 @@
 import dataclasses
 import typing as t
 
+from bulrushspur_core.capable import capable_owners
 from bulrushspur_core.membership import Peer, live_peers
 from bulrushspur_core.node import Node, on, register_state
 from bulrushspur_core.owner import current_load, spare_slots
@@ -58,14 +59,21 @@
     if not tried:
         note_first_attempt(node, work)
     mine = current_load(node, now_s)
+    capable = capable_owners(node, work.room)
+    if capable is not None and node.me.name not in capable:
+        mine = msg.Load()
     small = lane_of(work) <= Lane.SMALL
     here = mine.free_slots if small else spare_slots(node, now_s)
-    if tried != node.me.name and here >= max(work.room.slots, 1):
+    own = mine.total_slots > 0 and tried != node.me.name
+    if own and here >= max(work.room.slots, 1):
         return node.me.name
     peers = [
         peer
         for peer in live_peers(node)
-        if peer.load.total_slots and not peer.info.stopping and peer.info.name != tried
+        if peer.load.total_slots
+        and not peer.info.stopping
+        and peer.info.name != tried
+        and (capable is None or peer.info.name in capable)
     ]
     name = _choose_free(node, peers) or _choose_short(node, peers, mine, tried)
     if name is None and tried:
