--- a/packages/core/bulrushspur_core/__init__.py
+++ b/packages/core/bulrushspur_core/__init__.py
@@ -6,6 +6,9 @@
 from bulrushspur_core import (
     authority as authority,
 )
+from bulrushspur_core import (
+    batch as batch,
+)
 from bulrushspur_core import (
     door as door,
 )
--- a/tests/fake_owner.py
+++ b/tests/fake_owner.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from bulrushspur_core import Me, events, make_node, placement
+from bulrushspur_core import Me, events, limits, make_node, placement
 from bulrushspur_core import effects as fx
 from bulrushspur_core.cell import Roster
 from bulrushspur_core.log_reader import LogState
@@ -96,7 +96,26 @@
 
 
 def allow_all_starts(case):
-    """Let every test node start on the workers that it was given."""
-    old = placement.may_start
-    placement.may_start = lambda node, worker, epoch, now_s: True
-    case.addCleanup(setattr, placement, "may_start", old)
+    """Let test nodes start on the workers they were given, under the text's limits."""
+    taken = {}
+
+    def take(node, team, count, now_s):
+        text = node.state(LogState).cell.text
+        limit = next((one.limit_tasks for one in text.teams if one.name == team), 0)
+        if taken.get((id(node), team), 0) + count > limit:
+            return False
+        taken[id(node), team] = taken.get((id(node), team), 0) + count
+        return True
+
+    def give_back(node, team, count, now_s):
+        taken[id(node), team] -= count
+
+    fakes = (
+        (placement, "may_start", lambda node, worker, epoch, now_s: True),
+        (limits, "take", take),
+        (limits, "give_back", give_back),
+        (limits, "want", lambda node, team, count, now_s: None),
+    )
+    for module, name, fake in fakes:
+        case.addCleanup(setattr, module, name, getattr(module, name))
+        setattr(module, name, fake)
