Drop what nothing reads, and count refused promises

Cause: reading as a newcomer would: the time of a hand-over and of a boot were kept and never read, PromiseRefused was sent and handled by nobody.

--- a/packages/core/bulrushspur_core/adoption.py
+++ b/packages/core/bulrushspur_core/adoption.py
@@ -58,11 +58,9 @@
 ) -> None:
     """Count what the worker runs and what its last owner had under way."""
     running = {task.task_id: task for task in event.running or ()}
-    handed = node.state(Takeover).handed.pop(event.worker, None)
-    if handed is not None:
-        for task in handed.tasks:
-            if task.task_id not in event.ended:
-                running.setdefault(task.task_id, task)
+    for task in node.state(Takeover).handed.pop(event.worker, ()):
+        if task.task_id not in event.ended:
+            running.setdefault(task.task_id, task)
     for task_id in view.adopted - running.keys():
         view.remove(task_id)
     view.adopted &= running.keys()
--- a/packages/core/bulrushspur_core/membership.py
+++ b/packages/core/bulrushspur_core/membership.py
@@ -26,10 +26,7 @@
 
 @dataclasses.dataclass
 class Peer:
-    """What is known of another process; ``seen_s`` and ``load_s`` are monotonic.
-
-    ``boot_s`` is when this incarnation was first heard of.
-    """
+    """What is known of another process; ``seen_s`` and ``load_s`` are monotonic."""
 
     info: msg.PeerInfo
     seen_s: float
@@ -37,7 +34,6 @@
     next_offset: int = 0
     lost: bool = False
     load_s: float = float("-inf")
-    boot_s: float = 0.0
 
 
 @dataclasses.dataclass
@@ -236,7 +232,7 @@
             lose(node, known, now_s)
         known = None
     if known is None:
-        known = Peer(info, seen_s, msg.Load(), lost=True, boot_s=now_s)
+        known = Peer(info, seen_s, msg.Load(), lost=True)
         members.peers[info.name] = known
     known.seen_s = max(known.seen_s, seen_s)
     if known.lost and now_s - seen_s <= LOST_AFTER_S:
@@ -256,9 +252,7 @@
         return
     peers = node.state(Members).peers
     if info.name not in peers and info.age_s < LOST_AFTER_S:
-        peers[info.name] = Peer(
-            info, now_s - info.age_s, msg.Load(), lost=True, boot_s=now_s
-        )
+        peers[info.name] = Peer(info, now_s - info.age_s, msg.Load(), lost=True)
 
 
 def _learn(node: Node, news: msg.PeerNews, now_s: float) -> None:
--- a/packages/core/bulrushspur_core/promises.py
+++ b/packages/core/bulrushspur_core/promises.py
@@ -151,6 +151,14 @@
     lease.granted[sender] = max(lease.granted.get(sender, sent_s), sent_s)
 
 
+@on(msg.PromiseRefused)
+def on_promise_refused(
+    node: Node, sender: msg.Member, message: msg.PromiseRefused, now_s: float
+) -> None:
+    """Count a refusal; the log or a peer tells of the roster that this one lacks."""
+    node.metrics.count("promises.denied")
+
+
 def seal(node: Node, domain: str, epoch: int) -> None:
     """Promise nothing more under an epoch of a domain or an older one."""
     promises = node.state(Promises)
--- a/packages/core/bulrushspur_core/takeover.py
+++ b/packages/core/bulrushspur_core/takeover.py
@@ -40,27 +40,20 @@
     )
 
 
-@dataclasses.dataclass
-class Handed:
-    """What a releasing owner told of a worker, and when that was heard."""
-
-    heard_s: float
-    tasks: list[TaskInfo]
-
-
 @dataclasses.dataclass
 class Takeover:
     """Ends of earlier epochs, releases, and owners by epoch and worker.
 
     ``released`` has the epoch before which an owner gave up a worker; ``cleared`` the
-    newest epoch for which all owners of a worker before it are known to be over.
+    newest epoch for which all owners of a worker before it are known to be over;
+    ``handed`` what a releasing owner had on a worker.
     """
 
     ends: dict[int, EpochEnd] = dataclasses.field(default_factory=dict)
     released: dict[tuple[msg.Member, str], int] = dataclasses.field(
         default_factory=dict
     )
-    handed: dict[str, Handed] = dataclasses.field(default_factory=dict)
+    handed: dict[str, list[TaskInfo]] = dataclasses.field(default_factory=dict)
     owners: dict[int, dict[str, msg.Member | None]] = dataclasses.field(
         default_factory=dict
     )
@@ -190,4 +183,4 @@
     for worker, tasks in message.tasks.items():
         key = (sender, worker)
         takeover.released[key] = max(takeover.released.get(key, 0), message.epoch)
-        takeover.handed[worker] = Handed(now_s, tasks)
+        takeover.handed[worker] = tasks
