Review only the workers that are not as they should be

Cause: each look at the shares went through every worker of the domain in full, ten times a second: 418 us a call with 250 workers, 0.4% of a core of the 2.2% for all control. Change: a worker that is kept under the newest epoch, or is another's, is passed over at once. Ruled out: looking less often, which would lengthen takeovers.

--- a/packages/core/bulrushspur_core/authority.py
+++ b/packages/core/bulrushspur_core/authority.py
@@ -61,16 +61,19 @@
     if newest.epoch > node.state(Authority).released_epoch:
         _release(node, newest, now_s)
     leased = lease_until_s(node, newest.epoch) > now_s
+    me = node.me.member
     for view in list(node.state(Workers).views.values()):
-        _review(node, view, newest, leased, now_s)
+        mine = not view.gone and owner_in(node, newest, view.vm.name) == me
+        # Most workers are as they should be: that has to cost little.
+        kept = mine and leased and view.owned and view.epoch == newest.epoch
+        if not kept and (mine or view.owned or view.ready_s is not None):
+            _review(node, view, newest, mine, mine and leased, now_s)
 
 
 def _review(
-    node: Node, view: WorkerView, newest: Roster, leased: bool, now_s: float
+    node: Node, view: WorkerView, newest: Roster, mine: bool, leased: bool, now_s: float
 ) -> None:
-    name = view.vm.name
-    mine = owner_in(node, newest, name) == node.me.member and not view.gone
-    ready = mine and leased and is_cleared(node, newest, name, now_s)
+    ready = leased and is_cleared(node, newest, view.vm.name, now_s)
     if view.owned and (not mine or lease_until_s(node, view.epoch) <= now_s):
         drop(node, view, now_s)
     elif view.owned and ready:
