Keep the state of a process that does not serve after a restart

Cause: in the first run of bench/rolling.py a process did not serve for 80 s, and its state was gone with it.

--- a/bench/rolling.py
+++ b/bench/rolling.py
@@ -23,6 +23,7 @@
     wait_ready,
 )
 from bench.figures import figure, print_frame
+from bulrushspur_kernel.http_client import fetch
 
 SEED: t.Final = 11
 DOMAINS: t.Final = {
@@ -32,6 +33,13 @@
 BETWEEN_S: t.Final = 1.0
 
 
+async def note_dump(demo: Demo, name: str) -> None:
+    """Keep the state of a process that does not serve, for who looks into it."""
+    address = demo.cluster.entries[name].settings["operators_address"]
+    _, body = await fetch("GET", address, "/dump")
+    (demo.cluster.folder / f"{name}.dump").write_bytes(body)
+
+
 async def restart(demo: Demo, name: str) -> tuple[float, float]:
     """Stop a process gracefully and start it again; return the seconds of each."""
     began_s = time.monotonic()
@@ -51,6 +59,7 @@
 
     if not await cl.wait_until(serves, STOP_WAIT_S):
         demo.faults.append(f"{name} does not serve after its restart")
+        await note_dump(demo, name)
     demo.doors.append(name)
     demo.say(f"{name} is restarted")
     return stopped_s - began_s, time.monotonic() - stopped_s
@@ -91,6 +100,7 @@
         return asyncio.run(run_rolling(demo, restarts))
     finally:
         demo.cluster.stop()
+        print(f"logs: {demo.cluster.folder}")
 
 
 if __name__ == "__main__":
