--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -63,8 +63,8 @@
     """Run a cell of a size and return what one process used, on average."""
     cell = make_small_cell(size, SEED)
     cell.advance(WARM_UP_S)
-    if not is_in_force(cell):
-        raise RuntimeError("the text is not in force")
+    if not is_in_force(cell) or cell.owned() != size.workers:
+        raise RuntimeError(f"{cell.owned()} of {size.workers} workers have an owner")
     run_load(cell, LOADED_WARM_UP_S)
     cell.usage = usage = Usage()
     cpu_s.clear()
@@ -74,6 +74,7 @@
     rv = {f"cpu_{role}": one * 1e3 / each_s for role, one in sorted(cpu_s.items())}
     rv["cpu_wire"] = usage.cpu_s["wire"] * 1e3 / each_s
     rv["cpu"] = sum(rv.values())
+    rv["appends_all"] = float(cell.log.next_offset)
     rv["messages"] = sum(usage.messages.values()) / each_s
     # A byte is sent by one process and received by another.
     rv["peer_kb"] = 2 * sum(usage.peer_bytes.values()) / each_s / 1e3
@@ -86,6 +87,8 @@
     rv["starts"] = usage.starts / WINDOW_S
     rv["refused"] = sum(usage.ends.values()) / WINDOW_S
     rv["owned"] = cell.owned()
+    if usage.ends:
+        print(f"refused at {size}: {dict(usage.ends)}")
     return rv
 
 
@@ -103,7 +106,7 @@
 
 SHOWN: t.Final = [
     "cpu", "messages", "peer_kb", "peer_kb_max", "platform_kb", "worker_kb",
-    "state_kb", "appends", "starts", "refused", "owned",
+    "state_kb", "appends", "appends_all", "starts", "refused", "owned",
 ]  # fmt: skip
 FITTED: t.Final = [
     "cpu", "messages", "peer_kb", "platform_kb", "worker_kb", "state_kb", "appends"
--- a/bench/capacity_cell.py
+++ b/bench/capacity_cell.py
@@ -42,20 +42,29 @@
 
 _ROLE_OF: t.Final = {
     "door": "door",
-    "admission": "door",
+    "routing": "door",
     "owner": "owner",
     "workers": "owner",
-    "health": "owner",
+    "placement": "owner",
+    "moves": "owner",
+    "waits": "owner",
     "services": "owner",
-    "gangs": "owner",
     "authority": "voter",
-    "membership": "voter",
+    "adoption": "voter",
+    "evidence": "voter",
+    "promises": "voter",
+    "rosters": "voter",
+    "takeover": "voter",
+    "membership": "heartbeat",
+    "gossip": "heartbeat",
     "id_homes": "home",
     "id_copies": "home",
+    "id_records": "home",
     "ids": "home",
     "limits": "limits",
     "permits": "limits",
     "parts": "limits",
+    "parts_reserved": "limits",
     "log_reader": "log",
     "teaching": "log",
     "repeating": "log",
@@ -155,14 +164,14 @@
 
     def send(self, name: str, effect: fx.Send) -> None:
         """Deliver a message, and count it at both ends."""
-        began_s = time.perf_counter()
+        began_s = time.thread_time()
         boot = self.nodes[name].me.boot
         data = msg.encode(
             msg.Envelope(msg.PROTOCOL_VERSION, name, boot, effect.message)
         )
         kind = type(effect.message).__name__
         envelope = msg.decode(data)
-        self.usage.cpu_s["wire"] += time.perf_counter() - began_s
+        self.usage.cpu_s["wire"] += time.thread_time() - began_s
         self.usage.messages[kind] += 1
         self.usage.peer_bytes[kind] += len(data)
         self.usage.sent_bytes[name] += len(data)
@@ -214,7 +223,7 @@
         rows = list(self.running[effect.worker].values())
         body = msgspec.json.encode({"running": rows, "ended": {}})
         self.usage.worker_bytes += len(body) + 2 * HTTP_HEAD_BYTES
-        event = events.TasksListed(effect.worker, rows, {})
+        event = events.TasksListed(effect.worker, rows, {}, self.now_s)
         self.later(DELAY_S, lambda: self.handle(name, event))
 
     def renew_tasks(self, name: str, effect: fx.RenewTasks) -> None:
@@ -370,11 +379,11 @@
         @functools.wraps(func)
         def timed(*args: t.Any) -> t.Any:
             stack.append(0.0)
-            began_s = time.perf_counter()
+            began_s = time.thread_time()
             try:
                 return func(*args)
             finally:
-                took_s = time.perf_counter() - began_s
+                took_s = time.thread_time() - began_s
                 usage[role] += took_s - stack.pop()
                 if stack:
                     stack[-1] += took_s
