Measure a cell of the target's whole size, with ids that do not collide

Cause: all nodes of the small cell had one seed, so two of a domain made the same request ids (id_used 1034 of 10000 at 1000 starts/s): a fault of the harness, not of the system. Change: a seed for each node; a last point measures the whole target at once.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -36,6 +36,17 @@
 }
 
 
+WHOLE: t.Final = CellSize(
+    processes=32,
+    domains=8,
+    workers=2000,
+    teams=180,
+    tasks=47_000,
+    starts_per_s=1000.0,
+    changes_per_h=1500 / 24,
+)
+
+
 @dataclasses.dataclass
 class Sweep:
     """One size that varies, what stays, and the points."""
@@ -112,6 +123,16 @@
     "cpu", "messages", "peer_kb", "platform_kb", "worker_kb", "state_kb", "appends"
 ]  # fmt: skip
 
+UNITS: t.Final = {
+    "cpu": "ms/s",
+    "messages": "1/s",
+    "peer_kb": "KB/s",
+    "platform_kb": "KB/s",
+    "worker_kb": "KB/s",
+    "state_kb": "KB",
+    "appends": "1/s",
+}
+
 
 def run_sweep(sweep: Sweep, cpu_s: dict[str, float]) -> None:
     """Measure the points of a sweep and print them with their fits."""
@@ -151,7 +172,19 @@
             f"at {at:g}: {a + b * at:.4g}"
         )
         if name in FITTED:
-            figure(f"capacity_{sweep.field}_{name}_slope", b, "per unit")
+            figure(f"capacity_{sweep.field}_{name}_slope", b, f"{UNITS[name]} each")
+
+
+def run_whole(cpu_s: dict[str, float]) -> None:
+    """Measure one cell of the size of the target, to check the fits against."""
+    row = measure_point(WHOLE, cpu_s)
+    print_table(
+        f"the whole: {WHOLE}; per process and second, cpu in ms",
+        ["what", "measured"],
+        [[name, value] for name, value in row.items()],
+    )
+    for name in FITTED:
+        figure(f"capacity_whole_{name}", row[name], UNITS[name])
 
 
 def main() -> int:
@@ -168,6 +201,9 @@
         started_s = time.monotonic()
         run_sweep(sweep, cpu_s)
         print(f"{sweep.field} took {time.monotonic() - started_s:.1f} s", flush=True)
+    if not sys.argv[1:] or "whole" in sys.argv[1:]:
+        run_whole(cpu_s)
+    print(f"all took {time.monotonic() - began_s:.1f} s")
     return 0
 
 
--- a/bench/capacity_cell.py
+++ b/bench/capacity_cell.py
@@ -292,10 +292,10 @@
     rv.text = _make_text(size, domains)
     rv.log.append(rec.Published(0, rv.text, token="text"), rv.now_s)
     names = {f"p{i}": domains[i % len(domains)] for i in range(size.processes)}
-    for name, domain in names.items():
+    for i, (name, domain) in enumerate(names.items()):
         seeds = {one: one for one in names if one != name}
         me = Me(name, "b1", domain, "region", name, name)
-        rv.nodes[name] = make_node(me, seed, seeds, WALL_OFFSET_S)
+        rv.nodes[name] = make_node(me, seed * 1000 + i, seeds, WALL_OFFSET_S)
         rv.log.vms[name] = Vm(name, "entry", domain, "10.0.0.1:8002")
     _add_workers(rv, domains)
     rv.log.set_vm(None, "", rv.now_s - 10.0)
