--- a/packages/client/bulrushspur_client/commands.py
+++ b/packages/client/bulrushspur_client/commands.py
@@ -151,8 +151,9 @@
             raise RaceLostError(f"The id {key_id} is taken. Give another key.")
         # The next command of who takes the key may be a request with it.
         entries = await find_entries(self._platform, self._entries)
-        await wait_for(entries, log.offsets[record.token], KEY_WAIT_S)
+        done, late = await wait_for(entries, log.offsets[record.token], KEY_WAIT_S)
         data = {"key_id": key_id, "team": team, "key": key}
+        data |= {"in_force": done, "late": late}
         return self._output(data, key)
 
     @SetParseFn(str, "key_id")
