Leave OpenSSL out of the entry process

Cause: idle_rss_mb 34.1 against a target of 32; by steps of import, asyncio pulls in ssl and hashlib pulls in libcrypto, which nothing here uses. Ruled out: ssl alone (libcrypto stays through hashlib: 33.3 -> 32.1 MB after import). Change: both left out while asyncio, hashlib, hmac and logbook are imported: 33.3 -> 28.5 MB after import. Key hashes are the same (blake2 has always been Python's own). Red before: test_slim without the call.

--- a/packages/daemon/bulrushspur_daemon/main.py
+++ b/packages/daemon/bulrushspur_daemon/main.py
@@ -1,5 +1,9 @@
 """The command ``bulrushspurd SETTINGS``."""
 
+from bulrushspur_daemon import slim  # noqa: F401
+
+# isort: split
+
 import asyncio
 import sys
 
