Read the list of VMs only when it changed

Ruled out: a longer period (a leaving worker is to get nothing new within seconds). Change: the adapter sends the tag of the list it has; a platform without tags sends the list as before. Red before: test_vm_list without the tag sent.

--- a/packages/daemon/bulrushspur_daemon/platform.py
+++ b/packages/daemon/bulrushspur_daemon/platform.py
@@ -47,10 +47,12 @@
 
 async def follow_vms(process: "Process") -> None:
     """Read the list of VMs until cancelled."""
+    address = process.settings.platform_address
+    known = platform_log.VmList([])
     while True:
         try:
-            vms = await platform_log.read_vms(process.settings.platform_address, WAIT_S)
-            process.handle(events.VmsListed(vms))
+            known = await platform_log.refresh_vms(address, WAIT_S, known)
+            process.handle(events.VmsListed(known.vms))
         except platform_log.LogError:
             process.node.metrics.count("platform.vms_unread")
         await asyncio.sleep(VMS_POLL_S)
--- a/packages/kernel/bulrushspur_kernel/http_client.py
+++ b/packages/kernel/bulrushspur_kernel/http_client.py
@@ -143,6 +143,15 @@
     return Call(reader, writer, h11.Connection(h11.CLIENT))
 
 
+@dataclasses.dataclass
+class Answer:
+    """A small answer that was read whole."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
 async def fetch(
     method: str,
     address: str,
@@ -151,6 +160,19 @@
     headers: Headers | None = None,
     wait_s: float = 5.0,
 ) -> tuple[int, bytes]:
+    """Make one small request; raises NotSentError, or LostError when in doubt."""
+    answer = await fetch_answer(method, address, path, body, headers, wait_s)
+    return answer.status, answer.body
+
+
+async def fetch_answer(
+    method: str,
+    address: str,
+    path: str,
+    body: bytes = b"",
+    headers: Headers | None = None,
+    wait_s: float = 5.0,
+) -> Answer:
     """Make one small request; raises NotSentError, or LostError when in doubt."""
     call = await open_call(address, wait_s)
     rows = [("host", address), *(headers or [])]
@@ -158,7 +180,7 @@
         async with asyncio.timeout(wait_s):
             await call.send_whole(method, path, rows, body)
             status = await call.read_head()
-            return status, await call.read_all()
+            return Answer(status, dict(call.headers), await call.read_all())
     except TimeoutError as exc:
         raise LostError(f"{address} did not answer in {wait_s:g} s") from exc
     finally:
--- a/packages/kernel/bulrushspur_kernel/platform_log.py
+++ b/packages/kernel/bulrushspur_kernel/platform_log.py
@@ -4,13 +4,21 @@
 """
 
 import dataclasses
+import typing as t
 
 import msgspec
 
-from bulrushspur_kernel.http_client import LostError, NotSentError, fetch
+from bulrushspur_kernel.http_client import (
+    LostError,
+    NotSentError,
+    fetch,
+    fetch_answer,
+)
 from bulrushspur_kernel.records import Entry, Record, decode_record, encode_record
 from bulrushspur_kernel.work import Vm
 
+NOT_MODIFIED: t.Final = 304
+
 
 class LogError(Exception):
     """Tell that the platform did not answer; an append may have taken effect."""
@@ -78,10 +86,35 @@
     return Page(entries, page.first, reached, page.next)
 
 
+@dataclasses.dataclass
+class VmList:
+    """The list of VMs as it was read, with the tag that the platform gave it."""
+
+    vms: list[Vm]
+    tag: str = ""
+
+
 async def read_vms(address: str, wait_s: float) -> list[Vm]:
     """Read the lagging list of VMs; raises LogError."""
-    status, body = await _get(address, "/vms", wait_s)
-    return _decode(_vms_decoder, status, body)
+    return (await refresh_vms(address, wait_s, VmList([]))).vms
+
+
+async def refresh_vms(address: str, wait_s: float, known: VmList) -> VmList:
+    """Read the list of VMs, or return ``known`` if it did not change.
+
+    A platform that gives no tag sends the whole list each time. Raises LogError.
+    """
+    headers = [("if-none-match", known.tag)] if known.tag else []
+    try:
+        answer = await fetch_answer(
+            "GET", address, "/vms", headers=headers, wait_s=wait_s
+        )
+    except (NotSentError, LostError) as exc:
+        raise LogError(str(exc)) from exc
+    if answer.status == NOT_MODIFIED and known.tag:
+        return known
+    vms = _decode(_vms_decoder, answer.status, answer.body)
+    return VmList(vms, answer.headers.get("etag", ""))
 
 
 async def _get(address: str, path: str, wait_s: float) -> tuple[int, bytes]:
--- a/standins/bulrushspur_standins/platform.py
+++ b/standins/bulrushspur_standins/platform.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import dataclasses
+import hashlib
 import time
 import typing as t
 
@@ -150,7 +151,12 @@
         elif request.method == "DELETE":
             platform.vms.pop(name, None)
             platform.note_vms(time.monotonic())
-        await send_json(exchange, platform.list_vms(time.monotonic()))
+        data = msgspec.json.encode(platform.list_vms(time.monotonic()))
+        tag = hashlib.blake2b(data, digest_size=8).hexdigest()
+        if request.headers.get("if-none-match") == tag:
+            await exchange.answer_whole(304, [], [(b"etag", tag.encode())])
+        else:
+            await exchange.answer(200, data, [(b"etag", tag.encode())])
 
     return handle
 
