Predict waits from lighter work only, and refuse deadlines only at first offer

Without a pace a small request was told the wait of all work, heavy too. Now a pace that is not known yet falls back to the slot time of its lane and the lighter ones, and the certain bound is asked of first offers only: what was admitted before is late, not refused.

--- a/packages/core/bulrushspur_core/owner.py
+++ b/packages/core/bulrushspur_core/owner.py
@@ -37,6 +37,7 @@
 ROOM_KEPT_AFTER_S: t.Final = 5.0
 WANTED_AT_MOST: t.Final = 64
 BRIEF_S: t.Final = 0.2
+FIRST_OFFER_S: t.Final = 0.1
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,7 +84,8 @@
     waiting = node.state(Queues)
     if message.ticket in waiting.offers or message.ticket in node.state(Owner).running:
         return
-    refusal = check_queue(node, work, now_s)
+    first = message.waited_s <= FIRST_OFFER_S
+    refusal = check_queue(node, work, first, now_s)
     if refusal is not None:
         node.metrics.count(f"owner.refused.{refusal.kind.value}")
         node.send(sender.name, msg.Refused(message.ticket, refusal))
@@ -110,7 +112,7 @@
         node.send(sender.name, msg.Queued(message.ticket, offer.predicted_s, position))
 
 
-def check_queue(node: Node, work: Work, now_s: float) -> Refusal | None:
+def check_queue(node: Node, work: Work, first: bool, now_s: float) -> Refusal | None:
     """Refuse what the queue of the team cannot hold or certainly not serve in time."""
     queue = node.state(Queues).teams.get(work.team)
     lane = queues.lane_of(work)
@@ -120,6 +122,9 @@
         sentence = f"{length} requests of team {work.team} wait here already."
         retry_s = waits.retry_after_s(node, work.team, lane, now_s)
         return Refusal(ErrorKind.QUEUE_FULL, sentence, Ran.NO, retry_s)
+    if not first:
+        # It was admitted before: it is late now, not refused.
+        return None
     least_s = waits.least_wait_s(node, queue, lane)
     if least_s > work.deadline_s:
         sentence = (
--- a/packages/core/bulrushspur_core/waits.py
+++ b/packages/core/bulrushspur_core/waits.py
@@ -6,12 +6,13 @@
 from bulrushspur_core import estimates
 from bulrushspur_core.membership import live_peers
 from bulrushspur_core.node import Node, register_state
-from bulrushspur_core.queues import Lane, QueuedOffer, Queues, TeamQueue
+from bulrushspur_core.queues import Lane, QueuedOffer, Queues, TeamQueue, slot_time_s
 from bulrushspur_core.shares import Shares
 
 GAIN: t.Final = 0.05
 FIRST_GAINS: t.Final = 20
 STALE_S: t.Final = 30.0
+LEAST_COUNT: t.Final = 3
 RETRY_AT_LEAST_S: t.Final = 0.2
 RETRY_AT_MOST_S: t.Final = 120.0
 SPREAD: t.Final = 0.5
@@ -71,12 +72,22 @@
     queue = queues.teams[offer.work.team]
     ahead = queue.counts.get(offer.lane, 0)
     pace = node.state(Waits).paces.get((offer.work.team, offer.lane))
-    if pace is None or pace.count < 3 or now_s - pace.last_s > STALE_S:
+    if pace is None or pace.count < LEAST_COUNT or now_s - pace.last_s > STALE_S:
         slots = max(node.state(Shares).total.slots, 1)
-        return queues.work_s / slots
+        return _work_before_s(queues, offer.lane) / slots
     return max(ahead * pace.gap_s - (now_s - pace.last_s), 0.0)
 
 
+def _work_before_s(queues: Queues, lane: Lane) -> float:
+    """Sum the slot time of all that waits in a lane or a lighter one."""
+    return sum(
+        line.live * slot_time_s(first)
+        for queue in queues.teams.values()
+        for (one, _), line in queue.lines.items()
+        if one <= lane and (first := line.first()) is not None
+    )
+
+
 def least_wait_s(node: Node, queue: TeamQueue | None, lane: Lane) -> float:
     """Tell a wait that is certain: all that goes before, on the whole cell at once."""
     if queue is None:
