--- a/packages/core/bulrushspur_core/queues.py
+++ b/packages/core/bulrushspur_core/queues.py
@@ -156,6 +156,7 @@
     )
     counter: t.Iterator[int] = dataclasses.field(default_factory=itertools.count)
     work_s: float = 0.0
+    lane_work_s: dict[Lane, float] = dataclasses.field(default_factory=dict)
 
 
 @register_state(Queues)
@@ -213,6 +214,7 @@
     work_s = sign * slot_time_s(offer)
     queue.work_s += work_s
     queues.work_s += work_s
+    queues.lane_work_s[offer.lane] = queues.lane_work_s.get(offer.lane, 0.0) + work_s
 
 
 def enter(queues: Queues, queue: TeamQueue, rank: Rank, room: Room, key: float) -> None:
--- a/packages/core/bulrushspur_core/waits.py
+++ b/packages/core/bulrushspur_core/waits.py
@@ -6,7 +6,7 @@
 from bulrushspur_core import estimates
 from bulrushspur_core.membership import live_peers
 from bulrushspur_core.node import Node, register_state
-from bulrushspur_core.queues import Lane, QueuedOffer, Queues, TeamQueue, slot_time_s
+from bulrushspur_core.queues import Lane, QueuedOffer, Queues, TeamQueue
 from bulrushspur_core.shares import Shares
 
 GAIN: t.Final = 0.05
@@ -80,12 +80,8 @@
 
 def _work_before_s(queues: Queues, lane: Lane) -> float:
     """Sum the slot time of all that waits in a lane or a lighter one."""
-    return sum(
-        line.live * slot_time_s(first)
-        for queue in queues.teams.values()
-        for (one, _), line in queue.lines.items()
-        if one <= lane and (first := line.first()) is not None
-    )
+    work = queues.lane_work_s.items()
+    return max(sum(work_s for one, work_s in work if one <= lane), 0.0)
 
 
 def least_wait_s(node: Node, queue: TeamQueue | None, lane: Lane) -> float:
