Lose no request id over restarts in turn

Change: a member that had all records counts only what went since; a newcomer is told by those that stay; a graceful stop is remembered by incarnation, for another one has the name at once. Result: new test of ids red before and green after; the test of rosters was green before, too, and stays as a guard.

--- a/packages/core/bulrushspur_core/id_copies.py
+++ b/packages/core/bulrushspur_core/id_copies.py
@@ -8,6 +8,7 @@
 import typing as t
 
 from bulrushspur_core import events
+from bulrushspur_core.cell import Roster
 from bulrushspur_core.id_records import IdRecords, is_overfull, keep
 from bulrushspur_core.ids import homes_of
 from bulrushspur_core.log_reader import cell_of
@@ -85,9 +86,15 @@
     if not rosters or rosters[-1].epoch == copies.epoch:
         return
     members = rosters[-1].members
-    before = {one for roster in rosters[:-1] for one in roster.members}
+    earlier = rosters[:-1]
+    if copies.complete:
+        # What went before this process had everything took nothing with it.
+        earlier = [one for one in earlier if one.epoch >= copies.epoch]
+    before = {one for roster in earlier for one in roster.members}
     copies.lost |= (before | set(copies.members)) - set(members)
-    lonely = [one for one in rosters[:-1] if len(one.members) == 1]
+    if _is_newcomer(node, rosters):
+        copies.lost = set()
+    lonely = [one for one in earlier if len(one.members) == 1]
     copies.alone = copies.alone or bool(lonely) or len(copies.members) == 1
     copies.epoch, copies.members = rosters[-1].epoch, list(members)
     copies.complete = False
@@ -97,6 +104,13 @@
     copies.told_complete, copies.claims = {node.me.name}, {}
 
 
+def _is_newcomer(node: Node, rosters: list[Roster]) -> bool:
+    """Tell whether members that stay know what was lost, and this process does not."""
+    before = rosters[-2].members if len(rosters) > 1 else []
+    stay = any(one in rosters[-1].members for one in before)
+    return stay and node.me.member not in before
+
+
 def both_may_be_lost(copies: IdCopies) -> bool:
     """Tell whether an id may have lost its home and its second copy."""
     return len(copies.lost) >= (1 if copies.alone else 2)
--- a/packages/core/bulrushspur_core/membership.py
+++ b/packages/core/bulrushspur_core/membership.py
@@ -23,6 +23,8 @@
 FAR_BEATS: t.Final = 2
 SEEDS_EVERY_BEATS: t.Final = 5
 
+STOPPED_KEPT: t.Final = 100
+
 
 @dataclasses.dataclass
 class Peer:
@@ -41,12 +43,14 @@
     """The other processes by name.
 
     ``awake_s`` is since when this process has run without a stall: before that it
-    could not have heard anybody.
+    could not have heard anybody. ``stopped`` has the incarnations that stopped
+    gracefully, the latest last, for another one may soon have the name.
     """
 
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
     load: msg.Load = dataclasses.field(default_factory=msg.Load)
     stopping: bool = False
+    stopped: dict[msg.Member, None] = dataclasses.field(default_factory=dict)
     beats: int = 0
     round: list[str] = dataclasses.field(default_factory=list)
     awake_s: float | None = None
@@ -213,6 +217,8 @@
         node.metrics.count("members.old_incarnation")
         return
     peer.info = message.info
+    if message.info.stopping:
+        _note_stopped(node, sender)
     peer.load, peer.load_s = message.load, now_s
     peer.next_offset = message.next_offset
     for info in message.others:
@@ -221,6 +227,13 @@
         _learn(node, news, now_s)
 
 
+def _note_stopped(node: Node, member: msg.Member) -> None:
+    stopped = node.state(Members).stopped
+    stopped.setdefault(member)
+    while len(stopped) > STOPPED_KEPT:
+        del stopped[next(iter(stopped))]
+
+
 def meet(node: Node, info: msg.PeerInfo, seen_s: float, now_s: float) -> Peer | None:
     """Note that a process was alive at ``seen_s``; None for an older incarnation."""
     members = node.state(Members)
--- a/packages/core/bulrushspur_core/rosters.py
+++ b/packages/core/bulrushspur_core/rosters.py
@@ -176,13 +176,8 @@
 
 def _lost_members(node: Node, before: Roster, after: list[Member]) -> list[Member]:
     """List the members that went without a graceful stop."""
-    peers = node.state(Members).peers
-    return [
-        one
-        for one in before.members
-        if one not in after
-        and not (one.name in peers and peers[one.name].info.stopping)
-    ]
+    stopped = node.state(Members).stopped
+    return [one for one in before.members if one not in after and one not in stopped]
 
 
 @on(events.AppendEnded)
--- a/tests/test_ids.py
+++ b/tests/test_ids.py
@@ -227,6 +227,24 @@
         for request_id in rows:
             self.assertFalse(self.claim("s1", request_id).fresh)
 
+    def test_restarts_in_turn_of_two_members_lose_nothing(self):
+        self.fake.set_roster("north", 2, ["n1", "n2"])
+        self.fake.advance(1.0)
+        old = self.make_id()
+        self.assertTrue(self.claim("s1", old).fresh)
+        unclaimed = self.make_id()
+        for step, name in enumerate(("n1", "n2")):
+            stays = "n2" if name == "n1" else "n1"
+            self.fake.set_roster("north", 3 + 2 * step, [stays])
+            self.fake.kill(name)
+            self.fake.advance(1.0)
+            self.fake.boot(name, "north", f"b{step + 2}")
+            self.fake.advance(1.0)
+            self.fake.set_roster("north", 4 + 2 * step, ["n1", "n2"])
+            self.fake.advance(2.0)
+            self.assertIs(self.claim("s1", old).refusal.kind, ErrorKind.ID_USED)
+        self.assertTrue(self.claim("s1", unclaimed).fresh)
+
     def test_unreachable_home_is_told_in_time(self):
         request_id = self.make_id()
         for name in ("n1", "n2", "n3"):
--- a/tests/test_rosters.py
+++ b/tests/test_rosters.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from bulrushspur_core.events import StopAsked
 from bulrushspur_core.log_reader import cell_of
 from bulrushspur_kernel.records import RosterSet
 from tests.owners import OwnersCell, make_owners_cell
@@ -50,6 +51,16 @@
         self.assertEqual(len(self.roster(cell).members), 2)
         self.assertEqual(len(self.records(cell)), 2)
 
+    def test_graceful_restarts_in_turn_make_no_id_too_old(self):
+        cell = make_owners_cell(2)
+        for name in ("n1", "n2"):
+            cell.carry_out(name, cell.nodes[name].handle(StopAsked(), cell.now_s))
+            cell.advance(1.1)
+            cell.start(name, "north")
+            cell.advance(8)
+        self.assertEqual(len(self.roster(cell, "n1").members), 2)
+        self.assertEqual(self.roster(cell, "n1").ids_not_before_s, 0.0)
+
     def test_two_members_that_do_not_hear_each_other_do_not_storm(self):
         # The third hears both, and so each of them is taken in again.
         cell = make_owners_cell(3)
