Start nothing above a limit that was lowered while others run on

Change: DebtsPaid tells that a domain is within its part again; until then the others keep as much unused; idle permits of a lowered part are given up, and grants from an older text are none.

--- a/packages/core/bulrushspur_core/cell.py
+++ b/packages/core/bulrushspur_core/cell.py
@@ -156,6 +156,20 @@
     return True
 
 
+def _fold_debts_paid(cell: Cell, offset: int, record: rec.DebtsPaid) -> bool:
+    if record.epoch != cell.roster(record.domain).epoch:
+        return False
+    if record.version != cell.version:
+        return False
+    for team, count in record.left.items():
+        debts = cell.debts.get(team, {})
+        if 0 <= count < debts.get(record.domain, 0):
+            debts[record.domain] = count
+        if not any(debts.values()):
+            cell.debts.pop(team, None)
+    return True
+
+
 def _fold_snapshot(cell: Cell, offset: int, record: rec.Snapshot) -> bool:
     # Only a process that missed records learns from it: see snapshots.
     return False
@@ -167,6 +181,7 @@
     rec.KeyWithdrawn: _fold_key_withdrawn,
     rec.RosterSet: _fold_roster,
     rec.PartsMoved: _fold_parts,
+    rec.DebtsPaid: _fold_debts_paid,
     rec.Snapshot: _fold_snapshot,
 }
 
--- a/packages/core/bulrushspur_core/limits.py
+++ b/packages/core/bulrushspur_core/limits.py
@@ -10,6 +10,7 @@
 
 from bulrushspur_core import events
 from bulrushspur_core.authority import owner_of
+from bulrushspur_core.debts import usable_part
 from bulrushspur_core.log_reader import cell_of
 from bulrushspur_core.node import Node, every, on, register_state
 from bulrushspur_core.roles import limit_holder, own_roster
@@ -69,7 +70,7 @@
     if own_roster(node) is None:
         return 0
     used = limits.used.get(team, 0)
-    part = cell_of(node).part(team, node.me.domain)
+    part = usable_part(cell_of(node), team, node.me.domain)
     return max(min(limits.held.get(team, 0), part) - used, 0)
 
 
@@ -189,6 +190,17 @@
     node.state(Limits).recount = True
 
 
+@on(events.TextChanged)
+def on_text_changed(node: Node, event: events.TextChanged, now_s: float) -> None:
+    """Give up the idle permits of teams whose part here was lowered."""
+    limits = _synced(node)
+    cell = cell_of(node)
+    for team in list(limits.held):
+        if cell.debts.get(team, {}).get(node.me.domain):
+            _give_up_idle(limits, team, limits.held[team])
+    _report(node)
+
+
 @on(events.RosterChanged)
 def on_roster_changed(node: Node, event: events.RosterChanged, now_s: float) -> None:
     """Report under the new epoch at once."""
@@ -234,6 +246,11 @@
         node.metrics.count("permits.late_grants")
         return
     limits.grant_sequence = message.sequence
+    if message.version < cell_of(node).version:
+        # It was dealt from parts that may be lower by now; the holder will ask again.
+        node.metrics.count("permits.old_grants")
+        _report(node)
+        return
     for team, count in message.granted.items():
         limits.held[team] = limits.held.get(team, 0) + count
         limits.wants.pop(team, None)
--- a/packages/core/bulrushspur_core/permits.py
+++ b/packages/core/bulrushspur_core/permits.py
@@ -9,6 +9,7 @@
 import typing as t
 
 from bulrushspur_core import events
+from bulrushspur_core.debts import pay_debts, usable_part
 from bulrushspur_core.log_reader import cell_of
 from bulrushspur_core.node import Node, every, on, register_state
 from bulrushspur_core.parts_reserved import reserved
@@ -87,10 +88,16 @@
 
 def free(node: Node, dealer: Dealer, team: str) -> int:
     """Tell how many permits of a team nobody holds; negative after a lowered limit."""
-    part = cell_of(node).part(team, node.me.domain)
+    part = usable_part(cell_of(node), team, node.me.domain)
     return part - reserved(node, team) - dealt(dealer, team)
 
 
+def _above(node: Node, dealer: Dealer, team: str) -> int:
+    """Tell how many permits of a team are held above the whole part."""
+    part = cell_of(node).part(team, node.me.domain)
+    return dealt(dealer, team) + reserved(node, team) - part
+
+
 def unmet(dealer: Dealer) -> dict[str, int]:
     """Sum up what owners ask for and did not get, by team."""
     rv: dict[str, int] = {}
@@ -197,8 +204,10 @@
     account.granted[account.sequence] = granted
     for team, count in granted.items():
         account.on_the_way[team] = account.on_the_way.get(team, 0) + count
-    dealer_epoch = node.state(Dealer).epoch
-    node.send(member.name, msg.PermitGrant(dealer_epoch, account.sequence, granted))
+    epoch = node.state(Dealer).epoch
+    version = cell_of(node).version
+    grant = msg.PermitGrant(epoch, account.sequence, granted, version)
+    node.send(member.name, grant)
 
 
 def recall_idle(
@@ -271,13 +280,14 @@
             account.granted_s = now_s
     if is_ready(node, dealer):
         _recall_excess(node, dealer)
+        pay_debts(node, lambda team: dealt(dealer, team) + reserved(node, team), now_s)
 
 
 def _recall_excess(node: Node, dealer: Dealer) -> None:
     teams = {team for one in dealer.accounts.values() for team in one.held}
     recalls: dict[msg.Member, dict[str, int]] = {}
     for team in sorted(teams):
-        over = -free(node, dealer, team)
+        over = _above(node, dealer, team)
         holders = sorted(
             dealer.accounts, key=lambda one: -dealer.accounts[one].held.get(team, 0)
         )
--- a/packages/kernel/bulrushspur_kernel/messages.py
+++ b/packages/kernel/bulrushspur_kernel/messages.py
@@ -162,11 +162,15 @@
 
 
 class PermitGrant(_Message):
-    """Grant permits; ``sequence`` makes a second delivery harmless."""
+    """Grant permits; ``sequence`` makes a second delivery harmless.
+
+    ``version`` is of the text that the parts are of.
+    """
 
     epoch: int
     sequence: int
     granted: dict[str, int]
+    version: int = 0
 
 
 class PermitRecall(_Message):
--- a/packages/kernel/bulrushspur_kernel/records.py
+++ b/packages/kernel/bulrushspur_kernel/records.py
@@ -72,6 +72,16 @@
     token: str = ""
 
 
+class DebtsPaid(_Record):
+    """Tell how much a domain still runs above its parts; void if the text is newer."""
+
+    domain: str
+    epoch: int
+    version: int
+    left: dict[str, int]
+    token: str = ""
+
+
 class Snapshot(_Record):
     """Repeat what was in force before offset ``as_of``.
 
@@ -84,7 +94,9 @@
     token: str = ""
 
 
-Record = Published | KeyGiven | KeyWithdrawn | RosterSet | PartsMoved | Snapshot
+Record = (
+    Published | KeyGiven | KeyWithdrawn | RosterSet | PartsMoved | DebtsPaid | Snapshot
+)
 
 
 class Entry(msgspec.Struct):
--- a/tests/test_rosters.py
+++ b/tests/test_rosters.py
@@ -68,6 +68,13 @@
         cell.advance(600)
         self.assertLess(len(self.records(cell)), 3 * (6 + 60))
 
+    def test_halves_that_only_the_platform_connects_do_not_storm(self):
+        cell = make_owners_cell(2)
+        cell.cut("n1", "n2")
+        cell.advance(600)
+        self.assertLess(len(self.records(cell)), 6 + 2 * 61 + 2)
+        self.assertLess(len(self.records(cell)) / 600, 0.25)
+
     def test_process_cut_off_from_all_leaves_the_roster_alone(self):
         cell = make_owners_cell(3)
         cell.cut("n1", "n2", "n3", "s1")
