--- a/bench/run.py
+++ b/bench/run.py
@@ -9,7 +9,7 @@
 import time
 import typing as t
 
-MODULES: t.Final[list[str]] = ["path", "takeover", "policy"]
+MODULES: t.Final[list[str]] = ["path", "takeover", "policy", "config"]
 
 
 def main() -> int:
--- a/models/at_most_once.py
+++ b/models/at_most_once.py
@@ -376,9 +376,7 @@
         name=f"at most once: {last_epoch} rosters, {tickets} claims {mutant}".strip(),
         candidate=False,
         fields=World._fields,
-        initial=tuple(
-            World(1, last_epoch, frees, frees, (member,) * 3, claims, frozenset())
-        ),
+        initial=tuple(initial),
         transitions=transitions,
         invariants={
             "at_most_one_start": lambda d: (
--- a/packages/core/bulrushspur_core/cell.py
+++ b/packages/core/bulrushspur_core/cell.py
@@ -217,11 +217,34 @@
         debts[domain] = debts.get(domain, 0) - back
         spare -= back
     while spare > 0:
-        poorest = min(sorted(parts), key=lambda one: parts[one])
-        parts[poorest] += 1
-        spare -= 1
+        spare -= _raise_poorest(parts, spare)
     while spare < 0:
-        richest = max(sorted(parts), key=lambda one: parts[one])
-        parts[richest] -= 1
-        debts[richest] = debts.get(richest, 0) + 1
-        spare += 1
+        spare += _lower_richest(parts, debts, -spare)
+
+
+def _raise_poorest(parts: dict[str, int], spare: int) -> int:
+    """Raise the smallest parts to the next larger one; return how much that took."""
+    lowest = min(parts.values())
+    poor = sorted(domain for domain in parts if parts[domain] == lowest)
+    above = [count - lowest for count in parts.values() if count > lowest]
+    step = min([spare // len(poor), *above])
+    for domain in poor:
+        parts[domain] += step
+    if step:
+        return step * len(poor)
+    for domain in poor[:spare]:
+        parts[domain] += 1
+    return min(spare, len(poor))
+
+
+def _lower_richest(parts: dict[str, int], debts: dict[str, int], excess: int) -> int:
+    """Lower the largest parts to the next smaller one; return how much that took."""
+    highest = max(parts.values())
+    rich = sorted(domain for domain in parts if parts[domain] == highest)
+    below = [highest - count for count in parts.values() if count < highest]
+    step = min([excess // len(rich), *below])
+    lowered = rich if step else rich[:excess]
+    for domain in lowered:
+        parts[domain] -= step or 1
+        debts[domain] = debts.get(domain, 0) + (step or 1)
+    return (step or 1) * len(lowered)
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -1,5 +1,6 @@
 """Tests of folding the log."""
 
+import random
 import unittest
 
 from bulrushspur_core.cell import Cell, fold
@@ -66,3 +67,31 @@
         self.publish(12)
         self.assertEqual(self.cell.parts["a"], {"north": 2, "south": 10})
         self.assertEqual(self.cell.debts, {})
+        self.publish(25)
+        self.assertEqual(self.cell.parts["a"], {"north": 13, "south": 12})
+
+    def test_limits_are_split_as_if_one_by_one(self):
+        rng = random.Random(4)
+        domains = tuple(f"d{i}" for i in range(5))
+        parts, debts = dict.fromkeys(domains, 0), dict.fromkeys(domains, 0)
+        for _ in range(100):
+            limit = rng.randrange(1, 40)
+            self.publish(limit, domains)
+            split_one_by_one(parts, debts, limit)
+            self.assertEqual(self.cell.parts["a"], parts)
+            owed = {one: count for one, count in debts.items() if count}
+            self.assertEqual(self.cell.debts.get("a", {}), owed)
+
+
+def split_one_by_one(parts, debts, limit):
+    """Split a limit the slow way: back to debtors, then to the poorest."""
+    for domain in sorted(parts):
+        while debts[domain] and sum(parts.values()) < limit:
+            parts[domain] += 1
+            debts[domain] -= 1
+    while sum(parts.values()) < limit:
+        parts[min(sorted(parts), key=parts.get)] += 1
+    while sum(parts.values()) > limit:
+        richest = max(sorted(parts), key=parts.get)
+        parts[richest] -= 1
+        debts[richest] += 1
