--- a/bench/takeover.py
+++ b/bench/takeover.py
@@ -66,7 +66,10 @@
                 address, "coursework", "place", self.key, b"x", wait_s=30.0
             )
             self.results.append((door, result))
-            if not result.whole:
+            if result.refusal is not None and result.refusal["kind"] == "stopping":
+                # As a balancer does: docs/ops/rolling-restart.md, step 2.
+                self.doors = [one for one in self.doors if one != door]
+            elif not result.whole:
                 await asyncio.sleep(0.1)
 
     async def end(self) -> None:
