--- a/packages/kernel/bulrushspur_kernel/text.py
+++ b/packages/kernel/bulrushspur_kernel/text.py
@@ -13,6 +13,9 @@
 Count = t.Annotated[int, msgspec.Meta(ge=0)]
 
 
+UNSERVED: t.Final = (Policy.GANG, Policy.SERVICE)
+
+
 class _Strict(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
     pass
 
@@ -213,7 +216,22 @@
         rv += _check_kinds(text, path, service, teams)
         if service.count:
             rv += _check_size(text, path, service.room, "a task of this service")
-    return rv + _check_cycles(text)
+    return rv + _check_cycles(text) + _check_unserved(text)
+
+
+def _check_unserved(text: Text) -> list[Fault]:
+    """List what a text may say and the system does not keep true yet."""
+    rv = []
+    for i, service in enumerate(text.services):
+        if service.count:
+            sentence = "long-running tasks are not kept yet; set count to 0"
+            rv.append(Fault(f"$.services[{i}].count", sentence))
+        for j, kind in enumerate(service.kinds):
+            if kind.policy in UNSERVED:
+                sentence = f"policy {kind.policy.value} is not served yet"
+                path = f"$.services[{i}].kinds[{j}].policy"
+                rv.append(Fault(path, f"{sentence}; use request, urgent or batch"))
+    return rv
 
 
 def _check_kinds(
--- a/tests/test_text.py
+++ b/tests/test_text.py
@@ -72,6 +72,14 @@
         self.assertEqual(fault.path, "$.teams[0].limit_tasks")
         self.assertIn("services, 6", fault.sentence)
 
+    def test_what_is_not_kept_yet_is_not_accepted(self):
+        kinds = [{"name": "k", "policy": "gang"}]
+        services = [{"name": "x", "team": "a", "count": 1, "kinds": kinds}]
+        paths = [one.path for one in self.faults(services=services)]
+        self.assertEqual(
+            paths, ["$.services[0].count", "$.services[0].kinds[0].policy"]
+        )
+
     def test_share_of_nothing(self):
         team = {"name": "a", "share": 1, "limit_tasks": 0}
         self.assertIn("share of nothing", self.faults(teams=[team])[0].sentence)
