--- a/models/at_most_once.py
+++ b/models/at_most_once.py
@@ -15,8 +15,8 @@
 import minicheck
 
 from bulrushspur_kernel import plugins
-from models.limits import put
 from models.mutants import make_mutants
+from models.parts import put
 from models.run import Spec
 
 ROSTERS: t.Final = {1: (0, 1, 2), 2: (1, 2), 3: (2,)}
--- a/models/run.py
+++ b/models/run.py
@@ -14,7 +14,8 @@
 
 MODULES: t.Final[list[str]] = [
     "config_stream",
-    "limits",
+    "parts",
+    "permits",
     "at_most_once",
     "ownership",
 ]
