Give the exchange of one connection a module of its own

Change: reading a request and writing its answer on one connection is http_exchange.py; listening, refusing, draining stays. Ruled out: names passed on from the old module; importers name the new one.

--- a/packages/daemon/bulrushspur_daemon/access.py
+++ b/packages/daemon/bulrushspur_daemon/access.py
@@ -5,7 +5,7 @@
 
 from bulrushspur_core.log_reader import cell_of, check_keys
 from bulrushspur_kernel.errors import ErrorKind, Ran, Refusal
-from bulrushspur_kernel.http_server import HttpError, Request
+from bulrushspur_kernel.http_exchange import HttpError, Request
 from bulrushspur_kernel.keys import hash_key, split_key
 from bulrushspur_kernel.text import Kind, Service
 
--- a/packages/daemon/bulrushspur_daemon/callers.py
+++ b/packages/daemon/bulrushspur_daemon/callers.py
@@ -10,13 +10,8 @@
 from bulrushspur_daemon.inquiries import Inquiries
 from bulrushspur_daemon.requests import Body, Pending, Requests, read_body
 from bulrushspur_kernel.errors import ErrorKind, Refusal
-from bulrushspur_kernel.http_server import (
-    Exchange,
-    HttpError,
-    HttpServer,
-    Request,
-    make_http_server,
-)
+from bulrushspur_kernel.http_exchange import Exchange, HttpError, Request
+from bulrushspur_kernel.http_server import HttpServer, make_http_server
 
 if t.TYPE_CHECKING:
     from bulrushspur_daemon.process import Process
--- a/packages/daemon/bulrushspur_daemon/headers.py
+++ b/packages/daemon/bulrushspur_daemon/headers.py
@@ -6,7 +6,7 @@
 import typing as t
 
 from bulrushspur_kernel.errors import ErrorKind, Refusal
-from bulrushspur_kernel.http_server import HttpError
+from bulrushspur_kernel.http_exchange import HttpError
 from bulrushspur_kernel.text import Kind
 from bulrushspur_kernel.work import Policy, Room, Work
 
--- a/packages/daemon/bulrushspur_daemon/inquiries.py
+++ b/packages/daemon/bulrushspur_daemon/inquiries.py
@@ -19,7 +19,7 @@
 )
 from bulrushspur_kernel import messages as msg
 from bulrushspur_kernel.errors import ErrorKind, Ran, Refusal
-from bulrushspur_kernel.http_server import CallerGoneError, Exchange, HttpError
+from bulrushspur_kernel.http_exchange import CallerGoneError, Exchange, HttpError
 
 if t.TYPE_CHECKING:
     from bulrushspur_daemon.process import Process
--- a/packages/daemon/bulrushspur_daemon/operators.py
+++ b/packages/daemon/bulrushspur_daemon/operators.py
@@ -15,13 +15,8 @@
 from bulrushspur_daemon.callers import send_refusal
 from bulrushspur_daemon.plain import make_plain
 from bulrushspur_kernel.errors import ErrorKind, Refusal
-from bulrushspur_kernel.http_server import (
-    Exchange,
-    HttpError,
-    HttpServer,
-    Request,
-    make_http_server,
-)
+from bulrushspur_kernel.http_exchange import Exchange, HttpError, Request
+from bulrushspur_kernel.http_server import HttpServer, make_http_server
 
 if t.TYPE_CHECKING:
     from bulrushspur_daemon.process import Process
--- a/packages/daemon/bulrushspur_daemon/requests.py
+++ b/packages/daemon/bulrushspur_daemon/requests.py
@@ -17,7 +17,7 @@
 )
 from bulrushspur_kernel import messages as msg
 from bulrushspur_kernel.errors import ErrorKind, Ran, Refusal
-from bulrushspur_kernel.http_server import (
+from bulrushspur_kernel.http_exchange import (
     CallerGoneError,
     Exchange,
     HttpError,
--- a/standins/bulrushspur_standins/_serving.py
+++ b/standins/bulrushspur_standins/_serving.py
@@ -6,7 +6,8 @@
 import msgspec
 
 from bulrushspur_kernel.errors import Refusal
-from bulrushspur_kernel.http_server import Exchange, Handler, make_http_server
+from bulrushspur_kernel.http_exchange import Exchange
+from bulrushspur_kernel.http_server import Handler, make_http_server
 from bulrushspur_kernel.settings import Bounds, split_address
 
 
--- a/standins/bulrushspur_standins/worker.py
+++ b/standins/bulrushspur_standins/worker.py
@@ -17,7 +17,7 @@
 import fire
 import msgspec
 
-from bulrushspur_kernel.http_server import CallerGoneError, Exchange, Request
+from bulrushspur_kernel.http_exchange import CallerGoneError, Exchange, Request
 from bulrushspur_kernel.work import Room, TaskInfo
 from bulrushspur_standins._serving import send_json, serve
 
--- a/tests/test_headers.py
+++ b/tests/test_headers.py
@@ -3,7 +3,7 @@
 import unittest
 
 from bulrushspur_daemon.headers import read_headers
-from bulrushspur_kernel.http_server import HttpError
+from bulrushspur_kernel.http_exchange import HttpError
 from bulrushspur_kernel.text import Kind
 from bulrushspur_kernel.work import Policy, Room
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -4,7 +4,8 @@
 import unittest
 
 from bulrushspur_kernel.errors import ErrorKind, Refusal
-from bulrushspur_kernel.http_server import CallerGoneError, HttpError, make_http_server
+from bulrushspur_kernel.http_exchange import CallerGoneError, HttpError
+from bulrushspur_kernel.http_server import make_http_server
 from bulrushspur_kernel.settings import Bounds
 
 BOUNDS = Bounds(
