Split endings, task lists and deadlines from owner and door

Change: endings.py frees and judges what ended; task_lists.py renews leases and finds what ended unwatched; deadlines.py ends late requests; questions about a request id are answered in ids.py. All register themselves. Timers of one moment now run in another order; nothing counts on that order.

--- a/packages/core/bulrushspur_core/__init__.py
+++ b/packages/core/bulrushspur_core/__init__.py
@@ -9,9 +9,15 @@
 from bulrushspur_core import (
     batch as batch,
 )
+from bulrushspur_core import (
+    deadlines as deadlines,
+)
 from bulrushspur_core import (
     door as door,
 )
+from bulrushspur_core import (
+    endings as endings,
+)
 from bulrushspur_core import (
     estimates as estimates,
 )
@@ -60,6 +66,9 @@
 from bulrushspur_core import (
     rosters as rosters,
 )
+from bulrushspur_core import (
+    task_lists as task_lists,
+)
 from bulrushspur_core import (
     teaching as teaching,
 )
--- a/packages/core/bulrushspur_core/door.py
+++ b/packages/core/bulrushspur_core/door.py
@@ -16,16 +16,13 @@
 from bulrushspur_core import events, ids
 from bulrushspur_core.admission import check_admission
 from bulrushspur_core.membership import live_peers
-from bulrushspur_core.node import Node, every, on, register_state
+from bulrushspur_core.node import Node, on, register_state
 from bulrushspur_core.retries import may_retry
 from bulrushspur_core.routing import choose_owner
 from bulrushspur_kernel import messages as msg
 from bulrushspur_kernel.errors import ErrorKind, Ran, Refusal
 from bulrushspur_kernel.work import Work
 
-SWEEP_S: t.Final = 0.05
-ENDED_AT_MOST: t.Final = 1000
-
 
 @dataclasses.dataclass
 class OpenRequest:
@@ -344,37 +341,6 @@
             resolve(node, request, refusal, now_s)
 
 
-@every(SWEEP_S)
-def sweep_deadlines(node: Node, now_s: float) -> None:
-    """End the requests whose deadline passed before their answer began."""
-    door = node.state(Door)
-    sentence = "The deadline passed before the answer began."
-    if len(door.deadlines) > ENDED_AT_MOST + 2 * len(door.open):
-        # Most of these have ended; their entries would stay until their deadline.
-        door.deadlines = [(one.deadline_s, one.ticket) for one in door.open.values()]
-        heapq.heapify(door.deadlines)
-    while door.deadlines and door.deadlines[0][0] <= now_s:
-        _, ticket = heapq.heappop(door.deadlines)
-        request = door.open.get(ticket)
-        if request is None or request.answering:
-            continue
-        ran = ran_so_far(request)
-        refusal = Refusal(ErrorKind.DEADLINE_PASSED, sentence, ran, 1.0)
-        withdraw(node, request, refusal, now_s)
-
-
-@on(events.RecordAsked)
-def on_record_asked(node: Node, event: events.RecordAsked, now_s: float) -> None:
-    """Ask the home of a request id."""
-    ids.query(node, event.ticket, event.request_id, now_s)
-
-
-@on(events.IdFound)
-def on_id_found(node: Node, event: events.IdFound, now_s: float) -> None:
-    """Pass on what the home knows."""
-    node.emit(fx.TellRecord(event.ticket, event.record, event.refusal))
-
-
 @on(events.StopAsked)
 def on_stop_asked(node: Node, event: events.StopAsked, now_s: float) -> None:
     """Take nothing new."""
--- a/packages/core/bulrushspur_core/ids.py
+++ b/packages/core/bulrushspur_core/ids.py
@@ -7,6 +7,7 @@
 import dataclasses
 import typing as t
 
+from bulrushspur_core import effects as fx
 from bulrushspur_core import events
 from bulrushspur_core.hashing import rank
 from bulrushspur_core.log_reader import cell_of
@@ -267,3 +268,15 @@
 ) -> None:
     """Forget states that the home has."""
     node.state(Ids).sent.pop(message.sequence, None)
+
+
+@on(events.RecordAsked)
+def on_record_asked(node: Node, event: events.RecordAsked, now_s: float) -> None:
+    """Ask the home of a request id."""
+    query(node, event.ticket, event.request_id, now_s)
+
+
+@on(events.IdFound)
+def on_id_found(node: Node, event: events.IdFound, now_s: float) -> None:
+    """Pass on what the home knows."""
+    node.emit(fx.TellRecord(event.ticket, event.record, event.refusal))
--- a/packages/core/bulrushspur_core/owner.py
+++ b/packages/core/bulrushspur_core/owner.py
@@ -1,4 +1,4 @@
-"""The owner: queues offers, starts them where they fit, and frees room when they end.
+"""The owner: queues offers and starts them where they fit; see endings for their end.
 
 docs/POLICY.md tells the order. A pass ends as soon as no worker has a free slot.
 """
@@ -11,14 +11,12 @@
     estimates,
     events,
     express,
-    health,
     limits,
     placement,
     queues,
     shares,
     waits,
 )
-from bulrushspur_core.adoption import may_arrive
 from bulrushspur_core.log_reader import cell_of
 from bulrushspur_core.membership import Members
 from bulrushspur_core.node import Node, every, on, register_state
@@ -29,10 +27,7 @@
 from bulrushspur_kernel.work import Room, TaskInfo, Work
 
 TASK_LEASE_S: t.Final = 10.0
-RENEW_S: t.Final = 3.0
-LIST_S: t.Final = 2.0
 DISPATCH_S: t.Final = 0.05
-START_LIVES_S: t.Final = 0.5
 LATE_S: t.Final = 0.5
 ROOM_KEPT_AFTER_S: t.Final = 5.0
 WANTED_AT_MOST: t.Final = 64
@@ -355,140 +350,3 @@
             TASK_LEASE_S,
         )
     )
-
-
-@on(events.TaskEnded)
-def on_task_ended(node: Node, event: events.TaskEnded, now_s: float) -> None:
-    """Free the room of a task and tell the door where the answer is not whole."""
-    owner = node.state(Owner)
-    view = node.state(Workers).views.get(event.worker)
-    running = owner.running.get(event.ticket)
-    if view is not None and running is not None and not running.detached:
-        view.calls = max(view.calls - 1, 0)
-    if event.outcome == "detached" and running is not None:
-        running.detached = True
-        owner.unwatched[event.task_id] = now_s
-        return
-    if event.outcome == "lost":
-        # It may run on, or its start may still be on the way: it keeps its room.
-        owner.unwatched[event.task_id] = now_s + START_LIVES_S
-    elif view is not None:
-        free_task(node, view, event.task_id, now_s)
-    if running is not None:
-        if view is not None and not running.withdrawn and not running.yielding:
-            judge(node, view, running.work, event, now_s)
-        end_running(node, running)
-        if event.outcome in _FAILURES and not running.withdrawn:
-            refusal = _YIELDED if running.yielding else _FAILURES[event.outcome]
-            node.send(running.door, msg.AnswerFailed(event.ticket, refusal))
-    dispatch(node, now_s)
-
-
-def end_running(node: Node, running: RunningOffer) -> None:
-    """Forget an offer that has ended."""
-    owner = node.state(Owner)
-    owner.running.pop(running.ticket, None)
-    owner.by_task.pop(running.task_id, None)
-
-
-def free_task(node: Node, view: WorkerView, task_id: str, now_s: float) -> None:
-    """Free the room, the permit and the share that a task took."""
-    task = view.remove(task_id)
-    node.state(Owner).unwatched.pop(task_id, None)
-    if task is None:
-        return
-    owner = node.state(Owner)
-    limits.give_back(node, task.team, 1, now_s)
-    if task_id in owner.light:
-        owner.light.discard(task_id)
-        shares.add_light(node, task.team, -task.room.slots, now_s)
-        node.state(express.Express).running -= task.room.slots
-    owner.without_permit.discard(task.team)
-    if not view.owned:
-        return
-    shares.add_use(node, task.team, task.room, -1, now_s)
-    placement.note_changed(node, view, now_s, freed=True)
-    queues.enter_again(node.state(Queues), task.team, team_key(node, task.team, now_s))
-
-
-def judge(
-    node: Node, view: WorkerView, work: Work, event: events.TaskEnded, now_s: float
-) -> None:
-    """Learn from an outcome about the kind of work and about the worker."""
-    if event.outcome == "done":
-        estimates.note_run_time(node, work, event.run_time_s)
-        health.note_success(node, view.vm.name, work)
-    elif event.outcome == "failed" and 400 <= event.status < 500:
-        return
-    elif event.outcome == "failed":
-        health.note_failure(node, view, work, now_s)
-    else:
-        health.note_failure(node, view, None, now_s)
-    placement.note_changed(node, view, now_s, freed=False)
-
-
-@every(RENEW_S)
-def renew_leases(node: Node, now_s: float) -> None:
-    """Renew the leases of all tasks on the workers that are owned."""
-    for view in node.state(Workers).views.values():
-        if view.owned and view.tasks and not view.gone:
-            node.emit(fx.RenewTasks(view.vm.name, list(view.tasks), TASK_LEASE_S))
-
-
-@every(LIST_S)
-def list_unwatched(node: Node, now_s: float) -> None:
-    """Ask workers about tasks whose end nobody else tells."""
-    owner = node.state(Owner)
-    for view in node.state(Workers).views.values():
-        if view.owned and any(is_unwatched(owner, one) for one in view.tasks):
-            node.emit(fx.ListTasks(view.vm.name))
-
-
-def is_unwatched(owner: Owner, task_id: str) -> bool:
-    """Tell whether no call tells the end of a task: detached, lost, or taken over."""
-    return task_id in owner.unwatched or task_id not in owner.by_task
-
-
-@on(events.TasksListed)
-def on_tasks_listed(node: Node, event: events.TasksListed, now_s: float) -> None:
-    """Free the tasks that ended unwatched, and learn from reported usage."""
-    view = node.state(Workers).views.get(event.worker)
-    if view is None or not view.owned or event.running is None:
-        return
-    owner = node.state(Owner)
-    alive = {task.task_id for task in event.running}
-    for task in event.running:
-        known = view.tasks.get(task.task_id)
-        if known is not None and task.used_memory_mb:
-            estimates.note_usage(
-                node,
-                task.service,
-                task.kind,
-                known.room,
-                task.used_cores,
-                task.used_memory_mb,
-            )
-    for task_id in list(view.tasks):
-        if may_arrive(view, task_id, event.asked_s):
-            continue
-        listed = event.asked_s >= owner.unwatched.get(task_id, 0.0)
-        if listed and task_id not in alive and is_unwatched(owner, task_id):
-            running = owner.running.get(owner.by_task.get(task_id, ""))
-            free_task(node, view, task_id, now_s)
-            if running is not None:
-                end_running(node, running)
-    dispatch(node, now_s)
-
-
-_YIELDED: t.Final = Refusal(
-    ErrorKind.WORKER_REFUSED, "It was checkpointed to make room.", Ran.YES, 1.0
-)
-_FAILURES: t.Final = {
-    "not_started": Refusal(
-        ErrorKind.WORKER_REFUSED, "The worker did not take the task.", Ran.NO, 1.0
-    ),
-    "lost": Refusal(
-        ErrorKind.WORKER_LOST, "The worker was lost before its answer.", Ran.MAYBE
-    ),
-    "failed": Refusal(ErrorKind.WORKER_FAILED, "The task failed.", Ran.YES),
-}
