Name the states of requests, outcomes of tasks and actions by enums

Cause: the same strings stood in core, daemon and fuzz; the table from Ran to the last state of a request stood three times, its inverse twice. Change: kernel/states.py has TaskOutcome, TaskAction, RequestState, RequestAction and both tables. The values on the wire are the same. Decoding now refuses a state that is none; before, a home ignored it. The fake workers of the fuzz take the enums and check what they did.

--- a/fuzz/world.py
+++ b/fuzz/world.py
@@ -19,6 +19,7 @@
 from bulrushspur_core.owner import Owner
 from bulrushspur_kernel import messages as msg
 from bulrushspur_kernel.records import Record
+from bulrushspur_kernel.states import TaskAction, TaskOutcome
 from bulrushspur_kernel.work import Room, TaskInfo, Vm, Work
 from fuzz.log import FakeLog
 from fuzz.oracle import Oracle, Told
@@ -341,7 +342,10 @@
         if waiting is not None:
             slot, effect = waiting
             event = events.TaskEnded(
-                effect.worker, effect.task.task_id, effect.ticket, "not_started"
+                effect.worker,
+                effect.task.task_id,
+                effect.ticket,
+                TaskOutcome.NOT_STARTED,
             )
             self.handle(slot, event)
 
@@ -354,7 +358,7 @@
 
     def _check_and_start(self, slot: Slot, effect: fx.StartTask) -> None:
         ended = events.TaskEnded(
-            effect.worker, effect.task.task_id, effect.ticket, "not_started"
+            effect.worker, effect.task.task_id, effect.ticket, TaskOutcome.NOT_STARTED
         )
         worker = self._worker(slot, effect.worker)
         allowed = authority.may_start(
@@ -385,16 +389,16 @@
                   f"{effect.ticket}")  # fmt: skip
         self._check_start(worker, task)
         self._watch_lease(worker, task)
-        outcome = "done"
+        outcome = TaskOutcome.DONE
         if worker.fails_all:
-            outcome, run_time_s = "failed", 0.01
+            outcome, run_time_s = TaskOutcome.FAILED, 0.01
         if not work.detached and self.rng.random() < 0.02:
             self._lose_call(slot, worker, task, run_time_s)
             return
         self.later(run_time_s, lambda: self._end_task(slot, worker, task, outcome))
         if work.detached:
             event = events.TaskEnded(
-                worker.vm.name, info.task_id, task.ticket, "detached", 202
+                worker.vm.name, info.task_id, task.ticket, TaskOutcome.DETACHED, 202
             )
             self.later(self._delay_s(), lambda: self.handle(slot, event))
 
@@ -404,10 +408,14 @@
         """Break the connection of a start; the task runs on at the worker."""
         self.faults["call to a worker lost"] += 1
         task.detached = True
-        event = events.TaskEnded(worker.vm.name, task.info.task_id, task.ticket, "lost")
+        event = events.TaskEnded(
+            worker.vm.name, task.info.task_id, task.ticket, TaskOutcome.LOST
+        )
         lost_after_s = self.rng.uniform(0.0, run_time_s)
         self.later(lost_after_s, lambda: self.handle(slot, event))
-        self.later(run_time_s, lambda: self._end_task(slot, worker, task, "done"))
+        self.later(
+            run_time_s, lambda: self._end_task(slot, worker, task, TaskOutcome.DONE)
+        )
 
     def _check_start(self, worker: FakeWorker, task: FakeTask) -> None:
         everywhere: collections.Counter[str] = collections.Counter()
@@ -447,16 +455,20 @@
             worker.ended[task.info.task_id] = outcome
         if task.detached:
             return
-        told = {"done": "done", "failed": "failed", "stopped": "failed"}
+        told = {
+            "done": TaskOutcome.DONE,
+            "failed": TaskOutcome.FAILED,
+            "stopped": TaskOutcome.FAILED,
+        }
         event = events.TaskEnded(
             worker.vm.name,
             task.info.task_id,
             task.ticket,
-            told.get(outcome, "lost"),
+            told.get(outcome, TaskOutcome.LOST),
             200,
         )
         self.later(self._delay_s(), lambda: self.handle(slot, event))
-        if event.outcome == "done":
+        if event.outcome == TaskOutcome.DONE:
             self.later(self._delay_s(), lambda: self._deliver_answer(slot, task))
 
     def _deliver_answer(self, slot: Slot, task: FakeTask) -> None:
@@ -478,9 +490,12 @@
 
         def act() -> None:
             task = worker.running.get(effect.task_id)
-            if task is not None and effect.action in ("stop", "checkpoint"):
+            if task is not None:
                 worker.running.pop(effect.task_id)
-                names = {"stop": "stopped", "checkpoint": "checkpointed"}
+                names = {
+                    TaskAction.STOP: "stopped",
+                    TaskAction.CHECKPOINT: "checkpointed",
+                }
                 worker.ended[effect.task_id] = names[effect.action]
 
         self.later(self._delay_s(), act)
--- a/packages/core/bulrushspur_core/batch.py
+++ b/packages/core/bulrushspur_core/batch.py
@@ -13,6 +13,7 @@
 from bulrushspur_core.owner import Owner, RunningOffer, team_key
 from bulrushspur_core.queues import Lane, QueuedOffer, Queues
 from bulrushspur_core.workers import Workers, WorkerView
+from bulrushspur_kernel.states import TaskAction
 from bulrushspur_kernel.work import Policy, Room
 
 YIELD_CHECK_S: t.Final = 0.25
@@ -36,7 +37,9 @@
             continue
         for victim in choose_victims(node, offer.room, now_s):
             victim.yielding = True
-            node.emit(fx.ActOnTask(victim.worker, victim.task_id, "checkpoint"))
+            node.emit(
+                fx.ActOnTask(victim.worker, victim.task_id, TaskAction.CHECKPOINT)
+            )
             node.metrics.count("batch.checkpointed")
 
 
--- a/packages/core/bulrushspur_core/door.py
+++ b/packages/core/bulrushspur_core/door.py
@@ -21,6 +21,7 @@
 from bulrushspur_core.routing import choose_owner
 from bulrushspur_kernel import messages as msg
 from bulrushspur_kernel.errors import ErrorKind, Ran, Refusal
+from bulrushspur_kernel.states import RequestState, state_of
 from bulrushspur_kernel.work import Work
 
 
@@ -116,7 +117,7 @@
     if request is None:
         request_id = door.claims_left.pop(event.ticket, None)
         if request_id is not None and event.fresh:
-            ids.set_state(node, request_id, "not_run", now_s)
+            ids.set_state(node, request_id, RequestState.NOT_RUN, now_s)
         return
     if request.settled:
         return
@@ -169,7 +170,7 @@
     node.metrics.count(f"refused.{refusal.kind.value}")
     refusal = msgspec.structs.replace(refusal, ran=worse(refusal.ran, request.ran))
     if request.claimed and request.settled:
-        state = _STATES[refusal.ran]
+        state = state_of(refusal.ran)
         ids.set_state(node, request.work.request_id, state, now_s)
     elif request.claimed:
         node.state(Door).claims_left[request.ticket] = request.work.request_id
@@ -183,9 +184,6 @@
     return door.open.pop(request.ticket, None) is not None
 
 
-_STATES: t.Final = {Ran.NO: "not_run", Ran.MAYBE: "lost", Ran.YES: "failed"}
-
-
 @on(msg.Queued)
 def on_queued(
     node: Node, sender: msg.Member, message: msg.Queued, now_s: float
@@ -213,7 +211,7 @@
         f"wait.{request.work.team}.{request.work.kind}", request.waited_s
     )
     if request.claimed:
-        ids.set_state(node, request.work.request_id, "started", now_s)
+        ids.set_state(node, request.work.request_id, RequestState.STARTED, now_s)
     node.emit(fx.SendBody(request.ticket, sender.name, request.offer))
 
 
@@ -291,7 +289,7 @@
         now_s - request.submitted_s,
     )
     if request.claimed:
-        ids.set_state(node, request.work.request_id, "done", now_s)
+        ids.set_state(node, request.work.request_id, RequestState.DONE, now_s)
 
 
 @on(events.CancelAsked)
--- a/packages/core/bulrushspur_core/effects.py
+++ b/packages/core/bulrushspur_core/effects.py
@@ -5,6 +5,7 @@
 from bulrushspur_kernel.errors import Refusal
 from bulrushspur_kernel.messages import IdRecord, Message
 from bulrushspur_kernel.records import Record
+from bulrushspur_kernel.states import TaskAction
 from bulrushspur_kernel.work import TaskInfo, Work
 
 
@@ -41,11 +42,11 @@
 
 @dataclasses.dataclass(slots=True)
 class ActOnTask:
-    """Stop, checkpoint, throttle or resume a task."""
+    """Ask something of a task that runs."""
 
     worker: str
     task_id: str
-    action: str
+    action: TaskAction
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/bulrushspur_core/endings.py
+++ b/packages/core/bulrushspur_core/endings.py
@@ -18,6 +18,7 @@
 from bulrushspur_core.workers import Workers, WorkerView
 from bulrushspur_kernel import messages as msg
 from bulrushspur_kernel.errors import ErrorKind, Ran, Refusal
+from bulrushspur_kernel.states import TaskOutcome
 from bulrushspur_kernel.work import Work
 
 START_LIVES_S: t.Final = 0.5
@@ -31,11 +32,11 @@
     running = owner.running.get(event.ticket)
     if view is not None and running is not None and not running.detached:
         view.calls = max(view.calls - 1, 0)
-    if event.outcome == "detached" and running is not None:
+    if event.outcome == TaskOutcome.DETACHED and running is not None:
         running.detached = True
         owner.unwatched[event.task_id] = now_s
         return
-    if event.outcome == "lost":
+    if event.outcome == TaskOutcome.LOST:
         # It may run on, or its start may still be on the way: it keeps its room.
         owner.unwatched[event.task_id] = now_s + START_LIVES_S
     elif view is not None:
@@ -81,12 +82,12 @@
     node: Node, view: WorkerView, work: Work, event: events.TaskEnded, now_s: float
 ) -> None:
     """Learn from an outcome about the kind of work and about the worker."""
-    if event.outcome == "done":
+    if event.outcome == TaskOutcome.DONE:
         estimates.note_run_time(node, work, event.run_time_s)
         health.note_success(node, view.vm.name, work)
-    elif event.outcome == "failed" and 400 <= event.status < 500:
+    elif event.outcome == TaskOutcome.FAILED and 400 <= event.status < 500:
         return
-    elif event.outcome == "failed":
+    elif event.outcome == TaskOutcome.FAILED:
         health.note_failure(node, view, work, now_s)
     else:
         health.note_failure(node, view, None, now_s)
@@ -97,11 +98,11 @@
     ErrorKind.WORKER_REFUSED, "It was checkpointed to make room.", Ran.YES, 1.0
 )
 _FAILURES: t.Final = {
-    "not_started": Refusal(
+    TaskOutcome.NOT_STARTED: Refusal(
         ErrorKind.WORKER_REFUSED, "The worker did not take the task.", Ran.NO, 1.0
     ),
-    "lost": Refusal(
+    TaskOutcome.LOST: Refusal(
         ErrorKind.WORKER_LOST, "The worker was lost before its answer.", Ran.MAYBE
     ),
-    "failed": Refusal(ErrorKind.WORKER_FAILED, "The task failed.", Ran.YES),
+    TaskOutcome.FAILED: Refusal(ErrorKind.WORKER_FAILED, "The task failed.", Ran.YES),
 }
--- a/packages/core/bulrushspur_core/events.py
+++ b/packages/core/bulrushspur_core/events.py
@@ -8,6 +8,7 @@
 from bulrushspur_kernel.errors import Refusal
 from bulrushspur_kernel.messages import IdRecord
 from bulrushspur_kernel.records import Entry
+from bulrushspur_kernel.states import TaskOutcome
 from bulrushspur_kernel.work import TaskInfo, Vm, Work
 
 
@@ -102,16 +103,12 @@
 
 @dataclasses.dataclass(slots=True)
 class TaskEnded:
-    """A task that this process started has ended.
-
-    ``outcome`` is done, failed (the worker answered with a failure), not_started (it
-    certainly did not run), detached (it runs on by itself) or lost (it may have run).
-    """
+    """A task that this process started has ended."""
 
     worker: str
     task_id: str
     ticket: str
-    outcome: str
+    outcome: TaskOutcome
     status: int = 0
     run_time_s: float = 0.0
 
--- a/packages/core/bulrushspur_core/id_homes.py
+++ b/packages/core/bulrushspur_core/id_homes.py
@@ -20,11 +20,18 @@
 from bulrushspur_core.roles import holds_lease, own_roster
 from bulrushspur_kernel import messages as msg
 from bulrushspur_kernel.errors import ErrorKind, Ran, Refusal
+from bulrushspur_kernel.states import RequestState, ran_of
 
 FUTURE_S: t.Final = 300.0
 FULL_RETRY_S: t.Final = 30.0
 SWEEP_S: t.Final = 1.0
-_RANKS: t.Final = {"claimed": 0, "started": 1, "lost": 2, "failed": 3, "done": 3}
+_RANKS: t.Final = {
+    RequestState.CLAIMED: 0,
+    RequestState.STARTED: 1,
+    RequestState.LOST: 2,
+    RequestState.FAILED: 3,
+    RequestState.DONE: 3,
+}
 
 
 @on(msg.ClaimId)
@@ -40,12 +47,12 @@
         message.door,
         message.ticket,
     )
-    if mine and record is not None and record.state == "claimed":
+    if mine and record is not None and record.state == RequestState.CLAIMED:
         # A repeated claim: it is answered again, when the copy is confirmed again.
         _copy_then_answer(node, record, now_s)
     elif mine:
         node.metrics.count("ids.late_claims")
-    elif record is not None and record.state != "not_run":
+    elif record is not None and record.state != RequestState.NOT_RUN:
         _refuse(node, message, record, _used(record))
     else:
         _claim_first(node, message, record, now_s)
@@ -75,7 +82,7 @@
         message.request_id,
         message.digest,
         message.door,
-        "claimed",
+        RequestState.CLAIMED,
         ticket=message.ticket,
         epoch=cell_of(node).roster(node.me.domain).epoch,
         revision=old.revision + 1 if old is not None else 1,
@@ -130,7 +137,11 @@
     """Answer the claim that waited for its copy."""
     record = node.state(IdRecords).by_id.get(event.request_id)
     ticket = node.state(IdCopies).claims.pop(event.request_id, None)
-    if record is not None and record.ticket == ticket and record.state == "claimed":
+    if (
+        record is not None
+        and record.ticket == ticket
+        and record.state == RequestState.CLAIMED
+    ):
         answer_claim(node, record, now_s)
 
 
@@ -142,9 +153,8 @@
 
 
 def _used(record: msg.IdRecord) -> Refusal:
-    ran = Ran.YES if record.state in ("done", "failed") else Ran.MAYBE
     sentence = f"The request id was used before; that request is {record.state}."
-    return Refusal(ErrorKind.ID_USED, sentence, ran)
+    return Refusal(ErrorKind.ID_USED, sentence, ran_of(record.state))
 
 
 @on(msg.SetIdStates)
@@ -163,10 +173,10 @@
     record = node.state(IdRecords).by_id.get(new.request_id)
     if record is None or (record.door, record.ticket) != (sender, new.ticket):
         return
-    if record.state == "not_run":
+    if record.state == RequestState.NOT_RUN:
         return
     forward = _RANKS.get(new.state, -1) > _RANKS[record.state]
-    if new.state != "not_run" and not forward:
+    if new.state != RequestState.NOT_RUN and not forward:
         return
     changed = msg.IdRecord(
         record.request_id,
--- a/packages/core/bulrushspur_core/ids.py
+++ b/packages/core/bulrushspur_core/ids.py
@@ -14,6 +14,7 @@
 from bulrushspur_core.node import Node, every, on, register_state
 from bulrushspur_kernel import messages as msg
 from bulrushspur_kernel.errors import ErrorKind, Ran, Refusal
+from bulrushspur_kernel.states import RequestState
 
 ID_CHARACTERS: t.Final = 128
 RESEND_S: t.Final = 0.3
@@ -123,7 +124,7 @@
     _open(node, ticket, token, msg.QueryId(request_id, token), now_s)
 
 
-def set_state(node: Node, request_id: str, state: str, now_s: float) -> None:
+def set_state(node: Node, request_id: str, state: RequestState, now_s: float) -> None:
     """Tell the home that a request is started, done, failed, lost or not_run.
 
     ``not_run`` frees the id: it was certain that nothing ran, and nothing will under
@@ -136,12 +137,17 @@
     if state in _LAST_STATES:
         del ids.claimed[request_id]
     ids.changed[request_id] = msg.IdState(request_id, state, node.me.name, ticket)
-    if state == "not_run":
+    if state == RequestState.NOT_RUN:
         # The caller may ask again at once, through another door.
         _send_changed(node, now_s)
 
 
-_LAST_STATES: t.Final = ("done", "failed", "lost", "not_run")
+_LAST_STATES: t.Final = (
+    RequestState.DONE,
+    RequestState.FAILED,
+    RequestState.LOST,
+    RequestState.NOT_RUN,
+)
 
 
 def _open(
@@ -213,7 +219,7 @@
         node.signal(events.IdFound(one.ticket, None, refusal), now_s)
         return
     # Whatever the home wrote down: nothing will run under this claim.
-    state = msg.IdState(request_id, "not_run", node.me.name, token)
+    state = msg.IdState(request_id, RequestState.NOT_RUN, node.me.name, token)
     ids.changed.setdefault(request_id, state)
     node.signal(events.IdSettled(one.ticket, False, None, refusal), now_s)
 
--- a/packages/core/bulrushspur_core/owner.py
+++ b/packages/core/bulrushspur_core/owner.py
@@ -24,6 +24,7 @@
 from bulrushspur_core.workers import Workers, WorkerView
 from bulrushspur_kernel import messages as msg
 from bulrushspur_kernel.errors import ErrorKind, Ran, Refusal
+from bulrushspur_kernel.states import TaskAction
 from bulrushspur_kernel.work import Room, TaskInfo, Work
 
 TASK_LEASE_S: t.Final = 10.0
@@ -153,7 +154,7 @@
     running = node.state(Owner).running.get(message.ticket)
     if running is not None and not running.withdrawn:
         running.withdrawn = True
-        node.emit(fx.ActOnTask(running.worker, running.task_id, "stop"))
+        node.emit(fx.ActOnTask(running.worker, running.task_id, TaskAction.STOP))
 
 
 @on(events.PermitsArrived)
--- a/packages/daemon/bulrushspur_daemon/callers.py
+++ b/packages/daemon/bulrushspur_daemon/callers.py
@@ -12,6 +12,7 @@
 from bulrushspur_kernel.errors import ErrorKind, Refusal
 from bulrushspur_kernel.http_exchange import Exchange, HttpError, Request
 from bulrushspur_kernel.http_server import HttpServer, make_http_server
+from bulrushspur_kernel.states import RequestAction
 
 if t.TYPE_CHECKING:
     from bulrushspur_daemon.process import Process
@@ -56,11 +57,11 @@
             case "POST", ["v1", "ids"]:
                 await give_ids(request, exchange)
             case "GET", ["v1", "requests", request_id]:
-                await ask(request, exchange, request_id, "state")
+                await ask(request, exchange, request_id, RequestAction.STATE)
             case "GET", ["v1", "requests", request_id, "answer"]:
-                await ask(request, exchange, request_id, "answer")
+                await ask(request, exchange, request_id, RequestAction.ANSWER)
             case "POST", ["v1", "requests", request_id, "cancel"]:
-                await ask(request, exchange, request_id, "cancel")
+                await ask(request, exchange, request_id, RequestAction.CANCEL)
             case _:
                 sentence = f"There is no {request.method} {request.path[:200]}."
                 raise HttpError(Refusal(ErrorKind.UNKNOWN_PATH, sentence))
@@ -77,7 +78,7 @@
         await exchange.answer(200, msgspec.json.encode({"ids": made}))
 
     async def ask(
-        request: Request, exchange: Exchange, request_id: str, action: str
+        request: Request, exchange: Exchange, request_id: str, action: RequestAction
     ) -> None:
         team = find_team(process, request, open_kind=True)
         await inquiries.ask(exchange, request_id, team, action)
--- a/packages/daemon/bulrushspur_daemon/inquiries.py
+++ b/packages/daemon/bulrushspur_daemon/inquiries.py
@@ -20,6 +20,7 @@
 from bulrushspur_kernel import messages as msg
 from bulrushspur_kernel.errors import ErrorKind, Ran, Refusal
 from bulrushspur_kernel.http_exchange import CallerGoneError, Exchange, HttpError
+from bulrushspur_kernel.states import RequestAction, RequestState, ran_of, state_of
 
 if t.TYPE_CHECKING:
     from bulrushspur_daemon.process import Process
@@ -55,7 +56,7 @@
     )
 
     async def ask(
-        self, exchange: Exchange, request_id: str, team: str, action: str
+        self, exchange: Exchange, request_id: str, team: str, action: RequestAction
     ) -> None:
         """Answer a caller about a request that any door took; raises HttpError."""
         one = self.requests.by_id.get(request_id)
@@ -70,20 +71,20 @@
             await self._ask_elsewhere(exchange, request_id, team, action)
 
     async def _answer_pending(
-        self, exchange: Exchange, one: Pending, action: str
+        self, exchange: Exchange, one: Pending, action: RequestAction
     ) -> None:
-        if action == "cancel":
+        if action == RequestAction.CANCEL:
             self.requests.cancel(one)
             await send_told(exchange, tell_refused(one.work.request_id, one.refusal))
             return
         told = Told(one.work.request_id, one.state(), one.predicted_wait_s)
-        status = NOT_READY_STATUS if action == "answer" else ANSWER_STATUS
+        status = NOT_READY_STATUS if action == RequestAction.ANSWER else ANSWER_STATUS
         await send_told(exchange, told, status)
 
     async def _answer_kept(
-        self, exchange: Exchange, kept: KeptAnswer, action: str
+        self, exchange: Exchange, kept: KeptAnswer, action: RequestAction
     ) -> None:
-        if action != "answer":
+        if action != RequestAction.ANSWER:
             await send_told(exchange, tell_kept(kept))
         elif kept.refusal is not None:
             raise HttpError(kept.refusal)
@@ -92,7 +93,7 @@
             await exchange.answer_whole(kept.status, [kept.body], headers)
 
     async def _ask_elsewhere(
-        self, exchange: Exchange, request_id: str, team: str, action: str
+        self, exchange: Exchange, request_id: str, team: str, action: RequestAction
     ) -> None:
         record = await self._find_record(request_id, team)
         door = record.door
@@ -137,12 +138,12 @@
         return found.record
 
     async def _answer_record(
-        self, exchange: Exchange, record: msg.IdRecord, action: str
+        self, exchange: Exchange, record: msg.IdRecord, action: RequestAction
     ) -> None:
-        if action == "state":
+        if action == RequestAction.STATE:
             await send_told(exchange, Told(record.request_id, record.state))
             return
-        ran = _RAN.get(record.state, Ran.MAYBE)
+        ran = ran_of(record.state)
         sentence = f"Its state is {record.state}; its door no longer has it."
         raise HttpError(Refusal(ErrorKind.PEER_LOST, sentence, ran))
 
@@ -153,16 +154,18 @@
         told: msg.RequestTold,
         ticket: str,
         inflow: Inflow,
-        action: str,
+        action: RequestAction,
     ) -> None:
-        if told.refusal is not None and action != "state":
+        if told.refusal is not None and action != RequestAction.STATE:
             raise HttpError(told.refusal)
-        if action != "answer" or told.state != "done":
+        if action != RequestAction.ANSWER or told.state != RequestState.DONE:
             refused = told.refusal
             row = Told(request_id, told.state)
             if refused is not None:
                 row = tell_refused(request_id, refused)
-            status = NOT_READY_STATUS if action == "answer" else ANSWER_STATUS
+            status = (
+                NOT_READY_STATUS if action == RequestAction.ANSWER else ANSWER_STATUS
+            )
             await send_told(exchange, row, status)
             return
         await self._relay_kept(exchange, ticket, inflow)
@@ -204,7 +207,11 @@
         """Answer another door about a request that this one took."""
         told, kept = self._find_here(message)
         self.process.send(sender, told)
-        if kept is not None and message.action == "answer" and kept.refusal is None:
+        if (
+            kept is not None
+            and message.action == RequestAction.ANSWER
+            and kept.refusal is None
+        ):
             self.requests.spawn(self._send_kept(sender, message.ticket, kept))
 
     def _find_here(
@@ -219,7 +226,7 @@
         if owner != message.team:
             return msg.RequestTold(ticket, refusal=_wrong_team()), None
         if one is not None:
-            if message.action == "cancel":
+            if message.action == RequestAction.CANCEL:
                 self.requests.cancel(one)
                 told = tell_refused(request_id, one.refusal)
                 return msg.RequestTold(ticket, told.state), None
@@ -246,9 +253,6 @@
             flows.pop(ticket, None)
 
 
-_RAN: t.Final = {"done": Ran.YES, "failed": Ran.YES, "not_run": Ran.NO}
-
-
 def check_owner(owner: str, team: str) -> None:
     """Refuse a team that asks for the request of another; raises HttpError."""
     if owner != team:
@@ -277,11 +281,10 @@
 def tell_refused(request_id: str, refusal: Refusal | None) -> Told:
     """Tell why a request has no answer."""
     if refusal is None:
-        return Told(request_id, "done")
-    state = {"no": "not_run", "maybe": "lost", "yes": "failed"}[refusal.ran.value]
+        return Told(request_id, RequestState.DONE)
     return Told(
         request_id,
-        state,
+        state_of(refusal.ran),
         None,
         refusal.kind.value,
         refusal.sentence,
--- a/packages/daemon/bulrushspur_daemon/kept.py
+++ b/packages/daemon/bulrushspur_daemon/kept.py
@@ -5,6 +5,7 @@
 
 from bulrushspur_kernel.errors import Refusal
 from bulrushspur_kernel.settings import Bounds
+from bulrushspur_kernel.states import RequestState
 
 # All kept answers together may take this many times the largest one.
 TOTAL_ANSWERS: t.Final = 32
@@ -16,7 +17,7 @@
 
     request_id: str
     team: str
-    state: str
+    state: RequestState
     status: int = 0
     headers: list[tuple[str, str]] = dataclasses.field(default_factory=list)
     body: bytes = b""
--- a/packages/daemon/bulrushspur_daemon/requests.py
+++ b/packages/daemon/bulrushspur_daemon/requests.py
@@ -23,6 +23,7 @@
     HttpError,
     Request,
 )
+from bulrushspur_kernel.states import RequestState, state_of
 from bulrushspur_kernel.work import Work
 
 if t.TYPE_CHECKING:
@@ -31,8 +32,6 @@
 CHUNK_BYTES: t.Final = 65_536
 FULL_RETRY_S: t.Final = 1.0
 
-STATES: t.Final = {Ran.NO: "not_run", Ran.MAYBE: "lost", Ran.YES: "failed"}
-
 
 @dataclasses.dataclass
 class Body:
@@ -77,9 +76,9 @@
             self.answer.break_off()
         self.changed.set()
 
-    def state(self) -> str:
+    def state(self) -> RequestState:
         """Name the state for callers."""
-        return "running" if self.offer else "waiting"
+        return RequestState.RUNNING if self.offer else RequestState.WAITING
 
 
 @dataclasses.dataclass
@@ -253,12 +252,14 @@
         try:
             answer = await self._collect(one)
         except HttpError as exc:
-            state = STATES[exc.refusal.ran]
+            state = state_of(exc.refusal.ran)
             answer = KeptAnswer(work.request_id, work.team, state, refusal=exc.refusal)
         except CallerGoneError:
             sentence = "The answer was cut on its way here."
             refusal = Refusal(ErrorKind.WORKER_LOST, sentence, Ran.YES)
-            answer = KeptAnswer(work.request_id, work.team, "done", refusal=refusal)
+            answer = KeptAnswer(
+                work.request_id, work.team, RequestState.DONE, refusal=refusal
+            )
         self.kept.keep(answer)
         self.cancel(one)
         self.forget(one)
@@ -282,7 +283,12 @@
             raise HttpError(Refusal(ErrorKind.ANSWER_TOO_LARGE, sentence, Ran.YES))
         work = one.work
         return KeptAnswer(
-            work.request_id, work.team, "done", head.status, head.headers, bytes(body)
+            work.request_id,
+            work.team,
+            RequestState.DONE,
+            head.status,
+            head.headers,
+            bytes(body),
         )
 
     async def _answer_parts(
--- a/packages/daemon/bulrushspur_daemon/runner.py
+++ b/packages/daemon/bulrushspur_daemon/runner.py
@@ -22,6 +22,7 @@
 from bulrushspur_kernel.errors import ErrorKind, Ran, Refusal
 from bulrushspur_kernel.http_client import Call, LostError, NotSentError
 from bulrushspur_kernel.logs import make_logger
+from bulrushspur_kernel.states import TaskAction, TaskOutcome
 
 if t.TYPE_CHECKING:
     from bulrushspur_daemon.process import Process
@@ -61,7 +62,7 @@
         self.spawn(self._run(effect, inflow))
 
     def act_on_task(self, effect: fx.ActOnTask) -> None:
-        """Stop, checkpoint, throttle or resume a task."""
+        """Ask something of a task that runs."""
         self.spawn(self._act(effect))
 
     def renew_tasks(self, effect: fx.RenewTasks) -> None:
@@ -92,14 +93,14 @@
         flow = Outflow(self.process.streams.bounds.buffer_bytes, effect.door)
         self.starts += 1
         started_s = time.monotonic()
-        outcome, status = "lost", 0
+        outcome, status = TaskOutcome.LOST, 0
         try:
             outcome, status = await self._with_streams(effect, inflow, flow)
         except Exception as exc:
             log.exception(f"The start of {effect.task.task_id} failed: {exc!r}.")
         finally:
             self.starts -= 1
-        if outcome == "lost":
+        if outcome == TaskOutcome.LOST:
             self._tell_lost(effect)
             await self._wait_gone(effect)
         ended = events.TaskEnded(
@@ -114,7 +115,7 @@
 
     async def _with_streams(
         self, effect: fx.StartTask, inflow: Inflow | None, flow: Outflow
-    ) -> tuple[str, int]:
+    ) -> tuple[TaskOutcome, int]:
         streams = self.process.streams
         if effect.door:
             streams.answers_out[effect.ticket] = flow
@@ -141,7 +142,7 @@
         address, task_id = self.address(effect.worker), effect.task.task_id
         until_s = time.monotonic() + effect.lease_s + LAPSE_MARGIN_S
         while time.monotonic() < until_s:
-            await adapter.act(address, task_id, "stop")
+            await adapter.act(address, task_id, TaskAction.STOP)
             found = await adapter.list_tasks(address)
             if found is not None and all(one.task_id != task_id for one in found[0]):
                 return
@@ -149,31 +150,31 @@
 
     async def _start_and_relay(
         self, effect: fx.StartTask, inflow: Inflow | None, flow: Outflow
-    ) -> tuple[str, int]:
+    ) -> tuple[TaskOutcome, int]:
         address = self.address(effect.worker)
         try:
             # The door sends the body only while it still wants the answer.
             while inflow is not None and not inflow.begun():
                 if inflow.broken:
-                    return "not_started", 0
+                    return TaskOutcome.NOT_STARTED, 0
                 await inflow.wait(BODY_AWAITED_S)
             call = await self.pool.take(address)
         except (NotSentError, StreamBrokenError):
-            return "not_started", 0
+            return TaskOutcome.NOT_STARTED, 0
         # The check belongs to the epoch of the decision and stands right before the
         # send, so that a pause in between is as short as it can be.
         node = self.process.node
         now_s = time.monotonic()
         if not may_start(node, effect.worker, effect.epoch, now_s):
             self.pool.give_back(address, call)
-            return "not_started", 0
+            return TaskOutcome.NOT_STARTED, 0
         flow.on_break = lambda: self._abort_later(call)
         try:
             await self._send_start(call, address, effect, _whole_body(inflow), now_s)
             rv = await self._exchange(call, effect, inflow, flow)
         except (LostError, StreamBrokenError):
             self.pool.drop(address, call)
-            return "lost", 0
+            return TaskOutcome.LOST, 0
         except BaseException:
             self.pool.drop(address, call)
             raise
@@ -209,15 +210,16 @@
         effect: fx.StartTask,
         inflow: Inflow | None,
         flow: Outflow,
-    ) -> tuple[str, int]:
+    ) -> tuple[TaskOutcome, int]:
         if inflow is not None and not inflow.taken:
             await self._send_body(call, effect, inflow)
         status = await call.read_head()
         if status not in (adapter.ENDED_OK, adapter.STARTED_DETACHED):
             await call.read_all()
-            return "failed", status
+            return TaskOutcome.FAILED, status
         await self._relay_answer(call, effect, flow)
-        return "detached" if status == adapter.STARTED_DETACHED else "done", status
+        detached = status == adapter.STARTED_DETACHED
+        return TaskOutcome.DETACHED if detached else TaskOutcome.DONE, status
 
     def _abort_later(self, call: Call) -> None:
         # The task was told to stop; a worker that says nothing more is given up.
--- a/packages/daemon/bulrushspur_daemon/worker.py
+++ b/packages/daemon/bulrushspur_daemon/worker.py
@@ -18,6 +18,7 @@
     fetch,
     open_call,
 )
+from bulrushspur_kernel.states import TaskAction
 from bulrushspur_kernel.work import TaskInfo, Work
 
 CONNECT_S: t.Final = 1.0
@@ -154,8 +155,8 @@
     return rv.running, rv.ended
 
 
-async def act(address: str, task_id: str, action: str) -> bool:
-    """Stop, checkpoint, throttle or resume a task; tell whether the worker heard."""
+async def act(address: str, task_id: str, action: TaskAction) -> bool:
+    """Ask something of a task that runs; tell whether the worker heard."""
     return await _ask("POST", address, f"/tasks/{task_id}/{action}") is not None
 
 
--- a/packages/kernel/bulrushspur_kernel/messages.py
+++ b/packages/kernel/bulrushspur_kernel/messages.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from bulrushspur_kernel.errors import Refusal
+from bulrushspur_kernel.states import RequestAction, RequestState
 from bulrushspur_kernel.work import TaskInfo, Work
 
 PROTOCOL_VERSION: t.Final = 1
@@ -227,7 +228,7 @@
     request_id: str
     digest: str
     door: Member
-    state: str
+    state: RequestState
     age_s: float = 0.0
     owner: str = ""
     ticket: str = ""
@@ -272,7 +273,7 @@
     """A new state of a request id, as the door that claimed it tells it."""
 
     request_id: str
-    state: str
+    state: RequestState
     owner: str = ""
     ticket: str = ""
 
@@ -353,7 +354,7 @@
     ticket: str
     request_id: str
     team: str
-    action: str
+    action: RequestAction
 
 
 class RequestTold(_Message):
