Count a test with subtests as passed when it passes

Cause: the first subtest left its own outcome, so such a test was neither passed nor failed in the closing line (285 ran, 283 counted). Change: the last outcome of a test that has not failed counts. Result: tried on a scratch file: a failing subtest and a failing test fail, passing subtests count as one passed test.

--- a/tools/outcomes.py
+++ b/tools/outcomes.py
@@ -20,5 +20,6 @@
         surprise = event.outcome == "passed" and not event.expected
         if bad or surprise or event.outcome == "error":
             outcomes[name] = "failed"
-        else:
-            outcomes.setdefault(name, event.outcome)
+        elif outcomes.get(name) != "failed":
+            # A test with subtests passes after each of them has ended.
+            outcomes[name] = event.outcome
