--- a/tools/outcomes.py
+++ b/tools/outcomes.py
@@ -18,7 +18,8 @@
         name = event.test.id().split(" ")[0]
         bad = event.outcome in ("failed", "error") and not event.expected
         surprise = event.outcome == "passed" and not event.expected
-        if bad or surprise or event.outcome == "error":
+        part = event.outcome == "subtest" and event.exc_info is not None
+        if bad or surprise or part or event.outcome == "error":
             outcomes[name] = "failed"
         elif outcomes.get(name) != "failed":
             # A test with subtests passes after each of them has ended.
