--- a/packages/core/bulrushspur_core/limits.py
+++ b/packages/core/bulrushspur_core/limits.py
@@ -105,11 +105,6 @@
     return True
 
 
-def adopt(node: Node, team: str, count: int, now_s: float) -> None:
-    """Count tasks that run already, found on a worker of this process."""
-    node.state(Limits).recount = True
-
-
 def give_back(node: Node, team: str, count: int, now_s: float) -> None:
     """Give back the permits of tasks that have ended and left their worker's view."""
     limits = _synced(node)
