--- /dev/null
+++ b/packages/daemon/bulrushspur_daemon/__main__.py
@@ -0,0 +1,5 @@
+"""Run the process with ``python -m bulrushspur_daemon``."""
+
+from bulrushspur_daemon.main import main
+
+main()
--- /dev/null
+++ b/packages/daemon/bulrushspur_daemon/cell_log.py
@@ -0,0 +1,150 @@
+"""Follow who is in the cell and who leads it, in one topic of the store.
+
+A claim to lead is appended on condition that nothing came between; its offset is the
+number of the term, and fences all that was ordered under earlier ones.
+"""
+
+import asyncio
+import dataclasses
+import typing as t
+
+import msgspec
+
+from bulrushspur_daemon.clock import boot_s, steady_s
+from bulrushspur_kernel.logs import EventLog
+from bulrushspur_kernel.store import (
+    Store,
+    StoreConflictError,
+    StoredRecord,
+    StoreGapError,
+    StoreUnavailableError,
+)
+
+CELL_TOPIC: t.Final = "keyed.cell"
+LEADER_KEY: t.Final = "leader"
+NODE_PREFIX: t.Final = "node/"
+POLL_S: t.Final = 3.0
+RETRY_S: t.Final = 0.25
+CALL_S: t.Final = 0.6
+
+
+class NodeRecord(msgspec.Struct, array_like=True):
+    """An entry process: where its peers reach it, and its cores."""
+
+    name: str
+    domain: str
+    address: str
+    cores: float
+    boot: str
+
+
+class LeaderRecord(msgspec.Struct, array_like=True):
+    """A claim to lead; ``claim`` is unique."""
+
+    name: str
+    claim: str
+
+
+@dataclasses.dataclass
+class CellLog:
+    """What was read of the topic."""
+
+    store: Store
+    log: EventLog
+    nodes: dict[str, NodeRecord] = dataclasses.field(default_factory=dict)
+    leader: LeaderRecord | None = None
+    term: int = 0
+    term_seen_s: float = -1e9
+    next_offset: int | None = None
+    store_ok_s: float = -1e9
+    store_ok_boot_s: float = -1e9
+    lost: bool = False
+    on_change: t.Callable[[], None] = lambda: None
+    on_term: t.Callable[[], None] = lambda: None
+
+    async def run(self, me: NodeRecord) -> None:
+        """Register this process and follow the topic until cancelled."""
+        while True:
+            try:
+                await self._follow(me)
+            except StoreGapError:
+                self.next_offset = None
+            except StoreUnavailableError as exc:
+                if not self.lost:
+                    self.lost = True
+                    self.log.event("cell_log_lost", urgent=True, reason=str(exc))
+                await asyncio.sleep(RETRY_S)
+
+    async def _follow(self, me: NodeRecord) -> None:
+        if self.next_offset is None:
+            await self.load()
+        if self.nodes.get(me.name) != me:
+            await self.store.append(
+                CELL_TOPIC, [(NODE_PREFIX + me.name, msgspec.msgpack.encode(me))]
+            )
+        await self.read(POLL_S)
+        if self.lost:
+            self.lost = False
+            self.log.event("cell_log_regained", urgent=True)
+
+    async def load(self) -> None:
+        """Read the newest records."""
+        sent_s, sent_boot_s = steady_s(), boot_s()
+        newest, end = await self.store.newest(CELL_TOPIC, CALL_S)
+        self._note_ok(sent_s, sent_boot_s)
+        for row in sorted(newest.values(), key=lambda one: one.offset):
+            self._apply(row)
+        self.next_offset = max(self.next_offset or 0, end)
+
+    async def read(self, wait_s: float = 0.0) -> None:
+        """Read what came since; raises StoreUnavailableError or StoreGapError."""
+        sent_s, sent_boot_s = steady_s(), boot_s()
+        start = self.next_offset or 0
+        rows, end = await self.store.read(CELL_TOPIC, start, wait_s, CALL_S)
+        self._note_ok(sent_s, sent_boot_s)
+        for row in rows:
+            if row.offset >= (self.next_offset or 0):
+                self._apply(row)
+                self.next_offset = row.offset + 1
+        self.next_offset = max(self.next_offset or 0, end)
+
+    def _note_ok(self, sent_s: float, sent_boot_s: float) -> None:
+        self.store_ok_s = max(self.store_ok_s, sent_s)
+        self.store_ok_boot_s = max(self.store_ok_boot_s, sent_boot_s)
+
+    def _apply(self, row: StoredRecord) -> None:
+        try:
+            if row.key == LEADER_KEY and row.value:
+                self._apply_leader(row)
+            elif row.key.startswith(NODE_PREFIX) and row.value:
+                node = msgspec.msgpack.decode(row.value, type=NodeRecord)
+                self.nodes[node.name] = node
+                self.on_change()
+        except msgspec.DecodeError as exc:
+            self.log.event("cell_record_unreadable", key=row.key, reason=str(exc))
+
+    def _apply_leader(self, row: StoredRecord) -> None:
+        if row.offset + 1 <= self.term:
+            return
+        self.leader = msgspec.msgpack.decode(row.value, type=LeaderRecord)
+        self.term = row.offset + 1
+        self.term_seen_s = steady_s()
+        self.log.event(
+            "leader_claim", urgent=True, leader=self.leader.name, term=self.term
+        )
+        self.on_term()
+
+    async def claim(self, name: str, claim: str) -> None:
+        """Claim to lead; what came of it is read from the topic."""
+        assert self.next_offset is not None
+        record = msgspec.msgpack.encode(LeaderRecord(name, claim))
+        try:
+            await self.store.append(
+                CELL_TOPIC,
+                [(LEADER_KEY, record)],
+                at=self.next_offset,
+                timeout_s=CALL_S,
+            )
+        except StoreConflictError:
+            self.log.event("claim_conflict", at=self.next_offset)
+        await self.read()
--- /dev/null
+++ b/packages/daemon/bulrushspur_daemon/clock.py
@@ -0,0 +1,18 @@
+"""Clocks: steady time for durations, and one that also counts a suspended VM."""
+
+import time
+
+
+def steady_s() -> float:
+    """Return seconds that pass while the VM runs."""
+    return time.monotonic()
+
+
+def boot_s() -> float:
+    """Return seconds that also pass while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def unix_s() -> float:
+    """Return the time of day in Unix seconds; it may jump."""
+    return time.time()
--- /dev/null
+++ b/packages/daemon/bulrushspur_daemon/config_watch.py
@@ -0,0 +1,124 @@
+"""Follow the configuration in the store."""
+
+import asyncio
+import dataclasses
+import typing as t
+
+from bulrushspur_kernel.adapter import CallerInterface
+from bulrushspur_kernel.logs import EventLog
+from bulrushspur_kernel.store import (
+    Store,
+    StoredRecord,
+    StoreGapError,
+    StoreUnavailableError,
+)
+from bulrushspur_scheduler.config import CellConfig
+
+POLL_S: t.Final = 4.0
+RETRY_S: t.Final = 0.25
+
+
+@dataclasses.dataclass
+class ConfigWatch:
+    """The newest configuration that was read."""
+
+    store: Store
+    interface: CallerInterface
+    log: EventLog
+    records: dict[str, StoredRecord] = dataclasses.field(default_factory=dict)
+    current: CellConfig | None = None
+    next_offset: int | None = None
+    lost: bool = False
+    listeners: list[t.Callable[[CellConfig], None]] = dataclasses.field(
+        default_factory=list
+    )
+    refresh: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        while True:
+            try:
+                await self._step()
+                if self.lost:
+                    self.lost = False
+                    self.log.event("config_source_regained", urgent=True)
+            except StoreGapError:
+                self.next_offset = None
+            except StoreUnavailableError as exc:
+                if not self.lost:
+                    self.lost = True
+                    self.log.event("config_source_lost", urgent=True, reason=str(exc))
+                await asyncio.sleep(RETRY_S)
+
+    async def _step(self) -> None:
+        topic = self.interface.config_topic
+        if self.next_offset is None:
+            await self._load()
+            return
+        rows, self.next_offset = await self.store.read(topic, self.next_offset, POLL_S)
+        if self._note(rows):
+            self._fold()
+
+    async def _load(self) -> None:
+        newest, end = await self.store.newest(self.interface.config_topic)
+        changed = self._note(newest.values())
+        for key in [key for key in self.records if key not in newest]:
+            del self.records[key]
+            changed = True
+        if changed or self.current is None:
+            self._fold()
+        self.next_offset = max(self.next_offset or 0, end)
+
+    def _note(self, rows: t.Iterable[StoredRecord]) -> bool:
+        """Keep the newest record of each key; tell whether any has changed."""
+        changed = False
+        for row in rows:
+            known = self.records.get(row.key)
+            if known is not None and known.offset >= row.offset:
+                continue
+            changed = True
+            if row.value:
+                self.records[row.key] = row
+            else:
+                self.records.pop(row.key, None)
+        return changed
+
+    def expect(self, version: int) -> None:
+        """Read anew at once where another process knows a later version."""
+        if self.current is None or version > self.current.version:
+            self.refresh.set()
+
+    async def run_refresh(self) -> None:
+        """Read the newest version when one is expected; the poll may be silent."""
+        while True:
+            await self.refresh.wait()
+            self.refresh.clear()
+            try:
+                await self._load()
+            except StoreUnavailableError as exc:
+                self.log.event("config_refresh_failed", reason=str(exc))
+            await asyncio.sleep(RETRY_S)
+
+    def _fold(self) -> None:
+        """Take a configuration into use unless it is older than the present one."""
+        try:
+            config = self.interface.fold_config(self.records)
+        except ValueError as exc:
+            self.log.event("config_unreadable", urgent=True, reason=str(exc))
+            return
+        if config is None:
+            return
+        if self.current is not None and config.version <= self.current.version:
+            return
+        before = self.current.version if self.current is not None else None
+        self.current = config
+        self.log.event(
+            "config_in_force",
+            urgent=True,
+            version=config.version,
+            before=before,
+            queues=len(config.queues),
+            accounts=len(config.accounts),
+        )
+        for listener in self.listeners:
+            listener(config)
--- /dev/null
+++ b/packages/daemon/bulrushspur_daemon/explaining.py
@@ -0,0 +1,97 @@
+"""Tell the state of a process, and why a job waits."""
+
+import typing as t
+
+from bulrushspur_daemon.clock import steady_s
+from bulrushspur_scheduler.jobs import Job, StepRun
+from bulrushspur_scheduler.placement import needs_advice, room_of_account
+
+
+def dump_process(process: t.Any) -> dict[str, t.Any]:
+    """Dump what the process believes."""
+    link, watch = process.link, process.config_watch
+    rv = {
+        "name": process.settings.name,
+        "domain": process.settings.domain,
+        "ready": process.is_ready(),
+        "stopping": process.stopping,
+        "leads": process.term is not None,
+        "leader": link.leader,
+        "term": link.term,
+        "leader_age_s": round(link.age_s(), 3),
+        "store_age_s": round(steady_s() - process.cell_log.store_ok_s, 3),
+        "config_version": watch.current.version if watch.current else None,
+        "metrics": process.metrics.dump(),
+    }
+    if process.term is not None:
+        rv["cell"] = _dump_cell(process.term.cell)
+    return rv
+
+
+def _dump_cell(cell: t.Any) -> dict[str, t.Any]:
+    return {
+        "jobs": {one.id: one.state.value for one in cell.jobs.values()},
+        "finished": len(cell.finished),
+        "waiting_steps": len(cell.waiting_steps),
+        "settled": cell.settled,
+        "dark_workers": sorted(cell.dark),
+        "workers": {
+            one.id: {
+                "listed": one.listed,
+                "reached": one.reached,
+                "draining": one.draining,
+                "runs": len(one.runs),
+                "free_cpu_milli": one.free.cpu_milli,
+                "free_memory_mb": one.free.memory_mb,
+                "speed": round(one.speed, 2),
+            }
+            for one in cell.workers.values()
+        },
+    }
+
+
+def explain_job(process: t.Any, job_id: str) -> dict[str, t.Any]:
+    """Tell why a job waits; empty where this process does not know it."""
+    if process.term is None:
+        return {}
+    cell = process.term.cell
+    finished = cell.finished.get(job_id)
+    if finished is not None:
+        return {"job": job_id, "state": finished.state.value}
+    job = cell.jobs.get(job_id)
+    if job is None:
+        return {}
+    rows = [_explain_step(cell, step) for step in job.steps() if not step.done]
+    return {
+        "job": job_id,
+        "state": job.state.value,
+        "queue": job.queue,
+        "account": job.account,
+        "age_s": round(steady_s() - job.accepted_s, 3),
+        "objective_s": round(job.objective_s, 3),
+        "steps": rows,
+    }
+
+
+def _explain_step(cell: t.Any, step: StepRun) -> dict[str, t.Any]:
+    return {
+        "step": step.key.step,
+        "tasks": len(step.tasks),
+        "done": step.done_count,
+        "running": sum(bool(one.runs) for one in step.tasks),
+        "waits_for": _reason(cell, step.job, step),
+    }
+
+
+def _reason(cell: t.Any, job: Job, step: StepRun) -> str:
+    if not step.ready:
+        return "earlier steps"
+    if any(one.unaccounted for one in step.tasks):
+        return "workers that the last leader may have started it on"
+    if not step.waiting():
+        return "its tasks, which run"
+    if room_of_account(cell, job.account, step.spec.resources) < 1:
+        return "the cap of its client account"
+    if needs_advice(cell, step) and not step.judged:
+        return "advice on workers"
+    return "room on workers that may run it"
--- a/packages/daemon/bulrushspur_daemon/main.py
+++ b/packages/daemon/bulrushspur_daemon/main.py
@@ -1,33 +1,28 @@
-"""The command ``bulrushspurd SETTINGS``."""
-
-from bulrushspur_daemon import slim  # noqa: F401
-
-# isort: split
+"""The command ``bulrushspurd``."""
 
 import asyncio
+import gc
+import os
 import sys
 
 from bulrushspur_daemon.process import run_process
 from bulrushspur_kernel.errors import BulrushspurError
-from bulrushspur_kernel.logs import set_up_logs
 from bulrushspur_kernel.settings import load_settings
 
-USAGE = "Usage: bulrushspurd SETTINGS.json\nNext: see docs/SETTINGS.md for the file."
+SETTINGS_VARIABLE = "BULRUSHSPUR_SETTINGS"
 
 
 def main() -> None:
-    """Run an entry process until SIGTERM."""
-    if len(sys.argv) != 2 or sys.argv[1].startswith("-"):
-        sys.stderr.write(USAGE + "\n")
+    """Run an entry process from the settings file that is named, or in the variable."""
+    path = sys.argv[1] if len(sys.argv) > 1 else os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        sys.stderr.write("Usage: bulrushspurd SETTINGS.json\n")
         sys.exit(2)
     try:
-        settings = load_settings(sys.argv[1])
+        settings = load_settings(path)
     except BulrushspurError as exc:
         sys.stderr.write(exc.show() + "\n")
         sys.exit(exc.exit_code)
-    set_up_logs(settings.name, settings.log.level, settings.log.json)
-    asyncio.run(run_process(settings))
-
-
-if __name__ == "__main__":
-    main()
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 50)
+    asyncio.run(run_process(settings, path))
--- /dev/null
+++ b/packages/daemon/bulrushspur_daemon/native.py
@@ -0,0 +1,239 @@
+"""The product's own interface: the operators' text, and jobs under ``/v1``."""
+
+import math
+import typing as t
+
+import msgspec
+
+from bulrushspur_kernel.adapter import INTERFACE_POINT, CallerInterface
+from bulrushspur_kernel.errors import ErrorKind, Ran, Refusal
+from bulrushspur_kernel.http_exchange import Exchange, Request
+from bulrushspur_kernel.keys import hash_key
+from bulrushspur_kernel.plugins import register
+from bulrushspur_kernel.store import StoredRecord
+from bulrushspur_kernel.text import Kind, Text, convert_text
+from bulrushspur_kernel.text_records import (
+    KEY_PREFIX,
+    TEXT_KEY,
+    TEXT_TOPIC,
+    KeyRecord,
+    TextRecord,
+)
+from bulrushspur_kernel.work import Policy, Size
+from bulrushspur_scheduler.config import Account, CellConfig, Queue, make_config
+from bulrushspur_scheduler.jobs import JobSpec, StepSpec
+from bulrushspur_scheduler.resources import Resources
+
+ROOT: t.Final = "/v1/jobs/"
+KEY_HEADER: t.Final = "authorization"
+DEADLINE_HEADER: t.Final = "x-deadline-s"
+DEFAULT_DEADLINE_S: t.Final = 5.0
+PAYLOAD_BYTES: t.Final = 4000
+NAME_MOST: t.Final = 64
+
+_PRIORITIES: t.Final = {Size.SMALL: 1, Size.MIDDLING: 3, Size.HEAVY: 2}
+
+
+class _Step(msgspec.Struct, forbid_unknown_fields=True):
+    tasks: int = 1
+    cores: float | None = None
+    memory_mb: int | None = None
+    accelerators: int | None = None
+    run_time_s: float | None = None
+    after: list[int] = []
+    gang: bool = False
+    tasks_a_worker: int = 0
+    label: str = ""
+    rack: str = ""
+    checkpoints: bool = False
+    copies: bool = False
+
+
+class _Job(msgspec.Struct, forbid_unknown_fields=True):
+    payload: str = ""
+    steps: list[_Step] = []
+
+
+def fold_text(records: t.Mapping[str, StoredRecord]) -> CellConfig | None:
+    """Make a configuration of the text and the keys in force; raises ValueError."""
+    found = records.get(TEXT_KEY)
+    if found is None:
+        return None
+    raw = msgspec.json.decode(found.value, type=TextRecord)
+    parsed = convert_text(raw.text)
+    if parsed.is_err():
+        raise ValueError("; ".join(map(str, parsed.unwrap_err())))
+    text = parsed.unwrap()
+    keys: dict[str, list[str]] = {}
+    version = found.offset + 1
+    for name, row in records.items():
+        # Each change of a key is a new version of the whole.
+        version = max(version, row.offset + 1)
+        if name.startswith(KEY_PREFIX):
+            key = msgspec.json.decode(row.value, type=KeyRecord)
+            keys.setdefault(key.team, []).append(key.hash)
+    return make_config(version, _queues(text), accounts=tuple(_accounts(text, keys)))
+
+
+def _queues(text: Text) -> tuple[Queue, ...]:
+    return tuple(
+        _queue(service.name, kind)
+        for service in text.services
+        for kind in service.kinds
+    )
+
+
+def _queue(service: str, kind: Kind) -> Queue:
+    priority = 0 if kind.policy is Policy.URGENT else _PRIORITIES[kind.size]
+    if kind.policy is Policy.BATCH:
+        priority = 4
+    return Queue(
+        f"{service}/{kind.name}",
+        "",
+        f"{ROOT}{service}/{kind.name}/",
+        service,
+        priority,
+        stretch=1.0,
+        target_latency_s=kind.deadline_s,
+        public=kind.open,
+    )
+
+
+def _accounts(text: Text, keys: dict[str, list[str]]) -> t.Iterator[Account]:
+    for team in text.teams:
+        hashes = tuple(keys.get(team.name, ()))
+        yield Account(team.name, hashes, team.share, max_tasks=team.limit_tasks)
+
+
+def parse_job(job_id: str, body: bytes) -> JobSpec:
+    """Parse a job; raises ValueError with what is wrong."""
+    raw = msgspec.json.decode(body or b"{}", type=_Job)
+    if len(raw.payload.encode()) > PAYLOAD_BYTES:
+        raise ValueError(f"payload is longer than {PAYLOAD_BYTES} bytes")
+    steps = raw.steps or [_Step()]
+    for index, step in enumerate(steps):
+        if step.tasks < 1:
+            raise ValueError(f"steps[{index}].tasks is below 1")
+        if any(not 0 <= one < index for one in step.after):
+            raise ValueError(f"steps[{index}].after names no earlier step")
+    return JobSpec(job_id, raw.payload, tuple(map(_step, steps)))
+
+
+def _step(raw: _Step) -> StepSpec:
+    return StepSpec(
+        raw.tasks,
+        Resources(
+            round((1.0 if raw.cores is None else raw.cores) * 1000),
+            256 if raw.memory_mb is None else raw.memory_mb,
+            raw.accelerators or 0,
+        ),
+        1.0 if raw.run_time_s is None else raw.run_time_s,
+        tuple(raw.after),
+        gang=raw.gang,
+        required_label=raw.label,
+        preferred_rack=raw.rack,
+        max_per_worker=raw.tasks_a_worker,
+        checkpointing=raw.checkpoints,
+        speculative=raw.copies,
+    )
+
+
+async def _refuse(
+    exchange: Exchange,
+    kind: ErrorKind,
+    sentence: str,
+    ran: Ran = Ran.NO,
+    retry_after_s: float = 0.0,
+) -> None:
+    refusal = Refusal(kind, sentence, ran, retry_after_s or None)
+    body = {
+        "error": kind.value,
+        "sentence": sentence,
+        "ran": ran.value,
+        "advice": refusal.row.advice,
+    }
+    headers = []
+    if retry_after_s:
+        headers.append((b"retry-after", str(math.ceil(retry_after_s)).encode()))
+    await exchange.answer(refusal.row.status, msgspec.json.encode(body), headers)
+
+
+async def handle_native(gateway: t.Any, request: Request, exchange: Exchange) -> None:
+    """Answer one request of a caller."""
+    body = await request.read_all(gateway.max_body_bytes)
+    if not gateway.has_config:
+        await _refuse(exchange, ErrorKind.NO_TEXT, "No text is in force.")
+        return
+    queue = gateway.find_queue("", request.path)
+    if queue is None:
+        sentence = "There is no such path or queue; see docs/CALLERS.md."
+        await _refuse(exchange, ErrorKind.UNKNOWN_PATH, sentence)
+        return
+    key = request.headers.get(KEY_HEADER, "").removeprefix("Bearer ").strip()
+    account = gateway.authenticate(queue, hash_key(key) if key else "")
+    if account is None:
+        await _refuse(exchange, ErrorKind.UNKNOWN_KEY, "The key is not in force.")
+        return
+    job_id = request.path[len(queue.path_prefix) :]
+    if not job_id and request.method == "GET":
+        row = {"waiting": gateway.waiting(queue)}
+        await exchange.answer(200, msgspec.json.encode(row))
+        return
+    if not job_id.isalnum() or len(job_id) > NAME_MOST:
+        sentence = f"A job id is 1 to {NAME_MOST} letters and digits of your choice."
+        await _refuse(exchange, ErrorKind.BAD_REQUEST, sentence)
+        return
+    await _handle_job(gateway, request, exchange, queue, account, job_id, body)
+
+
+async def _handle_job(
+    gateway: t.Any,
+    request: Request,
+    exchange: Exchange,
+    queue: Queue,
+    account: Account,
+    job_id: str,
+    body: bytes,
+) -> None:
+    deadline_s = _deadline_s(request)
+    if request.method in ("POST", "PUT"):
+        try:
+            spec = parse_job(job_id, body)
+        except ValueError as exc:
+            await _refuse(exchange, ErrorKind.BAD_REQUEST, f"{exc}.")
+            return
+        result = await gateway.submit(queue, account, spec, deadline_s)
+    elif request.method == "GET":
+        result = await gateway.query(job_id, deadline_s)
+    elif request.method == "DELETE":
+        result = await gateway.cancel(job_id, deadline_s)
+    else:
+        await _refuse(exchange, ErrorKind.BAD_REQUEST, "Use POST, GET or DELETE.")
+        return
+    if result.kind == "ok":
+        row = {"id": job_id, "state": result.state or "queued"}
+        await exchange.answer(200, msgspec.json.encode(row))
+        return
+    kind, ran = _REFUSALS[result.kind]
+    sentence = result.reason or kind.value
+    await _refuse(exchange, kind, f"{sentence}.", ran, result.retry_after_s)
+
+
+_REFUSALS: t.Final = {
+    "rejected": (ErrorKind.QUEUE_FULL, Ran.NO),
+    "unavailable": (ErrorKind.NO_OWNER, Ran.NO),
+    "unknown_job": (ErrorKind.UNKNOWN_REQUEST, Ran.NO),
+    "in_doubt": (ErrorKind.PEER_LOST, Ran.MAYBE),
+}
+
+
+def _deadline_s(request: Request) -> float:
+    try:
+        return max(float(request.headers[DEADLINE_HEADER]), 0.0)
+    except (KeyError, ValueError):
+        return DEFAULT_DEADLINE_S
+
+
+register(INTERFACE_POINT, "native")(
+    CallerInterface(TEXT_TOPIC, fold_text, handle_native)
+)
--- a/packages/daemon/bulrushspur_daemon/operators.py
+++ b/packages/daemon/bulrushspur_daemon/operators.py
@@ -1,115 +1,47 @@
-"""The operators' interface of a process: its status, its state, and explanations."""
+"""Answer operators: metrics as text, and the state of the process."""
 
-import asyncio
-import time
 import typing as t
 
 import msgspec
 
-from bulrushspur_core.door import Door
-from bulrushspur_core.explaining import explain
-from bulrushspur_core.log_reader import cell_of, fresh_age_s
-from bulrushspur_core.membership import Members
-from bulrushspur_core.queues import Queues
-from bulrushspur_core.workers import Workers
-from bulrushspur_daemon.callers import send_refusal
-from bulrushspur_daemon.plain import make_plain
-from bulrushspur_kernel.errors import ErrorKind, Refusal
-from bulrushspur_kernel.http_exchange import Exchange, HttpError, Request
-from bulrushspur_kernel.http_server import HttpServer, make_http_server
-
-if t.TYPE_CHECKING:
-    from bulrushspur_daemon.process import Process
-
-FRESH_AT_MOST_S: t.Final = 1e9
-
-
-def make_operators(process: "Process") -> HttpServer:
-    """Make the server for operators."""
-
-    async def handle(request: Request, exchange: Exchange) -> None:
-        if request.path == "/dump":
-            await send_dump(process, request.query.get("part", ""), exchange)
-        elif request.path == "/status":
-            await exchange.answer(200, msgspec.json.encode(make_status(process)))
-        elif request.path == "/explain":
-            name = request.query.get("id", "")
-            reasons = explain(process.node, name, time.monotonic())
-            await exchange.answer(200, msgspec.json.encode(reasons))
-        else:
-            sentence = f"There is no {request.path}."
-            raise HttpError(Refusal(ErrorKind.UNKNOWN_PATH, sentence))
-
-    return make_http_server(handle, send_refusal, process.settings.bounds)
-
-
-def make_status(process: "Process") -> dict[str, t.Any]:
-    """Summarise this process and what it knows of the cell."""
-    node = process.node
-    now_s = time.monotonic()
-    cell = cell_of(node)
-    members = node.state(Members)
-    return {
-        "name": node.me.name,
-        "boot": node.me.boot,
-        "domain": node.me.domain,
-        "uptime_s": now_s - process.started_s,
-        "stopping": process.stopping.is_set(),
-        "version": cell.version,
-        "next_offset": cell.next_offset,
-        "fresh_age_s": min(fresh_age_s(node, now_s), FRESH_AT_MOST_S),
-        "roster_epoch": cell.roster(node.me.domain).epoch,
-        "open_requests": len(node.state(Door).open),
-        "queued": len(node.state(Queues).offers),
-        "load": {
-            one: getattr(members.load, one) for one in members.load.__struct_fields__
-        },
-        "peers": {
-            name: {
-                "domain": peer.info.domain,
-                "lost": peer.lost,
-                "seen_s_ago": now_s - peer.seen_s,
-                "operators_address": peer.info.operators_address,
-            }
-            for name, peer in sorted(members.peers.items())
-        },
-        "workers": {
-            name: {
-                "owned": view.owned,
-                "leaving": view.vm.leaving,
-                "tasks": len(view.tasks),
-                "free": make_plain(view.free),
-            }
-            for name, view in sorted(node.state(Workers).views.items())
-        },
-        "metrics": node.metrics.dump(),
-    }
-
-
-async def send_dump(process: "Process", part: str, exchange: Exchange) -> None:
-    """Send the whole state of this process, or of one part, as JSON.
-
-    Each part is told as it stands at one moment; other work goes on between parts.
-    """
-    states = {cls.__name__: state for cls, state in process.node.states.items()}
-    if part and part not in states:
-        sentence = f"There is no part {part}; there are {', '.join(sorted(states))}."
-        raise HttpError(Refusal(ErrorKind.UNKNOWN_PATH, sentence))
-    head = {
-        "status": make_status(process),
-        "settings": make_plain(process.settings),
-        "streams": process.streams.counts(),
-    }
-    headers = [
-        (b"content-type", b"application/json"),
-        (b"transfer-encoding", b"chunked"),
-    ]
-    await exchange.start(200, headers)
-    await exchange.send_data(msgspec.json.encode(head)[:-1] + b',"state":{')
-    for i, name in enumerate([part] if part else sorted(states)):
-        comma = b"," if i else b""
-        data = msgspec.json.encode(make_plain(states[name]))
-        await exchange.send_data(comma + msgspec.json.encode(name) + b":" + data)
-        await asyncio.sleep(0)
-    await exchange.send_data(b"}}")
-    await exchange.end()
+from bulrushspur_daemon.explaining import dump_process, explain_job
+from bulrushspur_kernel.http_exchange import Exchange, Request
+
+
+async def handle_operator(process: t.Any, request: Request, exchange: Exchange) -> None:
+    """Answer one request of an operator."""
+    if request.path == "/metrics":
+        rows = [(b"content-type", b"text/plain")]
+        text = metrics_text(process).encode()
+        await exchange.answer_whole(200, [text], rows)
+    elif request.path in ("/status", "/dump"):
+        await exchange.answer(200, msgspec.json.encode(dump_process(process)))
+    elif request.path == "/explain":
+        found = explain_job(process, request.query.get("id", ""))
+        status = 200 if found else 404
+        await exchange.answer(status, msgspec.json.encode(found))
+    else:
+        await exchange.answer(404, b'{"error":"see /metrics, /status, /explain?id="}')
+
+
+def metrics_text(process: t.Any) -> str:
+    """Format counters, gauges and histograms, one a line."""
+    rows = []
+    for name, value in sorted(process.metrics.counters.items()):
+        rows.append(f"bulrushspur_{name}_total {value}")
+    if process.term is not None:
+        cell = process.term.cell
+        for name, value in sorted(cell.counters.items()):
+            rows.append(f"bulrushspur_scheduler_{name}_total {value}")
+        rows.append(f"bulrushspur_jobs_active {len(cell.jobs)}")
+        rows.append(f"bulrushspur_steps_waiting {len(cell.waiting_steps)}")
+        rows.append(f"bulrushspur_workers {len(cell.workers)}")
+    rows.append(f"bulrushspur_leads {int(process.term is not None)}")
+    rows.append(f"bulrushspur_term {process.link.term}")
+    rows.append(f"bulrushspur_ready {int(process.is_ready())}")
+    rows.append(f"bulrushspur_log_lines_dropped {process.log.sink.dropped}")
+    for name, one in process.metrics.dump()["histograms_ms"].items():
+        for part, value in one.items():
+            unit = "" if part == "count" else "_ms"
+            rows.append(f"bulrushspur_{name}_{part}{unit} {value}")
+    return "\n".join(rows) + "\n"
--- a/packages/daemon/bulrushspur_daemon/process.py
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -1,242 +1,324 @@
-"""One entry process: the decision code, and the tasks that carry out its effects."""
+"""Put the parts of an entry process together, and run them until it is told to stop."""
 
 import asyncio
-import contextlib
 import dataclasses
-import gc
 import os
 import signal
-import time
 import typing as t
 
-from bulrushspur_core import Me, events, make_node
-from bulrushspur_core import effects as fx
-from bulrushspur_core.leaving import is_handed_over
-from bulrushspur_core.membership import Members
-from bulrushspur_core.node import Node
-from bulrushspur_core.owner import Owner
-from bulrushspur_core.queues import Queues
-from bulrushspur_daemon.callers import make_callers
-from bulrushspur_daemon.inquiries import make_inquiries
-from bulrushspur_daemon.operators import make_operators
-from bulrushspur_daemon.peers import Peers, make_peers
-from bulrushspur_daemon.platform import follow_log, follow_vms, make_appender
-from bulrushspur_daemon.requests import Requests, make_requests
-from bulrushspur_daemon.runner import Runner, make_runner
-from bulrushspur_daemon.streams import Streams, make_streams
-from bulrushspur_kernel import messages as msg
-from bulrushspur_kernel.http_client import traffic_bytes
-from bulrushspur_kernel.http_server import HttpServer
-from bulrushspur_kernel.logs import make_logger
-from bulrushspur_kernel.settings import Settings, split_address
-from bulrushspur_kernel.timers import Timers, make_timers, run_timers
-
-log = make_logger("process")
-
-TIMERS_S: t.Final = 0.05
-WIRE_S: t.Final = 1.0
-STOP_SPREAD_S: t.Final = 1.5
-STOP_STEP_S: t.Final = 0.05
-CLOSE_S: t.Final = 0.5
-
-EffectDoer = t.Callable[[t.Any], None]
-MessageTaker = t.Callable[[str, t.Any], None]
+import zmq.asyncio
+
+import bulrushspur_daemon.native  # noqa: F401 - registers itself
+from bulrushspur_daemon.advice_calls import AdviceCalls
+from bulrushspur_daemon.cell_log import CellLog, NodeRecord
+from bulrushspur_daemon.clock import steady_s
+from bulrushspur_daemon.config_watch import ConfigWatch
+from bulrushspur_daemon.election import Election
+from bulrushspur_daemon.gateway import Gateway
+from bulrushspur_daemon.leader_link import LeaderLink
+from bulrushspur_daemon.operators import handle_operator
+from bulrushspur_daemon.peer_sockets import PeerServer, make_peer_server
+from bulrushspur_daemon.term import Term, make_term
+from bulrushspur_daemon.term_peers import TermPeers
+from bulrushspur_kernel.adapter import (
+    INTERFACE_POINT,
+    Adapter,
+    CallerInterface,
+    find_adapter,
+)
+from bulrushspur_kernel.errors import Refusal
+from bulrushspur_kernel.http_exchange import Exchange, Request
+from bulrushspur_kernel.http_server import HttpServer, make_http_server
+from bulrushspur_kernel.logs import EventLog, set_up_logs
+from bulrushspur_kernel.messages import (
+    Advised,
+    AskAdvice,
+    Beat,
+    Message,
+    Reply,
+    Resign,
+)
+from bulrushspur_kernel.metrics import Metrics
+from bulrushspur_kernel.plugins import lookup
+from bulrushspur_kernel.settings import Settings, load_settings, split_address
+from bulrushspur_kernel.store import Store
+from bulrushspur_scheduler.cell import Bounds
+
+READY_AGE_S: t.Final = 2.5
+READY_AGE_NO_STORE_S: t.Final = 1.0
+STORE_FRESH_S: t.Final = 1.5
+DRAIN_LOOK_S: t.Final = 0.05
 
 
 @dataclasses.dataclass
 class Process:
-    """The parts of a running process."""
+    """The parts of an entry process."""
 
     settings: Settings
-    node: Node
-    timers: Timers
-    streams: Streams
-    peers: Peers | None = None
-    runner: Runner | None = None
-    requests: Requests | None = None
-    doers: dict[type, EffectDoer] = dataclasses.field(default_factory=dict)
-    takers: dict[type, MessageTaker] = dataclasses.field(default_factory=dict)
+    adapter: Adapter
+    interface: CallerInterface
+    store: Store
+    log: EventLog
+    metrics: Metrics
+    context: zmq.asyncio.Context
+    config_watch: ConfigWatch
+    cell_log: CellLog
+    link: LeaderLink
+    gateway: Gateway
+    election: Election
+    advice: AdviceCalls
+    peer_server: PeerServer
+    term: Term | None = None
+    stopping: bool = False
     servers: list[HttpServer] = dataclasses.field(default_factory=list)
-    started_s: float = dataclasses.field(default_factory=time.monotonic)
-    stopping: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
-
-    def handle(self, event: t.Any) -> None:
-        """Give an event to the decision code and carry out the effects."""
-        try:
-            effects = self.node.handle(event, time.monotonic())
-        except Exception as exc:
-            self.note_fault(event, exc)
-            return
-        self.carry_out(effects)
 
-    def receive(self, sender: msg.Member, message: msg.Message) -> None:
-        """Give a message of a peer to its stream or to the decision code."""
-        if self.streams.take(sender.name, message):
-            return
-        try:
-            taker = self.takers.get(type(message))
-            if taker is not None:
-                taker(sender.name, message)
+    def begin_term(self) -> None:
+        """Lead if the newest claim is ours; end a term that it supersedes."""
+        if self.term is not None:
+            if self.cell_log.term > self.term.number:
+                self.term.stop("a later claim was read")
+            else:
                 return
-            if isinstance(message, msg.Withdraw):
-                self.streams.withdraw(sender.name, message.ticket)
-            effects = self.node.receive(sender, message, time.monotonic())
-        except Exception as exc:
-            self.note_fault(message, exc)
+        if not self.election.is_mine() or self.stopping:
             return
-        self.carry_out(effects)
-
-    def note_fault(self, what: t.Any, exc: Exception) -> None:
-        """Log a fault inside; the process goes on."""
-        self.node.metrics.count("faults")
-        log.exception(f"{type(what).__name__} failed: {exc!r}.")
-
-    def send(self, to: str, message: msg.Message) -> None:
-        """Send a message to a process, which may be this one."""
-        if to == self.settings.name:
-            self.receive(self.node.me.member, message)
-        elif self.peers is not None:
-            self.peers.send(to, message)
-
-    def address_of(self, name: str) -> str | None:
-        """Look up where a peer receives messages."""
-        peer = self.node.state(Members).peers.get(name)
-        return peer.info.address if peer is not None else self.node.seeds.get(name)
-
-    def carry_out(self, effects: list[fx.Effect]) -> None:
-        """Carry out effects in order; one that fails does not hold up the rest."""
-        for effect in effects:
-            try:
-                self.doers[type(effect)](effect)
-            except Exception as exc:
-                self.note_fault(effect, exc)
-
-    def count_wire(self, now_s: float) -> None:
-        """Bring the counters of bytes on the wire up to date."""
-        counters = self.node.metrics.counters
-        if self.peers is not None:
-            counters["wire.peers_sent_bytes"] = self.peers.sent_bytes
-            counters["wire.peers_received_bytes"] = self.peers.received_bytes
-        platform = self.settings.platform_address
-        counters["wire.platform_bytes"] = traffic_bytes[platform]
-
-    def tick(self, now_s: float) -> None:
-        """Run the timers of the decision code."""
-        try:
-            effects = self.node.run_timers(now_s)
-        except Exception as exc:
-            self.note_fault(self.tick, exc)
-            return
-        self.carry_out(effects)
+        number = self.cell_log.term
+        name = self.settings.name
+        peers = TermPeers(
+            self.context,
+            name,
+            f"{name}/{number}/{os.urandom(4).hex()}".encode(),
+            self.cell_log,
+            self.log,
+            self._hear_local,
+            self.advice.ask_local,
+        )
+        site = self.settings.site
+        bounds = Bounds(
+            gang_s=site.gang_ms / 1000,
+            stop_s=site.stop_ms / 1000,
+            early_s=site.early_ms / 1000,
+            lease_most_s=site.lease_most_ms / 1000,
+            far_factor=site.far_factor,
+            status_s=site.status_s,
+        )
+        self.term = make_term(
+            number,
+            name,
+            self.store,
+            self.adapter,
+            self.cell_log,
+            self.config_watch.current,
+            bounds,
+            peers,
+            self.log,
+            self.metrics,
+            self._term_over,
+        )
+        self.advice.local = self.term.lanes.finish
+        peers.update()
+        self.term.start()
 
+    def _hear_local(self, beat: Beat) -> None:
+        self.link.hear(beat, b"", self.term)
 
-def make_process(settings: Settings) -> Process:
-    """Make a process that does nothing yet."""
-    # Of two incarnations of a name the later one has the greater boot.
-    boot = f"{time.time_ns() // 1_000_000:012x}{os.urandom(2).hex()}"
-    me = Me(
-        settings.name,
-        boot,
-        settings.domain,
-        settings.region,
+    def _term_over(self, reason: str) -> None:
+        if self.term is not None:
+            number = self.term.number
+            self.term = None
+            self.link.lose_local(number)
+
+    def update_peers(self) -> None:
+        """Connect the term to processes that were registered since."""
+        if self.term is not None:
+            self.term.peers.update()
+
+    def take_config(self, config: t.Any) -> None:
+        """Pass a new configuration to the term."""
+        if self.term is not None:
+            self.term.take_config(config)
+
+    def receive(self, identity: bytes, message: Message) -> None:
+        """Take in a message of a leader."""
+        if isinstance(message, Beat):
+            if self.link.hear(message, identity):
+                # The answer tells the leader that this process is a lane.
+                self.peer_server.send(identity, Advised(0, None))
+            if self.term is not None and message.term > self.term.number:
+                self.term.stop("a later leader was heard")
+        elif isinstance(message, Reply):
+            self.link.receive(message)
+        elif isinstance(message, AskAdvice):
+            self.advice.ask(identity, message)
+        elif isinstance(message, Resign):
+            self.link.note_resigned(message)
+
+    def is_ready(self) -> bool:
+        """Tell whether this process should get new connections."""
+        if self.stopping or self.config_watch.current is None:
+            return False
+        if self.link.is_serving():
+            return True
+        store_age_s = steady_s() - self.cell_log.store_ok_s
+        most_s = READY_AGE_S if store_age_s < STORE_FRESH_S else READY_AGE_NO_STORE_S
+        return self.link.age_s() < most_s
+
+    async def handle_caller(self, request: Request, exchange: Exchange) -> None:
+        """Answer a caller."""
+        await self.interface.handle_caller(self.gateway, request, exchange)
+
+    async def handle_ready(self, request: Request, exchange: Exchange) -> None:
+        """Answer the balancer."""
+        await exchange.answer(200 if self.is_ready() else 503, b"{}")
+
+    async def handle_operator(self, request: Request, exchange: Exchange) -> None:
+        """Answer an operator."""
+        await handle_operator(self, request, exchange)
+
+
+async def send_refusal(exchange: Exchange, refusal: Refusal) -> None:
+    """Answer what HTTP alone can refuse."""
+    body = f'{{"error":"{refusal.kind.value}"}}'.encode()
+    await exchange.answer(refusal.row.status, body)
+
+
+def make_process(settings: Settings, log: EventLog) -> Process:
+    """Make a process that does not run yet; needs a running event loop."""
+    adapter = find_adapter(settings.adapter)
+    store = adapter.make_store(settings.store_address)
+    metrics = Metrics()
+    context = zmq.asyncio.Context()
+    process: Process
+    peer_server = make_peer_server(
+        context,
         settings.peers_address,
-        settings.operators_address,
+        lambda identity, message: process.receive(identity, message),
+        log,
+    )
+    link = LeaderLink(peer_server.send)
+    interface = adapter.interface
+    if settings.interface == "native":
+        interface = lookup(INTERFACE_POINT, "native")
+    config_watch = ConfigWatch(store, interface, log)
+    link.on_config_version = config_watch.expect
+    cell_log = CellLog(store, log)
+    election = Election(
+        settings.name, cell_log, link, log, lambda: process.term is not None
+    )
+    process = Process(
+        settings,
+        adapter,
+        interface,
+        store,
+        log,
+        metrics,
+        context,
+        config_watch,
+        cell_log,
+        link,
+        Gateway(config_watch, link, log, metrics),
+        election,
+        AdviceCalls(adapter, settings.advice_address, peer_server.send, log, metrics),
+        peer_server,
     )
-    seeds = {peer.name: peer.address for peer in settings.peers}
-    seeds.pop(settings.name, None)
-    wall_offset_s = time.time() - time.monotonic()
-    node = make_node(me, int.from_bytes(os.urandom(8)), seeds, wall_offset_s)
-    return Process(settings, node, make_timers(), make_streams(settings.bounds))
+    cell_log.on_term = lambda: process.begin_term()
+    cell_log.on_change = lambda: process.update_peers()
+    config_watch.listeners.append(lambda config: process.take_config(config))
+    return process
 
 
-async def run_process(settings: Settings) -> None:
-    """Run a process until it is told to stop, then stop gracefully."""
-    process = make_process(settings)
-    tasks = await _start(process)
+async def run_process(settings: Settings, path: str) -> None:
+    """Run an entry process until it is told to stop."""
+    log = set_up_logs(settings.name, settings.log.level, settings.log.lines_per_s)
+    log.event(
+        "start",
+        urgent=True,
+        domain=settings.domain,
+        cores=settings.cores,
+        pid=os.getpid(),
+    )
+    process = make_process(settings, log)
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, process.stopping.set)
-    # What exists by now lives as long as the process: the collector may pass it over.
-    gc.collect()
-    gc.freeze()
-    log.info(f"{settings.name} of domain {settings.domain} serves.")
-    await process.stopping.wait()
-    await _stop(process)
+    stop = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: reload_settings(process, path))
+    me = NodeRecord(
+        settings.name,
+        settings.domain,
+        settings.peers_address,
+        settings.cores,
+        os.urandom(6).hex(),
+    )
+    parts = [
+        process.peer_server.run(),
+        process.config_watch.run(),
+        process.config_watch.run_refresh(),
+        process.cell_log.run(me),
+        process.election.run(),
+        process.advice.run(),
+    ]
+    tasks = [asyncio.create_task(_part(part, log, stop)) for part in parts]
+    await listen(process)
+    await stop.wait()
+    await shut_down(process)
     for task in tasks:
         task.cancel()
-    for task in tasks:
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
-    log.info("Stopped.")
+    log.event("stop", urgent=True)
 
 
-async def _stop(process: Process) -> None:
-    """Finish what is held, or give up after ``drain_s`` seconds."""
-    log.info("Stopping: nothing new is taken.")
-    until_s = time.monotonic() + process.settings.bounds.drain_s
-    for server in process.servers:
-        server.begin_close()
-    process.handle(events.StopAsked())
-    # Late callers and peers learn of it before the doors close.
-    await asyncio.sleep(STOP_SPREAD_S)
-    while is_busy(process) and time.monotonic() < until_s:
-        await asyncio.sleep(STOP_STEP_S)
-    if is_busy(process):
-        log.warning("Stopping with work unfinished: drain_s has passed.")
-    for server in process.servers:
-        await server.close(CLOSE_S)
+async def _part(
+    work: t.Coroutine[t.Any, t.Any, None], log: EventLog, stop: asyncio.Event
+) -> None:
+    try:
+        await work
+    except asyncio.CancelledError:
+        raise
+    except Exception as exc:
+        log.event("fault", urgent=True, reason=repr(exc))
+        stop.set()
+        raise
 
 
-def is_busy(process: Process) -> bool:
-    """Tell whether a request, a task or a stream is unfinished here."""
-    callers = process.servers[0].busy > 0
-    held = process.requests is not None and bool(process.requests.pending)
-    runs = process.runner is not None and process.runner.starts > 0
-    node = process.node
-    # Tasks that run on by themselves go to who takes their worker over.
-    rows = node.state(Owner).running.values()
-    running = any(not one.detached for one in rows)
-    waiting = node.state(Queues).offers
-    owns = not is_handed_over(node)
-    return bool(callers or held or runs or running or waiting or owns)
+def reload_settings(process: Process, path: str) -> None:
+    """Read the settings again; what needs a restart is named."""
+    try:
+        fresh = load_settings(path)
+    except Exception as exc:
+        process.log.event("reload_failed", urgent=True, reason=str(exc))
+        return
+    same = fresh == process.settings
+    process.log.event("reload", urgent=True, changed=not same)
 
 
-async def _start(process: Process) -> list[asyncio.Task[None]]:
+async def listen(process: Process) -> None:
+    """Open the sockets for callers, the balancer and operators."""
     settings = process.settings
-    process.peers = make_peers(process)
-    process.runner = make_runner(process)
-    requests = process.requests = make_requests(process)
-    inquiries = make_inquiries(process, requests)
-    callers = make_callers(process, requests, inquiries)
-    appender = make_appender(process)
-    process.doers = {
-        fx.Send: lambda effect: process.send(effect.to, effect.message),
-        fx.Append: appender,
-        fx.StartTask: process.runner.start_task,
-        fx.ActOnTask: process.runner.act_on_task,
-        fx.RenewTasks: process.runner.renew_tasks,
-        fx.ListTasks: process.runner.list_tasks,
-        fx.SendBody: requests.send_body,
-        fx.BreakStreams: lambda effect: process.streams.break_peer(effect.peer),
-        fx.Accept: requests.accept,
-        fx.TellRecord: inquiries.tell_record,
-        fx.Resolve: requests.resolve,
-        fx.Tell: requests.tell,
-    }
-    process.takers = {
-        msg.AskRequest: inquiries.take_ask,
-        msg.RequestTold: inquiries.take_told,
-    }
-    process.servers = [callers, make_operators(process)]
-    addresses = (settings.callers_address, settings.operators_address)
-    for server, address in zip(process.servers, addresses, strict=True):
+    rows = [
+        (settings.callers_address, process.handle_caller),
+        (settings.ready_address, process.handle_ready),
+    ]
+    if settings.operators_address:
+        rows.append((settings.operators_address, process.handle_operator))
+    for address, handler in rows:
+        server = make_http_server(handler, send_refusal, settings.bounds)
         await server.listen(*split_address(address))
-    process.timers.every("decide", TIMERS_S, process.tick)
-    process.timers.every("wire", WIRE_S, process.count_wire)
-    jobs = (
-        process.peers.run(),
-        run_timers(process.timers),
-        follow_log(process),
-        follow_vms(process),
-    )
-    return [asyncio.create_task(job) for job in jobs]
+        process.servers.append(server)
+
+
+async def shut_down(process: Process) -> None:
+    """Hand the lead over, answer what is open, and close."""
+    process.stopping = True
+    process.election.stopping = True
+    process.log.event("stopping", urgent=True, leads=process.term is not None)
+    if process.term is not None:
+        term = process.term
+        term.peers.resign(term.number)
+        await asyncio.sleep(DRAIN_LOOK_S)
+        term.stop("the process stops")
+    callers = process.servers[0]
+    callers.begin_close()
+    until_s = steady_s() + process.settings.bounds.drain_s
+    while callers.tasks and steady_s() < until_s:
+        await asyncio.sleep(DRAIN_LOOK_S)
+    for server in process.servers:
+        await server.close(0.2)
--- /dev/null
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -0,0 +1,529 @@
+"""One term of the leader: recover, serve requests, plan, and stop when superseded."""
+
+import asyncio
+import dataclasses
+import typing as t
+
+import msgspec
+
+from bulrushspur_daemon.cell_log import CellLog
+from bulrushspur_daemon.clock import boot_s, steady_s, unix_s
+from bulrushspur_daemon.lanes import AdviceLanes
+from bulrushspur_daemon.term_peers import TermPeers
+from bulrushspur_daemon.worker_links import WorkerLinks
+from bulrushspur_daemon.worker_watch import WorkerWatch
+from bulrushspur_daemon.writer import (
+    JOBS_TOPIC,
+    WRITER_NAME,
+    NotStoredError,
+    RecordWriter,
+)
+from bulrushspur_kernel.adapter import Adapter
+from bulrushspur_kernel.logs import EventLog
+from bulrushspur_kernel.messages import (
+    Advised,
+    Beat,
+    Cancel,
+    Message,
+    Outcome,
+    Query,
+    Reply,
+    Submit,
+)
+from bulrushspur_kernel.metrics import Metrics
+from bulrushspur_kernel.store import (
+    Store,
+    StoreFencedError,
+    StoreUnavailableError,
+    Writer,
+)
+from bulrushspur_scheduler import admission, advice, ranking, takeover
+from bulrushspur_scheduler.cell import Bounds, Cell, make_cell
+from bulrushspur_scheduler.config import CellConfig
+from bulrushspur_scheduler.jobs import FINAL_STATES, JobState, make_occurrence
+from bulrushspur_scheduler.leases import check_leases
+from bulrushspur_scheduler.placement import make_pool
+from bulrushspur_scheduler.planning import plan
+from bulrushspur_scheduler.progress import (
+    add_job,
+    finish_job,
+    forget_finished,
+    open_due_occurrences,
+    set_objective,
+)
+from bulrushspur_scheduler.records import (
+    WORKERS_KEY,
+    WorkerRecord,
+    decode_job,
+    decode_workers,
+    encode_workers,
+)
+from bulrushspur_scheduler.relief import relieve
+from bulrushspur_scheduler.resources import Resources
+from bulrushspur_scheduler.workers import Worker, WorkerEntry, make_worker
+
+TICK_S: t.Final = 0.1
+BEAT_S: t.Final = 0.2
+PLAN_GATHER_S: t.Final = 0.002
+CONFIRM_S: t.Final = 0.4
+RECOVER_RETRY_S: t.Final = 0.15
+# Without a word of the store for so long, nothing is started or held any more.
+AUTHORITY_S: t.Final = 10.0
+STORE_AWAY_S: t.Final = 0.35
+STORE_RETRY_S: t.Final = 1.0
+URGENT_GAIN: t.Final = 0.02
+
+
+@dataclasses.dataclass
+class Term:
+    """The leader's state and tasks."""
+
+    number: int
+    name: str
+    store: Store
+    adapter: Adapter
+    cell_log: CellLog
+    cell: Cell
+    log: EventLog
+    metrics: Metrics
+    writer: RecordWriter
+    peers: TermPeers
+    on_over: t.Callable[[str], None]
+    links: WorkerLinks = dataclasses.field(init=False)
+    lanes: AdviceLanes = dataclasses.field(init=False)
+    watch: WorkerWatch = dataclasses.field(init=False)
+    serving: bool = False
+    over: bool = False
+    wake: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    tasks: list[asyncio.Task[t.Any]] = dataclasses.field(default_factory=list)
+    arriving: dict[str, asyncio.Future[Reply]] = dataclasses.field(default_factory=dict)
+    known_workers: dict[str, WorkerRecord] = dataclasses.field(default_factory=dict)
+
+    def start(self) -> None:
+        """Begin the term."""
+        self.log.event("term_start", urgent=True, term=self.number)
+        self._spawn(self._beat_loop())
+        self._spawn(self._run())
+
+    def _spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
+        task = asyncio.create_task(self._guard(work))
+        self.tasks.append(task)
+
+    async def _guard(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
+        try:
+            await work
+        except asyncio.CancelledError:
+            raise
+        except Exception as exc:
+            self.log.event("term_fault", urgent=True, reason=repr(exc))
+            self.metrics.count("term_faults")
+            raise
+
+    def stop(self, reason: str) -> None:
+        """End the term; what was under way is left to the next one."""
+        if self.over:
+            return
+        self.over = True
+        self.serving = False
+        self.log.event("term_over", urgent=True, term=self.number, reason=reason)
+        current = asyncio.current_task()
+        for task in self.tasks:
+            if task is not current:
+                task.cancel()
+        self.writer.stop()
+        self.links.close_all()
+        self.peers.close()
+        for future in self.arriving.values():
+            future.cancel()
+        self.on_over(reason)
+
+    async def _run(self) -> None:
+        await self._recover()
+        if self.over:
+            return
+        self._spawn(self.writer.run())
+        self._spawn(self._watch_loop())
+        self._spawn(self._plan_loop())
+        self._spawn(self._tick_loop())
+        self._spawn(self._confirm_loop())
+
+    async def _recover(self) -> None:
+        began_s = steady_s()
+        while not self.over:
+            try:
+                stored = await self._load()
+                break
+            except StoreFencedError as exc:
+                self.stop(f"fenced while recovering: {exc}")
+                return
+            except StoreUnavailableError as exc:
+                self.log.event("recover_retry", reason=str(exc))
+                await asyncio.sleep(RECOVER_RETRY_S)
+        if self.over:
+            return
+        cell, now_s = self.cell, steady_s()
+        workers = stored.pop(WORKERS_KEY, b"")
+        takeover.recover(cell, stored, now_s, unix_s())
+        if workers:
+            self._recover_workers(decode_workers(workers), now_s)
+        cell.settled = not cell.jobs
+        cell.settle_at_s = now_s + AUTHORITY_S + cell.bounds.lease_s * 1.05
+        self.serving = True
+        self.log.event(
+            "term_serving",
+            urgent=True,
+            term=self.number,
+            jobs=len(cell.jobs),
+            finished=len(cell.finished),
+            workers=len(cell.workers),
+            dark=len(cell.dark),
+            took_ms=round((steady_s() - began_s) * 1000),
+        )
+
+    async def _load(self) -> dict[str, bytes]:
+        writer = Writer(WRITER_NAME, self.number, 0)
+        sent_s, sent_boot_s = steady_s(), boot_s()
+        await self.store.append(JOBS_TOPIC, [], writer=writer)
+        newest, _ = await self.store.newest(JOBS_TOPIC)
+        self.watch.next_offset = None
+        await self.watch.step()
+        self.writer.confirm(sent_s, sent_boot_s)
+        self.writer.sequence = 1
+        return {row.key: row.value for row in newest.values() if row.value}
+
+    def _recover_workers(self, rows: list[WorkerRecord], now_s: float) -> None:
+        """Remember where earlier terms may have left something running."""
+        for row in rows:
+            self.known_workers[row.id] = row
+            worker = self.cell.workers.get(row.id)
+            if worker is None:
+                entry = WorkerEntry(row.id, "", row.address, "", _NOTHING)
+                worker = self.cell.workers[row.id] = make_worker(entry, now_s)
+                worker.listed = False
+                self.links.open(worker)
+            if not worker.reached:
+                self.cell.dark.add(row.id)
+
+    def note_new_worker(self, worker: Worker) -> None:
+        """Record a worker, then begin to talk to it."""
+        if worker.id in self.known_workers:
+            self.links.open(worker)
+            return
+        entry = worker.entry
+        record = WorkerRecord(worker.id, entry.address, entry.born_ms)
+        self.known_workers[worker.id] = record
+        self._store_workers()
+        self._spawn(self._open_when_durable(worker))
+
+    def _store_workers(self) -> None:
+        rows = list(self.known_workers.values())
+        self.writer.extra[WORKERS_KEY] = encode_workers(rows)
+
+    async def _open_when_durable(self, worker: Worker) -> None:
+        await self.writer.durable()
+        if not self.over and worker.id in self.cell.workers:
+            self.links.open(worker)
+
+    def has_authority(self) -> bool:
+        """Tell whether this term may still order anything."""
+        if self.over or self.cell.superseded:
+            return False
+        return boot_s() - self.writer.confirmed_boot_s < AUTHORITY_S
+
+    def poke(self) -> None:
+        """Plan again soon."""
+        self.wake.set()
+
+    def take_config(self, config: CellConfig) -> None:
+        """Take a new configuration into use."""
+        self.cell.config = config
+        for job in self.cell.jobs.values():
+            set_objective(self.cell, job)
+        self.poke()
+
+    async def _watch_loop(self) -> None:
+        await self.watch.run()
+
+    async def _plan_loop(self) -> None:
+        while True:
+            await self.wake.wait()
+            await asyncio.sleep(PLAN_GATHER_S)
+            self.wake.clear()
+            if self.cell.superseded:
+                self.stop("a worker has heard a later term")
+                return
+            now_s = steady_s()
+            takeover.settle(self.cell, now_s)
+            if self.has_authority():
+                plan(self.cell, now_s)
+                self.metrics.record_s("plan", steady_s() - now_s)
+            self._flush()
+
+    def _flush(self) -> None:
+        self.links.send_orders()
+        self.lanes.dispatch()
+        self.writer.note_dirty()
+        events = self.cell.events
+        while events:
+            event = events.popleft()
+            self.log.event(event.name, job=event.job, **event.fields)
+
+    async def _tick_loop(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            now_s = steady_s()
+            cell = self.cell
+            check_leases(cell, now_s)
+            self._open_occurrences(now_s)
+            relieve(cell, now_s)
+            self._note_urgent_use()
+            self._drop_workers(now_s)
+            for job_id in forget_finished(cell, now_s):
+                cell.dirty.add(job_id)
+            self.poke()
+
+    def _open_occurrences(self, now_s: float) -> None:
+        for job in self.cell.jobs.values():
+            if job.repeats:
+                open_due_occurrences(self.cell, job, now_s, unix_s())
+
+    def _note_urgent_use(self) -> None:
+        cell = self.cell
+        for service, used in cell.urgent_cpu.items():
+            mean = cell.urgent_mean.get(service, 0.0)
+            cell.urgent_mean[service] = mean + URGENT_GAIN * (used - mean)
+
+    def _drop_workers(self, now_s: float) -> None:
+        """Forget workers that are gone and can run nothing any more."""
+        gone = [
+            one
+            for one in self.cell.workers.values()
+            if not one.listed
+            and not one.runs
+            and one.id not in self.cell.dark
+            and one.lease_over(now_s)
+            and now_s - one.unlisted_s > 1.0
+        ]
+        for worker in gone:
+            del self.cell.workers[worker.id]
+            self.links.close(worker.id)
+            if self.known_workers.pop(worker.id, None) is not None:
+                self._store_workers()
+            self.cell.log("worker_gone", worker=worker.id)
+
+    async def _confirm_loop(self) -> None:
+        """Keep the term confirmed while nothing is written."""
+        while True:
+            await asyncio.sleep(CONFIRM_S / 2)
+            log = self.cell_log
+            if steady_s() - self.writer.confirmed_s > CONFIRM_S:
+                try:
+                    await log.read()
+                except StoreUnavailableError:
+                    # The age of the last answer tells it to all.
+                    self.metrics.count("confirm_failed")
+                    await asyncio.sleep(CONFIRM_S)
+            if log.term == self.number:
+                self.writer.confirm(log.store_ok_s, log.store_ok_boot_s)
+
+    async def _beat_loop(self) -> None:
+        while True:
+            self.peers.beat(self.make_beat())
+            await asyncio.sleep(BEAT_S)
+
+    def make_beat(self) -> Beat:
+        """Tell the state of the term."""
+        age_s = steady_s() - max(self.writer.confirmed_s, self.cell_log.store_ok_s)
+        return Beat(
+            self.number,
+            self.name,
+            self.serving,
+            self.cell.config.version,
+            round(max(age_s, 0.0) * 1000),
+            self._count_waiting(),
+        )
+
+    def _count_waiting(self) -> dict[str, int]:
+        rv: dict[str, int] = {}
+        for job in self.cell.jobs.values():
+            if job.state is JobState.QUEUED and not job.repeats:
+                rv[job.queue] = rv.get(job.queue, 0) + 1
+        return rv
+
+    def receive(self, message: Message, reply: t.Callable[[Message], t.Any]) -> None:
+        """Take in a message of another process."""
+        if isinstance(message, Advised):
+            self.lanes.finish(message)
+        elif isinstance(message, Submit | Query | Cancel):
+            task = asyncio.ensure_future(self._answer_and_send(message, reply))
+            self.tasks.append(task)
+            task.add_done_callback(self.tasks.remove)
+
+    async def _answer_and_send(
+        self, message: Submit | Query | Cancel, reply: t.Callable[[Message], t.Any]
+    ) -> None:
+        reply(await self.answer(message))
+
+    async def answer(self, message: Submit | Query | Cancel) -> Reply:
+        """Answer a request of a caller."""
+        if not self.serving:
+            return Reply(message.request, Outcome.NOT_READY)
+        if isinstance(message, Submit):
+            rv = await self._submit(message)
+        elif isinstance(message, Query):
+            rv = self._query(message.job)
+        else:
+            rv = await self._cancel(message.job)
+        return msgspec.structs.replace(rv, request=message.request)
+
+    async def _submit(self, message: Submit) -> Reply:
+        if message.job in self.cell.jobs or message.job in self.cell.finished:
+            return Reply(0, Outcome.OK)
+        arriving = self.arriving.get(message.job)
+        if arriving is None:
+            arriving = asyncio.get_running_loop().create_future()
+            self.arriving[message.job] = arriving
+            self._spawn(self._accept(message, arriving))
+        return await asyncio.shield(arriving)
+
+    async def _accept(self, message: Submit, done: asyncio.Future[Reply]) -> None:
+        try:
+            reply = await self._decide(message)
+        finally:
+            del self.arriving[message.job]
+            self.cell.pending.pop(message.job, None)
+        if not done.done():
+            done.set_result(reply)
+
+    async def _decide(self, message: Submit) -> Reply:
+        cell, now_s = self.cell, steady_s()
+        queue = cell.config.by_name.get(message.queue)
+        if queue is None:
+            return Reply(0, Outcome.NOT_READY)
+        failing_s = self.writer.failing_since_s
+        if failing_s and now_s - failing_s > STORE_AWAY_S:
+            return self._reject(message, "the store is away", STORE_RETRY_S)
+        try:
+            job = decode_job(message.job, message.record, now_s, unix_s())
+        except msgspec.DecodeError as exc:
+            return self._reject(message, f"unreadable: {exc}", STORE_RETRY_S)
+        job.accepted_s = now_s
+        job.excess = ranking.is_excess(cell, message.account, now_s)
+        rejection = admission.admit(cell, queue, message.account, job, now_s)
+        if rejection is not None:
+            return self._reject(message, rejection.reason, rejection.retry_after_s)
+        set_objective(cell, job)
+        if not job.repeats:
+            make_occurrence(job, 0)
+        cell.pending[job.id] = job
+        pool = make_pool(cell, job.service, now_s)
+        if pool.workers:
+            advice.ask_early(cell, job, pool)
+            self.lanes.dispatch()
+        try:
+            await self.writer.store_job(job.id, message.record)
+        except NotStoredError:
+            return self._reject(message, "the store is away", STORE_RETRY_S)
+        add_job(cell, job, steady_s(), unix_s())
+        cell.log(
+            "accept",
+            job.id,
+            queue=job.queue,
+            account=job.account,
+            tasks=sum(one.count for one in job.spec.steps),
+            excess=job.excess,
+            config=cell.config.version,
+            stored_ms=round((steady_s() - now_s) * 1000),
+        )
+        self.poke()
+        return Reply(0, Outcome.OK)
+
+    def _reject(self, message: Submit, reason: str, retry_after_s: float) -> Reply:
+        self.cell.log(
+            "reject",
+            message.job,
+            queue=message.queue,
+            account=message.account,
+            reason=reason,
+            retry_after_s=round(retry_after_s, 2),
+        )
+        return Reply(0, Outcome.REJECTED, "", reason, retry_after_s)
+
+    def _query(self, job_id: str) -> Reply:
+        finished = self.cell.finished.get(job_id)
+        if finished is not None:
+            # What is not stored yet is not told as final.
+            state = finished.state
+            if not self.writer.is_durable(job_id):
+                state = JobState.RUNNING
+            return Reply(0, Outcome.OK, state.value)
+        job = self.cell.jobs.get(job_id)
+        if job is not None:
+            return Reply(0, Outcome.OK, job.state.value)
+        if job_id in self.arriving:
+            return Reply(0, Outcome.OK, JobState.QUEUED.value)
+        return Reply(0, Outcome.UNKNOWN_JOB)
+
+    async def _cancel(self, job_id: str) -> Reply:
+        arriving = self.arriving.get(job_id)
+        if arriving is not None:
+            await asyncio.shield(arriving)
+        job = self.cell.jobs.get(job_id)
+        if job is not None:
+            finish_job(self.cell, job, JobState.CANCELLED, steady_s())
+            self._flush()
+        elif job_id not in self.cell.finished:
+            return Reply(0, Outcome.UNKNOWN_JOB)
+        if not self.writer.is_durable(job_id):
+            await self.writer.durable()
+        state = self.cell.finished[job_id].state
+        assert state in FINAL_STATES
+        return Reply(0, Outcome.OK, state.value)
+
+
+_NOTHING = Resources()
+
+
+def make_term(
+    number: int,
+    name: str,
+    store: Store,
+    adapter: Adapter,
+    cell_log: CellLog,
+    config: CellConfig | None,
+    bounds: Bounds,
+    peers: TermPeers,
+    log: EventLog,
+    metrics: Metrics,
+    on_over: t.Callable[[str], None],
+) -> Term:
+    """Make a term that has not begun."""
+    cell = make_cell(config, fence=number, bounds=bounds)
+    term: Term
+
+    def superseded(reason: str) -> None:
+        asyncio.get_running_loop().call_soon(lambda: term.stop(reason))
+
+    writer = RecordWriter(store, cell, log, metrics, superseded)
+    term = Term(
+        number,
+        name,
+        store,
+        adapter,
+        cell_log,
+        cell,
+        log,
+        metrics,
+        writer,
+        peers,
+        on_over,
+    )
+    term.links = WorkerLinks(
+        cell, adapter, writer, log, metrics, term.poke, term.has_authority
+    )
+    term.lanes = AdviceLanes(
+        cell, log, metrics, peers.send_to, peers.lane_names, term.poke
+    )
+    term.watch = WorkerWatch(store, adapter, cell, log, term.note_new_worker, term.poke)
+    peers.receive = term.receive
+    return term
--- a/packages/kernel/bulrushspur_kernel/http_client.py
+++ b/packages/kernel/bulrushspur_kernel/http_client.py
@@ -1,7 +1,6 @@
 """An HTTP/1.1 client: h11 on asyncio streams."""
 
 import asyncio
-import collections
 import dataclasses
 import typing as t
 
@@ -14,9 +13,6 @@
 
 Headers = list[tuple[str, str]]
 
-# Bytes sent and received by fetch, by address.
-traffic_bytes: collections.Counter[str] = collections.Counter()
-
 
 class NotSentError(Exception):
     """Tell that nothing of the request can have reached the other side."""
@@ -35,7 +31,6 @@
     connection: h11.Connection
     status: int = 0
     headers: list[tuple[str, str]] = dataclasses.field(default_factory=list)
-    wire_bytes: int = 0
 
     async def send_head(self, method: str, path: str, headers: Headers) -> None:
         """Send the head of the request; raises LostError."""
@@ -111,7 +106,6 @@
         try:
             data = b"".join([self.connection.send(part) or b"" for part in parts])
             if data:
-                self.wire_bytes += len(data)
                 self.writer.write(data)
                 await self.writer.drain()
         except (OSError, h11.LocalProtocolError) as exc:
@@ -124,7 +118,6 @@
                 if event is not h11.NEED_DATA:
                     return event
                 data = await self.reader.read(READ_BYTES)
-                self.wire_bytes += len(data)
                 self.connection.receive_data(data)
         except (OSError, h11.RemoteProtocolError) as exc:
             raise LostError(str(exc)) from exc
@@ -172,10 +165,11 @@
     body: bytes = b"",
     headers: Headers | None = None,
     wait_s: float = 5.0,
+    host: str = "",
 ) -> Answer:
     """Make one small request; raises NotSentError, or LostError when in doubt."""
     call = await open_call(address, wait_s)
-    rows = [("host", address), *(headers or [])]
+    rows = [("host", host or address), *(headers or [])]
     try:
         async with asyncio.timeout(wait_s):
             await call.send_whole(method, path, rows, body)
@@ -184,5 +178,4 @@
     except TimeoutError as exc:
         raise LostError(f"{address} did not answer in {wait_s:g} s") from exc
     finally:
-        traffic_bytes[address] += call.wire_bytes
         call.close()
--- /dev/null
+++ b/packages/kernel/bulrushspur_kernel/http_pool.py
@@ -0,0 +1,87 @@
+"""Open HTTP connections to one address, kept for further requests."""
+
+import asyncio
+import dataclasses
+import socket
+import typing as t
+
+from bulrushspur_kernel.http_client import (
+    Answer,
+    Call,
+    LostError,
+    NotSentError,
+    open_call,
+)
+
+CONNECT_S: t.Final = 0.5
+UNACKNOWLEDGED_MS: t.Final = 1200
+IDLE_KEPT: t.Final = 4
+
+
+@dataclasses.dataclass
+class HttpPool:
+    """Idle connections to one address; broken ones are dropped."""
+
+    address: str
+    idle: list[Call] = dataclasses.field(default_factory=list)
+    opened: int = 0
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: t.Sequence[tuple[str, str]] = (),
+        timeout_s: float = 1.0,
+    ) -> Answer:
+        """Make one request; raises NotSentError, or LostError when in doubt."""
+        call = await self._take(timeout_s)
+        whole = False
+        try:
+            async with asyncio.timeout(timeout_s):
+                rows = [("host", self.address), *headers]
+                if body:
+                    rows.append(("content-type", "application/json"))
+                await call.send_whole(method, path, rows, body)
+                status = await call.read_head()
+                answer = Answer(status, dict(call.headers), await call.read_all())
+            whole = True
+        except TimeoutError as exc:
+            raise LostError(f"no answer in {timeout_s:g} s") from exc
+        finally:
+            if whole and call.reusable() and len(self.idle) < IDLE_KEPT:
+                self.idle.append(call)
+            else:
+                call.abort()
+        return answer
+
+    async def _take(self, timeout_s: float) -> Call:
+        while self.idle:
+            call = self.idle.pop()
+            if not call.reader.at_eof() and not call.writer.is_closing():
+                return call
+            call.abort()
+        call = await open_call(self.address, min(CONNECT_S, timeout_s))
+        self.opened += 1
+        _set_options(call.writer.get_extra_info("socket"))
+        return call
+
+    def drop_idle(self) -> None:
+        """Close idle connections, as after a silence."""
+        while self.idle:
+            self.idle.pop().abort()
+
+
+def _set_options(sock: socket.socket | None) -> None:
+    if sock is None:
+        return
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
+def make_http_pool(address: str) -> HttpPool:
+    """Make a pool without open connections."""
+    return HttpPool(address)
+
+
+__all__ = ["HttpPool", "LostError", "NotSentError", "make_http_pool"]
--- a/packages/kernel/bulrushspur_kernel/settings.py
+++ b/packages/kernel/bulrushspur_kernel/settings.py
@@ -9,6 +9,7 @@
 from bulrushspur_kernel.faults import Fault, make_fault
 
 Address = t.Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+Port = t.Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 Positive = t.Annotated[float, msgspec.Meta(gt=0)]
 Whole = t.Annotated[int, msgspec.Meta(ge=1)]
 
@@ -17,37 +18,35 @@
     pass
 
 
-class PeerSettings(_Strict):
-    """An entry process to talk to from the start."""
-
-    name: str
-    domain: str
-    address: Address
-
-
 class Bounds(_Strict, frozen=True):
-    """Bounds on connections, bodies, queues and times."""
+    """Bounds on connections, bodies and times of callers."""
 
-    connections: Whole = 2000
+    connections: Whole = 1500
     head_bytes: Whole = 16_384
-    body_bytes: Whole = 64 * 1024 * 1024
-    buffer_bytes: Whole = 262_144
-    buffered_body_bytes: Whole = 64 * 1024 * 1024
-    kept_answer_bytes: Whole = 1_048_576
-    kept_answers: Whole = 1000
+    body_bytes: Whole = 262_144
+    buffer_bytes: Whole = 65_536
     head_wait_s: Positive = 5.0
-    body_wait_s: Positive = 20.0
+    body_wait_s: Positive = 5.0
     idle_wait_s: Positive = 30.0
-    worker_connections: Whole = 20
-    waiting_requests: Whole = 20_000
-    drain_s: Positive = 60.0
+    drain_s: Positive = 4.0
+
+
+class SiteBounds(_Strict, frozen=True):
+    """Bounds that the site sets for work and leases."""
+
+    gang_ms: Whole = 3000
+    stop_ms: Whole = 900
+    early_ms: Whole = 250
+    lease_most_ms: Whole = 10_000
+    status_s: Positive = 120.0
+    far_factor: Positive = 2.0
 
 
 class LogSettings(_Strict, frozen=True):
-    """How the process logs."""
+    """How much the process logs, in lines a second on average."""
 
-    json: bool = False
     level: t.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+    lines_per_s: Positive = 400.0
 
 
 class Settings(_Strict):
@@ -55,22 +54,24 @@
 
     name: str
     domain: str
-    region: str
     callers_address: Address
+    ready_address: Address
     peers_address: Address
-    operators_address: Address
-    platform_address: Address
-    peers: list[PeerSettings] = []
+    store_address: Address
+    advice_address: str = ""
+    operators_address: str = ""
+    adapter: str = "bulrushspur_platform"
+    interface: t.Literal["platform", "native"] = "platform"
+    cores: Positive = 1.0
     bounds: Bounds = msgspec.field(default_factory=Bounds)
+    site: SiteBounds = msgspec.field(default_factory=SiteBounds)
     log: LogSettings = msgspec.field(default_factory=LogSettings)
 
 
-PORTS: t.Final = 65_536
-
 _STRUCTS: t.Final = {
     "$": Settings,
-    "peers": PeerSettings,
     "bounds": Bounds,
+    "site": SiteBounds,
     "log": LogSettings,
 }
 
@@ -99,22 +100,15 @@
 def check_settings(settings: Settings) -> list[Fault]:
     """List what contradicts itself in settings whose fields are each valid."""
     rv = []
-    own = ("callers_address", "peers_address", "operators_address")
-    listening = {}
-    for field in own:
+    listening: dict[str, str] = {}
+    for field in ("callers_address", "ready_address", "peers_address"):
         address = getattr(settings, field)
         if address in listening:
             sentence = f"{address} is {listening[address]} already"
             rv.append(Fault(f"$.{field}", sentence))
         listening.setdefault(address, field)
-    for field in (*own, "platform_address"):
-        if not 0 < split_address(getattr(settings, field))[1] < PORTS:
-            rv.append(Fault(f"$.{field}", f"a port is 1 to {PORTS - 1}"))
-    names = set()
-    for i, peer in enumerate(settings.peers):
-        if peer.name in names:
-            rv.append(Fault(f"$.peers[{i}].name", f"{peer.name} stands twice"))
-        names.add(peer.name)
+        if not 0 < split_address(address)[1] < 65_536:
+            rv.append(Fault(f"$.{field}", "a port is 1 to 65535"))
     return rv
 
 
--- /dev/null
+++ b/packages/kernel/bulrushspur_kernel/store.py
@@ -0,0 +1,78 @@
+"""What the system needs of the platform's store, and how its calls can fail."""
+
+import dataclasses
+import typing as t
+
+
+class StoreUnavailableError(Exception):
+    """Tell that a call was not answered; it may have taken effect."""
+
+
+class StoreFencedError(Exception):
+    """Tell that a later term writes to the partition."""
+
+
+class StoreConflictError(Exception):
+    """Tell that the partition does not end where the caller said."""
+
+
+class StoreGapError(Exception):
+    """Tell that the records asked for are gone; ``first`` is the oldest one kept."""
+
+    def __init__(self, first: int) -> None:
+        super().__init__(f"records before offset {first} are gone")
+        self.first = first
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredRecord:
+    """A record with its offset; an empty value means that the key was dropped."""
+
+    offset: int
+    key: str
+    value: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Writer:
+    """Identify a fenced writer of a partition."""
+
+    name: str
+    term: int
+    sequence: int
+
+
+class Store(t.Protocol):
+    """One client for the platform's store; records have keys, the newest counts."""
+
+    async def append(
+        self,
+        topic: str,
+        rows: t.Sequence[tuple[str, bytes]],
+        at: int | None = None,
+        writer: Writer | None = None,
+        timeout_s: float = 1.0,
+    ) -> int:
+        """Append rows of key and value; return the offset of the first.
+
+        Raises StoreUnavailableError, StoreFencedError or StoreConflictError.
+        """
+        ...
+
+    async def read(
+        self, topic: str, start: int, wait_s: float = 0.0, timeout_s: float = 1.0
+    ) -> tuple[list[StoredRecord], int]:
+        """Read records from an offset on; return them and where the next begin.
+
+        Raises StoreUnavailableError or StoreGapError.
+        """
+        ...
+
+    async def newest(
+        self, topic: str, timeout_s: float = 2.0
+    ) -> tuple[dict[str, StoredRecord], int]:
+        """Read the newest record of each key, and where later records begin.
+
+        Raises StoreUnavailableError.
+        """
+        ...
--- /dev/null
+++ b/packages/kernel/bulrushspur_kernel/text_records.py
@@ -0,0 +1,23 @@
+"""Records of the operators' own text and keys in the store."""
+
+import typing as t
+
+import msgspec
+
+TEXT_TOPIC: t.Final = "keyed.text"
+TEXT_KEY: t.Final = "text"
+KEY_PREFIX: t.Final = "key/"
+
+
+class TextRecord(msgspec.Struct):
+    """A published text; its version is its offset in the store and one more."""
+
+    text: dict[str, t.Any]
+    author: str = ""
+
+
+class KeyRecord(msgspec.Struct):
+    """A key in force; only its hash is stored."""
+
+    team: str
+    hash: str
--- /dev/null
+++ b/packages/scheduler/bulrushspur_scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the scheduler, without sockets and clocks."""
--- /dev/null
+++ b/packages/scheduler/bulrushspur_scheduler/advice.py
@@ -0,0 +1,145 @@
+"""When to ask the placement advice service, about which workers, and through whom.
+
+The service takes one call at a time from each calling VM, so every VM is a lane. Long
+calls keep to a part of the lanes, so that short ones do not wait behind them.
+"""
+
+import dataclasses
+import math
+import typing as t
+
+from bulrushspur_scheduler.cell import AdviceAsk, Cell
+from bulrushspur_scheduler.config import Queue
+from bulrushspur_scheduler.jobs import Job, StepKey, StepRun
+from bulrushspur_scheduler.placement import (
+    Pool,
+    eligible,
+    has_ticket,
+    room_on,
+)
+from bulrushspur_scheduler.workers import Worker
+
+NAMED_AT_MOST: t.Final = 100
+NAMED_FIRST: t.Final = 24
+SPARE_FACTOR: t.Final = 4
+ASK_AGAIN_S: t.Final = 0.1
+LONG_CALL_S: t.Final = 0.25
+LONG_SHARE: t.Final = 0.5
+EXPIRY_MARGIN_S: t.Final = 0.1
+
+
+def ask_first(cell: Cell, step: StepRun, queue: Queue, pool: Pool) -> None:
+    """Ask about many workers for a step of which nothing is known."""
+    _ask(cell, step, queue, _first_workers(step, pool, step.judged))
+
+
+def _first_workers(step: StepRun, pool: Pool, known: set[str]) -> list[Worker]:
+    spec = step.spec
+    rows = [
+        one
+        for one in pool.workers
+        if one.id not in known
+        and one.entry.capacity.holds(spec.resources)
+        and (not spec.required_label or spec.required_label in one.entry.labels)
+    ]
+    rows.sort(key=lambda one: -one.free.cpu_milli)
+    per_worker = (
+        max(
+            (one.entry.capacity.cpu_milli // max(spec.resources.cpu_milli, 1))
+            for one in rows
+        )
+        if rows
+        else 1
+    )
+    wanted = SPARE_FACTOR * math.ceil(spec.count / max(per_worker, 1))
+    return rows[: min(max(wanted, NAMED_FIRST), NAMED_AT_MOST)]
+
+
+def ask_again(
+    cell: Cell, step: StepRun, queue: Queue, pool: Pool, now_s: float
+) -> None:
+    """Renew tickets of a step that would fit now, or look at further workers."""
+    if step.asking or now_s < step.ask_after_s:
+        return
+    waiting = len(step.waiting())
+    usable = eligible(cell, step, pool, now_s, ticketed=False)
+    good = [one for one in usable if one.id in step.good]
+    with_room = [one for one in good if room_on(step, one)]
+    room = sum(room_on(step, one) for one in with_room)
+    if with_room and (room >= waiting or not step.spec.gang):
+        with_room.sort(key=lambda one: -room_on(step, one))
+        stale = [one for one in with_room if not has_ticket(step, one, now_s)]
+        _ask(cell, step, queue, stale[: waiting * 2 + 2])
+        return
+    fresh = _first_workers(step, pool, step.judged)
+    if any(room_on(step, one) for one in fresh):
+        _ask(cell, step, queue, fresh)
+
+
+def _ask(cell: Cell, step: StepRun, queue: Queue, workers: list[Worker]) -> None:
+    assert queue.advice is not None
+    if not workers:
+        return
+    step.asking = True
+    ids = tuple(one.id for one in workers)
+    call_s = queue.advice.call_s(len(ids))
+    cell.asks.append(AdviceAsk(step.key, ids, call_s, queue.priority))
+
+
+def ask_early(cell: Cell, job: Job, pool: Pool) -> None:
+    """Ask for the first steps of a job while it is being stored."""
+    queue = cell.queue_of(job)
+    if queue is None or queue.advice is None or job.repeats:
+        return
+    for step in job.steps():
+        if not step.spec.depends_on:
+            ask_first(cell, step, queue, pool)
+
+
+def note_advice(
+    cell: Cell,
+    key: StepKey,
+    named: t.Sequence[str],
+    good: t.Sequence[tuple[str, str]] | None,
+    valid_s: float,
+    now_s: float,
+) -> None:
+    """Take in an answer of the service; ``good`` is None where none came."""
+    step = cell.find_step(key)
+    if step is None:
+        return
+    step.asking = False
+    if good is None:
+        step.ask_after_s = now_s + ASK_AGAIN_S
+        cell.log("advice_failed", key.job, step=key.step, named=len(named))
+        return
+    step.judged.update(named)
+    expiry_s = now_s + valid_s - EXPIRY_MARGIN_S
+    for worker, ticket in good:
+        step.good.add(worker)
+        step.tickets[worker] = (ticket, expiry_s)
+    cell.log("advice", key.job, step=key.step, named=len(named), good=len(good))
+
+
+@dataclasses.dataclass(slots=True)
+class Lane:
+    """A VM that can call the service, and until when its calls keep it busy."""
+
+    name: str
+    busy_until_s: float = 0.0
+    waiting: int = 0
+
+
+def choose_lane(lanes: list[Lane], call_s: float, now_s: float) -> Lane | None:
+    """Choose the lane that is free first; long calls use only a part of the lanes."""
+    if not lanes:
+        return None
+    ordered = sorted(lanes, key=lambda one: one.name)
+    split = max(math.ceil(len(ordered) * LONG_SHARE), 1)
+    mine = ordered[:split] if call_s > LONG_CALL_S else (ordered[split:] or ordered)
+    open_lanes = [one for one in mine if one.waiting < 24]
+    return min(
+        open_lanes,
+        key=lambda one: (max(one.busy_until_s, now_s), one.waiting),
+        default=None,
+    )
--- /dev/null
+++ b/packages/scheduler/bulrushspur_scheduler/health.py
@@ -0,0 +1,96 @@
+"""Set workers apart that fail, hang or are slow, and try them again carefully.
+
+A failure counts in full only where other workers succeed with the same queue.
+"""
+
+import typing as t
+
+from bulrushspur_scheduler.cell import Cell
+from bulrushspur_scheduler.jobs import Run, RunState
+from bulrushspur_scheduler.workers import Worker
+
+SUSPECT_AT: t.Final = 2.0
+TRIAL_SUSPICION: t.Final = 1.5
+APART_S: t.Final = 2.0
+APART_AT_MOST_S: t.Final = 20.0
+SPEED_GAIN: t.Final = 0.25
+SPEED_LEAST: t.Final = 0.05
+OVERDUE_FACTOR: t.Final = 1.9
+OVERDUE_EXTRA_S: t.Final = 0.5
+HOPELESS_FACTOR: t.Final = 4.0
+
+
+def note_success(cell: Cell, worker: Worker, run: Run, now_s: float) -> None:
+    """Trust a worker again, and learn its speed from the time that a run took."""
+    worker.suspicion = max(worker.suspicion - 1.0, 0.0)
+    if worker.on_trial:
+        worker.on_trial = False
+        worker.relapses = 0
+        worker.suspicion = 0.0
+    if run.started_from or not run.confirmed_s:
+        return
+    took_s = now_s - run.confirmed_s
+    if took_s <= 0:
+        return
+    speed = min(run.task.step.spec.estimate_s / took_s, 2.0)
+    worker.speed += SPEED_GAIN * (speed - worker.speed)
+    worker.speed = max(worker.speed, SPEED_LEAST)
+
+
+def note_failure(cell: Cell, worker: Worker, run: Run | None, now_s: float) -> None:
+    """Suspect a worker more, and set it apart when it is suspect enough."""
+    weight = 1.0
+    if run is not None:
+        # A task that has failed elsewhere says little about this worker.
+        weight = 1.0 / (1 + 2 * len(run.task.failed_on - {worker.id}))
+    worker.suspicion += weight
+    if worker.suspicion >= SUSPECT_AT or worker.on_trial:
+        set_apart(cell, worker, now_s, "failures")
+
+
+def set_apart(cell: Cell, worker: Worker, now_s: float, reason: str) -> None:
+    """Give a worker no new work for a while, unless most are apart already."""
+    if worker.apart_until_s > now_s:
+        return
+    peers = [
+        one
+        for one in cell.workers.values()
+        if one.listed and one.entry.service == worker.entry.service
+    ]
+    apart = sum(one.apart_until_s > now_s for one in peers)
+    if 2 * (apart + 1) > max(len(peers), 2):
+        return
+    apart_s = min(APART_S * 2**worker.relapses, APART_AT_MOST_S)
+    worker.apart_until_s = now_s + apart_s
+    worker.relapses += 1
+    worker.suspicion = TRIAL_SUSPICION
+    worker.on_trial = True
+    cell.log(
+        "worker_apart",
+        worker=worker.id,
+        reason=reason,
+        apart_ms=round(apart_s * 1000),
+        runs=len(worker.runs),
+    )
+
+
+def is_overdue(run: Run, now_s: float, factor: float = OVERDUE_FACTOR) -> bool:
+    """Tell whether a run takes much longer than was declared."""
+    if run.state is not RunState.RUNNING or not run.confirmed_s:
+        return False
+    spec = run.task.step.spec
+    if spec.long_running:
+        return False
+    return now_s - run.confirmed_s > factor * spec.estimate_s + OVERDUE_EXTRA_S
+
+
+def overdue_workers(cell: Cell, now_s: float) -> list[tuple[Worker, list[Run]]]:
+    """List workers on which most runs are overdue, with those runs."""
+    rv = []
+    for worker in cell.workers.values():
+        if not worker.runs or now_s - worker.heard_s > 1.0:
+            continue
+        late = [run for run in worker.runs.values() if is_overdue(run, now_s)]
+        if late and (2 * len(late) > len(worker.runs) or worker.speed < 0.5):
+            rv.append((worker, late))
+    return rv
--- /dev/null
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -0,0 +1,231 @@
+"""Jobs, their steps and tasks, and the runs of tasks on workers."""
+
+import dataclasses
+import enum
+import typing as t
+
+from bulrushspur_scheduler.resources import Resources
+
+
+class JobState(enum.Enum):
+    """What a caller is told about a job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+FINAL_STATES: t.Final = frozenset(
+    {JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED}
+)
+
+
+class RunState(enum.Enum):
+    """What is known about a run on a worker."""
+
+    STARTING = "starting"
+    UNCONFIRMED = "unconfirmed"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class EndKind(enum.Enum):
+    """How a run ended, as its worker tells."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+
+
+class TaskKey(t.NamedTuple):
+    """Identify a task: job, occurrence, step and index."""
+
+    job: str
+    occurrence: int
+    step: int
+    index: int
+
+
+class StepKey(t.NamedTuple):
+    """Identify a step of one occurrence of a job."""
+
+    job: str
+    occurrence: int
+    step: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StepSpec:
+    """What the caller declared about a step; all its tasks are alike."""
+
+    count: int
+    resources: Resources
+    estimate_s: float = 1.0
+    depends_on: tuple[int, ...] = ()
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ""
+    preferred_rack: str = ""
+    max_per_worker: int = 0
+    checkpointing: bool = False
+    speculative: bool = False
+    long_running: bool = False
+    max_unavailable: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobSpec:
+    """What the caller declared about a job; times in Unix seconds."""
+
+    id: str
+    payload: str
+    steps: tuple[StepSpec, ...]
+    start_at_s: float = 0.0
+    interval_s: float = 0.0
+    repeat_count: int = 0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Run:
+    """One start of a task on one worker."""
+
+    task: "Task"
+    number: int
+    worker: str
+    state: RunState
+    ordered_s: float
+    confirmed_s: float = 0.0
+    stop_answered_s: float = 0.0
+    stop_reason: str = ""
+    checkpoint: str = ""
+    started_from: str = ""
+
+    @property
+    def key(self) -> tuple[TaskKey, int]:
+        """Identify the run on its worker."""
+        return (self.task.key, self.number)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Task:
+    """The progress of one task."""
+
+    key: TaskKey
+    step: "StepRun"
+    last_run: int = 0
+    runs: list[Run] = dataclasses.field(default_factory=list)
+    failed_runs: set[int] = dataclasses.field(default_factory=set)
+    failed_on: set[str] = dataclasses.field(default_factory=set)
+    checkpoint: str = ""
+    done: bool = False
+    unaccounted: bool = False
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class StepRun:
+    """One step of one occurrence; ``tickets`` maps a worker to ticket and expiry."""
+
+    key: StepKey
+    job: "Job"
+    spec: StepSpec
+    tasks: list[Task] = dataclasses.field(default_factory=list)
+    done_count: int = 0
+    ready: bool = False
+    ready_s: float = 0.0
+    failed_runs: set[int] = dataclasses.field(default_factory=set)
+    run_number: int = 0
+    good: set[str] = dataclasses.field(default_factory=set)
+    judged: set[str] = dataclasses.field(default_factory=set)
+    tickets: dict[str, tuple[str, float]] = dataclasses.field(default_factory=dict)
+    asking: bool = False
+    ask_after_s: float = 0.0
+
+    @property
+    def done(self) -> bool:
+        """Tell whether all tasks have ended well."""
+        return self.done_count >= len(self.tasks)
+
+    def waiting(self) -> list[Task]:
+        """List the tasks that may be started now."""
+        return [
+            one
+            for one in self.tasks
+            if not one.done and not one.runs and not one.unaccounted
+        ]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Occurrence:
+    """One repetition of a job's steps."""
+
+    number: int
+    steps: list[StepRun] = dataclasses.field(default_factory=list)
+    begun: bool = False
+
+    @property
+    def done(self) -> bool:
+        """Tell whether all steps are done."""
+        return all(one.done for one in self.steps)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Job:
+    """An accepted job; ``accepted_s`` on the steady clock."""
+
+    spec: JobSpec
+    queue: str
+    service: str
+    account: str
+    accepted_s: float
+    accepted_unix_s: float
+    objective_s: float = 0.0
+    priority: int = 0
+    excess: bool = False
+    state: JobState = JobState.QUEUED
+    occurrences: dict[int, Occurrence] = dataclasses.field(default_factory=dict)
+    completed_occurrences: set[int] = dataclasses.field(default_factory=set)
+    run_floor: int = 0
+
+    @property
+    def id(self) -> str:
+        """Return the id that the caller chose."""
+        return self.spec.id
+
+    @property
+    def repeats(self) -> bool:
+        """Tell whether the job has occurrences at set times."""
+        return self.spec.repeat_count > 0
+
+    def steps(self) -> t.Iterator[StepRun]:
+        """Yield all steps of all occurrences that are open."""
+        for occurrence in self.occurrences.values():
+            yield from occurrence.steps
+
+
+def make_occurrence(job: Job, number: int) -> Occurrence:
+    """Make the steps and tasks of one occurrence."""
+    rv = Occurrence(number)
+    for index, spec in enumerate(job.spec.steps):
+        key = StepKey(job.id, number, index)
+        step = StepRun(key, job, spec)
+        step.tasks = [
+            Task(TaskKey(job.id, number, index, i), step, last_run=job.run_floor)
+            for i in range(spec.count)
+        ]
+        rv.steps.append(step)
+    job.occurrences[number] = rv
+    return rv
+
+
+def longest_chain_s(steps: t.Sequence[StepSpec]) -> float:
+    """Estimate the longest chain of dependent work in seconds."""
+    ends: list[float] = []
+    for spec in steps:
+        before = max((ends[i] for i in spec.depends_on if i < len(ends)), default=0.0)
+        ends.append(before + spec.estimate_s)
+    return max(ends, default=0.0)
--- /dev/null
+++ b/packages/scheduler/bulrushspur_scheduler/placement.py
@@ -0,0 +1,170 @@
+"""Choose workers for the tasks of a step."""
+
+import dataclasses
+import typing as t
+
+from bulrushspur_scheduler.cell import Cell
+from bulrushspur_scheduler.config import Account
+from bulrushspur_scheduler.jobs import StepRun, Task
+from bulrushspur_scheduler.resources import Resources, Usage, count_that_fits
+from bulrushspur_scheduler.workers import Worker, is_usable
+
+TICKET_MARGIN_S: t.Final = 0.08
+# Urgent work keeps this much more than its mean use, at most this share of the pool.
+HEADROOM_FACTOR: t.Final = 1.25
+HEADROOM_MOST: t.Final = 0.25
+NO_LIMIT: t.Final = 1_000_000
+
+
+@dataclasses.dataclass
+class Pool:
+    """The usable workers of a service, and what lower priorities may still take."""
+
+    workers: list[Worker]
+    lower_cpu_milli: int = 0
+
+
+def make_pool(cell: Cell, service: str, now_s: float) -> Pool:
+    """Make the pool of a service for one planning pass."""
+    workers = [
+        one
+        for one in cell.workers.values()
+        if one.entry.service == service and is_usable(one, now_s)
+    ]
+    free = sum(max(one.free.cpu_milli, 0) for one in workers)
+    total = sum(one.entry.capacity.cpu_milli for one in workers)
+    wanted = min(
+        cell.urgent_mean.get(service, 0.0) * HEADROOM_FACTOR, total * HEADROOM_MOST
+    )
+    kept = max(wanted - cell.urgent_cpu.get(service, 0), 0.0)
+    return Pool(workers, int(free - kept))
+
+
+def needs_advice(cell: Cell, step: StepRun) -> bool:
+    """Tell whether starts of a step need a ticket."""
+    queue = cell.queue_of(step.job)
+    return queue is not None and queue.advice is not None
+
+
+def has_ticket(step: StepRun, worker: Worker, now_s: float) -> bool:
+    """Tell whether a step has a ticket for a worker that is valid for long enough."""
+    ticket = step.tickets.get(worker.id)
+    return ticket is not None and ticket[1] > now_s + TICKET_MARGIN_S
+
+
+def eligible(
+    cell: Cell, step: StepRun, pool: Pool, now_s: float, ticketed: bool
+) -> list[Worker]:
+    """List the workers of a pool that may run tasks of a step at all."""
+    spec = step.spec
+    urgent = step.job.priority == 0
+    return [
+        one
+        for one in pool.workers
+        if (not ticketed or has_ticket(step, one, now_s))
+        and (not spec.required_label or spec.required_label in one.entry.labels)
+        and (one.reserved_for in (None, step.key) or urgent)
+    ]
+
+
+def room_on(step: StepRun, worker: Worker) -> int:
+    """Tell how many more tasks of a step a worker can take."""
+    rv = count_that_fits(worker.free, step.spec.resources)
+    most = step.spec.max_per_worker
+    if most:
+        here = sum(run.worker == worker.id for task in step.tasks for run in task.runs)
+        rv = min(rv, most - here)
+    return max(rv, 0)
+
+
+def room_of_account(cell: Cell, account: str, each: Resources) -> int:
+    """Tell how many more tasks an account may have running under its cap."""
+    found = cell.account_of(account)
+    if found is None:
+        return NO_LIMIT
+    return cap_room(found, cell.usage_of(account), each)
+
+
+def cap_room(account: Account, used: Usage, each: Resources) -> int:
+    """Tell how many tasks fit under a cap; 0 in a cap means no limit."""
+    cap = account.cap
+    counts = [
+        (limit - have) // need
+        for limit, have, need in (
+            (cap.cpu_milli, used.cpu_milli, each.cpu_milli),
+            (cap.memory_mb, used.memory_mb, each.memory_mb),
+            (cap.gpus, used.gpus, each.gpus),
+            (account.max_tasks, used.tasks, 1),
+        )
+        if limit > 0 and need > 0
+    ]
+    return max(min(counts, default=NO_LIMIT), 0)
+
+
+def choose_worker(
+    step: StepRun, task: Task, workers: t.Iterable[Worker]
+) -> Worker | None:
+    """Choose the worker that a single task fits best."""
+    best, best_score = None, (0, 0.0)
+    for worker in workers:
+        if room_on(step, worker) < 1:
+            continue
+        score = _score(step, task, worker)
+        if best is None or score < best_score:
+            best, best_score = worker, score
+    return best
+
+
+def _score(step: StepRun, task: Task, worker: Worker) -> tuple[int, float]:
+    """Rate a worker, lower is better: bad history, far rack, speed, room left."""
+    spec = step.spec
+    rank = 0
+    if worker.id in task.failed_on:
+        rank += 2
+    if worker.suspicion >= 1.0:
+        rank += 1
+    left = _left(worker, spec.resources)
+    far = bool(spec.preferred_rack) and spec.preferred_rack not in worker.entry.labels
+    return (rank, left + 1.5 * far - 0.5 * worker.speed)
+
+
+def _left(worker: Worker, each: Resources) -> float:
+    capacity = worker.entry.capacity
+    return (worker.free.cpu_milli - each.cpu_milli) / max(capacity.cpu_milli, 1) + (
+        worker.free.memory_mb - each.memory_mb
+    ) / max(capacity.memory_mb, 1)
+
+
+def choose_gang(
+    step: StepRun, tasks: list[Task], workers: list[Worker]
+) -> list[tuple[Task, Worker]] | None:
+    """Choose workers for all tasks of a gang at once, or None."""
+    if step.spec.same_rack:
+        racks: dict[str, list[Worker]] = {}
+        for worker in workers:
+            racks.setdefault(worker.rack, []).append(worker)
+        for rack in sorted(racks, key=lambda one: -_total_room(step, racks[one])):
+            found = _fill(step, tasks, racks[rack])
+            if found is not None:
+                return found
+    return _fill(step, tasks, workers)
+
+
+def _total_room(step: StepRun, workers: list[Worker]) -> int:
+    return sum(room_on(step, one) for one in workers)
+
+
+def _fill(
+    step: StepRun, tasks: list[Task], workers: list[Worker]
+) -> list[tuple[Task, Worker]] | None:
+    rooms = [(room_on(step, one), one) for one in workers]
+    if sum(room for room, _ in rooms) < len(tasks):
+        return None
+    rooms.sort(key=lambda row: (row[1].suspicion >= 1.0, -row[0], -row[1].speed))
+    rv: list[tuple[Task, Worker]] = []
+    left = list(tasks)
+    for room, worker in rooms:
+        while room > 0 and left:
+            rv.append((left.pop(), worker))
+            room -= 1
+    return rv
--- /dev/null
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -0,0 +1,175 @@
+"""One planning pass: start what fits, in order of rank."""
+
+import typing as t
+
+from bulrushspur_scheduler import advice
+from bulrushspur_scheduler.cell import Cell
+from bulrushspur_scheduler.jobs import RunState, StepRun, Task
+from bulrushspur_scheduler.placement import (
+    Pool,
+    choose_gang,
+    choose_worker,
+    eligible,
+    make_pool,
+    needs_advice,
+    room_of_account,
+    room_on,
+)
+from bulrushspur_scheduler.ranking import Tier, rank, tier_of
+from bulrushspur_scheduler.reservations import clear_reservations, reserve
+from bulrushspur_scheduler.runs import begin_run, stop_step
+from bulrushspur_scheduler.workers import Worker
+
+# A pass gives up after so many steps that found no room.
+MISSES_AT_MOST: t.Final = 60
+# Members that are missing may still join a gang this long after its first order.
+GANG_JOIN_SHARE: t.Final = 0.5
+
+
+def plan(cell: Cell, now_s: float) -> None:
+    """Order all starts that fit now."""
+    steps = sorted(cell.waiting_steps.values(), key=lambda one: rank(one, now_s))
+    pools: dict[str, Pool] = {}
+    clear_reservations(cell, now_s)
+    misses = 0
+    for step in steps:
+        waiting = step.waiting()
+        if not waiting:
+            if not any(task.unaccounted for task in step.tasks):
+                cell.waiting_steps.pop(step.key, None)
+            continue
+        service = step.job.service
+        pool = pools.get(service)
+        if pool is None:
+            pool = pools[service] = make_pool(cell, service, now_s)
+        if not _plan_step(cell, step, waiting, pool, now_s):
+            misses += 1
+            if misses > MISSES_AT_MOST:
+                return
+
+
+def _plan_step(
+    cell: Cell, step: StepRun, waiting: list[Task], pool: Pool, now_s: float
+) -> bool:
+    """Start what fits of one step; tell whether it needs no more for now."""
+    ticketed = needs_advice(cell, step)
+    if ticketed and not step.judged:
+        queue = cell.queue_of(step.job)
+        if queue is not None and not step.asking and now_s >= step.ask_after_s:
+            advice.ask_first(cell, step, queue, pool)
+        return True
+    workers = eligible(cell, step, pool, now_s, ticketed)
+    if step.spec.gang:
+        started = _plan_gang(cell, step, waiting, workers, pool, now_s)
+    else:
+        started = _plan_tasks(cell, step, waiting, workers, pool, now_s)
+    if started or not ticketed:
+        return started
+    queue = cell.queue_of(step.job)
+    if queue is not None and _may_use(cell, step, pool, 1):
+        advice.ask_again(cell, step, queue, pool, now_s)
+    return False
+
+
+def _may_use(cell: Cell, step: StepRun, pool: Pool, count: int) -> bool:
+    """Tell whether the cap and the urgent headroom leave room for some tasks."""
+    each = step.spec.resources
+    if room_of_account(cell, step.job.account, each) < count:
+        return False
+    if step.job.priority == 0:
+        return True
+    return each.cpu_milli * count <= pool.lower_cpu_milli
+
+
+def _plan_tasks(
+    cell: Cell,
+    step: StepRun,
+    waiting: list[Task],
+    workers: list[Worker],
+    pool: Pool,
+    now_s: float,
+) -> bool:
+    for task in waiting:
+        if not _may_use(cell, step, pool, 1):
+            return False
+        worker = choose_worker(step, task, workers)
+        if worker is None:
+            return False
+        _start(cell, task, worker, task.last_run + 1, pool, now_s)
+    cell.waiting_steps.pop(step.key, None)
+    return True
+
+
+def _start(
+    cell: Cell, task: Task, worker: Worker, number: int, pool: Pool, now_s: float
+) -> None:
+    begin_run(cell, task, worker, number, now_s)
+    if task.step.job.priority > 0:
+        pool.lower_cpu_milli -= task.step.spec.resources.cpu_milli
+
+
+def _plan_gang(
+    cell: Cell,
+    step: StepRun,
+    waiting: list[Task],
+    workers: list[Worker],
+    pool: Pool,
+    now_s: float,
+) -> bool:
+    if len(waiting) < len(step.tasks):
+        return _complete_gang(cell, step, waiting, workers, pool, now_s)
+    if not _may_use(cell, step, pool, len(waiting)):
+        return False
+    chosen = choose_gang(step, waiting, workers)
+    if chosen is None:
+        if tier_of(step.job, step, now_s) is Tier.ON_TIME:
+            reserve(cell, step, pool, now_s)
+        return False
+    step.run_number = max(task.last_run for task in step.tasks) + 1
+    checkpoint = _gang_checkpoint(step)
+    for task, worker in chosen:
+        task.checkpoint = checkpoint
+        _start(cell, task, worker, step.run_number, pool, now_s)
+    cell.waiting_steps.pop(step.key, None)
+    return True
+
+
+def _gang_checkpoint(step: StepRun) -> str:
+    """Choose one checkpoint for all members: any member's is valid for all."""
+    return next((task.checkpoint for task in step.tasks if task.checkpoint), "")
+
+
+def _complete_gang(
+    cell: Cell,
+    step: StepRun,
+    waiting: list[Task],
+    workers: list[Worker],
+    pool: Pool,
+    now_s: float,
+) -> bool:
+    """Start members that are missing in time, else stop the others."""
+    runs = [run for task in step.tasks for run in task.runs]
+    if any(run.state is RunState.STOPPING for run in runs):
+        return False
+    if not runs or any(task.unaccounted for task in step.tasks):
+        return False
+    first_s = min(run.ordered_s for run in runs)
+    in_time = now_s - first_s < cell.bounds.gang_s * GANG_JOIN_SHARE
+    same = all(run.number == step.run_number for run in runs)
+    chosen = choose_gang(step, waiting, workers) if in_time and same else None
+    if chosen is None or not _may_use(cell, step, pool, len(waiting)):
+        if not in_time or not same:
+            stop_step(cell, step, "gang incomplete")
+        return False
+    for task, worker in chosen:
+        if task.last_run >= step.run_number:
+            stop_step(cell, step, "gang member was refused")
+            return False
+        _start(cell, task, worker, step.run_number, pool, now_s)
+    cell.waiting_steps.pop(step.key, None)
+    return True
+
+
+def workers_with_room(step: StepRun, workers: list[Worker]) -> int:
+    """Count tasks of a step that fit on some workers."""
+    return sum(room_on(step, one) for one in workers)
--- /dev/null
+++ b/packages/scheduler/bulrushspur_scheduler/ranking.py
@@ -0,0 +1,72 @@
+"""The order in which waiting steps are served.
+
+Jobs that can still meet their objective go before those that cannot, jobs within their
+account's share before those beyond it, then by priority, then by the least time left.
+"""
+
+import enum
+import typing as t
+
+from bulrushspur_scheduler.cell import Cell, TokenBucket
+from bulrushspur_scheduler.jobs import Job, StepRun
+
+# A late job is still of use until this multiple of its objective.
+LATE_FACTOR: t.Final = 3.0
+BURST_S: t.Final = 2.0
+
+
+class Tier(enum.IntEnum):
+    """Classes of waiting work; a lower one goes first."""
+
+    ON_TIME = 0
+    EXCESS = 1
+    LATE = 2
+    PAST_USE = 3
+
+
+def remaining_s(job: Job, step: StepRun) -> float:
+    """Estimate the longest chain of work from a step on, in seconds."""
+    specs = job.spec.steps
+    ends: dict[int, float] = {step.key.step: step.spec.estimate_s}
+    for index in range(step.key.step + 1, len(specs)):
+        before = [ends[i] for i in specs[index].depends_on if i in ends]
+        if before:
+            ends[index] = max(before) + specs[index].estimate_s
+    return max(ends.values())
+
+
+def tier_of(job: Job, step: StepRun, now_s: float) -> Tier:
+    """Tell how useful it still is to start a step now."""
+    end_s = now_s + remaining_s(job, step)
+    origin_s = step.ready_s if job.repeats else job.accepted_s
+    if end_s > origin_s + LATE_FACTOR * job.objective_s:
+        return Tier.PAST_USE
+    if end_s > origin_s + job.objective_s:
+        return Tier.LATE
+    return Tier.EXCESS if job.excess else Tier.ON_TIME
+
+
+def rank(step: StepRun, now_s: float) -> tuple[int, int, float, str]:
+    """Return the sort key of a waiting step."""
+    job = step.job
+    tier = tier_of(job, step, now_s)
+    latest_start_s = job.accepted_s + job.objective_s - remaining_s(job, step)
+    return (tier, job.priority, latest_start_s, job.id)
+
+
+def is_excess(cell: Cell, account: str, now_s: float) -> bool:
+    """Take an arrival from the account's share; tell whether it goes beyond it."""
+    found = cell.account_of(account)
+    if found is None or found.weight <= 0:
+        return False
+    most = max(found.weight * BURST_S, 2.0)
+    bucket = cell.buckets.get(account)
+    if bucket is None:
+        bucket = cell.buckets[account] = TokenBucket(most, now_s)
+    gained = (now_s - bucket.filled_s) * found.weight
+    bucket.tokens = min(bucket.tokens + gained, most)
+    bucket.filled_s = now_s
+    if bucket.tokens < 1:
+        return True
+    bucket.tokens -= 1
+    return False
--- /dev/null
+++ b/packages/scheduler/bulrushspur_scheduler/records.py
@@ -0,0 +1,248 @@
+"""What is stored about jobs, so that the next term can go on.
+
+A job has two keys: what was accepted, and how far it is. The second outlives the first.
+"""
+
+import typing as t
+
+import msgspec
+
+from bulrushspur_scheduler.cell import Cell, Finished
+from bulrushspur_scheduler.jobs import (
+    Job,
+    JobSpec,
+    JobState,
+    StepSpec,
+    make_occurrence,
+)
+from bulrushspur_scheduler.resources import Resources
+
+ACCEPTED_PREFIX: t.Final = "j"
+PROGRESS_PREFIX: t.Final = "s"
+WORKERS_KEY: t.Final = "workers"
+STATES: t.Final = tuple(JobState)
+
+
+class StepRecord(msgspec.Struct, array_like=True, omit_defaults=True):
+    """A step as stored."""
+
+    count: int
+    cpu_milli: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+    estimate_ms: int = 0
+    depends_on: list[int] = []
+    flags: int = 0
+    required_label: str = ""
+    preferred_rack: str = ""
+    max_per_worker: int = 0
+    max_unavailable: int = 0
+
+
+class JobRecord(msgspec.Struct, array_like=True, omit_defaults=True):
+    """An accepted job as stored."""
+
+    queue: str
+    service: str
+    account: str
+    payload: str
+    steps: list[StepRecord]
+    accepted_unix_ms: int
+    start_at_ms: int = 0
+    interval_ms: int = 0
+    repeat_count: int = 0
+
+
+class OccurrenceRecord(msgspec.Struct, array_like=True, omit_defaults=True):
+    """Progress of one occurrence; tasks done as bits, by step."""
+
+    number: int
+    done_bits: list[int]
+    failed_runs: dict[str, list[int]] = {}
+
+
+class ProgressRecord(msgspec.Struct, array_like=True, omit_defaults=True):
+    """How far a job is."""
+
+    state: int
+    account: str
+    queue: str
+    occurrences: list[OccurrenceRecord] = []
+    completed: list[int] = []
+
+
+class WorkerRecord(msgspec.Struct, array_like=True):
+    """A worker on which something may run."""
+
+    id: str
+    address: str
+    born_ms: int
+
+
+_FLAGS: t.Final = (
+    "gang",
+    "same_rack",
+    "checkpointing",
+    "speculative",
+    "long_running",
+)
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode_job = msgspec.msgpack.Decoder(JobRecord).decode
+_decode_progress = msgspec.msgpack.Decoder(ProgressRecord).decode
+_decode_workers = msgspec.msgpack.Decoder(list[WorkerRecord]).decode
+
+
+def encode_job(job: Job) -> bytes:
+    """Encode what was accepted."""
+    spec = job.spec
+    return _encode(
+        JobRecord(
+            job.queue,
+            job.service,
+            job.account,
+            spec.payload,
+            [_step_record(one) for one in spec.steps],
+            round(job.accepted_unix_s * 1000),
+            round(spec.start_at_s * 1000),
+            round(spec.interval_s * 1000),
+            spec.repeat_count,
+        )
+    )
+
+
+def _step_record(spec: StepSpec) -> StepRecord:
+    flags = sum(1 << i for i, name in enumerate(_FLAGS) if getattr(spec, name))
+    return StepRecord(
+        spec.count,
+        spec.resources.cpu_milli,
+        spec.resources.memory_mb,
+        spec.resources.gpus,
+        round(spec.estimate_s * 1000),
+        list(spec.depends_on),
+        flags,
+        spec.required_label,
+        spec.preferred_rack,
+        spec.max_per_worker,
+        spec.max_unavailable,
+    )
+
+
+def _step_spec(record: StepRecord) -> StepSpec:
+    flags = {name: bool(record.flags >> i & 1) for i, name in enumerate(_FLAGS)}
+    return StepSpec(
+        record.count,
+        Resources(record.cpu_milli, record.memory_mb, record.gpus),
+        record.estimate_ms / 1000,
+        tuple(record.depends_on),
+        required_label=record.required_label,
+        preferred_rack=record.preferred_rack,
+        max_per_worker=record.max_per_worker,
+        max_unavailable=record.max_unavailable,
+        **flags,
+    )
+
+
+def decode_job(job_id: str, data: bytes, now_s: float, unix_s: float) -> Job:
+    """Decode an accepted job; raises msgspec.DecodeError."""
+    record = _decode_job(data)
+    spec = JobSpec(
+        job_id,
+        record.payload,
+        tuple(map(_step_spec, record.steps)),
+        record.start_at_ms / 1000,
+        record.interval_ms / 1000,
+        record.repeat_count,
+    )
+    accepted_unix_s = record.accepted_unix_ms / 1000
+    age_s = min(max(unix_s - accepted_unix_s, 0.0), 3600.0)
+    return Job(
+        spec,
+        record.queue,
+        record.service,
+        record.account,
+        now_s - age_s,
+        accepted_unix_s,
+    )
+
+
+def encode_progress(cell: Cell, job_id: str) -> bytes | None:
+    """Encode how far a job is; None if it is not known."""
+    finished = cell.finished.get(job_id)
+    if finished is not None:
+        state = STATES.index(finished.state)
+        return _encode(ProgressRecord(state, finished.account, finished.queue))
+    job = cell.jobs.get(job_id)
+    if job is None:
+        return None
+    rows = [
+        OccurrenceRecord(
+            occurrence.number,
+            [
+                sum(1 << task.key.index for task in step.tasks if task.done)
+                for step in occurrence.steps
+            ],
+            _failed_rows(occurrence.steps),
+        )
+        for occurrence in job.occurrences.values()
+        if occurrence.number not in job.completed_occurrences
+    ]
+    state = STATES.index(job.state)
+    completed = sorted(job.completed_occurrences)
+    return _encode(ProgressRecord(state, job.account, job.queue, rows, completed))
+
+
+def _failed_rows(steps: list[t.Any]) -> dict[str, list[int]]:
+    rv: dict[str, list[int]] = {}
+    for step in steps:
+        if step.failed_runs:
+            rv[f"{step.key.step}"] = sorted(step.failed_runs)
+        for task in step.tasks:
+            if task.failed_runs:
+                name = f"{step.key.step}.{task.key.index}"
+                rv[name] = sorted(task.failed_runs)
+    return rv
+
+
+def apply_progress(job: Job, data: bytes) -> Finished | None:
+    """Apply stored progress to a job; return the final state if there is one."""
+    record = _decode_progress(data)
+    state = STATES[record.state]
+    if state in (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED):
+        return Finished(state, record.account, record.queue, 0.0)
+    job.state = state
+    job.completed_occurrences = set(record.completed)
+    for row in record.occurrences:
+        occurrence = job.occurrences.get(row.number) or make_occurrence(job, row.number)
+        for step, bits in zip(occurrence.steps, row.done_bits, strict=False):
+            for task in step.tasks:
+                if bits >> task.key.index & 1:
+                    task.done = True
+                    step.done_count += 1
+        for name, runs in row.failed_runs.items():
+            step_index, _, index = name.partition(".")
+            step = occurrence.steps[int(step_index)]
+            if index:
+                step.tasks[int(index)].failed_runs = set(runs)
+            else:
+                step.failed_runs = set(runs)
+    return None
+
+
+def decode_finished(data: bytes) -> Finished | None:
+    """Decode stored progress of a job whose other key is gone."""
+    record = _decode_progress(data)
+    state = STATES[record.state]
+    if state in (JobState.QUEUED, JobState.RUNNING):
+        return None
+    return Finished(state, record.account, record.queue, 0.0)
+
+
+def encode_workers(rows: list[WorkerRecord]) -> bytes:
+    """Encode the workers on which something may run."""
+    return _encode(rows)
+
+
+def decode_workers(data: bytes) -> list[WorkerRecord]:
+    """Decode the workers on which something may run; raises msgspec.DecodeError."""
+    return _decode_workers(data)
--- /dev/null
+++ b/packages/scheduler/bulrushspur_scheduler/relief.py
@@ -0,0 +1,31 @@
+"""Move work away from workers that leave, hang or are much slower than the others."""
+
+from bulrushspur_scheduler import health
+from bulrushspur_scheduler.cell import Cell
+from bulrushspur_scheduler.jobs import RunState
+from bulrushspur_scheduler.reservations import expected_end_s
+from bulrushspur_scheduler.runs import stop_run
+from bulrushspur_scheduler.workers import Worker
+
+LEAVE_MARGIN_S = 0.3
+
+
+def relieve(cell: Cell, now_s: float) -> None:
+    """Stop the runs that are better started elsewhere."""
+    for worker in cell.workers.values():
+        if worker.draining and worker.leaves_s is not None and worker.runs:
+            _leave(cell, worker, now_s)
+    for worker, runs in health.overdue_workers(cell, now_s):
+        health.set_apart(cell, worker, now_s, "runs overdue")
+        for run in runs:
+            if not run.task.step.spec.gang or health.is_overdue(run, now_s, 2.5):
+                stop_run(cell, run, "overdue")
+
+
+def _leave(cell: Cell, worker: Worker, now_s: float) -> None:
+    assert worker.leaves_s is not None
+    for run in list(worker.runs.values()):
+        if run.state is not RunState.RUNNING:
+            continue
+        if expected_end_s(run, worker.speed) > worker.leaves_s - LEAVE_MARGIN_S:
+            stop_run(cell, run, "worker leaves")
--- /dev/null
+++ b/packages/scheduler/bulrushspur_scheduler/resources.py
@@ -0,0 +1,64 @@
+"""Amounts of processor, memory and accelerators."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resources:
+    """An amount of each resource; processor in thousandths of a core."""
+
+    cpu_milli: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+
+    def holds(self, other: "Resources") -> bool:
+        """Tell whether ``other`` fits into this amount."""
+        return (
+            other.cpu_milli <= self.cpu_milli
+            and other.memory_mb <= self.memory_mb
+            and other.gpus <= self.gpus
+        )
+
+    def times(self, count: int) -> "Resources":
+        """Return the amount of ``count`` tasks."""
+        return Resources(
+            self.cpu_milli * count, self.memory_mb * count, self.gpus * count
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class Usage:
+    """A running total of tasks and their resources that changes in place."""
+
+    cpu_milli: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+    tasks: int = 0
+
+    def add(self, amount: Resources) -> None:
+        """Add the amount of one task."""
+        self.cpu_milli += amount.cpu_milli
+        self.memory_mb += amount.memory_mb
+        self.gpus += amount.gpus
+        self.tasks += 1
+
+    def subtract(self, amount: Resources) -> None:
+        """Subtract the amount of one task."""
+        self.cpu_milli -= amount.cpu_milli
+        self.memory_mb -= amount.memory_mb
+        self.gpus -= amount.gpus
+        self.tasks -= 1
+
+
+def count_that_fits(free: Usage, each: Resources) -> int:
+    """Tell how many tasks of one size fit into what is free."""
+    counts = [
+        have // need
+        for have, need in (
+            (free.cpu_milli, each.cpu_milli),
+            (free.memory_mb, each.memory_mb),
+            (free.gpus, each.gpus),
+        )
+        if need > 0
+    ]
+    return max(min(counts, default=0), 0)
--- /dev/null
+++ b/standins/bulrushspur_standins/advice.py
@@ -0,0 +1,48 @@
+"""A stand-in of the placement advice service: one call at a time."""
+
+import asyncio
+import dataclasses
+import random
+import zlib
+
+import msgspec
+
+from bulrushspur_kernel.http_exchange import Request
+from bulrushspur_kernel.http_server import HttpServer
+from bulrushspur_standins.serving import Answer, Faults, json_answer, make_server
+
+
+@dataclasses.dataclass
+class AdviceStandin:
+    """The service; ``good_share`` of the workers may run a step."""
+
+    decide_s: float = 0.01
+    good_share: float = 0.6
+    valid_s: float = 2.5
+    faults: Faults = dataclasses.field(default_factory=Faults)
+    rng: random.Random = dataclasses.field(default_factory=lambda: random.Random(1))
+    calls: int = 0
+    server: HttpServer | None = None
+    turn: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+
+    async def start(self) -> str:
+        """Listen and return the address."""
+        self.server = make_server(self._handle, self.faults, self.rng)
+        await self.server.listen("127.0.0.1", 0)
+        return f"127.0.0.1:{self.server.port}"
+
+    def is_good(self, step: str, worker: str) -> bool:
+        """Tell whether a worker may run a step; that does not change."""
+        return zlib.crc32(f"{step}/{worker}".encode()) % 100 < self.good_share * 100
+
+    async def _handle(self, request: Request, body: bytes) -> Answer:
+        data = msgspec.json.decode(body)
+        async with self.turn:
+            await asyncio.sleep(self.decide_s)
+        self.calls += 1
+        good = [
+            [one, f"t-{self.calls}"]
+            for one in data["workers"]
+            if self.is_good(data["step"], one)
+        ]
+        return json_answer(200, {"good": good, "valid_ms": self.valid_s * 1000})
--- /dev/null
+++ b/standins/bulrushspur_standins/store.py
@@ -0,0 +1,196 @@
+"""A stand-in of the log store: keyed topics, conditions, fenced writers, expiry."""
+
+import asyncio
+import base64
+import dataclasses
+import random
+import struct
+import typing as t
+
+from bulrushspur_kernel.http_exchange import Request
+from bulrushspur_kernel.http_server import HttpServer
+from bulrushspur_standins.serving import Answer, Faults, json_answer, make_server
+
+PAGE_ROWS: t.Final = 500
+REPEATS_KEPT: t.Final = 5
+
+
+@dataclasses.dataclass
+class Record:
+    """A stored record."""
+
+    offset: int
+    content: bytes
+
+    @property
+    def key(self) -> str:
+        """Return the key of a record of a keyed topic."""
+        return self.content[1 : 1 + self.content[0]].decode()
+
+    @property
+    def value(self) -> bytes:
+        """Return the value of a record of a keyed topic."""
+        return self.content[1 + self.content[0] :]
+
+
+@dataclasses.dataclass
+class Producer:
+    """What is known of a fenced writer of a partition."""
+
+    epoch: int = 0
+    sequence: int | None = None
+    answers: dict[int, Answer] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass
+class Partition:
+    """One topic's records: what is still in the log, and the newest by key."""
+
+    end: int = 0
+    records: list[Record] = dataclasses.field(default_factory=list)
+    newest: dict[str, Record] = dataclasses.field(default_factory=dict)
+    producers: dict[str, Producer] = dataclasses.field(default_factory=dict)
+    grown: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    @property
+    def first(self) -> int:
+        """Return the oldest offset that is kept."""
+        return self.records[0].offset if self.records else self.end
+
+
+@dataclasses.dataclass
+class StoreStandin:
+    """The store with its faults and its count of calls."""
+
+    faults: Faults = dataclasses.field(default_factory=Faults)
+    rng: random.Random = dataclasses.field(default_factory=lambda: random.Random(1))
+    topics: dict[str, Partition] = dataclasses.field(default_factory=dict)
+    calls: dict[str, int] = dataclasses.field(default_factory=dict)
+    server: HttpServer | None = None
+
+    async def start(self, port: int = 0) -> str:
+        """Listen and return the address."""
+        self.server = make_server(self._handle, self.faults, self.rng)
+        await self.server.listen("127.0.0.1", port)
+        return f"127.0.0.1:{self.server.port}"
+
+    def partition(self, topic: str) -> Partition:
+        """Return the only partition of a topic."""
+        return self.topics.setdefault(topic, Partition())
+
+    def put(self, topic: str, key: str, value: bytes) -> int:
+        """Write a record as somebody else."""
+        name = key.encode()
+        content = bytes([len(name)]) + name + value
+        return self._add(self.partition(topic), [content])
+
+    def forget_history(self, topic: str) -> None:
+        """Drop all records but the newest of each key."""
+        self.partition(topic).records.clear()
+
+    async def _handle(self, request: Request, body: bytes) -> Answer:
+        path = request.path
+        self.calls[path] = self.calls.get(path, 0) + 1
+        partition = self.partition(request.query.get("topic", ""))
+        if path == "/-/log-append":
+            return self._append(partition, request.query, body)
+        if path == "/-/log-read":
+            return await self._read(partition, request.query)
+        if path == "/-/log-newest":
+            return self._newest(partition, request.query)
+        return json_answer(404)
+
+    def _append(
+        self, partition: Partition, query: dict[str, str], body: bytes
+    ) -> Answer:
+        producer = None
+        if "producer" in query:
+            name = query["producer"]
+            producer = partition.producers.setdefault(name, Producer())
+            refused = self._check_producer(producer, query)
+            if refused is not None:
+                return refused
+        if "at" in query and int(query["at"]) != partition.end:
+            return json_answer(412, {"end": partition.end})
+        offset = self._add(partition, list(_split(body)))
+        rv = json_answer(200, {"offset": offset, "end": partition.end})
+        if producer is not None:
+            sequence = int(query["sequence"])
+            producer.sequence = sequence
+            producer.answers[sequence] = rv
+            producer.answers.pop(sequence - REPEATS_KEPT, None)
+        return rv
+
+    def _check_producer(
+        self, producer: Producer, query: dict[str, str]
+    ) -> Answer | None:
+        epoch, sequence = int(query["epoch"]), int(query["sequence"])
+        if epoch < producer.epoch:
+            return json_answer(409, {"reason": "fenced"})
+        if epoch > producer.epoch:
+            producer.epoch = epoch
+            producer.sequence = None
+            producer.answers.clear()
+            return None
+        if sequence in producer.answers:
+            return producer.answers[sequence]
+        if producer.sequence is not None and sequence != producer.sequence + 1:
+            return json_answer(
+                409, {"reason": "seq", "sequence": producer.sequence + 1}
+            )
+        return None
+
+    def _add(self, partition: Partition, contents: list[bytes]) -> int:
+        offset = partition.end
+        for content in contents:
+            record = Record(partition.end, content)
+            partition.end += 1
+            partition.records.append(record)
+            if record.value:
+                partition.newest[record.key] = record
+            else:
+                partition.newest.pop(record.key, None)
+        partition.grown.set()
+        partition.grown = asyncio.Event()
+        return offset
+
+    async def _read(self, partition: Partition, query: dict[str, str]) -> Answer:
+        start = int(query["from"])
+        wait_s = int(query.get("wait_ms", 0)) / 1000
+        if start < partition.first:
+            return json_answer(410, {"first": partition.first})
+        if start >= partition.end and wait_s > 0:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await partition.grown.wait()
+            except TimeoutError:
+                pass
+        rows = [one for one in partition.records if one.offset >= start]
+        body = struct.pack(">QQ", partition.end, partition.first)
+        body += b"".join(
+            struct.pack(">I", len(one.content)) + one.content for one in rows
+        )
+        return 200, body
+
+    def _newest(self, partition: Partition, query: dict[str, str]) -> Answer:
+        after = query.get("depends_on", "")
+        keys = sorted(key for key in partition.newest if key > after)
+        page = keys[:PAGE_ROWS]
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(partition.newest[key].value).decode(),
+                "offset": partition.newest[key].offset,
+            }
+            for key in page
+        ]
+        more = len(keys) > len(page)
+        return json_answer(200, {"items": items, "more": more, "end": partition.end})
+
+
+def _split(body: bytes) -> t.Iterator[bytes]:
+    at = 0
+    while at < len(body):
+        (size,) = struct.unpack_from(">I", body, at)
+        yield body[at + 4 : at + 4 + size]
+        at += 4 + size
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,246 @@
+"""Entry processes and stand-ins in one event loop, for tests of whole paths."""
+
+import asyncio
+import dataclasses
+import os
+import socket
+import tempfile
+import time
+
+import msgspec
+
+from bulrushspur_daemon.cell_log import NodeRecord
+from bulrushspur_daemon.process import listen, make_process
+from bulrushspur_kernel.http_client import LostError, NotSentError, fetch_answer
+from bulrushspur_kernel.logs import EventLog, Sink
+from bulrushspur_kernel.settings import Settings, SiteBounds
+from bulrushspur_standins.advice import AdviceStandin
+from bulrushspur_standins.store import StoreStandin
+from bulrushspur_standins.worker import Ledger, WorkerStandin
+
+HOST = "shop.example"
+KEY = "key-of-school"
+CONFIG = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "assess",
+            "host": HOST,
+            "path_prefix": "/assess/",
+            "service": "coursework",
+            "priority": 1,
+            "max_attempts": 3,
+            "stretch": 2.0,
+            "target_latency_ms": 1000,
+        },
+        {
+            "name": "place",
+            "host": HOST,
+            "path_prefix": "/place/",
+            "service": "coursework",
+            "priority": 0,
+            "max_attempts": 2,
+            "stretch": 1.5,
+            "target_latency_ms": 250,
+            "advice": {"decide_ms": 10, "each_ms": 0.1, "valid_ms": 2500},
+        },
+    ],
+    "services": [{"name": "coursework", "admission_check": False}],
+    "tenants": [
+        {
+            "name": "school",
+            "api_keys": [KEY],
+            "weight": 20,
+            "cap": {"cpu": 100_000, "mem_mb": 0, "gpu": 0},
+        }
+    ],
+}
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+@dataclasses.dataclass
+class Node:
+    """An entry process of a test, with the tasks that run it."""
+
+    process: object
+    tasks: list
+    log_path: str
+    frozen: bool = False
+
+    @property
+    def address(self):
+        return self.process.settings.callers_address
+
+    async def kill(self):
+        """End it as a kill would: nothing is told to anybody."""
+        process = self.process
+        process.election.stopping = True
+        if process.term is not None:
+            process.term.peers.close()
+            process.term.stop("killed by the test")
+        for task in self.tasks:
+            task.cancel()
+        for server in process.servers:
+            server.server.close()
+            for task in list(server.tasks):
+                task.cancel()
+        process.peer_server.socket.close(linger=0)
+        await asyncio.sleep(0)
+
+    def events(self, name):
+        with open(self.log_path, "rb") as file:
+            rows = [msgspec.json.decode(line) for line in file if line.strip()]
+        return [row for row in rows if row["event"] == name]
+
+
+class Cluster:
+    """A cell of entry processes, workers, store and advice service."""
+
+    def __init__(self):
+        self.folder = tempfile.mkdtemp()
+        self.store = StoreStandin()
+        self.advice = AdviceStandin()
+        self.ledger = Ledger()
+        self.workers = []
+        self.nodes = {}
+        self.heartbeats = None
+
+    async def start(self, nodes=3, workers=4, config=None):
+        self.store_address = await self.store.start()
+        self.advice_address = await self.advice.start()
+        self.put_config(config or CONFIG)
+        for index in range(workers):
+            await self.add_worker(f"w{index}")
+        for index in range(nodes):
+            await self.add_node(f"n{index}")
+        await self.wait_leader()
+
+    def put_config(self, config):
+        self.store.put("keyed.op", "config", msgspec.json.encode(config))
+
+    async def add_worker(self, name, **fields):
+        worker = WorkerStandin(name, ledger=self.ledger, **fields)
+        await worker.start()
+        self.workers.append(worker)
+        self.store.put("keyed.servers", name, worker.entry())
+        return worker
+
+    async def add_node(self, name, **fields):
+        path = os.path.join(self.folder, f"{name}-{time.monotonic_ns()}.log")
+        fd = os.open(path, os.O_WRONLY | os.O_CREAT)
+        settings = Settings(
+            name,
+            "north",
+            *(f"127.0.0.1:{free_port()}" for _ in range(3)),
+            self.store_address,
+            advice_address=self.advice_address,
+            operators_address=f"127.0.0.1:{free_port()}",
+            site=SiteBounds(status_s=30.0),
+            **fields,
+        )
+        process = make_process(settings, EventLog(name, Sink(fd, 2000.0)))
+        me = NodeRecord(name, "north", settings.peers_address, 1.0, os.urandom(4).hex())
+        parts = [
+            process.peer_server.run(),
+            process.config_watch.run(),
+            process.config_watch.run_refresh(),
+            process.cell_log.run(me),
+            process.election.run(),
+            process.advice.run(),
+        ]
+        tasks = [asyncio.create_task(part) for part in parts]
+        await listen(process)
+        node = self.nodes[name] = Node(process, tasks, path)
+        return node
+
+    def leader(self):
+        for node in self.nodes.values():
+            term = node.process.term
+            if term is not None and term.serving and not term.over:
+                return node
+        return None
+
+    async def wait_leader(self, wait_s=8.0):
+        await self.wait_for(
+            lambda: (
+                self.leader() is not None
+                and all(
+                    one.process.link.is_serving() and one.process.gateway.has_config
+                    for one in self.nodes.values()
+                )
+            ),
+            wait_s,
+        )
+
+    async def wait_for(self, test, wait_s=8.0):
+        until_s = time.monotonic() + wait_s
+        while not test():
+            if time.monotonic() > until_s:
+                raise AssertionError("it did not come true in time")
+            await asyncio.sleep(0.02)
+
+    async def kill(self, node):
+        del self.nodes[node.process.settings.name]
+        await node.kill()
+
+    async def call(self, method, path, body=None, node=None, key=KEY, wait_s=3.0):
+        node = node or next(iter(self.nodes.values()))
+        headers = [("bulrushspur-credential", key)]
+        headers.append(("bulrushspur-deadline-ms", str(int(wait_s * 1000))))
+        data = msgspec.json.encode(body) if body is not None else b""
+        try:
+            return await fetch_answer(
+                method,
+                node.address,
+                path,
+                data,
+                headers,
+                wait_s + 1,
+                host=HOST,
+            )
+        except (NotSentError, LostError):
+            return None
+
+    async def submit(self, job, queue="assess", node=None, **fields):
+        return await self.call("POST", f"/{queue}/{job}", make_job(**fields), node=node)
+
+    async def state(self, job, queue="assess", node=None):
+        answer = await self.call("GET", f"/{queue}/{job}", node=node)
+        if answer is None:
+            return None
+        if answer.status != 200:
+            return answer.status
+        return msgspec.json.decode(answer.body)["state"]
+
+    async def wait_state(self, job, state, queue="assess", wait_s=10.0, node=None):
+        until_s = time.monotonic() + wait_s
+        while True:
+            seen = await self.state(job, queue, node)
+            if seen == state:
+                return
+            if time.monotonic() > until_s:
+                raise AssertionError(f"job {job} is {seen}, not {state}")
+            await asyncio.sleep(0.05)
+
+    async def stop(self):
+        for node in list(self.nodes.values()):
+            await self.kill(node)
+        for worker in self.workers:
+            await worker.stop()
+        for one in (self.store, self.advice):
+            await one.server.close(0.0)
+
+
+def make_job(count=2, cpu=1000, ms=100, how="done", steps=None, **fields):
+    """Make the body of a job; its payload tells the stand-in workers what to do."""
+    step = {"count": count, "cpu": cpu, "mem_mb": 100, "estimate_ms": ms, **fields}
+    return {"spec": f"{cpu} {ms} {how}", "steps": steps or [step]}
+
+
+def job_id(number):
+    return f"{number:016x}"
