Count an adopted run until its former lease is over

Also, a run of a job that is not known any more was not counted at all: its worker now gets no work until it has ended.

--- a/packages/scheduler/bulrushspur_scheduler/leases.py
+++ b/packages/scheduler/bulrushspur_scheduler/leases.py
@@ -36,9 +36,8 @@
         cell.log("worker_lost", worker=worker.id, reason=reason, runs=len(worker.runs))
     for run in list(worker.runs.values()):
         lose_run(cell, run, reason)
-    for amount in worker.strays.values():
-        worker.free.add(amount)
-    worker.strays.clear()
+    for key in list(worker.strays):
+        worker.drop_stray(key)
     cell.dark.discard(worker.id)
 
 
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -26,6 +26,8 @@
 
 # A worker lists at most this many ends at once; beyond, its lists are not whole.
 ENDS_LISTED: t.Final = 500
+# The last order of an earlier term may have been under way until now.
+FORMER_LEASE_EXTRA_S: t.Final = 0.5
 
 
 class StartResult(enum.Enum):
@@ -85,6 +87,7 @@
     worker.heard_s = now_s
     if not worker.reached:
         cell.log("worker_reached", worker=worker.id, runs=len(report.running))
+        _assume_lease(cell, worker, report)
     worker.reached = True
     cell.dark.discard(worker.id)
     for row in report.ended:
@@ -100,11 +103,17 @@
         elif whole:
             _check_missing(cell, run, report.sent_s)
     for key in [key for key in worker.strays if key not in listed]:
-        worker.free.add(worker.strays.pop(key))
+        worker.drop_stray(key)
     for row in listed.values():
         _apply_unknown(cell, worker, row, now_s)
 
 
+def _assume_lease(cell: Cell, worker: Worker, report: HoldReport) -> None:
+    """Count with the longest lease that an earlier term can have given."""
+    lease_ms = int((cell.bounds.lease_s + FORMER_LEASE_EXTRA_S) * 1000)
+    worker.lease_until_ms = max(worker.lease_until_ms, report.clock_ms + lease_ms)
+
+
 def restart_worker(cell: Cell, worker: Worker, born_ms: int) -> None:
     """Forget all about the former life of a worker."""
     lose_worker(cell, worker, "worker restarted")
@@ -165,9 +174,7 @@
         return
     if key not in worker.strays:
         amount = task.step.spec.resources if task is not None else None
-        if amount is not None:
-            worker.free.subtract(amount)
-            worker.strays[key] = amount
+        worker.add_stray(key, amount)
         cell.log("stray", row.key.job, worker=worker.id, run=row.number)
     cell.stops.append(StopOrder(worker.id, row.key, row.number, None))
 
@@ -188,9 +195,7 @@
         if row.checkpoint and run.task.step.spec.checkpointing:
             run.checkpoint = row.checkpoint
         release_run(cell, run)
-    stray = worker.strays.pop((row.key, row.number), None)
-    if stray is not None:
-        worker.free.add(stray)
+    worker.drop_stray((row.key, row.number))
     task = cell.find_task(row.key)
     if task is None:
         return
--- a/packages/scheduler/bulrushspur_scheduler/takeover.py
+++ b/packages/scheduler/bulrushspur_scheduler/takeover.py
@@ -93,6 +93,7 @@
             if step.ready and not step.done:
                 cell.waiting_steps[step.key] = step
     cell.log("settled", tasks=freed, dark=len(cell.dark))
+    cell.dark.clear()
     return True
 
 
--- a/packages/scheduler/bulrushspur_scheduler/workers.py
+++ b/packages/scheduler/bulrushspur_scheduler/workers.py
@@ -68,7 +68,8 @@
     clock: WorkerClock = dataclasses.field(default_factory=WorkerClock)
     lease_until_ms: int = 0
     runs: dict[tuple[TaskKey, int], Run] = dataclasses.field(default_factory=dict)
-    strays: dict[tuple[TaskKey, int], Resources] = dataclasses.field(
+    # Runs that are not ours, with their size where it is known.
+    strays: dict[tuple[TaskKey, int], Resources | None] = dataclasses.field(
         default_factory=dict
     )
     applied_upto: int = 0
@@ -91,6 +92,23 @@
         """Return the rack label, the last of the worker's labels."""
         return self.entry.labels[-1] if self.entry.labels else ""
 
+    def add_stray(self, key: tuple[TaskKey, int], amount: Resources | None) -> None:
+        """Count a run that is not ours."""
+        self.strays[key] = amount
+        if amount is not None:
+            self.free.subtract(amount)
+
+    def drop_stray(self, key: tuple[TaskKey, int]) -> None:
+        """Forget a run that is not ours and has ended."""
+        amount = self.strays.pop(key, None)
+        if amount is not None:
+            self.free.add(amount)
+
+    @property
+    def has_unsized_stray(self) -> bool:
+        """Tell whether something of unknown size runs here."""
+        return any(amount is None for amount in self.strays.values())
+
     def lease_over(self, now_s: float) -> bool:
         """Tell whether nothing that was ever ordered here can still run."""
         if not self.lease_until_ms:
@@ -116,4 +134,5 @@
         and worker.apart_until_s <= now_s
         and now_s - worker.heard_s < HEARD_WITHIN_S
         and not (worker.on_trial and worker.runs)
+        and not (worker.strays and worker.has_unsized_stray)
     )
--- /dev/null
+++ b/tests/cells.py
@@ -0,0 +1,96 @@
+"""Cells with workers and jobs, for tests of the decisions alone."""
+
+from bulrushspur_scheduler.cell import make_cell
+from bulrushspur_scheduler.config import Account, AdvicePolicy, Queue, make_config
+from bulrushspur_scheduler.jobs import EndKind, Job, JobSpec, StepSpec, TaskKey
+from bulrushspur_scheduler.progress import add_job
+from bulrushspur_scheduler.reports import (
+    EndRow,
+    HoldReport,
+    RunningRow,
+    StartResult,
+    apply_report,
+    note_start,
+)
+from bulrushspur_scheduler.resources import Resources
+from bulrushspur_scheduler.workers import WorkerEntry, make_worker
+
+ADVICE = AdvicePolicy(0.4, 0.005, 2.5)
+QUEUES = (
+    Queue("small", "h", "/s/", "svc", 0, 2, 1.5, 0.25),
+    Queue("heavy", "h", "/h/", "svc", 1, 3, 2.0, 1.0),
+    Queue("bulk", "h", "/b/", "svc", 2, 3, 4.0, 3.0),
+    Queue("advised", "h", "/a/", "svc", 1, 3, 2.0, 1.0, advice=ADVICE),
+)
+
+
+def make_test_cell(workers=2, cpu_milli=16_000, accounts=None, **fields):
+    accounts = accounts or (Account("team", ("k",), 20.0),)
+    cell = make_cell(make_config(1, QUEUES, accounts=accounts), fence=5, **fields)
+    for index in range(workers):
+        add_worker(cell, f"w{index}", cpu_milli)
+    return cell
+
+
+def add_worker(cell, name, cpu_milli=16_000, now_s=0.0, reached=True, **fields):
+    labels = fields.pop("labels", ("a", "r1"))
+    entry = WorkerEntry(
+        name, "svc", "1.1.1.1:1", "z", Resources(cpu_milli, 32_768), labels, **fields
+    )
+    worker = cell.workers[name] = make_worker(entry, now_s)
+    if reached:
+        report(cell, name, now_s)
+    return worker
+
+
+def report(cell, name, now_s, running=(), ended=(), sent_s=None, born_ms=1):
+    """Let a worker list runs as (key, number) and ends as (position, key, number, how)."""
+    apply_report(
+        cell,
+        cell.workers[name],
+        HoldReport(
+            now_s if sent_s is None else sent_s,
+            int(now_s * 1000) + 1,
+            born_ms,
+            [RunningRow(key, number, "", 100) for key, number in running],
+            [
+                EndRow(position, key, number, EndKind(how), "")
+                for position, key, number, how in ended
+            ],
+        ),
+        now_s,
+    )
+
+
+def make_test_job(job_id="j1", queue="heavy", now_s=0.0, steps=None, **fields):
+    spec = {"count": 1, "resources": Resources(1000, 100), "estimate_s": 1.0}
+    spec.update(fields)
+    steps = steps or (StepSpec(**spec),)
+    return Job(JobSpec(job_id, "p", steps), queue, "svc", "team", now_s, now_s)
+
+
+def add_test_job(cell, job_id="j1", queue="heavy", now_s=0.0, **fields):
+    job = make_test_job(job_id, queue, now_s, **fields)
+    add_job(cell, job, now_s, now_s)
+    return job
+
+
+def started(cell, now_s):
+    """Take the start orders out, answer them, and return them."""
+    orders, cell.starts = cell.starts, []
+    for order in orders:
+        note_start(cell, order.run, StartResult.STARTED, now_s)
+    return orders
+
+
+def key(job="j1", index=0, step=0):
+    return TaskKey(job, 0, step, index)
+
+
+def heard(cell, now_s):
+    """Let all workers be heard now, with what they run."""
+    for name, worker in cell.workers.items():
+        running = [
+            run.key for run in worker.runs.values() if run.state.value != "starting"
+        ]
+        report(cell, name, now_s, running)
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,81 @@
+"""Tests of how a new term learns what runs where."""
+
+import unittest
+
+from bulrushspur_scheduler import takeover
+from bulrushspur_scheduler.leases import check_leases
+from bulrushspur_scheduler.planning import plan
+from bulrushspur_scheduler.records import encode_job
+from tests.cells import (
+    add_worker,
+    key,
+    make_test_cell,
+    make_test_job,
+    report,
+    started,
+)
+
+
+def recovered(workers=("w0", "w1"), jobs=("j1",), reached=()):
+    """Make a cell that has just recovered jobs, with workers that it knows."""
+    cell = make_test_cell(0)
+    for name in workers:
+        add_worker(cell, name, reached=name in reached)
+        if name not in reached:
+            cell.dark.add(name)
+    stored = {f"j{job}": encode_job(make_test_job(job)) for job in jobs}
+    takeover.recover(cell, stored, 0.0, 0.0)
+    cell.settled = False
+    cell.settle_at_s = 14.0
+    return cell
+
+
+class TakeoverTest(unittest.TestCase):
+    def test_adopted_run_counts_until_its_former_lease_is_over(self):
+        cell = recovered()
+        report(cell, "w0", 1.0, [(key(), 1)])
+        check_leases(cell, 1.01)
+        self.assertEqual(len(cell.workers["w0"].runs), 1)
+        self.assertEqual(cell.workers["w0"].free.cpu_milli, 15_000)
+        check_leases(cell, 1.0 + cell.bounds.lease_s + 1.0)
+        self.assertEqual(len(cell.workers["w0"].runs), 0)
+
+    def test_task_waits_until_each_worker_was_heard(self):
+        cell = recovered()
+        report(cell, "w0", 1.0)
+        takeover.settle(cell, 1.0)
+        plan(cell, 1.0)
+        self.assertEqual(cell.starts, [])
+        report(cell, "w1", 1.1)
+        takeover.settle(cell, 1.1)
+        plan(cell, 1.1)
+        self.assertEqual(len(started(cell, 1.1)), 1)
+
+    def test_task_starts_after_the_longest_lease_of_a_silent_worker(self):
+        cell = recovered()
+        report(cell, "w0", 13.9)
+        takeover.settle(cell, 13.9)
+        plan(cell, 13.9)
+        self.assertEqual(cell.starts, [])
+        takeover.settle(cell, 14.1)
+        plan(cell, 14.1)
+        self.assertEqual([one.worker for one in started(cell, 14.1)], ["w0"])
+
+    def test_run_numbers_rise_over_terms(self):
+        cell = recovered(workers=("w0",))
+        report(cell, "w0", 1.0)
+        takeover.settle(cell, 1.0)
+        plan(cell, 1.0)
+        (order,) = started(cell, 1.0)
+        self.assertGreater(order.run.number, 5 * takeover.RUNS_A_TERM)
+
+    def test_stray_of_unknown_size_keeps_its_worker_free_of_new_work(self):
+        cell = recovered(workers=("w0",))
+        report(cell, "w0", 1.0, [(key("gone"), 1)])
+        takeover.settle(cell, 1.0)
+        plan(cell, 1.0)
+        self.assertEqual(cell.starts, [])
+        self.assertEqual(len(cell.stops), 1)
+        report(cell, "w0", 1.2, ended=[(1, key("gone"), 1, "stopped")])
+        plan(cell, 1.2)
+        self.assertEqual(len(cell.starts), 1)
