Do not take an earlier run's end for word of a later one

The new term heard the end of run 1, took the task as accounted for, and so stopped run 2 as a stray while it started another. Only the end of the wait for all workers settles a task now.

--- /dev/null
+++ b/packages/client/bulrushspur_client/commands.py
@@ -0,0 +1,276 @@
+"""The operators' commands."""
+
+import asyncio
+import os
+import pathlib
+import typing as t
+
+import msgspec
+from fire.decorators import SetParseFn
+
+from bulrushspur_client.cell_text import (
+    CellText,
+    open_store,
+    read_text,
+    write_record,
+)
+from bulrushspur_client.differences import list_differences
+from bulrushspur_client.entries import Entry, ask, find_entries, uses
+from bulrushspur_client.entries import wait_in_force as wait_for
+from bulrushspur_client.output import Output, format_json, make_table
+from bulrushspur_client.status import show_cell
+from bulrushspur_kernel.errors import (
+    BadRequestError,
+    BadTextError,
+    PlatformDownError,
+    RaceLostError,
+)
+from bulrushspur_kernel.keys import hash_key, make_key, split_key
+from bulrushspur_kernel.text import parse_text
+from bulrushspur_kernel.text_records import (
+    KEY_PREFIX,
+    TEXT_KEY,
+    KeyRecord,
+    TextRecord,
+)
+
+KEY_WAIT_S: t.Final = 3.0
+# Exit code of what was accepted, but not confirmed everywhere in time.
+NOT_CONFIRMED: t.Final = 5
+IN_FORCE_WAIT_S: t.Final = 14.0
+
+
+class Commands:
+    """Operate a cell: publish its text, give and withdraw keys, and look.
+
+    ``--store`` is the store's address (or BULRUSHSPUR_STORE), ``--entries`` addresses
+    of entry processes for operators, with commas (or BULRUSHSPUR_ENTRIES), for when
+    the store does not name them; ``--json`` is for programs. Exit codes: 0 done,
+    1 internal, 2 wrong input, 3 another operator was first, 4 try again later,
+    5 accepted but not confirmed everywhere yet.
+    """
+
+    def __init__(
+        self,
+        store: str = "",
+        entries: str = "",
+        adapter: str = "bulrushspur_platform",
+        json: bool = False,
+    ) -> None:
+        env = os.environ.get
+        address = store or env("BULRUSHSPUR_STORE", "127.0.0.1:7000")
+        self._store = open_store(address, adapter)
+        given = str(entries or env("BULRUSHSPUR_ENTRIES", ""))
+        self._entries = [one.strip() for one in given.split(",") if one.strip()]
+        self._json = json
+
+    @SetParseFn(str)
+    def check(self, file: str) -> Output:
+        """Check a text file without publishing it."""
+        raw = _load_text(file)
+        return self._output({"valid": True, "text": raw}, f"{file} is a valid text.")
+
+    @SetParseFn(str, "file")
+    def publish(
+        self, file: str, from_version: int = 0, wait_s: float = IN_FORCE_WAIT_S
+    ) -> Output:
+        """Publish a text edited from a version; 0 where there is none yet."""
+        raw = _load_text(file)
+        return asyncio.run(self._publish(raw, from_version, wait_s))
+
+    async def _publish(
+        self, raw: dict[str, t.Any], from_version: int, wait_s: float
+    ) -> Output:
+        def check(before: CellText) -> None:
+            if before.version != from_version:
+                raise _race_lost(before, from_version)
+
+        record = msgspec.json.encode(TextRecord(raw, os.environ.get("USER", "")))
+        version = await write_record(self._store, TEXT_KEY, record, check)
+        return await self._confirm(f"Accepted as version {version}.", version, wait_s)
+
+    async def _confirm(self, sentence: str, version: int, wait_s: float) -> Output:
+        """Wait until what was accepted is in force everywhere, and tell where."""
+        entries = await find_entries(self._store, self._entries)
+        done, late = await wait_for(entries, version, wait_s)
+        data = {"accepted": True, "version": version, "in_force": done, "late": late}
+        where = f"In force at {len(done)} of {len(entries)} entry processes"
+        if not entries:
+            where = "No entry process was found: name some with --entries"
+        lines = [sentence, f"{where}."]
+        if late:
+            lines.append(f"Not confirmed within {wait_s:g} s: {', '.join(late)}.")
+            lines.append("Next: bulrushspur show")
+        code = 0 if entries and not late else NOT_CONFIRMED
+        return Output(data, lines, code, self._json)
+
+    def show(self, text: bool = False) -> Output:
+        """Show which version is in force and where; --text prints it for editing."""
+        return asyncio.run(self._show(text))
+
+    async def _show(self, whole: bool) -> Output:
+        cell = await read_text(self._store)
+        record = cell.text()
+        if record is None:
+            sentence = "No text is in force. Next: bulrushspur publish FILE"
+            return self._output({"version": 0}, sentence)
+        if whole:
+            return self._output(record.text, format_json(record.text))
+        entries = await find_entries(self._store, self._entries)
+        rows = [_show_entry(one, cell.newest) for one in entries]
+        by = f", published by {record.author}" if record.author else ""
+        columns = ["entry process", "confirmed", "version"]
+        lines = [
+            f"Version {cell.version} of cell {record.text['cell']} is in force{by}.",
+            f"With keys it is version {cell.newest}.",
+            "",
+            *make_table(columns, rows),
+        ]
+        data = {
+            "version": cell.version,
+            "newest": cell.newest,
+            "author": record.author,
+            "confirmed": {one.name: uses(one, cell.newest) for one in entries},
+        }
+        return self._output(data, *lines)
+
+    @SetParseFn(str)
+    def diff(self, newer: str) -> Output:
+        """Show the difference between the text in force and a file."""
+        record = asyncio.run(read_text(self._store)).text()
+        older = record.text if record is not None else {}
+        rows = list_differences(older, _load_text(newer))
+        return self._output(rows, *(rows or ["No difference."]))
+
+    @SetParseFn(str)
+    def give(self, team: str) -> Output:
+        """Give a team a key; it is shown this once and kept nowhere."""
+        return asyncio.run(self._give(team))
+
+    async def _give(self, team: str) -> Output:
+        def check(before: CellText) -> None:
+            record = before.text()
+            teams = [one["name"] for one in record.text["teams"]] if record else []
+            if team not in teams:
+                known = ", ".join(teams) or "none: publish a text first"
+                sentence = f"Team {team} is not in the text in force ({known})."
+                raise BadRequestError(sentence)
+
+        key_id, key = make_key()
+        value = msgspec.json.encode(KeyRecord(team, hash_key(key)))
+        version = await write_record(self._store, KEY_PREFIX + key_id, value, check)
+        # The next command of who takes the key may be a request with it.
+        entries = await find_entries(self._store, self._entries)
+        done, late = await wait_for(entries, version, KEY_WAIT_S)
+        data = {"key_id": key_id, "team": team, "key": key}
+        data |= {"in_force": done, "late": late}
+        return self._output(data, key)
+
+    @SetParseFn(str, "key_id")
+    def withdraw(self, key_id: str, wait_s: float = IN_FORCE_WAIT_S) -> Output:
+        """Withdraw a key by its id and tell where it is refused."""
+        return asyncio.run(self._withdraw(str(key_id), wait_s))
+
+    async def _withdraw(self, key_id: str, wait_s: float) -> Output:
+        # Who is in a hurry may have nothing at hand but the key itself.
+        parts = split_key(key_id)
+        key_id = parts[0] if parts else key_id
+
+        def check(before: CellText) -> None:
+            if KEY_PREFIX + key_id not in before.records:
+                sentence = f"There is no key {key_id} in force. Next: bulrushspur keys"
+                raise BadRequestError(sentence)
+
+        version = await write_record(self._store, KEY_PREFIX + key_id, b"", check)
+        return await self._confirm(f"Key {key_id} is withdrawn.", version, wait_s)
+
+    def keys(self) -> Output:
+        """List the keys in force by id and team; never the keys themselves."""
+        keys = asyncio.run(read_text(self._store)).keys()
+        rows = [[key_id, key.team] for key_id, key in keys.items()]
+        data = [{"key_id": key_id, "team": team} for key_id, team in rows]
+        return self._output(data, *make_table(["key id", "team"], rows))
+
+    def status(self) -> Output:
+        """Show how the cell does: its entry processes, workers and waiting work."""
+        entries = asyncio.run(find_entries(self._store, self._entries))
+        data = {one.name: one.status for one in entries}
+        code = 0 if all(one.status for one in entries) else NOT_CONFIRMED
+        return Output(data, show_cell(entries), code, self._json)
+
+    @SetParseFn(str)
+    def dump(self, name: str) -> Output:
+        """Show the whole state of an entry process, by name or address."""
+        return asyncio.run(self._dump(name))
+
+    async def _dump(self, name: str) -> Output:
+        address = name if ":" in name else (await self._find(name)).address
+        found = await ask(address, "/dump")
+        if found is None:
+            raise PlatformDownError(f"{name} does not answer.")
+        return self._output(found, format_json(found))
+
+    async def _find(self, name: str) -> Entry:
+        entries = await find_entries(self._store, self._entries)
+        for entry in entries:
+            if entry.name == name and entry.address:
+                return entry
+        known = ", ".join(one.name for one in entries) or "none: use --entries"
+        raise BadRequestError(f"There is no entry process {name} (found: {known}).")
+
+    @SetParseFn(str)
+    def explain(self, job: str) -> Output:
+        """Explain what a job waits for."""
+        return asyncio.run(self._explain(job))
+
+    async def _explain(self, job: str) -> Output:
+        entries = await find_entries(self._store, self._entries)
+        for entry in entries:
+            if entry.status is not None and entry.status["leads"]:
+                found = await ask(entry.address, f"/explain?id={job}")
+                if found:
+                    return self._output(found, *_explain_lines(found))
+        raise BadRequestError(
+            f"No leader knows job {job}: it was never accepted, or ended long ago."
+        )
+
+    def _output(self, data: t.Any, *lines: str) -> Output:
+        return Output(data, list(lines), as_json=self._json)
+
+
+def _explain_lines(found: dict[str, t.Any]) -> list[str]:
+    lines = [f"Job {found['job']} is {found['state']}."]
+    for step in found.get("steps", []):
+        lines.append(
+            f"Step {step['step']}: {step['done']} of {step['tasks']} tasks done, "
+            f"{step['running']} run; it waits for {step['waits_for']}."
+        )
+    return lines
+
+
+def _show_entry(entry: Entry, version: int) -> list[t.Any]:
+    if entry.status is None:
+        return [entry.name, "no answer", "-"]
+    confirmed = "yes" if uses(entry, version) else "not yet"
+    return [entry.name, confirmed, entry.status["config_version"] or "-"]
+
+
+def _race_lost(cell: CellText, base: int) -> RaceLostError:
+    record = cell.text()
+    by = f" (by {record.author})" if record is not None and record.author else ""
+    return RaceLostError(
+        f"Nothing was published: version {cell.version}{by} is in force, not {base}.\n"
+        "Edit it from there: bulrushspur show --text, then publish FILE "
+        f"--from-version={cell.version}."
+    )
+
+
+def _load_text(file: str) -> dict[str, t.Any]:
+    try:
+        data = pathlib.Path(file).read_bytes()
+    except OSError as exc:
+        raise BadRequestError(f"{file} cannot be read: {exc.strerror}.") from exc
+    parsed = parse_text(data)
+    if parsed.is_err():
+        raise BadTextError("\n".join(map(str, parsed.unwrap_err())))
+    return msgspec.json.decode(data)
--- /dev/null
+++ b/packages/client/bulrushspur_client/main.py
@@ -0,0 +1,35 @@
+"""The command ``bulrushspur``."""
+
+import sys
+
+import fire
+import msgspec
+
+from bulrushspur_client.commands import Commands
+from bulrushspur_client.output import Output
+from bulrushspur_kernel.errors import ANSWERS, BulrushspurError
+
+
+def main() -> None:
+    """Run one command and exit with its documented code."""
+    try:
+        rv = fire.Fire(Commands, name="bulrushspur", serialize=str)
+    except BulrushspurError as exc:
+        sys.stderr.write(_show_error(exc) + "\n")
+        sys.exit(exc.exit_code)
+    sys.exit(rv.exit_code if isinstance(rv, Output) else 0)
+
+
+def _show_error(exc: BulrushspurError) -> str:
+    if "--json" not in sys.argv:
+        return exc.show()
+    row = {
+        "kind": exc.kind.value,
+        "sentence": exc.sentence,
+        "advice": ANSWERS[exc.kind].advice,
+    }
+    return msgspec.json.encode(row).decode()
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/daemon/bulrushspur_daemon/cell_log.py
+++ b/packages/daemon/bulrushspur_daemon/cell_log.py
@@ -11,6 +11,13 @@
 import msgspec
 
 from bulrushspur_daemon.clock import boot_s, steady_s
+from bulrushspur_kernel.cell_records import (
+    CELL_TOPIC,
+    LEADER_KEY,
+    NODE_PREFIX,
+    LeaderRecord,
+    NodeRecord,
+)
 from bulrushspur_kernel.logs import EventLog
 from bulrushspur_kernel.store import (
     Store,
@@ -20,31 +27,11 @@
     StoreUnavailableError,
 )
 
-CELL_TOPIC: t.Final = "keyed.cell"
-LEADER_KEY: t.Final = "leader"
-NODE_PREFIX: t.Final = "node/"
 POLL_S: t.Final = 3.0
 RETRY_S: t.Final = 0.25
 CALL_S: t.Final = 0.6
 
 
-class NodeRecord(msgspec.Struct, array_like=True):
-    """An entry process: where its peers reach it, and its cores."""
-
-    name: str
-    domain: str
-    address: str
-    cores: float
-    boot: str
-
-
-class LeaderRecord(msgspec.Struct, array_like=True):
-    """A claim to lead; ``claim`` is unique."""
-
-    name: str
-    claim: str
-
-
 @dataclasses.dataclass
 class CellLog:
     """What was read of the topic."""
--- a/packages/daemon/bulrushspur_daemon/process.py
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -10,7 +10,7 @@
 
 import bulrushspur_daemon.native  # noqa: F401 - registers itself
 from bulrushspur_daemon.advice_calls import AdviceCalls
-from bulrushspur_daemon.cell_log import CellLog, NodeRecord
+from bulrushspur_daemon.cell_log import CellLog
 from bulrushspur_daemon.clock import steady_s
 from bulrushspur_daemon.config_watch import ConfigWatch
 from bulrushspur_daemon.election import Election
@@ -26,6 +26,7 @@
     CallerInterface,
     find_adapter,
 )
+from bulrushspur_kernel.cell_records import NodeRecord
 from bulrushspur_kernel.errors import Refusal
 from bulrushspur_kernel.http_exchange import Exchange, Request
 from bulrushspur_kernel.http_server import HttpServer, make_http_server
@@ -248,6 +249,7 @@
         settings.peers_address,
         settings.cores,
         os.urandom(6).hex(),
+        settings.operators_address,
     )
     parts = [
         process.peer_server.run(),
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -200,8 +200,6 @@
     if task is None:
         return
     task.last_run = max(task.last_run, row.number)
-    if not task.runs:
-        task.unaccounted = False
     cell.log(
         "end",
         row.key.job,
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -44,7 +44,7 @@
 
 
 def report(cell, name, now_s, running=(), ended=(), sent_s=None, born_ms=1):
-    """Let a worker list runs as (key, number) and ends as (position, key, number, how)."""
+    """Let a worker list its runs, and its ends by position."""
     apply_report(
         cell,
         cell.workers[name],
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from bulrushspur_daemon.cell_log import NodeRecord
 from bulrushspur_daemon.process import listen, make_process
+from bulrushspur_kernel.cell_records import NodeRecord
 from bulrushspur_kernel.http_client import LostError, NotSentError, fetch_answer
 from bulrushspur_kernel.logs import EventLog, Sink
 from bulrushspur_kernel.settings import Settings, SiteBounds
@@ -144,7 +144,14 @@
             **fields,
         )
         process = make_process(settings, EventLog(name, Sink(fd, 2000.0)))
-        me = NodeRecord(name, "north", settings.peers_address, 1.0, os.urandom(4).hex())
+        me = NodeRecord(
+            name,
+            "north",
+            settings.peers_address,
+            1.0,
+            os.urandom(4).hex(),
+            settings.operators_address,
+        )
         parts = [
             process.peer_server.run(),
             process.config_watch.run(),
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -79,3 +79,15 @@
         report(cell, "w0", 1.2, ended=[(1, key("gone"), 1, "stopped")])
         plan(cell, 1.2)
         self.assertEqual(len(cell.starts), 1)
+
+    def test_end_of_an_earlier_run_does_not_hide_a_later_one(self):
+        cell = recovered()
+        report(cell, "w0", 1.0, ended=[(1, key(), 1, "failed")])
+        takeover.settle(cell, 1.0)
+        plan(cell, 1.0)
+        self.assertEqual(cell.starts, [])
+        report(cell, "w1", 1.1, [(key(), 2)])
+        takeover.settle(cell, 1.1)
+        plan(cell, 1.1)
+        self.assertEqual((cell.starts, cell.stops), ([], []))
+        self.assertEqual(len(cell.workers["w1"].runs), 1)
