--- /dev/null
+++ b/models/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocol, and their checker."""
--- a/packages/scheduler/bulrushspur_scheduler/health.py
+++ b/packages/scheduler/bulrushspur_scheduler/health.py
@@ -15,9 +15,13 @@
 APART_AT_MOST_S: t.Final = 20.0
 SPEED_GAIN: t.Final = 0.25
 SPEED_LEAST: t.Final = 0.05
-OVERDUE_FACTOR: t.Final = 1.9
+# A run is late after the first, and given up after the second multiple of its estimate.
+LATE_FACTOR: t.Final = 2.0
+OVERDUE_FACTOR: t.Final = 3.2
 OVERDUE_EXTRA_S: t.Final = 0.5
-HOPELESS_FACTOR: t.Final = 4.0
+SLOW_RUNS: t.Final = 3
+NORMAL_FACTOR: t.Final = 1.8
+NORMAL_WITHIN_S: t.Final = 1.5
 
 
 def note_success(cell: Cell, worker: Worker, run: Run, now_s: float) -> None:
@@ -30,6 +34,8 @@
     if run.started_from or not run.confirmed_s:
         return
     took_s = now_s - run.confirmed_s
+    if took_s < NORMAL_FACTOR * run.task.step.spec.estimate_s:
+        worker.last_normal_end_s = now_s
     if took_s <= 0:
         return
     speed = min(run.task.step.spec.estimate_s / took_s, 2.0)
@@ -74,23 +80,23 @@
     )
 
 
-def is_overdue(run: Run, now_s: float, factor: float = OVERDUE_FACTOR) -> bool:
-    """Tell whether a run takes much longer than was declared."""
+def is_overdue(run: Run, now_s: float, factor: float) -> bool:
+    """Tell whether a run takes much longer than was declared.
+
+    A task that was given up before gets more time, for it may just be long.
+    """
     if run.state is not RunState.RUNNING or not run.confirmed_s:
         return False
     spec = run.task.step.spec
     if spec.long_running:
         return False
+    factor *= 2**run.task.overdue_stops
     return now_s - run.confirmed_s > factor * spec.estimate_s + OVERDUE_EXTRA_S
 
 
-def overdue_workers(cell: Cell, now_s: float) -> list[tuple[Worker, list[Run]]]:
-    """List workers on which most runs are overdue, with those runs."""
-    rv = []
-    for worker in cell.workers.values():
-        if not worker.runs or now_s - worker.heard_s > 1.0:
-            continue
-        late = [run for run in worker.runs.values() if is_overdue(run, now_s)]
-        if late and (2 * len(late) > len(worker.runs) or worker.speed < 0.5):
-            rv.append((worker, late))
-    return rv
+def overdue_runs(worker: Worker, now_s: float) -> list[Run]:
+    """List the runs of a worker that are better started elsewhere."""
+    late = [run for run in worker.runs.values() if is_overdue(run, now_s, LATE_FACTOR)]
+    if len(late) >= SLOW_RUNS and now_s - worker.last_normal_end_s > NORMAL_WITHIN_S:
+        return late
+    return [run for run in late if is_overdue(run, now_s, OVERDUE_FACTOR)]
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -121,6 +121,7 @@
     runs: list[Run] = dataclasses.field(default_factory=list)
     failed_runs: set[int] = dataclasses.field(default_factory=set)
     failed_on: set[str] = dataclasses.field(default_factory=set)
+    overdue_stops: int = 0
     checkpoint: str = ""
     done: bool = False
     unaccounted: bool = False
--- a/packages/scheduler/bulrushspur_scheduler/relief.py
+++ b/packages/scheduler/bulrushspur_scheduler/relief.py
@@ -8,6 +8,7 @@
 from bulrushspur_scheduler.workers import Worker
 
 LEAVE_MARGIN_S = 0.3
+HEARD_WITHIN_S = 1.0
 
 
 def relieve(cell: Cell, now_s: float) -> None:
@@ -15,11 +16,20 @@
     for worker in cell.workers.values():
         if worker.draining and worker.leaves_s is not None and worker.runs:
             _leave(cell, worker, now_s)
-    for worker, runs in health.overdue_workers(cell, now_s):
+        if worker.runs and now_s - worker.heard_s < HEARD_WITHIN_S:
+            _move_overdue(cell, worker, now_s)
+
+
+def _move_overdue(cell: Cell, worker: Worker, now_s: float) -> None:
+    runs = health.overdue_runs(worker, now_s)
+    if len(runs) >= health.SLOW_RUNS:
         health.set_apart(cell, worker, now_s, "runs overdue")
-        for run in runs:
-            if not run.task.step.spec.gang or health.is_overdue(run, now_s, 2.5):
-                stop_run(cell, run, "overdue")
+    elif runs:
+        health.note_failure(cell, worker, runs[0], now_s)
+    for run in runs:
+        run.task.overdue_stops += 1
+        run.task.failed_on.add(worker.id)
+        stop_run(cell, run, "overdue")
 
 
 def _leave(cell: Cell, worker: Worker, now_s: float) -> None:
--- a/packages/scheduler/bulrushspur_scheduler/workers.py
+++ b/packages/scheduler/bulrushspur_scheduler/workers.py
@@ -80,6 +80,7 @@
     relapses: int = 0
     on_trial: bool = False
     speed: float = 1.0
+    last_normal_end_s: float = -1e9
     reserved_for: t.Any = None
 
     @property
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,85 @@
+"""Tests of setting workers apart and of moving what is overdue."""
+
+import unittest
+
+from bulrushspur_scheduler.health import note_failure, note_success
+from bulrushspur_scheduler.planning import plan
+from bulrushspur_scheduler.relief import relieve
+from bulrushspur_scheduler.workers import is_usable
+from tests.cells import add_test_job, heard, make_test_cell, report, started
+
+
+def run_jobs(cell, jobs, now_s=0.1, **fields):
+    """Start jobs of one task each."""
+    for index in range(jobs):
+        add_test_job(cell, f"j{index}", "bulk", now_s, **fields)
+    plan(cell, now_s)
+    return started(cell, now_s)
+
+
+class OverdueTest(unittest.TestCase):
+    def test_task_somewhat_longer_than_declared_is_left_alone(self):
+        cell = make_test_cell(1)
+        run_jobs(cell, 1, estimate_s=2.0)
+        heard(cell, 6.0)
+        relieve(cell, 6.0)
+        self.assertEqual(cell.stops, [])
+
+    def test_hung_task_is_moved_and_a_long_one_gets_twice_the_time(self):
+        cell = make_test_cell(2)
+        (order,) = run_jobs(cell, 1, estimate_s=2.0)
+        heard(cell, 8.0)
+        relieve(cell, 8.0)
+        self.assertEqual(len(cell.stops), 1)
+        key, number = order.run.key
+        report(cell, order.worker, 8.1, ended=[(1, key, number, "stopped")])
+        heard(cell, 8.1)
+        plan(cell, 8.1)
+        (again,) = started(cell, 8.1)
+        self.assertNotEqual(again.worker, order.worker)
+        cell.stops.clear()
+        heard(cell, 16.5)
+        relieve(cell, 16.5)
+        self.assertEqual(cell.stops, [])
+
+    def test_worker_on_which_all_is_late_is_emptied_sooner(self):
+        cell = make_test_cell(3)
+        orders = run_jobs(cell, 12, estimate_s=2.0)
+        slow = orders[0].worker
+        late = [one for one in orders if one.worker == slow]
+        for order in orders:
+            if order.worker != slow:
+                report(cell, order.worker, 2.0, ended=[])
+        heard(cell, 5.0)
+        for worker in cell.workers.values():
+            if worker.id != slow:
+                worker.last_normal_end_s = 4.9
+        relieve(cell, 5.0)
+        self.assertGreaterEqual(len(late), 3)
+        self.assertEqual({one.worker for one in cell.stops}, {slow})
+
+
+class ApartTest(unittest.TestCase):
+    def test_worker_that_fails_all_is_set_apart_and_tried_again(self):
+        cell = make_test_cell(3)
+        worker = cell.workers["w0"]
+        orders = run_jobs(cell, 3)
+        for order in orders:
+            note_failure(cell, worker, order.run, 1.0)
+        self.assertFalse(is_usable(worker, 1.0))
+        heard(cell, 9.0)
+        worker.runs.clear()
+        self.assertTrue(is_usable(worker, 9.0))
+        self.assertTrue(worker.on_trial)
+        note_success(cell, worker, orders[0].run, 9.1)
+        self.assertFalse(worker.on_trial)
+
+    def test_most_workers_stay_in_use_whatever_fails(self):
+        cell = make_test_cell(4)
+        (order,) = run_jobs(cell, 1)
+        for worker in cell.workers.values():
+            for _ in range(4):
+                note_failure(cell, worker, None, 1.0)
+        apart = [one for one in cell.workers.values() if one.apart_until_s > 1.0]
+        self.assertLessEqual(len(apart), 2)
+        self.assertIsNotNone(order)
