--- /dev/null
+++ b/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Fuzzing of the decision code."""
--- a/models/takeover.py
+++ b/models/takeover.py
@@ -251,10 +251,9 @@
         initial=tuple(start),
         transitions=transitions,
         invariants={
-            "one run at a time": lambda d: sum(
-                bool(one.running) for one in d["workers"]
-            )
-            <= 1,
+            "one run at a time": lambda d: (
+                sum(bool(one.running) for one in d["workers"]) <= 1
+            ),
             "no start after a stored end": lambda d: not d["bad_start"],
         },
     )
--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -253,7 +253,7 @@
                 self.stop("a worker has heard a later term")
                 return
             now_s = steady_s()
-            takeover.settle(self.cell, now_s)
+            takeover.settle(self.cell, self.writer.confirmed_s)
             if self.has_authority():
                 plan(self.cell, now_s)
                 self.metrics.record_s("plan", steady_s() - now_s)
@@ -273,7 +273,7 @@
             await asyncio.sleep(TICK_S)
             now_s = steady_s()
             cell = self.cell
-            check_leases(cell, now_s)
+            check_leases(cell, self.writer.confirmed_s)
             self._open_occurrences(now_s)
             relieve(cell, now_s)
             self._note_urgent_use()
@@ -301,7 +301,7 @@
             if not one.listed
             and not one.runs
             and one.id not in self.cell.dark
-            and one.lease_over(now_s)
+            and one.lease_over(self.writer.confirmed_s)
             and now_s - one.unlisted_s > 1.0
         ]
         for worker in gone:
--- a/packages/daemon/bulrushspur_daemon/worker_links.py
+++ b/packages/daemon/bulrushspur_daemon/worker_links.py
@@ -32,6 +32,7 @@
 STOP_AGAIN_S: t.Final = 0.3
 ORDERS_AT_ONCE: t.Final = 3
 SILENT_LOGGED_S: t.Final = 1.0
+HEARD_WITHIN_S: t.Final = 1.2
 
 
 @dataclasses.dataclass
@@ -42,8 +43,12 @@
     client: WorkerClient
     slots: asyncio.Semaphore
     task: asyncio.Task[None] | None = None
+    # Ends up to here are stored; told once, for a next life counts anew.
     seen_upto: int = 0
+    told_upto: int = 0
     silent: bool = False
+    # The last call failed: another life may answer the next one.
+    doubtful: bool = True
 
 
 @dataclasses.dataclass
@@ -111,15 +116,24 @@
         wait_ms = 0
         if worker.reached and worker.clock.known:
             wait_ms = BUSY_WAIT_MS if worker.runs else IDLE_WAIT_MS
-            if worker.runs and self.has_authority():
+            # A worker that may be gone is asked without extending its lease, which
+            # could else never be over.
+            heard = now_s - worker.heard_s < HEARD_WITHIN_S
+            if worker.runs and heard and self.has_authority():
                 until_ms = extend_lease(cell, worker, now_s, cell.bounds.lease_s)
-        if worker.applied_upto > link.seen_upto or link.silent:
+        if worker.applied_upto > link.seen_upto or link.doubtful:
             wait_ms = 0
-        report = await link.client.hold(until_ms, cell.fence, link.seen_upto, wait_ms)
+        seen_upto = 0
+        if link.seen_upto > link.told_upto and not link.doubtful:
+            seen_upto = link.seen_upto
+        link.doubtful = True
+        report = await link.client.hold(until_ms, cell.fence, seen_upto, wait_ms)
+        link.doubtful = False
+        link.told_upto = max(link.told_upto, seen_upto)
         born_ms = worker.born_ms
         apply_report(cell, worker, report, steady_s())
         if born_ms and worker.born_ms != born_ms:
-            link.seen_upto = 0
+            link.seen_upto = link.told_upto = 0
         if link.silent:
             link.silent = False
             self.log.event("worker_regained", worker=worker.id)
--- a/packages/scheduler/bulrushspur_scheduler/leases.py
+++ b/packages/scheduler/bulrushspur_scheduler/leases.py
@@ -41,8 +41,12 @@
     cell.dark.discard(worker.id)
 
 
-def check_leases(cell: Cell, now_s: float) -> None:
-    """Give up runs on workers that were silent until their lease was over."""
+def check_leases(cell: Cell, confirmed_s: float) -> None:
+    """Give up runs on workers that were silent until their lease was over.
+
+    ``confirmed_s`` is when the store was last asked and knew of no later term: until
+    then nobody else can have extended a lease.
+    """
     for worker in cell.workers.values():
-        if (worker.runs or worker.strays) and worker.lease_over(now_s):
+        if (worker.runs or worker.strays) and worker.lease_over(confirmed_s):
             lose_worker(cell, worker, "lease over")
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -14,7 +14,7 @@
     Task,
     TaskKey,
 )
-from bulrushspur_scheduler.leases import lose_run, lose_worker
+from bulrushspur_scheduler.leases import lose_run
 from bulrushspur_scheduler.progress import (
     fail_attempt,
     mark_done,
@@ -81,7 +81,7 @@
 def apply_report(cell: Cell, worker: Worker, report: HoldReport, now_s: float) -> None:
     """Take in the lists of a worker."""
     if report.born_ms and worker.born_ms and report.born_ms != worker.born_ms:
-        restart_worker(cell, worker, report.born_ms)
+        restart_worker(cell, worker, report)
     worker.born_ms = report.born_ms or worker.born_ms
     worker.clock.read(report.clock_ms, now_s)
     worker.heard_s = now_s
@@ -114,14 +114,27 @@
     worker.lease_until_ms = max(worker.lease_until_ms, report.clock_ms + lease_ms)
 
 
-def restart_worker(cell: Cell, worker: Worker, born_ms: int) -> None:
-    """Forget all about the former life of a worker."""
-    lose_worker(cell, worker, "worker restarted")
-    worker.born_ms = born_ms
+def restart_worker(cell: Cell, worker: Worker, report: HoldReport) -> None:
+    """Forget the former life of a worker; orders under way may reach the new one.
+
+    Which runs the new life has is judged by its lists, as always.
+    """
+    for run in worker.runs.values():
+        run.stop_answered_s = 0.0
+        if run.state is RunState.STOPPING:
+            key = run.task.key
+            cell.stops.append(StopOrder(worker.id, key, run.number, run))
+        elif run.state is RunState.STARTING:
+            run.state = RunState.UNCONFIRMED
+    for key in list(worker.strays):
+        worker.drop_stray(key)
+    cell.log("worker_restarted", worker=worker.id, under_way=len(worker.runs))
     worker.applied_upto = 0
-    worker.lease_until_ms = 0
     worker.clock.known = False
     worker.reached = False
+    # An order made for the old clock is held for the longest time there is.
+    most_ms = int(cell.bounds.lease_most_s * 1000) if worker.runs else 0
+    worker.lease_until_ms = report.clock_ms + most_ms
 
 
 def _confirm(cell: Cell, run: Run, row: RunningRow, now_s: float) -> None:
@@ -140,7 +153,9 @@
 
 def _check_missing(cell: Cell, run: Run, sent_s: float) -> None:
     """Judge a run that its worker does not list any more, or not yet."""
-    if run.state is RunState.RUNNING and sent_s >= run.confirmed_s:
+    if run.state is RunState.RUNNING and sent_s < run.confirmed_s:
+        return
+    if run.state is RunState.RUNNING:
         if run.task.done:
             release_run(cell, run)
         else:
@@ -183,7 +198,6 @@
     return (
         not task.done
         and task.unaccounted
-        and task.step.ready
         and not task.runs
         and row.number not in task.failed_runs
     )
--- a/packages/scheduler/bulrushspur_scheduler/takeover.py
+++ b/packages/scheduler/bulrushspur_scheduler/takeover.py
@@ -68,19 +68,18 @@
             task.unaccounted = not task.done
 
 
-def settle(cell: Cell, now_s: float) -> bool:
-    """Free recovered tasks once no worker can run them unseen; tell when done."""
+def settle(cell: Cell, confirmed_s: float) -> bool:
+    """Free recovered tasks once no worker can run them unseen; tell when done.
+
+    ``confirmed_s`` is when the store was last asked and knew of no later term.
+    """
     if cell.settled:
         return True
-    if cell.dark and now_s < cell.settle_at_s:
-        return False
-    if (
-        any(
-            not one.reached and one.listed and not one.lease_over(now_s)
-            for one in cell.workers.values()
-        )
-        and now_s < cell.settle_at_s
-    ):
+    silent = bool(cell.dark) or any(
+        not one.reached and one.listed and not one.lease_over(confirmed_s)
+        for one in cell.workers.values()
+    )
+    if silent and confirmed_s < cell.settle_at_s:
         return False
     cell.settled = True
     freed = 0
--- a/standins/bulrushspur_standins/worker.py
+++ b/standins/bulrushspur_standins/worker.py
@@ -137,8 +137,6 @@
     def _end(self, one: Running, how: str) -> None:
         self.running.pop((one.task, one.run), None)
         self.ledger.now.pop(one.task, None)
-        if how == "done":
-            self.ledger.done[one.task] = self.ledger.done.get(one.task, 0) + 1
         self.ends += 1
         self.ended.append([self.ends, one.task, one.run, how, ""])
         self.changed.set()
@@ -202,11 +200,19 @@
             self._end(one, "stopped")
         return json_answer(200, {"clock_ms": self.clock_ms()})
 
+    def _note(self, seen: int) -> None:
+        """Count ends as noted, unless the lease ran out since."""
+        lapsed = self.clock_ms() > self.lease_until_ms
+        for position, task, _, how, _ in self.ended:
+            if position <= seen and how == "done" and not lapsed:
+                self.ledger.done[task] = self.ledger.done.get(task, 0) + 1
+
     async def _hold(self, data: dict[str, t.Any]) -> Answer:
         until_ms = data.get("until_ms")
         if until_ms is not None and self.running:
             self.lease_until_ms = max(self.lease_until_ms, until_ms)
         seen = data.get("seen_upto", 0)
+        self._note(seen)
         self.ended = [row for row in self.ended if row[0] > seen]
         wait_s = data.get("wait_ms", 0) / 1000
         if wait_s and not self.ended:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -6,7 +6,10 @@
 from bulrushspur_scheduler.leases import check_leases
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.records import encode_job
+from bulrushspur_scheduler.jobs import StepSpec
+from bulrushspur_scheduler.resources import Resources
 from tests.cells import (
+    add_test_job,
     add_worker,
     key,
     make_test_cell,
@@ -91,3 +94,37 @@
         plan(cell, 1.1)
         self.assertEqual((cell.starts, cell.stops), ([], []))
         self.assertEqual(len(cell.workers["w1"].runs), 1)
+
+    def test_leader_cut_off_from_the_store_infers_nothing_from_silence(self):
+        cell = make_test_cell(2)
+        add_test_job(cell, now_s=1.0)
+        plan(cell, 1.0)
+        (order,) = started(cell, 1.0)
+        other = next(name for name in cell.workers if name != order.worker)
+        report(cell, other, 9.0)
+        check_leases(cell, confirmed_s=1.5)
+        plan(cell, 9.0)
+        self.assertEqual(cell.starts, [])
+        check_leases(cell, confirmed_s=9.0)
+        plan(cell, 9.0)
+        self.assertEqual([one.worker for one in cell.starts], [other])
+
+    def test_run_of_a_step_that_seems_not_ready_is_adopted(self):
+        steps = (
+            StepSpec(1, Resources(1000, 10)),
+            StepSpec(1, Resources(1000, 10), depends_on=(0,)),
+        )
+        cell = make_test_cell(0)
+        for name in ("w0", "w1"):
+            add_worker(cell, name, reached=False)
+            cell.dark.add(name)
+        stored = {"jj1": encode_job(make_test_job("j1", steps=steps))}
+        takeover.recover(cell, stored, 0.0, 0.0)
+        cell.settled, cell.settle_at_s = False, 14.0
+        report(cell, "w0", 1.0, [(key(step=1), 1)])
+        self.assertEqual(cell.stops, [])
+        report(cell, "w1", 1.1, ended=[(1, key(), 1, "done")])
+        takeover.settle(cell, 1.1)
+        plan(cell, 1.1)
+        self.assertEqual(cell.starts, [])
+        self.assertEqual(len(cell.workers["w0"].runs), 1)
