--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The demo and the measurements."""
--- a/fuzz/workers.py
+++ b/fuzz/workers.py
@@ -7,7 +7,6 @@
 from bulrushspur_scheduler.jobs import EndKind, TaskKey
 from bulrushspur_scheduler.reports import EndRow, HoldReport, RunningRow, StartResult
 
-
 GANG_S: t.Final = 3.0
 
 
--- a/fuzz/world.py
+++ b/fuzz/world.py
@@ -28,7 +28,6 @@
 )
 from bulrushspur_scheduler.resources import Resources
 from bulrushspur_scheduler.workers import WorkerEntry, make_worker
-
 from fuzz.workers import Oracle, SimWorker
 
 AUTHORITY_S: t.Final = 6.0
--- a/packages/client/bulrushspur_client/cell_text.py
+++ b/packages/client/bulrushspur_client/cell_text.py
@@ -40,7 +40,7 @@
     @property
     def newest(self) -> int:
         """Return the version of the whole, which each change of a key raises."""
-        return max((one.offset + 1 for one in self.records.values()), default=0)
+        return self.end
 
     def text(self) -> TextRecord | None:
         """Return the text in force."""
--- a/packages/daemon/bulrushspur_daemon/config_watch.py
+++ b/packages/daemon/bulrushspur_daemon/config_watch.py
@@ -65,9 +65,9 @@
         for key in [key for key in self.records if key not in newest]:
             del self.records[key]
             changed = True
+        self.next_offset = max(self.next_offset or 0, end)
         if changed or self.current is None:
             self._fold()
-        self.next_offset = max(self.next_offset or 0, end)
 
     def _note(self, rows: t.Iterable[StoredRecord]) -> bool:
         """Keep the newest record of each key; tell whether any has changed."""
@@ -102,7 +102,7 @@
     def _fold(self) -> None:
         """Take a configuration into use unless it is older than the present one."""
         try:
-            config = self.interface.fold_config(self.records)
+            config = self.interface.fold_config(self.records, self.next_offset or 0)
         except ValueError as exc:
             self.log.event("config_unreadable", urgent=True, reason=str(exc))
             return
--- a/packages/daemon/bulrushspur_daemon/native.py
+++ b/packages/daemon/bulrushspur_daemon/native.py
@@ -54,7 +54,7 @@
     steps: list[_Step] = []
 
 
-def fold_text(records: t.Mapping[str, StoredRecord]) -> CellConfig | None:
+def fold_text(records: t.Mapping[str, StoredRecord], end: int) -> CellConfig | None:
     """Make a configuration of the text and the keys in force; raises ValueError."""
     found = records.get(TEXT_KEY)
     if found is None:
@@ -65,14 +65,12 @@
         raise ValueError("; ".join(map(str, parsed.unwrap_err())))
     text = parsed.unwrap()
     keys: dict[str, list[str]] = {}
-    version = found.offset + 1
     for name, row in records.items():
-        # Each change of a key is a new version of the whole.
-        version = max(version, row.offset + 1)
         if name.startswith(KEY_PREFIX):
             key = msgspec.json.decode(row.value, type=KeyRecord)
             keys.setdefault(key.team, []).append(key.hash)
-    return make_config(version, _queues(text), accounts=tuple(_accounts(text, keys)))
+    # Each change of a key, a withdrawal too, is a new version of the whole.
+    return make_config(end, _queues(text), accounts=tuple(_accounts(text, keys)))
 
 
 def _queues(text: Text) -> tuple[Queue, ...]:
--- a/packages/kernel/bulrushspur_kernel/adapter.py
+++ b/packages/kernel/bulrushspur_kernel/adapter.py
@@ -68,12 +68,13 @@
 class CallerInterface:
     """How operators configure the cell, and how callers speak to it.
 
-    ``fold_config`` makes a configuration of the records of the topic by key; None where
-    there is none yet. It raises ValueError where they cannot be read.
+    ``fold_config`` makes a configuration of the records of the topic by key, and of the
+    offset where it ends; None where there is none yet. It raises ValueError where they
+    cannot be read.
     """
 
     config_topic: str
-    fold_config: t.Callable[[t.Mapping[str, StoredRecord]], "CellConfig | None"]
+    fold_config: t.Callable[[t.Mapping[str, StoredRecord], int], "CellConfig | None"]
     handle_caller: t.Callable[[t.Any, Request, Exchange], t.Awaitable[None]]
 
 
--- /dev/null
+++ b/tests/test_commands.py
@@ -0,0 +1,118 @@
+"""Tests of the operators' client against real processes."""
+
+import asyncio
+import json
+import sys
+import unittest
+
+from bench.processes import RealCell, client_environment
+
+TEXT = {
+    "cell": "test",
+    "domains": [{"name": "north", "region": "midlands"}],
+    "teams": [
+        {"name": "a", "share": 2, "limit_tasks": 4},
+        {"name": "b", "share": 1, "limit_tasks": 4},
+    ],
+    "services": [
+        {
+            "name": "coursework",
+            "team": "a",
+            "kinds": [{"name": "place", "size": "small", "run_time_s": 0.2}],
+        }
+    ],
+}
+
+
+class CommandsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.cell = RealCell()
+        self.addAsyncCleanup(self.cell.stop)
+        await self.cell.start(entries=2, workers=2, interface="native")
+        self.text = self.cell.folder / "text.json"
+        self.text.write_text(json.dumps(TEXT))
+
+    async def run_client(self, *args):
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *("-m", "bulrushspur_client.main", *args),
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+            env=client_environment(self.cell),
+        )
+        out, err = await process.communicate()
+        return process.returncode, out.decode().strip(), err.decode().strip()
+
+    async def entries_known(self):
+        for _ in range(100):
+            code, out, _ = await self.run_client("status", "--json")
+            if code == 0 and len(json.loads(out)) == 2:
+                return
+        raise AssertionError("the entry processes did not register")
+
+    async def test_publish_race_and_difference(self):
+        await self.entries_known()
+        code, out, err = await self.run_client("publish", str(self.text))
+        self.assertEqual((code, err), (0, ""))
+        self.assertIn("In force at 2 of 2 entry processes.", out)
+        version = int(out.split("version ")[1].split(".")[0])
+        code, out, err = await self.run_client("publish", str(self.text))
+        self.assertEqual((code, out), (3, ""))
+        self.assertIn(f"--from-version={version}", err)
+        changed = json.loads(json.dumps(TEXT))
+        changed["teams"][0]["share"] = 3
+        self.text.write_text(json.dumps(changed))
+        code, out, _ = await self.run_client("diff", str(self.text))
+        self.assertIn("share: 2 -> 3", out)
+
+    async def test_bad_text_is_refused_with_the_path_to_its_field(self):
+        self.text.write_text(json.dumps({**TEXT, "teems": []}))
+        code, _, err = await self.run_client("publish", str(self.text))
+        self.assertEqual(code, 2)
+        self.assertIn("$.teems: there is no field teems; teams", err)
+
+    async def test_lost_answer_is_settled_by_the_store(self):
+        await self.entries_known()
+        self.cell.store.faults.lost_share = 1.0
+        code, out, _ = await self.run_client("publish", str(self.text))
+        self.assertEqual(code, 0)
+        self.assertIn("Accepted as version", out)
+
+    async def test_nothing_is_claimed_while_the_store_is_down(self):
+        self.cell.store.faults.status = 503
+        code, out, err = await self.run_client("publish", str(self.text))
+        self.assertEqual((code, out), (4, ""))
+        self.assertNotIn("Accepted", err)
+        code, _, err = await self.run_client("keys", "--json")
+        self.assertEqual(json.loads(err)["kind"], "platform_down")
+
+    async def test_key_is_shown_once_and_withdrawn_everywhere(self):
+        await self.entries_known()
+        await self.run_client("publish", str(self.text))
+        code, _, err = await self.run_client("give", "nobody")
+        self.assertEqual(code, 2)
+        self.assertIn("(a, b)", err)
+        _, key, _ = await self.run_client("give", "a")
+        _, key_id, secret = key.split("_")
+        _, out, _ = await self.run_client("keys", "--json")
+        self.assertEqual(json.loads(out), [{"key_id": key_id, "team": "a"}])
+        await self.cell.wait_ready()
+        path = "/v1/jobs/coursework/place/job1"
+        headers = [("authorization", f"Bearer {key}")]
+        body = {"payload": "1000 200 done", "steps": [{"run_time_s": 0.2}]}
+        for entry in self.cell.entries:
+            answer = await self.cell.call(entry, "POST", path, headers, body)
+            self.assertEqual(answer.status, 200)
+        code, out, _ = await self.run_client("explain", "job1")
+        self.assertEqual(code, 0)
+        self.assertIn("Job job1 is", out)
+        _, dump, _ = await self.run_client("dump", "n1")
+        self.assertNotIn(secret, dump)
+        code, out, _ = await self.run_client("withdraw", key)
+        self.assertEqual(code, 0)
+        self.assertIn("In force at 2 of 2", out)
+        for entry in self.cell.entries:
+            answer = await self.cell.call(entry, "GET", path, headers)
+            self.assertEqual(json.loads(answer.body)["error"], "unknown_key")
+        code, _, err = await self.run_client("withdraw", key_id)
+        self.assertEqual(code, 2)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -3,10 +3,10 @@
 import unittest
 
 from bulrushspur_scheduler import takeover
+from bulrushspur_scheduler.jobs import StepSpec
 from bulrushspur_scheduler.leases import check_leases
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.records import encode_job
-from bulrushspur_scheduler.jobs import StepSpec
 from bulrushspur_scheduler.resources import Resources
 from tests.cells import (
     add_test_job,
