Learn run times by queue, and judge hung workers by missed ends

Times are now regressed on estimates by queue; a worker is taken as hung or slow where the runs that should have ended by now add up to 2.5 and none has ended in time for 1.5 s.

--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -5,6 +5,7 @@
 import typing as t
 
 from bulrushspur_scheduler.config import Account, CellConfig, Queue, make_config
+from bulrushspur_scheduler.estimates import TimeModel
 from bulrushspur_scheduler.jobs import (
     Job,
     JobState,
@@ -105,6 +106,7 @@
     usage: dict[str, Usage] = dataclasses.field(default_factory=dict)
     urgent_cpu: dict[str, int] = dataclasses.field(default_factory=dict)
     urgent_mean: dict[str, float] = dataclasses.field(default_factory=dict)
+    times: dict[str, TimeModel] = dataclasses.field(default_factory=dict)
     buckets: dict[str, TokenBucket] = dataclasses.field(default_factory=dict)
     waiting_steps: dict[StepKey, StepRun] = dataclasses.field(default_factory=dict)
     dark: set[str] = dataclasses.field(default_factory=set)
--- a/packages/scheduler/bulrushspur_scheduler/health.py
+++ b/packages/scheduler/bulrushspur_scheduler/health.py
@@ -3,9 +3,11 @@
 A failure counts in full only where other workers succeed with the same queue.
 """
 
+import math
 import typing as t
 
 from bulrushspur_scheduler.cell import Cell
+from bulrushspur_scheduler.estimates import note_time, predict_step, share_over
 from bulrushspur_scheduler.jobs import Run, RunState
 from bulrushspur_scheduler.workers import Worker
 
@@ -15,13 +17,14 @@
 APART_AT_MOST_S: t.Final = 20.0
 SPEED_GAIN: t.Final = 0.25
 SPEED_LEAST: t.Final = 0.05
-# A run is late after the first, and given up after the second multiple of its estimate.
-LATE_FACTOR: t.Final = 2.0
+# So many runs of a worker should have ended by now, and none has for a while.
+MISSED_ENDS: t.Final = 2.5
+NORMAL_WITHIN_S: t.Final = 1.5
+LATE_SHARE: t.Final = 0.8
+# A single run is given up beyond both of these.
 OVERDUE_FACTOR: t.Final = 3.2
+OVERDUE_DEVIATIONS: t.Final = 3.5
 OVERDUE_EXTRA_S: t.Final = 0.5
-SLOW_RUNS: t.Final = 3
-NORMAL_FACTOR: t.Final = 1.8
-NORMAL_WITHIN_S: t.Final = 1.5
 
 
 def note_success(cell: Cell, worker: Worker, run: Run, now_s: float) -> None:
@@ -34,13 +37,15 @@
     if run.started_from or not run.confirmed_s:
         return
     took_s = now_s - run.confirmed_s
-    if took_s < NORMAL_FACTOR * run.task.step.spec.estimate_s:
-        worker.last_normal_end_s = now_s
     if took_s <= 0:
         return
-    speed = min(run.task.step.spec.estimate_s / took_s, 2.0)
+    mean_s, error = predict_step(cell, run.task.step)
+    if share_over(took_s, mean_s, error) < LATE_SHARE:
+        worker.last_normal_end_s = now_s
+    speed = min(mean_s / took_s, 2.0)
     worker.speed += SPEED_GAIN * (speed - worker.speed)
     worker.speed = max(worker.speed, SPEED_LEAST)
+    note_time(cell, run, took_s)
 
 
 def note_failure(cell: Cell, worker: Worker, run: Run | None, now_s: float) -> None:
@@ -80,23 +85,25 @@
     )
 
 
-def is_overdue(run: Run, now_s: float, factor: float) -> bool:
-    """Tell whether a run takes much longer than was declared.
-
-    A task that was given up before gets more time, for it may just be long.
-    """
-    if run.state is not RunState.RUNNING or not run.confirmed_s:
-        return False
-    spec = run.task.step.spec
-    if spec.long_running:
-        return False
-    factor *= 2**run.task.overdue_stops
-    return now_s - run.confirmed_s > factor * spec.estimate_s + OVERDUE_EXTRA_S
-
-
-def overdue_runs(worker: Worker, now_s: float) -> list[Run]:
+def overdue_runs(cell: Cell, worker: Worker, now_s: float) -> list[Run]:
     """List the runs of a worker that are better started elsewhere."""
-    late = [run for run in worker.runs.values() if is_overdue(run, now_s, LATE_FACTOR)]
-    if len(late) >= SLOW_RUNS and now_s - worker.last_normal_end_s > NORMAL_WITHIN_S:
+    missed, late, hopeless = 0.0, [], []
+    for run in worker.runs.values():
+        if run.state is not RunState.RUNNING or not run.confirmed_s:
+            continue
+        if run.task.step.spec.long_running or run.task.done:
+            continue
+        mean_s, error = predict_step(cell, run.task.step)
+        # A task that was given up before may just be long.
+        mean_s *= 2**run.task.overdue_stops
+        elapsed_s = now_s - run.confirmed_s - OVERDUE_EXTRA_S
+        share = share_over(elapsed_s, mean_s, error)
+        missed += share
+        if share > LATE_SHARE:
+            late.append(run)
+        factor = max(OVERDUE_FACTOR, math.exp(OVERDUE_DEVIATIONS * error))
+        if elapsed_s > factor * mean_s:
+            hopeless.append(run)
+    if missed >= MISSED_ENDS and now_s - worker.last_normal_end_s > NORMAL_WITHIN_S:
         return late
-    return [run for run in late if is_overdue(run, now_s, OVERDUE_FACTOR)]
+    return hopeless
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -145,6 +145,8 @@
     tickets: dict[str, tuple[str, float]] = dataclasses.field(default_factory=dict)
     asking: bool = False
     ask_after_s: float = 0.0
+    times_seen: int = 0
+    times_log: float = 0.0
 
     @property
     def done(self) -> bool:
@@ -223,10 +225,12 @@
     return rv
 
 
-def longest_chain_s(steps: t.Sequence[StepSpec]) -> float:
-    """Estimate the longest chain of dependent work in seconds."""
+def longest_chain_s(
+    steps: t.Sequence[StepSpec], time_s: t.Callable[[StepSpec], float]
+) -> float:
+    """Return the longest chain of dependent work in seconds."""
     ends: list[float] = []
     for spec in steps:
         before = max((ends[i] for i in spec.depends_on if i < len(ends)), default=0.0)
-        ends.append(before + spec.estimate_s)
+        ends.append(before + time_s(spec))
     return max(ends, default=0.0)
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -15,7 +15,7 @@
     room_of_account,
     room_on,
 )
-from bulrushspur_scheduler.ranking import Tier, rank, tier_of
+from bulrushspur_scheduler.ranking import Tier, rank
 from bulrushspur_scheduler.reservations import clear_reservations, reserve
 from bulrushspur_scheduler.runs import begin_run, stop_step
 from bulrushspur_scheduler.workers import Worker
@@ -28,7 +28,7 @@
 
 def plan(cell: Cell, now_s: float) -> None:
     """Order all starts that fit now."""
-    steps = sorted(cell.waiting_steps.values(), key=lambda one: rank(one, now_s))
+    steps = sorted(cell.waiting_steps.values(), key=lambda one: rank(cell, one, now_s))
     pools: dict[str, Pool] = {}
     clear_reservations(cell, now_s)
     misses = 0
@@ -122,7 +122,7 @@
         return False
     chosen = choose_gang(step, waiting, workers)
     if chosen is None:
-        if tier_of(step.job, step, now_s) is Tier.ON_TIME:
+        if rank(cell, step, now_s)[0] == Tier.ON_TIME:
             reserve(cell, step, pool, now_s)
         return False
     step.run_number = max(task.last_run for task in step.tasks) + 1
--- a/packages/scheduler/bulrushspur_scheduler/progress.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress.py
@@ -3,6 +3,7 @@
 import math
 
 from bulrushspur_scheduler.cell import Cell, Finished
+from bulrushspur_scheduler.estimates import predict
 from bulrushspur_scheduler.jobs import (
     Job,
     JobState,
@@ -35,7 +36,9 @@
     queue = cell.queue_of(job)
     if queue is None:
         return
-    chain_s = longest_chain_s(job.spec.steps)
+    chain_s = longest_chain_s(
+        job.spec.steps, lambda spec: predict(cell, job.queue, spec.estimate_s)[0]
+    )
     job.objective_s = queue.stretch * chain_s + queue.target_latency_s
     job.priority = queue.priority
 
--- a/packages/scheduler/bulrushspur_scheduler/ranking.py
+++ b/packages/scheduler/bulrushspur_scheduler/ranking.py
@@ -8,6 +8,7 @@
 import typing as t
 
 from bulrushspur_scheduler.cell import Cell, TokenBucket
+from bulrushspur_scheduler.estimates import predict, predict_step
 from bulrushspur_scheduler.jobs import Job, StepRun
 
 # A late job is still of use until this multiple of its objective.
@@ -24,20 +25,21 @@
     PAST_USE = 3
 
 
-def remaining_s(job: Job, step: StepRun) -> float:
+def remaining_s(cell: Cell, job: Job, step: StepRun) -> float:
     """Estimate the longest chain of work from a step on, in seconds."""
     specs = job.spec.steps
-    ends: dict[int, float] = {step.key.step: step.spec.estimate_s}
+    ends: dict[int, float] = {step.key.step: predict_step(cell, step)[0]}
     for index in range(step.key.step + 1, len(specs)):
         before = [ends[i] for i in specs[index].depends_on if i in ends]
         if before:
-            ends[index] = max(before) + specs[index].estimate_s
+            time_s = predict(cell, job.queue, specs[index].estimate_s)[0]
+            ends[index] = max(before) + time_s
     return max(ends.values())
 
 
-def tier_of(job: Job, step: StepRun, now_s: float) -> Tier:
-    """Tell how useful it still is to start a step now."""
-    end_s = now_s + remaining_s(job, step)
+def tier_of(job: Job, left_s: float, now_s: float, step: StepRun) -> Tier:
+    """Tell how useful it still is to start a step now, with ``left_s`` of work."""
+    end_s = now_s + left_s
     origin_s = step.ready_s if job.repeats else job.accepted_s
     if end_s > origin_s + LATE_FACTOR * job.objective_s:
         return Tier.PAST_USE
@@ -46,11 +48,12 @@
     return Tier.EXCESS if job.excess else Tier.ON_TIME
 
 
-def rank(step: StepRun, now_s: float) -> tuple[int, int, float, str]:
+def rank(cell: Cell, step: StepRun, now_s: float) -> tuple[int, int, float, str]:
     """Return the sort key of a waiting step."""
     job = step.job
-    tier = tier_of(job, step, now_s)
-    latest_start_s = job.accepted_s + job.objective_s - remaining_s(job, step)
+    left_s = remaining_s(cell, job, step)
+    tier = tier_of(job, left_s, now_s, step)
+    latest_start_s = job.accepted_s + job.objective_s - left_s
     return (tier, job.priority, latest_start_s, job.id)
 
 
--- a/packages/scheduler/bulrushspur_scheduler/relief.py
+++ b/packages/scheduler/bulrushspur_scheduler/relief.py
@@ -21,8 +21,8 @@
 
 
 def _move_overdue(cell: Cell, worker: Worker, now_s: float) -> None:
-    runs = health.overdue_runs(worker, now_s)
-    if len(runs) >= health.SLOW_RUNS:
+    runs = health.overdue_runs(cell, worker, now_s)
+    if len(runs) > 1:
         health.set_apart(cell, worker, now_s, "runs overdue")
     elif runs:
         health.note_failure(cell, worker, runs[0], now_s)
@@ -37,5 +37,5 @@
     for run in list(worker.runs.values()):
         if run.state is not RunState.RUNNING:
             continue
-        if expected_end_s(run, worker.speed) > worker.leaves_s - LEAVE_MARGIN_S:
+        if expected_end_s(cell, run, worker.speed) > worker.leaves_s - LEAVE_MARGIN_S:
             stop_run(cell, run, "worker leaves")
--- a/packages/scheduler/bulrushspur_scheduler/reservations.py
+++ b/packages/scheduler/bulrushspur_scheduler/reservations.py
@@ -8,7 +8,8 @@
 import typing as t
 
 from bulrushspur_scheduler.cell import Cell
-from bulrushspur_scheduler.jobs import StepRun
+from bulrushspur_scheduler.estimates import predict_step
+from bulrushspur_scheduler.jobs import Run, StepRun
 from bulrushspur_scheduler.placement import Pool, needs_advice
 from bulrushspur_scheduler.resources import Usage, count_that_fits
 from bulrushspur_scheduler.workers import Worker
@@ -23,10 +24,11 @@
         worker.reserved_for = None
 
 
-def expected_end_s(run: t.Any, speed: float) -> float:
+def expected_end_s(cell: Cell, run: Run, speed: float) -> float:
     """Estimate when a run ends, on the steady clock."""
     began_s = run.confirmed_s or run.ordered_s
-    return began_s + run.task.step.spec.estimate_s / max(speed, 0.25)
+    mean_s, _ = predict_step(cell, run.task.step)
+    return began_s + mean_s / max(speed, 0.25)
 
 
 def reserve(cell: Cell, step: StepRun, pool: Pool, now_s: float) -> bool:
@@ -42,7 +44,7 @@
         )
     ]
     events = sorted(
-        (row for worker in usable for row in _openings(step, worker, now_s)),
+        (row for worker in usable for row in _openings(cell, step, worker, now_s)),
         key=lambda row: row[0],
     )
     needed = len(step.tasks)
@@ -61,7 +63,7 @@
 
 
 def _openings(
-    step: StepRun, worker: Worker, now_s: float
+    cell: Cell, step: StepRun, worker: Worker, now_s: float
 ) -> t.Iterator[tuple[float, str, int]]:
     """Yield when, where and how many more tasks of the gang will fit."""
     each = step.spec.resources
@@ -70,7 +72,7 @@
     if had:
         yield (now_s, worker.id, had)
     ends = [
-        (expected_end_s(run, worker.speed), run.task.step.spec.resources)
+        (expected_end_s(cell, run, worker.speed), run.task.step.spec.resources)
         for run in worker.runs.values()
         if run.task.step.job.priority > 0
     ]
