Notice a lost leader sooner, and refuse at once where none is expected

A leader counts as lost 0.7 s after its last heartbeat (1.0 before), 0.35 s after its connection broke, 0.9 s after the store last answered it alone, and at once when its process has started again. Processes that start after a loss of all waited 1.2 s for a leader that could not be. Leases last 6.5 s, so that work in a domain that is cut off for 5 to 6 s is kept. A caller waits for a new leader only while one is expected.

--- a/packages/daemon/bulrushspur_daemon/cell_log.py
+++ b/packages/daemon/bulrushspur_daemon/cell_log.py
@@ -42,6 +42,8 @@
     leader: LeaderRecord | None = None
     term: int = 0
     term_seen_s: float = -1e9
+    # The newest claim was there already when this process first looked.
+    term_loaded: bool = False
     next_offset: int | None = None
     store_ok_s: float = -1e9
     store_ok_boot_s: float = -1e9
@@ -79,8 +81,10 @@
         sent_s, sent_boot_s = steady_s(), boot_s()
         newest, end = await self.store.newest(CELL_TOPIC, CALL_S)
         self._note_ok(sent_s, sent_boot_s)
+        first = self.next_offset is None
         for row in sorted(newest.values(), key=lambda one: one.offset):
             self._apply(row)
+        self.term_loaded = first and self.leader is not None
         self.next_offset = max(self.next_offset or 0, end)
 
     async def read(self, wait_s: float = 0.0) -> None:
@@ -115,20 +119,29 @@
             return
         self.leader = msgspec.msgpack.decode(row.value, type=LeaderRecord)
         self.term = row.offset + 1
+        self.term_loaded = False
         self.term_seen_s = steady_s()
         self.log.event(
             "leader_claim", urgent=True, leader=self.leader.name, term=self.term
         )
         self.on_term()
 
-    async def claim(self, name: str, claim: str) -> None:
+    @property
+    def leader_is_dead(self) -> bool:
+        """Tell whether the process that claimed has started again since."""
+        if self.leader is None:
+            return False
+        node = self.nodes.get(self.leader.name)
+        return node is not None and node.boot != self.leader.boot
+
+    async def claim(self, record: LeaderRecord) -> None:
         """Claim to lead; what came of it is read from the topic."""
         assert self.next_offset is not None
-        record = msgspec.msgpack.encode(LeaderRecord(name, claim))
+        data = msgspec.msgpack.encode(record)
         try:
             await self.store.append(
                 CELL_TOPIC,
-                [(LEADER_KEY, record)],
+                [(LEADER_KEY, data)],
                 at=self.next_offset,
                 timeout_s=CALL_S,
             )
--- a/packages/daemon/bulrushspur_daemon/election.py
+++ b/packages/daemon/bulrushspur_daemon/election.py
@@ -8,15 +8,19 @@
 from bulrushspur_daemon.cell_log import CellLog
 from bulrushspur_daemon.clock import steady_s
 from bulrushspur_daemon.leader_link import LeaderLink
+from bulrushspur_kernel.cell_records import LeaderRecord
 from bulrushspur_kernel.logs import EventLog
 from bulrushspur_kernel.store import StoreGapError, StoreUnavailableError
 from bulrushspur_scheduler.leadership import (
+    LOST_S,
     LeaderView,
     claim_delay_s,
     leader_is_lost,
 )
 
-TICK_S: t.Final = 0.05
+TICK_S: t.Final = 0.03
+# A store that takes so long serves the leader no better than others.
+SLOW_STORE_S: t.Final = 0.25
 BACKOFF_S: t.Final = 0.4
 BACKOFF_MOST_S: t.Final = 1.6
 
@@ -26,6 +30,7 @@
     """Whether this process wants to lead, and since when."""
 
     name: str
+    boot: str
     cell_log: CellLog
     link: LeaderLink
     log: EventLog
@@ -37,14 +42,18 @@
 
     def view(self) -> LeaderView:
         """Gather what is known of the leader."""
-        known = self.cell_log.leader is not None
-        heard = self.link.term >= self.cell_log.term
+        log, link = self.cell_log, self.link
+        heard = link.term >= log.term
         return LeaderView(
-            known,
-            self.link.age_s() if heard else 1e9,
-            steady_s() - self.cell_log.term_seen_s,
-            self.link.store_age_s if heard else 0.0,
-            heard and self.link.resigned,
+            known=log.leader is not None,
+            heard=heard,
+            heard_age_s=link.age_s() if heard else 1e9,
+            claim_age_s=steady_s() - log.term_seen_s,
+            loaded=log.term_loaded,
+            dead=log.leader_is_dead,
+            broken=link.broken_s > link.heard_s,
+            store_age_s=link.store_age_s if heard else 0.0,
+            resigned=heard and link.resigned,
         )
 
     async def run(self) -> None:
@@ -69,6 +78,8 @@
                     heard_age_ms=round(min(view.heard_age_s, 1e6) * 1000),
                     store_age_ms=round(view.store_age_s * 1000),
                     resigned=view.resigned,
+                    dead=view.dead,
+                    broken=view.broken,
                 )
             if now_s - self.wanted_since_s >= self._delay_s(view):
                 await self._claim()
@@ -83,13 +94,18 @@
     async def _claim(self) -> None:
         try:
             # The store must answer now, and nobody may have claimed meanwhile.
+            began_s = steady_s()
             await self.cell_log.read()
-            if not leader_is_lost(self.view()):
+            view = self.view()
+            if not leader_is_lost(view):
+                return
+            if steady_s() - began_s > SLOW_STORE_S and view.heard_age_s < LOST_S:
+                self.log.event("claim_put_off", reason="the store is slow for all")
                 return
             claim = os.urandom(8).hex()
             self.claims.add(claim)
             self.log.event("claim", urgent=True, at=self.cell_log.next_offset)
-            await self.cell_log.claim(self.name, claim)
+            await self.cell_log.claim(LeaderRecord(self.name, claim, self.boot))
             self.wanted_since_s = None
         except StoreGapError:
             self.cell_log.next_offset = None
--- a/packages/daemon/bulrushspur_daemon/gateway.py
+++ b/packages/daemon/bulrushspur_daemon/gateway.py
@@ -5,7 +5,11 @@
 
 from bulrushspur_daemon.clock import steady_s, unix_s
 from bulrushspur_daemon.config_watch import ConfigWatch
-from bulrushspur_daemon.leader_link import LeaderLink, LeaderUnavailableError
+from bulrushspur_daemon.leader_link import (
+    HEARD_WITHIN_S,
+    LeaderLink,
+    LeaderUnavailableError,
+)
 from bulrushspur_kernel.logs import EventLog
 from bulrushspur_kernel.messages import Cancel, Outcome, Query, Reply, Submit
 from bulrushspur_kernel.metrics import Metrics
@@ -111,7 +115,7 @@
         began_s = steady_s()
         wait_s = max(deadline_s - DEADLINE_MARGIN_S, 0.05)
         try:
-            reply = await self.link.request(make, wait_s, LEADER_WAIT_S)
+            reply = await self.link.request(make, wait_s, self._leader_wait_s())
             rv = _result(reply)
         except LeaderUnavailableError as exc:
             # Only a submission that may be stored is in doubt.
@@ -136,6 +140,11 @@
             )
         return rv
 
+    def _leader_wait_s(self) -> float:
+        """Return how long to wait for a new leader, the less the longer it is gone."""
+        gone_s = max(self.link.age_s() - HEARD_WITHIN_S, 0.0)
+        return max(LEADER_WAIT_S - gone_s, 0.0)
+
     def _remember(self, job_id: str, state: str) -> None:
         while len(self.finals) >= FINAL_KEPT:
             del self.finals[next(iter(self.finals))]
--- a/packages/daemon/bulrushspur_daemon/leader_link.py
+++ b/packages/daemon/bulrushspur_daemon/leader_link.py
@@ -18,7 +18,7 @@
 )
 
 ATTEMPT_S: t.Final = 0.9
-HEARD_WITHIN_S: t.Final = 1.0
+HEARD_WITHIN_S: t.Final = 0.7
 NOT_READY_PAUSE_S: t.Final = 0.05
 
 Request = Submit | Query | Cancel
@@ -51,6 +51,7 @@
     local: LocalLeader | None = None
     serving: bool = False
     heard_s: float = -1e9
+    broken_s: float = -1e9
     store_age_s: float = 0.0
     resigned: bool = False
     waiting: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -84,6 +85,10 @@
             self._tell_change()
         return True
 
+    def note_broken(self) -> None:
+        """Note that a connection of a leader broke; a heartbeat clears it."""
+        self.broken_s = steady_s()
+
     def note_resigned(self, message: Resign) -> None:
         """Expect a successor at once."""
         if message.term == self.term:
--- a/packages/daemon/bulrushspur_daemon/peer_sockets.py
+++ b/packages/daemon/bulrushspur_daemon/peer_sockets.py
@@ -39,7 +39,7 @@
     socket: zmq.asyncio.Socket
     receive: Receive
     log: EventLog
-    tasks: set[asyncio.Task[t.Any]] = dataclasses.field(default_factory=set)
+    on_broken: t.Callable[[], None] = lambda: None
 
     async def run(self) -> None:
         """Receive until cancelled."""
@@ -49,6 +49,13 @@
             if message is not None:
                 self.receive(identity, message)
 
+    async def watch(self) -> None:
+        """Tell of connections that break until cancelled."""
+        monitor = self.socket.get_monitor_socket(zmq.EVENT_DISCONNECTED)
+        while True:
+            await monitor.recv_multipart()
+            self.on_broken()
+
     def send(self, identity: bytes, message: messages.Message) -> bool:
         """Send to a leader; tell whether it is connected."""
         parts = [identity, messages.encode(message)]
--- a/packages/daemon/bulrushspur_daemon/process.py
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -46,7 +46,7 @@
 from bulrushspur_scheduler.cell import Bounds
 
 READY_AGE_S: t.Final = 2.5
-READY_AGE_NO_STORE_S: t.Final = 1.0
+READY_AGE_NO_STORE_S: t.Final = 0.7
 STORE_FRESH_S: t.Final = 1.5
 DRAIN_LOOK_S: t.Final = 0.05
 
@@ -182,8 +182,11 @@
     await exchange.answer(refusal.row.status, body)
 
 
-def make_process(settings: Settings, log: EventLog) -> Process:
-    """Make a process that does not run yet; needs a running event loop."""
+def make_process(settings: Settings, log: EventLog, boot: str) -> Process:
+    """Make a process that does not run yet; needs a running event loop.
+
+    ``boot`` names this life of the process.
+    """
     adapter = find_adapter(settings.adapter)
     store = adapter.make_store(settings.store_address)
     metrics = Metrics()
@@ -196,6 +199,7 @@
         log,
     )
     link = LeaderLink(peer_server.send)
+    peer_server.on_broken = link.note_broken
     interface = adapter.interface
     if settings.interface == "native":
         interface = lookup(INTERFACE_POINT, "native")
@@ -203,7 +207,7 @@
     link.on_config_version = config_watch.expect
     cell_log = CellLog(store, log)
     election = Election(
-        settings.name, cell_log, link, log, lambda: process.term is not None
+        settings.name, boot, cell_log, link, log, lambda: process.term is not None
     )
     process = Process(
         settings,
@@ -237,7 +241,8 @@
         cores=settings.cores,
         pid=os.getpid(),
     )
-    process = make_process(settings, log)
+    boot = os.urandom(6).hex()
+    process = make_process(settings, log, boot)
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
@@ -248,11 +253,12 @@
         settings.domain,
         settings.peers_address,
         settings.cores,
-        os.urandom(6).hex(),
+        boot,
         settings.operators_address,
     )
     parts = [
         process.peer_server.run(),
+        process.peer_server.watch(),
         process.config_watch.run(),
         process.config_watch.run_refresh(),
         process.cell_log.run(me),
@@ -265,6 +271,7 @@
     await shut_down(process)
     for task in tasks:
         task.cancel()
+    process.context.destroy(linger=0)
     log.event("stop", urgent=True)
 
 
--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -63,7 +63,7 @@
 from bulrushspur_scheduler.workers import Worker, WorkerEntry, make_worker
 
 TICK_S: t.Final = 0.1
-BEAT_S: t.Final = 0.2
+BEAT_S: t.Final = 0.15
 PLAN_GATHER_S: t.Final = 0.002
 CONFIRM_S: t.Final = 0.4
 RECOVER_RETRY_S: t.Final = 0.15
--- a/packages/kernel/bulrushspur_kernel/cell_records.py
+++ b/packages/kernel/bulrushspur_kernel/cell_records.py
@@ -21,7 +21,8 @@
 
 
 class LeaderRecord(msgspec.Struct, array_like=True):
-    """A claim to lead; ``claim`` is unique."""
+    """A claim to lead; ``claim`` is unique, ``boot`` names the life of the process."""
 
     name: str
     claim: str
+    boot: str = ""
--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -30,7 +30,7 @@
     far_factor: float = 2.0
     early_s: float = 0.25
     status_s: float = 120.0
-    lease_s: float = 4.0
+    lease_s: float = 6.5
     lease_most_s: float = 10.0
 
 
--- a/packages/scheduler/bulrushspur_scheduler/leadership.py
+++ b/packages/scheduler/bulrushspur_scheduler/leadership.py
@@ -3,30 +3,43 @@
 import dataclasses
 import typing as t
 
-LOST_S: t.Final = 1.0
-STORE_LOST_S: t.Final = 1.3
-CLAIM_GRACE_S: t.Final = 1.2
-RANK_STEP_S: t.Final = 0.15
+LOST_S: t.Final = 0.7
+BROKEN_LOST_S: t.Final = 0.35
+STORE_LOST_S: t.Final = 0.9
+CLAIM_GRACE_S: t.Final = 1.0
+LOADED_GRACE_S: t.Final = 0.6
+RANK_STEP_S: t.Final = 0.12
 FIRST_STEP_S: t.Final = 0.06
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaderView:
-    """What a process knows of the leader; ages in seconds."""
+    """What a process knows of the leader; ages in seconds.
+
+    ``loaded`` tells that the claim was there when this process started, ``dead`` that
+    the leader's process has started again since, ``broken`` that its connection broke.
+    """
 
     known: bool
+    heard: bool
     heard_age_s: float
     claim_age_s: float
+    loaded: bool
+    dead: bool
+    broken: bool
     store_age_s: float
     resigned: bool
 
 
 def leader_is_lost(view: LeaderView) -> bool:
     """Tell whether somebody else should lead."""
-    if not view.known or view.resigned:
+    if not view.known or view.resigned or view.dead:
+        return True
+    if not view.heard:
+        grace_s = LOADED_GRACE_S if view.loaded else CLAIM_GRACE_S
+        return view.claim_age_s > grace_s
+    if view.broken and view.heard_age_s > BROKEN_LOST_S:
         return True
-    if view.claim_age_s < CLAIM_GRACE_S:
-        return False
     return view.heard_age_s > LOST_S or view.store_age_s > STORE_LOST_S
 
 
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -89,8 +89,8 @@
             server.server.close()
             for task in list(server.tasks):
                 task.cancel()
-        process.peer_server.socket.close(linger=0)
         await asyncio.sleep(0)
+        process.context.destroy(linger=0)
 
     def events(self, name):
         with open(self.log_path, "rb") as file:
@@ -143,17 +143,19 @@
             site=SiteBounds(status_s=30.0),
             **fields,
         )
-        process = make_process(settings, EventLog(name, Sink(fd, 2000.0)))
+        boot = os.urandom(4).hex()
+        process = make_process(settings, EventLog(name, Sink(fd, 2000.0)), boot)
         me = NodeRecord(
             name,
             "north",
             settings.peers_address,
             1.0,
-            os.urandom(4).hex(),
+            boot,
             settings.operators_address,
         )
         parts = [
             process.peer_server.run(),
+            process.peer_server.watch(),
             process.config_watch.run(),
             process.config_watch.run_refresh(),
             process.cell_log.run(me),
--- /dev/null
+++ b/tests/test_leadership.py
@@ -0,0 +1,59 @@
+"""Tests of when a process claims to lead."""
+
+import dataclasses
+import unittest
+
+from bulrushspur_scheduler.leadership import (
+    LeaderView,
+    claim_delay_s,
+    leader_is_lost,
+)
+
+CALM = LeaderView(
+    known=True,
+    heard=True,
+    heard_age_s=0.1,
+    claim_age_s=100.0,
+    loaded=False,
+    dead=False,
+    broken=False,
+    store_age_s=0.1,
+    resigned=False,
+)
+
+
+class LeaderIsLostTest(unittest.TestCase):
+    def lost(self, **changes):
+        return leader_is_lost(dataclasses.replace(CALM, **changes))
+
+    def test_calm(self):
+        self.assertFalse(self.lost())
+
+    def test_leader_that_was_never_there_or_went(self):
+        self.assertTrue(self.lost(known=False))
+        self.assertTrue(self.lost(resigned=True))
+        self.assertTrue(self.lost(dead=True))
+
+    def test_silence(self):
+        self.assertFalse(self.lost(heard_age_s=0.5))
+        self.assertTrue(self.lost(heard_age_s=1.0))
+
+    def test_broken_connection_shortens_the_wait(self):
+        self.assertFalse(self.lost(heard_age_s=0.2, broken=True))
+        self.assertTrue(self.lost(heard_age_s=0.5, broken=True))
+
+    def test_store_lost_by_the_leader_alone(self):
+        self.assertTrue(self.lost(store_age_s=1.0))
+
+    def test_new_leader_gets_time_to_be_heard(self):
+        fresh = {"heard": False, "heard_age_s": 1e9}
+        self.assertFalse(self.lost(**fresh, claim_age_s=0.8))
+        self.assertTrue(self.lost(**fresh, claim_age_s=1.2))
+        self.assertFalse(self.lost(**fresh, claim_age_s=0.4, loaded=True))
+        self.assertTrue(self.lost(**fresh, claim_age_s=0.8, loaded=True))
+
+    def test_larger_vms_claim_first(self):
+        cores = {"a": 0.5, "b": 2.0, "c": 0.5}
+        order = sorted(cores, key=lambda one: claim_delay_s(one, cores, False))
+        self.assertEqual(order, ["b", "a", "c"])
+        self.assertEqual(claim_delay_s("b", cores, False), 0.0)
--- /dev/null
+++ b/tests/test_takeover_processes.py
@@ -0,0 +1,101 @@
+"""Tests of changes of leaders between whole entry processes."""
+
+import time
+import unittest
+
+from tests.cluster import Cluster, job_id
+
+
+class TakeoverTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.cluster = Cluster()
+        self.addAsyncCleanup(self.cluster.stop)
+        await self.cluster.start(nodes=3, workers=3)
+
+    async def asyncTearDown(self):
+        self.assertEqual(self.cluster.ledger.violations, [])
+
+    async def test_killed_leader_loses_no_accepted_job(self):
+        cluster = self.cluster
+        for number in range(12):
+            answer = await cluster.submit(job_id(number), ms=800)
+            self.assertEqual(answer.status, 200)
+        began_s = time.monotonic()
+        await cluster.kill(cluster.leader())
+        await cluster.wait_leader()
+        self.assertLess(time.monotonic() - began_s, 1.5)
+        for number in range(12):
+            await cluster.wait_state(job_id(number), "completed")
+        self.assertEqual(len(cluster.ledger.starts), 24)
+
+    async def test_request_under_way_is_answered_by_the_next_leader(self):
+        cluster = self.cluster
+        leader = cluster.leader()
+        other = next(one for one in cluster.nodes.values() if one is not leader)
+        await cluster.kill(leader)
+        answer = await cluster.submit(job_id(1), node=other)
+        self.assertEqual(answer.status, 200)
+        await cluster.wait_state(job_id(1), "completed", node=other)
+
+    async def test_leader_that_alone_lost_the_store_is_replaced(self):
+        cluster = self.cluster
+        leader = cluster.leader()
+        store = leader.process.store
+        store.calls.address = store.polls.address = "127.0.0.1:9"
+        store.calls.drop_idle()
+        store.polls.drop_idle()
+        await cluster.wait_for(lambda: cluster.leader() not in (None, leader), 5.0)
+        other = next(one for one in cluster.nodes.values() if one is not leader)
+        await cluster.wait_for(other.process.link.is_serving)
+        answer = await cluster.submit(job_id(1), node=other)
+        self.assertEqual(answer.status, 200)
+        # The former leader is a gateway of the next one.
+        await cluster.wait_state(job_id(1), "completed", node=leader)
+
+    async def test_all_killed_at_once_lose_no_accepted_job(self):
+        cluster = self.cluster
+        for number in range(6):
+            await cluster.submit(job_id(number), ms=1500)
+        for node in list(cluster.nodes.values()):
+            await cluster.kill(node)
+        for name in ("m0", "m1"):
+            await cluster.add_node(name)
+        await cluster.wait_leader()
+        for number in range(6):
+            await cluster.wait_state(job_id(number), "completed")
+        self.assertEqual(len(cluster.ledger.starts), 12)
+
+
+class StoreAwayTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.cluster = Cluster()
+        self.addAsyncCleanup(self.cluster.stop)
+        await self.cluster.start(nodes=2, workers=2)
+
+    async def test_accepted_work_goes_on_and_new_work_is_refused_at_once(self):
+        cluster = self.cluster
+        await cluster.submit(job_id(1), ms=1200)
+        cluster.store.faults.status = 503
+        await cluster.submit(job_id(2), wait_s=1.0)
+        began_s = time.monotonic()
+        answer = await cluster.submit(job_id(3))
+        self.assertEqual(answer.status, 429)
+        self.assertLess(time.monotonic() - began_s, 0.5)
+        self.assertIn("retry-after", answer.headers)
+        self.assertEqual(await cluster.state(job_id(1)), "running")
+        await cluster.wait_for(lambda: not cluster.ledger.now)
+        self.assertEqual(await cluster.state(job_id(1)), "running")
+        cluster.store.faults.status = 0
+        await cluster.wait_state(job_id(1), "completed")
+        self.assertEqual(await cluster.state(job_id(3)), 410)
+        self.assertEqual(cluster.ledger.violations, [])
+
+    async def test_lost_answers_of_the_store_lose_and_double_nothing(self):
+        cluster = self.cluster
+        cluster.store.faults.lost_share = 0.4
+        for number in range(8):
+            await cluster.submit(job_id(number), ms=200)
+        for number in range(8):
+            await cluster.wait_state(job_id(number), "completed")
+        self.assertEqual(len(cluster.ledger.starts), 16)
+        self.assertEqual(cluster.ledger.violations, [])
