Reserve workers for a wide gang also when too little is free at all

Tasks that fill stay off workers with tasks that have a target latency; tasks that last are started again however they end.

--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -76,6 +76,9 @@
     speculative: bool = False
     long_running: bool = False
     max_unavailable: int = 0
+    # Uses what others leave, and may disturb those that have a target latency.
+    fills: bool = False
+    target_latency_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/scheduler/bulrushspur_scheduler/placement.py
+++ b/packages/scheduler/bulrushspur_scheduler/placement.py
@@ -64,9 +64,23 @@
         if (not ticketed or has_ticket(step, one, now_s))
         and (not spec.required_label or spec.required_label in one.entry.labels)
         and (one.reserved_for in (None, step.key) or urgent)
+        and not disturbs(step, one)
     ]
 
 
+def disturbs(step: StepRun, worker: Worker) -> bool:
+    """Tell whether a step and what runs on a worker would disturb each other.
+
+    Tasks that fill never run beside tasks that have a target latency.
+    """
+    spec = step.spec
+    if spec.fills:
+        return any(run.task.step.spec.target_latency_s for run in worker.runs.values())
+    if spec.target_latency_s:
+        return any(run.task.step.spec.fills for run in worker.runs.values())
+    return False
+
+
 def room_on(step: StepRun, worker: Worker) -> int:
     """Tell how many more tasks of a step a worker can take."""
     rv = count_that_fits(worker.free, step.spec.resources)
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -118,9 +118,12 @@
 ) -> bool:
     if len(waiting) < len(step.tasks):
         return _complete_gang(cell, step, waiting, workers, pool, now_s)
-    if not _may_use(cell, step, pool, len(waiting)):
+    each = step.spec.resources
+    if room_of_account(cell, step.job.account, each) < len(waiting):
         return False
-    chosen = choose_gang(step, waiting, workers)
+    chosen = None
+    if _may_use(cell, step, pool, len(waiting)):
+        chosen = choose_gang(step, waiting, workers)
     if chosen is None:
         if rank(cell, step, now_s)[0] == Tier.ON_TIME:
             reserve(cell, step, pool, now_s)
--- a/packages/scheduler/bulrushspur_scheduler/records.py
+++ b/packages/scheduler/bulrushspur_scheduler/records.py
@@ -37,6 +37,7 @@
     preferred_rack: str = ""
     max_per_worker: int = 0
     max_unavailable: int = 0
+    target_latency_ms: int = 0
 
 
 class JobRecord(msgspec.Struct, array_like=True, omit_defaults=True):
@@ -85,6 +86,7 @@
     "checkpointing",
     "speculative",
     "long_running",
+    "fills",
 )
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -125,6 +127,7 @@
         spec.preferred_rack,
         spec.max_per_worker,
         spec.max_unavailable,
+        round(spec.target_latency_s * 1000),
     )
 
 
@@ -139,6 +142,7 @@
         preferred_rack=record.preferred_rack,
         max_per_worker=record.max_per_worker,
         max_unavailable=record.max_unavailable,
+        target_latency_s=record.target_latency_ms / 1000,
         **flags,
     )
 
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -223,7 +223,7 @@
         how=row.how.value,
         ran_ms=round((now_s - run.confirmed_s) * 1000) if run else None,
     )
-    if row.how is EndKind.DONE:
+    if row.how is EndKind.DONE and not task.step.spec.long_running:
         if run is not None:
             health.note_success(cell, worker, run, now_s)
         mark_done(cell, task, now_s)
