--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -166,6 +166,7 @@
         takeover.recover(cell, stored, now_s, unix_s())
         if workers:
             self._recover_workers(decode_workers(workers), now_s)
+        cell.dark = {one.id for one in cell.workers.values() if not one.reached}
         cell.settled = not cell.jobs
         cell.settle_at_s = now_s + AUTHORITY_S + cell.bounds.lease_s * 1.05
         self.serving = True
@@ -201,8 +202,8 @@
                 worker = self.cell.workers[row.id] = make_worker(entry, now_s)
                 worker.listed = False
                 self.links.open(worker)
-            if not worker.reached:
-                self.cell.dark.add(row.id)
+        # What was noted while loading did not have these yet.
+        self._store_workers()
 
     def note_new_worker(self, worker: Worker) -> None:
         """Record a worker, then begin to talk to it."""
--- a/tests/test_takeover_processes.py
+++ b/tests/test_takeover_processes.py
@@ -3,6 +3,7 @@
 import time
 import unittest
 
+from bulrushspur_scheduler.records import decode_workers
 from tests.cluster import Cluster, job_id
 
 
@@ -99,3 +100,28 @@
             await cluster.wait_state(job_id(number), "completed")
         self.assertEqual(len(cluster.ledger.starts), 16)
         self.assertEqual(cluster.ledger.violations, [])
+
+
+class WorkerRecordTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.cluster = Cluster()
+        self.addAsyncCleanup(self.cluster.stop)
+        await self.cluster.start(nodes=2, workers=2)
+
+    def recorded(self):
+        record = self.cluster.store.partition("keyed.jobs").newest["workers"]
+        return {one.id for one in decode_workers(record.value)}
+
+    async def test_worker_whose_entry_lapsed_stays_recorded_over_a_takeover(self):
+        cluster = self.cluster
+        await cluster.submit(job_id(1), count=4, ms=60_000, anti_affinity=2)
+        await cluster.wait_for(lambda: len(set(cluster.ledger.now.values())) == 2)
+        lapsed = cluster.workers[0]
+        cluster.store.put("keyed.servers", lapsed.id, b"")
+        lapsed.faults.silent = True
+        await cluster.kill(cluster.leader())
+        await cluster.wait_leader()
+        term = cluster.leader().process.term
+        await cluster.wait_for(lambda: not term.writer.extra and not term.writer.batch)
+        self.assertEqual(self.recorded(), {"w0", "w1"})
+        self.assertIn(lapsed.id, term.cell.dark)
