--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -264,6 +264,9 @@
         self.links.send_orders()
         self.lanes.dispatch()
         self.writer.note_dirty()
+        self._write_events()
+
+    def _write_events(self) -> None:
         events = self.cell.events
         while events:
             event = events.popleft()
@@ -448,6 +451,7 @@
             reason=reason,
             retry_after_s=round(retry_after_s, 2),
         )
+        self._write_events()
         return Reply(0, Outcome.REJECTED, "", reason, retry_after_s)
 
     def _query(self, job_id: str) -> Reply:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -92,10 +92,12 @@
         await asyncio.sleep(0)
         process.context.destroy(linger=0)
 
-    def events(self, name):
+    def all_events(self):
         with open(self.log_path, "rb") as file:
-            rows = [msgspec.json.decode(line) for line in file if line.strip()]
-        return [row for row in rows if row["event"] == name]
+            return [msgspec.json.decode(line) for line in file if line.strip()]
+
+    def events(self, name):
+        return [row for row in self.all_events() if row["event"] == name]
 
 
 class Cluster:
@@ -215,8 +217,10 @@
         except (NotSentError, LostError):
             return None
 
-    async def submit(self, job, queue="assess", node=None, **fields):
-        return await self.call("POST", f"/{queue}/{job}", make_job(**fields), node=node)
+    async def submit(self, job, queue="assess", node=None, wait_s=3.0, **fields):
+        body = make_job(**fields)
+        path = f"/{queue}/{job}"
+        return await self.call("POST", path, body, node=node, wait_s=wait_s)
 
     async def state(self, job, queue="assess", node=None):
         answer = await self.call("GET", f"/{queue}/{job}", node=node)
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,65 @@
+"""Tests that docs/OPERATIONS.md leads from a request's id to its cause."""
+
+import unittest
+
+from tests.cluster import Cluster, job_id
+
+
+class OperationsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.cluster = Cluster()
+        self.addAsyncCleanup(self.cluster.stop)
+        await self.cluster.start(nodes=2, workers=2)
+
+    def lines(self, job):
+        """Return the lines about a job, of all processes, by event."""
+        rows = {}
+        for node in self.cluster.nodes.values():
+            node.process.log.sink.flush()
+            for row in node.all_events():
+                if row.get("job") == job:
+                    rows.setdefault(row["event"], []).append(row)
+        return rows
+
+    async def test_refused_request(self):
+        cluster = self.cluster
+        await cluster.submit(job_id(1), cpu=99_000)
+        rows = self.lines(job_id(1))
+        self.assertEqual(rows["caller_submit"][0]["outcome"], "rejected")
+        reason = "no worker is large enough"
+        self.assertEqual(rows["caller_submit"][0]["reason"], reason)
+        self.assertEqual(rows["reject"][0]["reason"], reason)
+
+    async def test_refused_while_the_store_is_away(self):
+        cluster = self.cluster
+        cluster.store.faults.status = 503
+        await cluster.submit(job_id(1))
+        await cluster.submit(job_id(2))
+        rows = self.lines(job_id(2))
+        self.assertEqual(rows["reject"][0]["reason"], "the store is away")
+        lost = cluster.leader().events("store_lost")
+        self.assertIn("503", lost[0]["reason"])
+
+    async def test_job_that_failed(self):
+        cluster = self.cluster
+        await cluster.submit(job_id(1), count=1, how="failed")
+        await cluster.wait_state(job_id(1), "failed")
+        rows = self.lines(job_id(1))
+        self.assertEqual([row["how"] for row in rows["end"]], ["failed"] * 3)
+        self.assertEqual(rows["finish"][0]["state"], "failed")
+        self.assertEqual(len(rows["start"]), 3)
+
+    async def test_request_in_doubt(self):
+        cluster = self.cluster
+        # The append is carried out, and its answer is lost each time.
+        cluster.store.faults.lost_share = 1.0
+        answer = await cluster.submit(job_id(1), wait_s=1.0)
+        self.assertEqual(answer.status, 504)
+        rows = self.lines(job_id(1))
+        row = rows["caller_submit"][0]
+        self.assertEqual(row["outcome"], "in_doubt")
+        self.assertEqual(row["leader"], cluster.leader().process.settings.name)
+        self.assertTrue(cluster.leader().events("store_lost"))
+        cluster.store.faults.lost_share = 0.0
+        await cluster.wait_state(job_id(1), "completed")
+        self.assertIn("accept", self.lines(job_id(1)))
