--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STEPS ?=
 QUICK ?=
 
-.PHONY: env demo test model fuzz bench capacity lint format clean
+.PHONY: env demo test model fuzz bench lint format clean
 
 $(STAMP): requirements-dev.txt requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml standins/pyproject.toml
 	python3.11 -m venv .venv
@@ -30,9 +30,6 @@
 bench: $(STAMP)
 	QUICK="$(QUICK)" $(PY) -m bench.run
 
-capacity: $(STAMP)
-	$(PY) -m bench.capacity
-
 lint: $(STAMP)
 	$(PY) -m ruff check .
 	$(PY) -m ruff format --check .
--- a/packages/daemon/bulrushspur_daemon/gateway.py
+++ b/packages/daemon/bulrushspur_daemon/gateway.py
@@ -20,6 +20,8 @@
 # A new leader is expected within this time of the loss of the old one.
 LEADER_WAIT_S: t.Final = 1.0
 RETRY_AFTER_S: t.Final = 1.0
+# A submission that is in doubt for so long is told so: its caller may send it again.
+SUBMIT_WAIT_S: t.Final = 1.5
 DEADLINE_MARGIN_S: t.Final = 0.1
 FINAL_KEPT: t.Final = 5000
 
@@ -88,7 +90,8 @@
         def make(number: int) -> Submit:
             return Submit(number, spec.id, queue.name, account.name, record)
 
-        return await self._ask("submit", spec.id, make, deadline_s)
+        wait_s = min(deadline_s, SUBMIT_WAIT_S)
+        return await self._ask("submit", spec.id, make, wait_s)
 
     async def query(self, job_id: str, deadline_s: float) -> Result:
         """Tell the state of a job; a final one is remembered here."""
