Reserve workers for each gang that waits, and ask for tickets ahead

Each waiting gang now has workers of its own, in order of rank; tickets are renewed as its room is about to be free; work that ends before fits in between.

Callers refused while the store is away are told to come back after about as long as it has been away (1 to 3 s).

--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -71,6 +71,7 @@
 AUTHORITY_S: t.Final = 10.0
 STORE_AWAY_S: t.Final = 0.35
 STORE_RETRY_S: t.Final = 1.0
+STORE_RETRY_MOST_S: t.Final = 3.0
 URGENT_GAIN: t.Final = 0.02
 
 
@@ -406,7 +407,7 @@
             return Reply(0, Outcome.NOT_READY)
         failing_s = self.writer.failing_since_s
         if failing_s and now_s - failing_s > STORE_AWAY_S:
-            return self._reject(message, "the store is away", STORE_RETRY_S)
+            return self._reject(message, "the store is away", self._store_retry_s())
         try:
             job = decode_job(message.job, message.record, now_s, unix_s())
         except msgspec.DecodeError as exc:
@@ -427,7 +428,7 @@
         try:
             await self.writer.store_job(job.id, message.record)
         except NotStoredError:
-            return self._reject(message, "the store is away", STORE_RETRY_S)
+            return self._reject(message, "the store is away", self._store_retry_s())
         add_job(cell, job, steady_s(), unix_s())
         cell.log(
             "accept",
@@ -442,6 +443,11 @@
         self.poke()
         return Reply(0, Outcome.OK)
 
+    def _store_retry_s(self) -> float:
+        """Expect the store to stay away about as long again as it was."""
+        away_s = steady_s() - (self.writer.failing_since_s or steady_s())
+        return min(max(away_s, STORE_RETRY_S), STORE_RETRY_MOST_S)
+
     def _reject(self, message: Submit, reason: str, retry_after_s: float) -> Reply:
         self.cell.log(
             "reject",
--- a/packages/scheduler/bulrushspur_scheduler/advice.py
+++ b/packages/scheduler/bulrushspur_scheduler/advice.py
@@ -23,6 +23,7 @@
 NAMED_FIRST: t.Final = 24
 SPARE_FACTOR: t.Final = 4
 ASK_AGAIN_S: t.Final = 0.1
+AHEAD_S: t.Final = 0.1
 LONG_CALL_S: t.Final = 0.25
 LONG_SHARE: t.Final = 0.5
 EXPIRY_MARGIN_S: t.Final = 0.1
@@ -76,6 +77,21 @@
         _ask(cell, step, queue, fresh)
 
 
+def ask_ahead(
+    cell: Cell, step: StepRun, queue: Queue, reservation: t.Any, now_s: float
+) -> None:
+    """Renew tickets for reserved workers, so that they come when the room does."""
+    assert queue.advice is not None
+    if step.asking or now_s < step.ask_after_s:
+        return
+    call_s = queue.advice.call_s(len(reservation.workers))
+    if reservation.ready_s > now_s + call_s + AHEAD_S:
+        return
+    needed_s = max(reservation.ready_s, now_s)
+    stale = [one for one in reservation.workers if not has_ticket(step, one, needed_s)]
+    _ask(cell, step, queue, stale)
+
+
 def _ask(cell: Cell, step: StepRun, queue: Queue, workers: list[Worker]) -> None:
     assert queue.advice is not None
     if not workers:
--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -109,6 +109,7 @@
     times: dict[str, TimeModel] = dataclasses.field(default_factory=dict)
     buckets: dict[str, TokenBucket] = dataclasses.field(default_factory=dict)
     waiting_steps: dict[StepKey, StepRun] = dataclasses.field(default_factory=dict)
+    reservations: dict[StepKey, t.Any] = dataclasses.field(default_factory=dict)
     dark: set[str] = dataclasses.field(default_factory=set)
     settle_at_s: float = 0.0
     settled: bool = True
--- a/packages/scheduler/bulrushspur_scheduler/placement.py
+++ b/packages/scheduler/bulrushspur_scheduler/placement.py
@@ -5,6 +5,7 @@
 
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.config import Account
+from bulrushspur_scheduler.estimates import predict_step
 from bulrushspur_scheduler.jobs import StepRun, Task
 from bulrushspur_scheduler.resources import Resources, Usage, count_that_fits
 from bulrushspur_scheduler.workers import Worker, is_usable
@@ -58,12 +59,18 @@
     """List the workers of a pool that may run tasks of a step at all."""
     spec = step.spec
     urgent = step.job.priority == 0
+    # A gang ends as a whole, and is not fitted in between.
+    ends_s = None if spec.gang else now_s + predict_step(cell, step)[0]
     return [
         one
         for one in pool.workers
         if (not ticketed or has_ticket(step, one, now_s))
         and (not spec.required_label or spec.required_label in one.entry.labels)
-        and (one.reserved_for in (None, step.key) or urgent)
+        and (
+            one.reserved_for in (None, step.key)
+            or urgent
+            or (ends_s is not None and ends_s <= one.reserved_until_s)
+        )
         and not disturbs(step, one)
     ]
 
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -30,7 +30,7 @@
     """Order all starts that fit now."""
     steps = sorted(cell.waiting_steps.values(), key=lambda one: rank(cell, one, now_s))
     pools: dict[str, Pool] = {}
-    clear_reservations(cell, now_s)
+    clear_reservations(cell)
     misses = 0
     for step in steps:
         waiting = step.waiting()
@@ -66,7 +66,12 @@
     if started or not ticketed:
         return started
     queue = cell.queue_of(step.job)
-    if queue is not None and _may_use(cell, step, pool, 1):
+    if queue is None:
+        return False
+    reservation = cell.reservations.get(step.key)
+    if reservation is not None:
+        advice.ask_ahead(cell, step, queue, reservation, now_s)
+    elif _may_use(cell, step, pool, 1):
         advice.ask_again(cell, step, queue, pool, now_s)
     return False
 
@@ -125,7 +130,7 @@
     if _may_use(cell, step, pool, len(waiting)):
         chosen = choose_gang(step, waiting, workers)
     if chosen is None:
-        if rank(cell, step, now_s)[0] == Tier.ON_TIME:
+        if rank(cell, step, now_s)[0] != Tier.PAST_USE:
             reserve(cell, step, pool, now_s)
         return False
     step.run_number = max(task.last_run for task in step.tasks) + 1
--- a/packages/scheduler/bulrushspur_scheduler/relief.py
+++ b/packages/scheduler/bulrushspur_scheduler/relief.py
@@ -37,5 +37,8 @@
     for run in list(worker.runs.values()):
         if run.state is not RunState.RUNNING:
             continue
-        if expected_end_s(cell, run, worker.speed) > worker.leaves_s - LEAVE_MARGIN_S:
+        if (
+            expected_end_s(cell, run, worker.speed, now_s)
+            > worker.leaves_s - LEAVE_MARGIN_S
+        ):
             stop_run(cell, run, "worker leaves")
--- a/packages/scheduler/bulrushspur_scheduler/reservations.py
+++ b/packages/scheduler/bulrushspur_scheduler/reservations.py
@@ -1,10 +1,11 @@
-"""Keep workers for a wide gang until enough room is free for all its members.
+"""Keep workers for wide gangs until enough room is free for all their members.
 
-Without that, narrow work would take each freed place first and a wide gang would
-never start. One gang of each service has a reservation at a time; urgent work may
-still start.
+Without that, narrow work would take each freed place first and a wide gang would never
+start. Each gang that waits gets workers of its own, in order of rank, up to a share of
+the pool. Urgent work may still start there, and work that ends before the gang can.
 """
 
+import dataclasses
 import typing as t
 
 from bulrushspur_scheduler.cell import Cell
@@ -15,73 +16,94 @@
 from bulrushspur_scheduler.workers import Worker
 
 # A reservation helps only if enough tasks are expected to end within this time.
-HORIZON_S: t.Final = 6.0
+HORIZON_S: t.Final = 15.0
+RESERVED_SHARE: t.Final = 0.7
+# Two tasks that run are seldom both done by the time expected of each.
+LATE_FACTOR: t.Final = 1.2
 
 
-def clear_reservations(cell: Cell, now_s: float) -> None:
+@dataclasses.dataclass(slots=True)
+class Reservation:
+    """Workers kept for a gang, and when it is expected to fit there."""
+
+    workers: list[Worker]
+    ready_s: float
+
+
+def clear_reservations(cell: Cell) -> None:
     """Drop the reservations of the last pass; each pass makes them anew."""
+    cell.reservations.clear()
     for worker in cell.workers.values():
         worker.reserved_for = None
 
 
-def expected_end_s(cell: Cell, run: Run, speed: float) -> float:
+def expected_end_s(cell: Cell, run: Run, speed: float, now_s: float) -> float:
     """Estimate when a run ends, on the steady clock."""
     began_s = run.confirmed_s or run.ordered_s
     mean_s, _ = predict_step(cell, run.task.step)
-    return began_s + mean_s / max(speed, 0.25)
+    took_s = LATE_FACTOR * mean_s / max(speed, 0.25)
+    # What is over its time already is as likely to last on as to end.
+    return max(began_s + took_s, now_s + 0.2 * mean_s)
 
 
 def reserve(cell: Cell, step: StepRun, pool: Pool, now_s: float) -> bool:
-    """Reserve the workers that will hold the gang soonest; tell whether any do."""
-    if any(one.reserved_for is not None for one in pool.workers):
-        return False
+    """Reserve the workers that will hold a gang soonest; tell whether any do."""
+    taken = sum(one.reserved_for is not None for one in pool.workers)
     usable = [
-        one
-        for one in pool.workers
-        if (not needs_advice(cell, step) or one.id in step.good)
-        and (
-            not step.spec.required_label or step.spec.required_label in one.entry.labels
-        )
+        one for one in pool.workers if one.reserved_for is None and _may_hold(step, one)
     ]
-    events = sorted(
-        (row for worker in usable for row in _openings(cell, step, worker, now_s)),
+    if needs_advice(cell, step):
+        usable = [one for one in usable if one.id in step.good]
+    openings = sorted(
+        (row for one in usable for row in _openings(cell, step, one, now_s)),
         key=lambda row: row[0],
     )
     needed = len(step.tasks)
-    chosen: set[str] = set()
-    for _, worker_id, count in events:
+    chosen: dict[str, Worker] = {}
+    ready_s = now_s
+    for at_s, worker, count in openings:
         if needed <= 0:
             break
-        chosen.add(worker_id)
+        chosen[worker.id] = worker
         needed -= count
+        ready_s = at_s
     if needed > 0:
         return False
-    for worker in usable:
-        if worker.id in chosen:
-            worker.reserved_for = step.key
+    # The first gang may have all workers, the others only a share beside it.
+    if taken and taken + len(chosen) > RESERVED_SHARE * len(pool.workers):
+        return False
+    for worker in chosen.values():
+        worker.reserved_for = step.key
+        worker.reserved_until_s = ready_s
+    cell.reservations[step.key] = Reservation(list(chosen.values()), ready_s)
     return True
 
 
+def _may_hold(step: StepRun, worker: Worker) -> bool:
+    label = step.spec.required_label
+    return not label or label in worker.entry.labels
+
+
 def _openings(
     cell: Cell, step: StepRun, worker: Worker, now_s: float
-) -> t.Iterator[tuple[float, str, int]]:
+) -> t.Iterator[tuple[float, Worker, int]]:
     """Yield when, where and how many more tasks of the gang will fit."""
     each = step.spec.resources
+    most = step.spec.max_per_worker or len(step.tasks)
     free = Usage(worker.free.cpu_milli, worker.free.memory_mb, worker.free.gpus)
-    had = count_that_fits(free, each)
+    had = min(count_that_fits(free, each), most)
     if had:
-        yield (now_s, worker.id, had)
+        yield (now_s, worker, had)
     ends = [
-        (expected_end_s(cell, run, worker.speed), run.task.step.spec.resources)
+        (expected_end_s(cell, run, worker.speed, now_s), run.task.step.spec.resources)
         for run in worker.runs.values()
-        if run.task.step.job.priority > 0
     ]
     ends.sort(key=lambda row: row[0])
     for end_s, amount in ends:
         if end_s > now_s + HORIZON_S:
             return
         free.add(amount)
-        fits = count_that_fits(free, each)
+        fits = min(count_that_fits(free, each), most)
         if fits > had:
-            yield (max(end_s, now_s), worker.id, fits - had)
+            yield (end_s, worker, fits - had)
             had = fits
--- a/packages/scheduler/bulrushspur_scheduler/workers.py
+++ b/packages/scheduler/bulrushspur_scheduler/workers.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing as t
 
-from bulrushspur_scheduler.jobs import Run, TaskKey
+from bulrushspur_scheduler.jobs import Run, StepKey, TaskKey
 from bulrushspur_scheduler.resources import Resources, Usage
 
 # A worker's clock may run this much slower than ours.
@@ -81,7 +81,8 @@
     on_trial: bool = False
     speed: float = 1.0
     last_normal_end_s: float = -1e9
-    reserved_for: t.Any = None
+    reserved_for: StepKey | None = None
+    reserved_until_s: float = 0.0
 
     @property
     def id(self) -> str:
