Stop giving work to workers that fell silent, and listen before claiming again

When the cut healed a process of that domain claimed at once, before it could hear the leader that lived: it now listens for 1 s after the store is back.

--- a/packages/daemon/bulrushspur_daemon/election.py
+++ b/packages/daemon/bulrushspur_daemon/election.py
@@ -37,6 +37,8 @@
     leads: t.Callable[[], bool]
     stopping: bool = False
     wanted_since_s: float | None = None
+    store_failed: bool = False
+    rejoined_s: float = -1e9
     backoff_s: float = BACKOFF_S
     claims: set[str] = dataclasses.field(default_factory=set)
 
@@ -54,6 +56,7 @@
             broken=link.broken_s > link.heard_s,
             store_age_s=link.store_age_s if heard else 0.0,
             resigned=heard and link.resigned,
+            rejoined_age_s=steady_s() - self.rejoined_s,
         )
 
     async def run(self) -> None:
@@ -96,6 +99,9 @@
             # The store must answer now, and nobody may have claimed meanwhile.
             began_s = steady_s()
             await self.cell_log.read()
+            if self.store_failed:
+                self.store_failed = False
+                self.rejoined_s = steady_s()
             view = self.view()
             if not leader_is_lost(view):
                 return
@@ -110,6 +116,7 @@
         except StoreGapError:
             self.cell_log.next_offset = None
         except StoreUnavailableError as exc:
+            self.store_failed = True
             self.log.event("claim_failed", reason=str(exc))
             await asyncio.sleep(self.backoff_s)
             self.backoff_s = min(self.backoff_s * 2, BACKOFF_MOST_S)
--- a/packages/daemon/bulrushspur_daemon/peer_sockets.py
+++ b/packages/daemon/bulrushspur_daemon/peer_sockets.py
@@ -13,6 +13,7 @@
 
 HEARTBEAT_MS: t.Final = 400
 SILENCE_MS: t.Final = 1200
+CONNECT_MS: t.Final = 500
 RECONNECT_MS: t.Final = 50
 RECONNECT_MOST_MS: t.Final = 400
 WAITING_MESSAGES: t.Final = 20_000
@@ -29,7 +30,7 @@
     socket.setsockopt(zmq.HEARTBEAT_TTL, SILENCE_MS)
     socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
     socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MOST_MS)
-    socket.setsockopt(zmq.CONNECT_TIMEOUT, SILENCE_MS)
+    socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_MS)
 
 
 @dataclasses.dataclass
--- a/packages/daemon/bulrushspur_daemon/worker_links.py
+++ b/packages/daemon/bulrushspur_daemon/worker_links.py
@@ -26,9 +26,9 @@
 from bulrushspur_scheduler.workers import Worker
 
 START_LEASE_S: t.Final = 2.0
-BUSY_WAIT_MS: t.Final = 600
-IDLE_WAIT_MS: t.Final = 1500
-RETRY_S: t.Final = 0.15
+BUSY_WAIT_MS: t.Final = 400
+IDLE_WAIT_MS: t.Final = 700
+RETRY_S: t.Final = 0.1
 STOP_AGAIN_S: t.Final = 0.3
 ORDERS_AT_ONCE: t.Final = 3
 SILENT_LOGGED_S: t.Final = 1.0
--- a/packages/scheduler/bulrushspur_scheduler/leadership.py
+++ b/packages/scheduler/bulrushspur_scheduler/leadership.py
@@ -8,6 +8,7 @@
 STORE_LOST_S: t.Final = 0.9
 CLAIM_GRACE_S: t.Final = 1.0
 LOADED_GRACE_S: t.Final = 0.6
+REJOIN_S: t.Final = 1.0
 RANK_STEP_S: t.Final = 0.12
 FIRST_STEP_S: t.Final = 0.06
 
@@ -16,6 +17,8 @@
 class LeaderView:
     """What a process knows of the leader; ages in seconds.
 
+    ``rejoined_age_s`` tells how long the store has answered this process again.
+
     ``loaded`` tells that the claim was there when this process started, ``dead`` that
     the leader's process has started again since, ``broken`` that its connection broke.
     """
@@ -29,12 +32,16 @@
     broken: bool
     store_age_s: float
     resigned: bool
+    rejoined_age_s: float = 1e9
 
 
 def leader_is_lost(view: LeaderView) -> bool:
     """Tell whether somebody else should lead."""
     if not view.known or view.resigned or view.dead:
         return True
+    if view.rejoined_age_s < REJOIN_S:
+        # Whoever was cut off hears a living leader in a moment.
+        return False
     if not view.heard:
         grace_s = LOADED_GRACE_S if view.loaded else CLAIM_GRACE_S
         return view.claim_age_s > grace_s
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -270,7 +270,7 @@
     if result is StartResult.UNANSWERED:
         if run.state is RunState.STARTING:
             run.state = RunState.UNCONFIRMED
-        health.note_failure(cell, worker, None, now_s)
+        worker.doubted_s = now_s
         return
     _refused(cell, worker, run, result, now_s)
 
--- a/packages/scheduler/bulrushspur_scheduler/workers.py
+++ b/packages/scheduler/bulrushspur_scheduler/workers.py
@@ -9,7 +9,7 @@
 # A worker's clock may run this much slower than ours.
 CLOCK_SLOWEST: t.Final = 0.98
 LEASE_MARGIN_MS: t.Final = 100
-HEARD_WITHIN_S: t.Final = 1.8
+HEARD_WITHIN_S: t.Final = 1.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,6 +64,8 @@
     unlisted_s: float = 0.0
     reached: bool = False
     heard_s: float = 0.0
+    # When it last left an order unanswered.
+    doubted_s: float = -1.0
     born_ms: int = 0
     clock: WorkerClock = dataclasses.field(default_factory=WorkerClock)
     lease_until_ms: int = 0
@@ -135,6 +137,7 @@
         and not worker.draining
         and worker.apart_until_s <= now_s
         and now_s - worker.heard_s < HEARD_WITHIN_S
+        and worker.doubted_s <= worker.heard_s
         and not (worker.on_trial and worker.runs)
         and not (worker.strays and worker.has_unsized_stray)
     )
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -52,6 +52,11 @@
         self.assertFalse(self.lost(**fresh, claim_age_s=0.4, loaded=True))
         self.assertTrue(self.lost(**fresh, claim_age_s=0.8, loaded=True))
 
+    def test_process_that_was_cut_off_listens_first(self):
+        self.assertFalse(self.lost(heard_age_s=5.0, rejoined_age_s=0.3))
+        self.assertTrue(self.lost(heard_age_s=5.0, rejoined_age_s=1.5))
+        self.assertTrue(self.lost(dead=True, rejoined_age_s=0.3))
+
     def test_larger_vms_claim_first(self):
         cores = {"a": 0.5, "b": 2.0, "c": 0.5}
         order = sorted(cores, key=lambda one: claim_delay_s(one, cores, False))
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -113,3 +113,14 @@
         plan(self.cell, 1.1)
         self.assertEqual({one.run.number for one in self.cell.starts}, {2})
         self.assertEqual(len(self.cell.starts), 2)
+
+    def test_worker_that_left_an_order_unanswered_gets_no_more_until_heard(self):
+        (order,) = self.start_one(workers=1)
+        self.cell.starts.clear()
+        note_start(self.cell, order.run, StartResult.UNANSWERED, 0.5)
+        add_test_job(self.cell, "j2", now_s=0.5)
+        plan(self.cell, 0.5)
+        self.assertEqual(self.cell.starts, [])
+        report(self.cell, "w0", 0.6, [order.run.key])
+        plan(self.cell, 0.6)
+        self.assertEqual(len(self.cell.starts), 1)
