--- a/packages/daemon/bulrushspur_daemon/cell_log.py
+++ b/packages/daemon/bulrushspur_daemon/cell_log.py
@@ -39,6 +39,7 @@
     store: Store
     log: EventLog
     nodes: dict[str, NodeRecord] = dataclasses.field(default_factory=dict)
+    node_offsets: dict[str, int] = dataclasses.field(default_factory=dict)
     leader: LeaderRecord | None = None
     term: int = 0
     term_seen_s: float = -1e9
@@ -110,6 +111,7 @@
             elif row.key.startswith(NODE_PREFIX) and row.value:
                 node = msgspec.msgpack.decode(row.value, type=NodeRecord)
                 self.nodes[node.name] = node
+                self.node_offsets[node.name] = row.offset
                 self.on_change()
         except msgspec.DecodeError as exc:
             self.log.event("cell_record_unreadable", key=row.key, reason=str(exc))
--- a/packages/daemon/bulrushspur_daemon/election.py
+++ b/packages/daemon/bulrushspur_daemon/election.py
@@ -92,7 +92,8 @@
         if self.cell_log.leader is not None:
             cores.pop(self.cell_log.leader.name, None)
         cores.setdefault(self.name, 1.0)
-        return claim_delay_s(self.name, cores, not view.known)
+        started = self.cell_log.node_offsets
+        return claim_delay_s(self.name, cores, started, not view.known)
 
     async def _claim(self) -> None:
         try:
--- a/packages/scheduler/bulrushspur_scheduler/health.py
+++ b/packages/scheduler/bulrushspur_scheduler/health.py
@@ -18,9 +18,11 @@
 SPEED_GAIN: t.Final = 0.25
 SPEED_LEAST: t.Final = 0.05
 # So many runs of a worker should have ended by now, and none has for a while.
-MISSED_ENDS: t.Final = 2.5
-NORMAL_WITHIN_S: t.Final = 1.5
+MISSED_ENDS: t.Final = 3.5
+NORMAL_WITHIN_S: t.Final = 2.0
 LATE_SHARE: t.Final = 0.8
+# A worker may be so slow for good.
+SLOWEST_NORMAL: t.Final = 0.7
 # A single run is given up beyond both of these.
 OVERDUE_FACTOR: t.Final = 3.2
 OVERDUE_DEVIATIONS: t.Final = 3.5
@@ -96,6 +98,7 @@
         mean_s, error = predict_step(cell, run.task.step)
         # A task that was given up before may just be long.
         mean_s *= 2**run.task.overdue_stops
+        mean_s /= min(max(worker.speed, SLOWEST_NORMAL), 1.0)
         elapsed_s = now_s - run.confirmed_s - OVERDUE_EXTRA_S
         share = share_over(elapsed_s, mean_s, error)
         missed += share
--- a/packages/scheduler/bulrushspur_scheduler/leadership.py
+++ b/packages/scheduler/bulrushspur_scheduler/leadership.py
@@ -50,11 +50,15 @@
     return view.heard_age_s > LOST_S or view.store_age_s > STORE_LOST_S
 
 
-def claim_delay_s(name: str, others: t.Mapping[str, float], first: bool) -> float:
-    """Return how long to wait before a claim; VMs with more cores go first.
+def claim_delay_s(
+    name: str, cores: t.Mapping[str, float], started: t.Mapping[str, int], first: bool
+) -> float:
+    """Return how long to wait before a claim.
 
-    ``others`` maps the names of processes to their cores, this one included.
+    VMs with more cores go first; among equals the process that was started last, for
+    where processes are restarted in turn it is the last to be stopped again.
+    ``started`` gives the order of starts.
     """
-    order = sorted(others, key=lambda one: (-others[one], one))
+    order = sorted(cores, key=lambda one: (-cores[one], -started.get(one, 0), one))
     rank = order.index(name) if name in order else len(order)
     return rank * (FIRST_STEP_S if first else RANK_STEP_S)
