--- a/packages/daemon/bulrushspur_daemon/process.py
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -248,6 +248,20 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: reload_settings(process, path))
+    parts = make_parts(process, boot)
+    tasks = [asyncio.create_task(_part(part, log, stop)) for part in parts]
+    await listen(process)
+    await stop.wait()
+    await shut_down(process)
+    for task in tasks:
+        task.cancel()
+    process.context.destroy(linger=0)
+    log.event("stop", urgent=True)
+
+
+def make_parts(process: Process, boot: str) -> list[t.Coroutine[t.Any, t.Any, None]]:
+    """Make the loops that run in a process besides its servers."""
+    settings = process.settings
     me = NodeRecord(
         settings.name,
         settings.domain,
@@ -256,7 +270,7 @@
         boot,
         settings.operators_address,
     )
-    parts = [
+    return [
         process.peer_server.run(),
         process.peer_server.watch(),
         process.config_watch.run(),
@@ -265,14 +279,6 @@
         process.election.run(),
         process.advice.run(),
     ]
-    tasks = [asyncio.create_task(_part(part, log, stop)) for part in parts]
-    await listen(process)
-    await stop.wait()
-    await shut_down(process)
-    for task in tasks:
-        task.cancel()
-    process.context.destroy(linger=0)
-    log.event("stop", urgent=True)
 
 
 async def _part(
--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -4,20 +4,14 @@
 import dataclasses
 import typing as t
 
-import msgspec
-
 from bulrushspur_daemon.cell_log import CellLog
 from bulrushspur_daemon.clock import boot_s, steady_s, unix_s
 from bulrushspur_daemon.lanes import AdviceLanes
 from bulrushspur_daemon.term_peers import TermPeers
+from bulrushspur_daemon.term_requests import Request, TermRequests
 from bulrushspur_daemon.worker_links import WorkerLinks
 from bulrushspur_daemon.worker_watch import WorkerWatch
-from bulrushspur_daemon.writer import (
-    JOBS_TOPIC,
-    WRITER_NAME,
-    NotStoredError,
-    RecordWriter,
-)
+from bulrushspur_daemon.writer import JOBS_TOPIC, WRITER_NAME, RecordWriter
 from bulrushspur_kernel.adapter import Adapter
 from bulrushspur_kernel.logs import EventLog
 from bulrushspur_kernel.messages import (
@@ -37,16 +31,13 @@
     StoreUnavailableError,
     Writer,
 )
-from bulrushspur_scheduler import admission, advice, ranking, takeover
+from bulrushspur_scheduler import takeover
 from bulrushspur_scheduler.cell import Bounds, Cell, make_cell
 from bulrushspur_scheduler.config import CellConfig
-from bulrushspur_scheduler.jobs import FINAL_STATES, JobState, make_occurrence
+from bulrushspur_scheduler.jobs import JobState
 from bulrushspur_scheduler.leases import check_leases
-from bulrushspur_scheduler.placement import make_pool
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import (
-    add_job,
-    finish_job,
     forget_finished,
     open_due_occurrences,
     set_objective,
@@ -54,7 +45,6 @@
 from bulrushspur_scheduler.records import (
     WORKERS_KEY,
     WorkerRecord,
-    decode_job,
     decode_workers,
     encode_workers,
 )
@@ -69,9 +59,6 @@
 RECOVER_RETRY_S: t.Final = 0.15
 # Without a word of the store for so long, nothing is started or held any more.
 AUTHORITY_S: t.Final = 10.0
-STORE_AWAY_S: t.Final = 0.35
-STORE_RETRY_S: t.Final = 1.0
-STORE_RETRY_MOST_S: t.Final = 3.0
 URGENT_GAIN: t.Final = 0.02
 
 
@@ -93,6 +80,7 @@
     links: WorkerLinks = dataclasses.field(init=False)
     lanes: AdviceLanes = dataclasses.field(init=False)
     watch: WorkerWatch = dataclasses.field(init=False)
+    requests: TermRequests = dataclasses.field(init=False)
     serving: bool = False
     over: bool = False
     wake: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
@@ -136,8 +124,7 @@
         self.writer.stop()
         self.links.close_all()
         self.peers.close()
-        for future in self.arriving.values():
-            future.cancel()
+        self.requests.stop()
         self.on_over(reason)
 
     async def _run(self) -> None:
@@ -367,131 +354,15 @@
             task.add_done_callback(self.tasks.remove)
 
     async def _answer_and_send(
-        self, message: Submit | Query | Cancel, reply: t.Callable[[Message], t.Any]
+        self, message: Request, reply: t.Callable[[Message], t.Any]
     ) -> None:
         reply(await self.answer(message))
 
-    async def answer(self, message: Submit | Query | Cancel) -> Reply:
+    async def answer(self, message: Request) -> Reply:
         """Answer a request of a caller."""
         if not self.serving:
             return Reply(message.request, Outcome.NOT_READY)
-        if isinstance(message, Submit):
-            rv = await self._submit(message)
-        elif isinstance(message, Query):
-            rv = self._query(message.job)
-        else:
-            rv = await self._cancel(message.job)
-        return msgspec.structs.replace(rv, request=message.request)
-
-    async def _submit(self, message: Submit) -> Reply:
-        if message.job in self.cell.jobs or message.job in self.cell.finished:
-            return Reply(0, Outcome.OK)
-        arriving = self.arriving.get(message.job)
-        if arriving is None:
-            arriving = asyncio.get_running_loop().create_future()
-            self.arriving[message.job] = arriving
-            self._spawn(self._accept(message, arriving))
-        return await asyncio.shield(arriving)
-
-    async def _accept(self, message: Submit, done: asyncio.Future[Reply]) -> None:
-        try:
-            reply = await self._decide(message)
-        finally:
-            del self.arriving[message.job]
-            self.cell.pending.pop(message.job, None)
-        if not done.done():
-            done.set_result(reply)
-
-    async def _decide(self, message: Submit) -> Reply:
-        cell, now_s = self.cell, steady_s()
-        queue = cell.config.by_name.get(message.queue)
-        if queue is None:
-            return Reply(0, Outcome.NOT_READY)
-        failing_s = self.writer.failing_since_s
-        if failing_s and now_s - failing_s > STORE_AWAY_S:
-            return self._reject(message, "the store is away", self._store_retry_s())
-        try:
-            job = decode_job(message.job, message.record, now_s, unix_s())
-        except msgspec.DecodeError as exc:
-            return self._reject(message, f"unreadable: {exc}", STORE_RETRY_S)
-        job.accepted_s = now_s
-        job.excess = ranking.is_excess(cell, message.account, now_s)
-        rejection = admission.admit(cell, queue, message.account, job, now_s)
-        if rejection is not None:
-            return self._reject(message, rejection.reason, rejection.retry_after_s)
-        set_objective(cell, job)
-        if not job.repeats:
-            make_occurrence(job, 0)
-        cell.pending[job.id] = job
-        pool = make_pool(cell, job.service, now_s)
-        if pool.workers:
-            advice.ask_early(cell, job, pool)
-            self.lanes.dispatch()
-        try:
-            await self.writer.store_job(job.id, message.record)
-        except NotStoredError:
-            return self._reject(message, "the store is away", self._store_retry_s())
-        add_job(cell, job, steady_s(), unix_s())
-        cell.log(
-            "accept",
-            job.id,
-            queue=job.queue,
-            account=job.account,
-            tasks=sum(one.count for one in job.spec.steps),
-            excess=job.excess,
-            config=cell.config.version,
-            stored_ms=round((steady_s() - now_s) * 1000),
-        )
-        self.poke()
-        return Reply(0, Outcome.OK)
-
-    def _store_retry_s(self) -> float:
-        """Expect the store to stay away about as long again as it was."""
-        away_s = steady_s() - (self.writer.failing_since_s or steady_s())
-        return min(max(away_s, STORE_RETRY_S), STORE_RETRY_MOST_S)
-
-    def _reject(self, message: Submit, reason: str, retry_after_s: float) -> Reply:
-        self.cell.log(
-            "reject",
-            message.job,
-            queue=message.queue,
-            account=message.account,
-            reason=reason,
-            retry_after_s=round(retry_after_s, 2),
-        )
-        self._write_events()
-        return Reply(0, Outcome.REJECTED, "", reason, retry_after_s)
-
-    def _query(self, job_id: str) -> Reply:
-        finished = self.cell.finished.get(job_id)
-        if finished is not None:
-            # What is not stored yet is not told as final.
-            state = finished.state
-            if not self.writer.is_durable(job_id):
-                state = JobState.RUNNING
-            return Reply(0, Outcome.OK, state.value)
-        job = self.cell.jobs.get(job_id)
-        if job is not None:
-            return Reply(0, Outcome.OK, job.state.value)
-        if job_id in self.arriving:
-            return Reply(0, Outcome.OK, JobState.QUEUED.value)
-        return Reply(0, Outcome.UNKNOWN_JOB)
-
-    async def _cancel(self, job_id: str) -> Reply:
-        arriving = self.arriving.get(job_id)
-        if arriving is not None:
-            await asyncio.shield(arriving)
-        job = self.cell.jobs.get(job_id)
-        if job is not None:
-            finish_job(self.cell, job, JobState.CANCELLED, steady_s())
-            self._flush()
-        elif job_id not in self.cell.finished:
-            return Reply(0, Outcome.UNKNOWN_JOB)
-        if not self.writer.is_durable(job_id):
-            await self.writer.durable()
-        state = self.cell.finished[job_id].state
-        assert state in FINAL_STATES
-        return Reply(0, Outcome.OK, state.value)
+        return await self.requests.answer(message)
 
 
 _NOTHING = Resources()
@@ -538,5 +409,8 @@
         cell, log, metrics, peers.send_to, peers.lane_names, term.poke
     )
     term.watch = WorkerWatch(store, adapter, cell, log, term.note_new_worker, term.poke)
+    term.requests = TermRequests(
+        cell, writer, term.lanes, term._spawn, term.poke, term._flush
+    )
     peers.receive = term.receive
     return term
--- /dev/null
+++ b/packages/daemon/bulrushspur_daemon/term_requests.py
@@ -0,0 +1,162 @@
+"""Answer the requests that gateways pass to the leader."""
+
+import asyncio
+import dataclasses
+import typing as t
+
+import msgspec
+
+from bulrushspur_daemon.clock import steady_s, unix_s
+from bulrushspur_daemon.lanes import AdviceLanes
+from bulrushspur_daemon.writer import NotStoredError, RecordWriter
+from bulrushspur_kernel.messages import Cancel, Outcome, Query, Reply, Submit
+from bulrushspur_scheduler import admission, advice, ranking
+from bulrushspur_scheduler.cell import Cell
+from bulrushspur_scheduler.jobs import FINAL_STATES, JobState, make_occurrence
+from bulrushspur_scheduler.placement import make_pool
+from bulrushspur_scheduler.progress import add_job, finish_job, set_objective
+from bulrushspur_scheduler.records import decode_job
+
+STORE_AWAY_S: t.Final = 0.35
+STORE_RETRY_S: t.Final = 1.0
+STORE_RETRY_MOST_S: t.Final = 3.0
+
+Request = Submit | Query | Cancel
+
+
+@dataclasses.dataclass
+class TermRequests:
+    """Requests of one term; ``arriving`` has the jobs that are being stored."""
+
+    cell: Cell
+    writer: RecordWriter
+    lanes: AdviceLanes
+    spawn: t.Callable[[t.Coroutine[t.Any, t.Any, None]], None]
+    poke: t.Callable[[], None]
+    flush: t.Callable[[], None]
+    arriving: dict[str, asyncio.Future[Reply]] = dataclasses.field(default_factory=dict)
+
+    def stop(self) -> None:
+        """Release all who wait: the next leader answers them."""
+        for future in self.arriving.values():
+            future.cancel()
+
+    async def answer(self, message: Request) -> Reply:
+        """Answer a request of a caller."""
+        if isinstance(message, Submit):
+            rv = await self._submit(message)
+        elif isinstance(message, Query):
+            rv = self._query(message.job)
+        else:
+            rv = await self._cancel(message.job)
+        return msgspec.structs.replace(rv, request=message.request)
+
+    async def _submit(self, message: Submit) -> Reply:
+        if message.job in self.cell.jobs or message.job in self.cell.finished:
+            return Reply(0, Outcome.OK)
+        arriving = self.arriving.get(message.job)
+        if arriving is None:
+            arriving = asyncio.get_running_loop().create_future()
+            self.arriving[message.job] = arriving
+            self.spawn(self._accept(message, arriving))
+        return await asyncio.shield(arriving)
+
+    async def _accept(self, message: Submit, done: asyncio.Future[Reply]) -> None:
+        try:
+            reply = await self._decide(message)
+        finally:
+            del self.arriving[message.job]
+            self.cell.pending.pop(message.job, None)
+        if not done.done():
+            done.set_result(reply)
+
+    async def _decide(self, message: Submit) -> Reply:
+        cell, now_s = self.cell, steady_s()
+        queue = cell.config.by_name.get(message.queue)
+        if queue is None:
+            return Reply(0, Outcome.NOT_READY)
+        failing_s = self.writer.failing_since_s
+        if failing_s and now_s - failing_s > STORE_AWAY_S:
+            return self._reject(message, "the store is away", self._store_retry_s())
+        try:
+            job = decode_job(message.job, message.record, now_s, unix_s())
+        except msgspec.DecodeError as exc:
+            return self._reject(message, f"unreadable: {exc}", STORE_RETRY_S)
+        job.accepted_s = now_s
+        job.excess = ranking.is_excess(cell, message.account, now_s)
+        rejection = admission.admit(cell, queue, message.account, job, now_s)
+        if rejection is not None:
+            return self._reject(message, rejection.reason, rejection.retry_after_s)
+        set_objective(cell, job)
+        if not job.repeats:
+            make_occurrence(job, 0)
+        cell.pending[job.id] = job
+        pool = make_pool(cell, job.service, now_s)
+        if pool.workers:
+            advice.ask_early(cell, job, pool)
+            self.lanes.dispatch()
+        try:
+            await self.writer.store_job(job.id, message.record)
+        except NotStoredError:
+            return self._reject(message, "the store is away", self._store_retry_s())
+        add_job(cell, job, steady_s(), unix_s())
+        cell.log(
+            "accept",
+            job.id,
+            queue=job.queue,
+            account=job.account,
+            tasks=sum(one.count for one in job.spec.steps),
+            excess=job.excess,
+            config=cell.config.version,
+            stored_ms=round((steady_s() - now_s) * 1000),
+        )
+        self.poke()
+        return Reply(0, Outcome.OK)
+
+    def _store_retry_s(self) -> float:
+        """Expect the store to stay away about as long again as it was."""
+        away_s = steady_s() - (self.writer.failing_since_s or steady_s())
+        return min(max(away_s, STORE_RETRY_S), STORE_RETRY_MOST_S)
+
+    def _reject(self, message: Submit, reason: str, retry_after_s: float) -> Reply:
+        self.cell.log(
+            "reject",
+            message.job,
+            queue=message.queue,
+            account=message.account,
+            reason=reason,
+            retry_after_s=round(retry_after_s, 2),
+        )
+        self.flush()
+        return Reply(0, Outcome.REJECTED, "", reason, retry_after_s)
+
+    def _query(self, job_id: str) -> Reply:
+        finished = self.cell.finished.get(job_id)
+        if finished is not None:
+            # What is not stored yet is not told as final.
+            state = finished.state
+            if not self.writer.is_durable(job_id):
+                state = JobState.RUNNING
+            return Reply(0, Outcome.OK, state.value)
+        job = self.cell.jobs.get(job_id)
+        if job is not None:
+            return Reply(0, Outcome.OK, job.state.value)
+        if job_id in self.arriving:
+            return Reply(0, Outcome.OK, JobState.QUEUED.value)
+        return Reply(0, Outcome.UNKNOWN_JOB)
+
+    async def _cancel(self, job_id: str) -> Reply:
+        arriving = self.arriving.get(job_id)
+        if arriving is not None:
+            await asyncio.shield(arriving)
+        job = self.cell.jobs.get(job_id)
+        if job is not None:
+            finish_job(self.cell, job, JobState.CANCELLED, steady_s())
+            self.flush()
+        elif job_id not in self.cell.finished:
+            return Reply(0, Outcome.UNKNOWN_JOB)
+        if not self.writer.is_durable(job_id):
+            await self.writer.durable()
+        state = self.cell.finished[job_id].state
+        assert state in FINAL_STATES
+        return Reply(0, Outcome.OK, state.value)
--- a/packages/daemon/bulrushspur_daemon/worker_links.py
+++ b/packages/daemon/bulrushspur_daemon/worker_links.py
@@ -44,7 +44,7 @@
     slots: asyncio.Semaphore
     task: asyncio.Task[None] | None = None
     # Ends up to here are stored; told once, for a next life counts anew.
-    seen_upto: int = 0
+    noted_upto: int = 0
     told_upto: int = 0
     silent: bool = False
     # The last call failed: another life may answer the next one.
@@ -112,7 +112,7 @@
     async def _hold(self, link: WorkerLink) -> None:
         worker, cell = link.worker, self.cell
         now_s = steady_s()
-        until_ms: int | None = None
+        lease_until_ms: int | None = None
         wait_ms = 0
         if worker.reached and worker.clock.known:
             wait_ms = BUSY_WAIT_MS if worker.runs else IDLE_WAIT_MS
@@ -120,28 +120,28 @@
             # could else never be over.
             heard = now_s - worker.heard_s < HEARD_WITHIN_S
             if worker.runs and heard and self.has_authority():
-                until_ms = extend_lease(cell, worker, now_s, cell.bounds.lease_s)
-        if worker.applied_upto > link.seen_upto or link.doubtful:
+                lease_until_ms = extend_lease(cell, worker, now_s, cell.bounds.lease_s)
+        if worker.applied_upto > link.noted_upto or link.doubtful:
             wait_ms = 0
-        seen_upto = 0
-        if link.seen_upto > link.told_upto and not link.doubtful:
-            seen_upto = link.seen_upto
+        noted_upto = 0
+        if link.noted_upto > link.told_upto and not link.doubtful:
+            noted_upto = link.noted_upto
         link.doubtful = True
-        report = await link.client.hold(until_ms, cell.fence, seen_upto, wait_ms)
+        report = await link.client.hold(lease_until_ms, cell.fence, noted_upto, wait_ms)
         link.doubtful = False
-        link.told_upto = max(link.told_upto, seen_upto)
+        link.told_upto = max(link.told_upto, noted_upto)
         born_ms = worker.born_ms
         apply_report(cell, worker, report, steady_s())
         if born_ms and worker.born_ms != born_ms:
-            link.seen_upto = link.told_upto = 0
+            link.noted_upto = link.told_upto = 0
         if link.silent:
             link.silent = False
             self.log.event("worker_regained", worker=worker.id)
         self.poke()
-        if worker.applied_upto > link.seen_upto:
+        if worker.applied_upto > link.noted_upto:
             upto = worker.applied_upto
             await self.writer.durable()
-            link.seen_upto = min(upto, worker.applied_upto)
+            link.noted_upto = min(upto, worker.applied_upto)
 
     def _note_silence(self, link: WorkerLink, reason: str) -> None:
         quiet_s = steady_s() - link.worker.heard_s
@@ -182,12 +182,12 @@
                 note_start(self.cell, run, StartResult.LATE, steady_s())
                 return
             began_s = steady_s()
-            until_ms = extend_lease(self.cell, worker, began_s, START_LEASE_S)
+            lease_until_ms = extend_lease(self.cell, worker, began_s, START_LEASE_S)
             result, clock_ms = await link.client.start(
                 run.task.key,
                 run.number,
                 order.payload,
-                until_ms,
+                lease_until_ms,
                 self.cell.fence,
                 order.checkpoint,
                 order.ticket,
--- a/packages/kernel/bulrushspur_kernel/adapter.py
+++ b/packages/kernel/bulrushspur_kernel/adapter.py
@@ -41,7 +41,7 @@
         key: "TaskKey",
         number: int,
         payload: str,
-        until_ms: int,
+        lease_until_ms: int,
         term: int,
         checkpoint: str,
         ticket: str,
@@ -54,7 +54,7 @@
         ...
 
     async def hold(
-        self, until_ms: int | None, term: int, seen_upto: int, wait_ms: int
+        self, lease_until_ms: int | None, term: int, noted_upto: int, wait_ms: int
     ) -> "HoldReport":
         """Extend the lease and list runs; raises the errors of this module."""
         ...
--- a/packages/scheduler/bulrushspur_scheduler/leases.py
+++ b/packages/scheduler/bulrushspur_scheduler/leases.py
@@ -9,9 +9,9 @@
 
 def extend_lease(cell: Cell, worker: Worker, now_s: float, lease_s: float) -> int:
     """Return the worker's time until which to hold, and note that it was sent."""
-    until_ms = worker.clock.likely_ms(now_s) + int(lease_s * 1000)
-    worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
-    return until_ms
+    lease_until_ms = worker.clock.likely_ms(now_s) + int(lease_s * 1000)
+    worker.lease_until_ms = max(worker.lease_until_ms, lease_until_ms)
+    return lease_until_ms
 
 
 def lose_run(cell: Cell, run: Run, reason: str) -> None:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -9,8 +9,7 @@
 
 import msgspec
 
-from bulrushspur_daemon.process import listen, make_process
-from bulrushspur_kernel.cell_records import NodeRecord
+from bulrushspur_daemon.process import listen, make_parts, make_process
 from bulrushspur_kernel.http_client import LostError, NotSentError, fetch_answer
 from bulrushspur_kernel.logs import EventLog, Sink
 from bulrushspur_kernel.settings import Settings, SiteBounds
@@ -147,23 +146,7 @@
         )
         boot = os.urandom(4).hex()
         process = make_process(settings, EventLog(name, Sink(fd, 2000.0)), boot)
-        me = NodeRecord(
-            name,
-            "north",
-            settings.peers_address,
-            1.0,
-            boot,
-            settings.operators_address,
-        )
-        parts = [
-            process.peer_server.run(),
-            process.peer_server.watch(),
-            process.config_watch.run(),
-            process.config_watch.run_refresh(),
-            process.cell_log.run(me),
-            process.election.run(),
-            process.advice.run(),
-        ]
+        parts = make_parts(process, boot)
         tasks = [asyncio.create_task(part) for part in parts]
         await listen(process)
         node = self.nodes[name] = Node(process, tasks, path)
