--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -55,6 +55,7 @@
 TICK_S: t.Final = 0.1
 BEAT_S: t.Final = 0.15
 PLAN_GATHER_S: t.Final = 0.002
+PLAN_PAUSE_MOST_S: t.Final = 0.1
 CONFIRM_S: t.Final = 0.4
 RECOVER_RETRY_S: t.Final = 0.15
 # Without a word of the store for so long, nothing is started or held any more.
@@ -236,9 +237,10 @@
         await self.watch.run()
 
     async def _plan_loop(self) -> None:
+        pause_s = 0.0
         while True:
             await self.wake.wait()
-            await asyncio.sleep(PLAN_GATHER_S)
+            await asyncio.sleep(max(PLAN_GATHER_S, pause_s))
             self.wake.clear()
             if self.cell.superseded:
                 self.stop("a worker has heard a later term")
@@ -247,7 +249,9 @@
             takeover.settle(self.cell, self.writer.confirmed_s)
             if self.has_authority():
                 plan(self.cell, now_s)
-                self.metrics.record_s("plan", steady_s() - now_s)
+                # Passes leave at least half of the processor to the rest.
+                pause_s = min(steady_s() - now_s, PLAN_PAUSE_MOST_S)
+                self.metrics.record_s("plan", pause_s)
             self._flush()
 
     def _flush(self) -> None:
@@ -260,7 +264,9 @@
         events = self.cell.events
         while events:
             event = events.popleft()
-            self.log.event(event.name, job=event.job, **event.fields)
+            # Lines about workers and the term itself are few, and always kept.
+            fields = {"job": event.job} if event.job else {}
+            self.log.event(event.name, urgent=not event.job, **fields, **event.fields)
 
     async def _tick_loop(self) -> None:
         while True:
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -150,6 +150,8 @@
     ask_after_s: float = 0.0
     times_seen: int = 0
     times_log: float = 0.0
+    left_s: float = 0.0
+    left_at_s: float = -1e9
 
     @property
     def done(self) -> bool:
--- a/packages/scheduler/bulrushspur_scheduler/placement.py
+++ b/packages/scheduler/bulrushspur_scheduler/placement.py
@@ -23,6 +23,7 @@
 
     workers: list[Worker]
     lower_cpu_milli: int = 0
+    by_id: dict[str, Worker] = dataclasses.field(default_factory=dict)
 
 
 def make_pool(cell: Cell, service: str, now_s: float) -> Pool:
@@ -38,7 +39,7 @@
         cell.urgent_mean.get(service, 0.0) * HEADROOM_FACTOR, total * HEADROOM_MOST
     )
     kept = max(wanted - cell.urgent_cpu.get(service, 0), 0.0)
-    return Pool(workers, int(free - kept))
+    return Pool(workers, int(free - kept), {one.id: one for one in workers})
 
 
 def needs_advice(cell: Cell, step: StepRun) -> bool:
@@ -61,9 +62,13 @@
     urgent = step.job.priority == 0
     # A gang ends as a whole, and is not fitted in between.
     ends_s = None if spec.gang else now_s + predict_step(cell, step)[0]
+    workers: t.Iterable[Worker] = pool.workers
+    if ticketed:
+        ids = [one for one in step.tickets if one in pool.by_id]
+        workers = [pool.by_id[one] for one in ids]
     return [
         one
-        for one in pool.workers
+        for one in workers
         if (not ticketed or has_ticket(step, one, now_s))
         and (not spec.required_label or spec.required_label in one.entry.labels)
         and (
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -15,7 +15,7 @@
     room_of_account,
     room_on,
 )
-from bulrushspur_scheduler.ranking import Tier, rank
+from bulrushspur_scheduler.ranking import rank
 from bulrushspur_scheduler.reservations import clear_reservations, reserve
 from bulrushspur_scheduler.runs import begin_run, stop_step
 from bulrushspur_scheduler.workers import Worker
@@ -130,8 +130,7 @@
     if _may_use(cell, step, pool, len(waiting)):
         chosen = choose_gang(step, waiting, workers)
     if chosen is None:
-        if rank(cell, step, now_s)[0] != Tier.PAST_USE:
-            reserve(cell, step, pool, now_s)
+        reserve(cell, step, pool, now_s)
         return False
     step.run_number = max(task.last_run for task in step.tasks) + 1
     checkpoint = _gang_checkpoint(step)
--- a/packages/scheduler/bulrushspur_scheduler/ranking.py
+++ b/packages/scheduler/bulrushspur_scheduler/ranking.py
@@ -14,6 +14,7 @@
 # A late job is still of use until this multiple of its objective.
 LATE_FACTOR: t.Final = 3.0
 BURST_S: t.Final = 2.0
+LEFT_KEPT_S: t.Final = 0.5
 
 
 class Tier(enum.IntEnum):
@@ -37,6 +38,14 @@
     return max(ends.values())
 
 
+def cached_remaining_s(cell: Cell, step: StepRun, now_s: float) -> float:
+    """Return the longest chain of work from a step on, as of a moment ago."""
+    if now_s - step.left_at_s > LEFT_KEPT_S:
+        step.left_s = remaining_s(cell, step.job, step)
+        step.left_at_s = now_s
+    return step.left_s
+
+
 def tier_of(job: Job, left_s: float, now_s: float, step: StepRun) -> Tier:
     """Tell how useful it still is to start a step now, with ``left_s`` of work."""
     end_s = now_s + left_s
@@ -51,7 +60,7 @@
 def rank(cell: Cell, step: StepRun, now_s: float) -> tuple[int, int, float, str]:
     """Return the sort key of a waiting step."""
     job = step.job
-    left_s = remaining_s(cell, job, step)
+    left_s = cached_remaining_s(cell, step, now_s)
     tier = tier_of(job, left_s, now_s, step)
     latest_start_s = job.accepted_s + job.objective_s - left_s
     return (tier, job.priority, latest_start_s, job.id)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -113,3 +113,21 @@
         plan(cell, 1.0)
         self.assertEqual(len(cell.starts), 1)
         self.assertEqual(job.state.value, "running")
+
+    def test_gang_that_is_long_late_still_gets_workers_in_the_end(self):
+        cell = make_test_cell(2)
+        add_test_job(cell, "wide", count=4, gang=True, resources=Resources(8000, 10))
+        add_test_job(cell, "n0", "bulk", 500.0, count=8, resources=Resources(4000, 10))
+        add_test_job(cell, "n1", "bulk", 500.0, count=4, resources=Resources(4000, 10))
+        heard(cell, 500.1)
+        plan(cell, 500.1)
+        running = started(cell, 500.1)
+        now_s = 501.0
+        for _ in range(60):
+            if not running:
+                break
+            end_one(cell, running.pop(0), now_s)
+            plan(cell, now_s)
+            running += started(cell, now_s)
+            now_s += 0.1
+        self.assertIn("wide", cell.finished)
