--- a/packages/daemon/bulrushspur_daemon/term_requests.py
+++ b/packages/daemon/bulrushspur_daemon/term_requests.py
@@ -77,7 +77,7 @@
             return Reply(0, Outcome.NOT_READY)
         failing_s = self.writer.failing_since_s
         if failing_s and now_s - failing_s > STORE_AWAY_S:
-            return self._reject(message, "the store is away", self._store_retry_s())
+            return self._refuse_without_store(message)
         try:
             job = decode_job(message.job, message.record, now_s, unix_s())
         except msgspec.DecodeError as exc:
@@ -98,7 +98,7 @@
         try:
             await self.writer.store_job(job.id, message.record)
         except NotStoredError:
-            return self._reject(message, "the store is away", self._store_retry_s())
+            return self._refuse_without_store(message)
         add_job(cell, job, steady_s(), unix_s())
         cell.log(
             "accept",
@@ -118,6 +118,10 @@
         away_s = steady_s() - (self.writer.failing_since_s or steady_s())
         return min(max(away_s, STORE_RETRY_S), STORE_RETRY_MOST_S)
 
+    def _refuse_without_store(self, message: Submit) -> Reply:
+        reply = self._reject(message, "the store is away", self._store_retry_s())
+        return msgspec.structs.replace(reply, outcome=Outcome.STORE_AWAY)
+
     def _reject(self, message: Submit, reason: str, retry_after_s: float) -> Reply:
         self.cell.log(
             "reject",
--- a/packages/kernel/bulrushspur_kernel/messages.py
+++ b/packages/kernel/bulrushspur_kernel/messages.py
@@ -13,6 +13,7 @@
     UNKNOWN_JOB = 2
     UNKNOWN_QUEUE = 3
     NOT_READY = 4
+    STORE_AWAY = 5
 
 
 class _Message(msgspec.Struct, array_like=True, omit_defaults=True, tag=True):
