Finish or stop incomplete gangs first; ask about other workers where room is far

room expected on the workers that it knew as good, while workers that it had not asked about were free: it asks about those now. Tests first for both.

--- a/packages/scheduler/bulrushspur_scheduler/advice.py
+++ b/packages/scheduler/bulrushspur_scheduler/advice.py
@@ -24,6 +24,8 @@
 SPARE_FACTOR: t.Final = 4
 ASK_AGAIN_S: t.Final = 0.1
 AHEAD_S: t.Final = 0.1
+# Room that is so many calls away is far off.
+FAR_FACTOR: t.Final = 2.0
 LONG_CALL_S: t.Final = 0.25
 LONG_SHARE: t.Final = 0.5
 EXPIRY_MARGIN_S: t.Final = 0.1
@@ -78,20 +80,36 @@
 
 
 def ask_ahead(
-    cell: Cell, step: StepRun, queue: Queue, reservation: t.Any, now_s: float
+    cell: Cell,
+    step: StepRun,
+    queue: Queue,
+    pool: Pool,
+    reservation: t.Any,
+    now_s: float,
 ) -> None:
-    """Renew tickets for reserved workers, so that they come when the room does."""
+    """Renew tickets for reserved workers, so that they come when the room does.
+
+    Where that is far off, ask about other workers that have the room now.
+    """
     assert queue.advice is not None
     if step.asking or now_s < step.ask_after_s:
         return
     call_s = queue.advice.call_s(len(reservation.workers))
     if reservation.ready_s > now_s + call_s + AHEAD_S:
+        if reservation.ready_s > now_s + FAR_FACTOR * call_s:
+            _ask_further(cell, step, queue, pool)
         return
     needed_s = max(reservation.ready_s, now_s)
     stale = [one for one in reservation.workers if not has_ticket(step, one, needed_s)]
     _ask(cell, step, queue, stale)
 
 
+def _ask_further(cell: Cell, step: StepRun, queue: Queue, pool: Pool) -> None:
+    fresh = _first_workers(step, pool, step.judged)
+    if sum(room_on(step, one) for one in fresh) >= len(step.tasks):
+        _ask(cell, step, queue, fresh)
+
+
 def _ask(cell: Cell, step: StepRun, queue: Queue, workers: list[Worker]) -> None:
     assert queue.advice is not None
     if not workers:
--- a/packages/scheduler/bulrushspur_scheduler/placement.py
+++ b/packages/scheduler/bulrushspur_scheduler/placement.py
@@ -24,6 +24,8 @@
     workers: list[Worker]
     lower_cpu_milli: int = 0
     by_id: dict[str, Worker] = dataclasses.field(default_factory=dict)
+    # Nothing that waits is still of use to its caller.
+    all_late: bool = False
 
 
 def make_pool(cell: Cell, service: str, now_s: float) -> Pool:
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -15,7 +15,7 @@
     room_of_account,
     room_on,
 )
-from bulrushspur_scheduler.ranking import rank
+from bulrushspur_scheduler.ranking import Tier, rank
 from bulrushspur_scheduler.reservations import clear_reservations, reserve
 from bulrushspur_scheduler.runs import begin_run, stop_step
 from bulrushspur_scheduler.workers import Worker
@@ -29,6 +29,7 @@
 def plan(cell: Cell, now_s: float) -> None:
     """Order all starts that fit now."""
     steps = sorted(cell.waiting_steps.values(), key=lambda one: rank(cell, one, now_s))
+    all_late = bool(steps) and rank(cell, steps[0], now_s)[0] == Tier.PAST_USE
     pools: dict[str, Pool] = {}
     clear_reservations(cell)
     misses = 0
@@ -42,6 +43,7 @@
         pool = pools.get(service)
         if pool is None:
             pool = pools[service] = make_pool(cell, service, now_s)
+            pool.all_late = all_late
         if not _plan_step(cell, step, waiting, pool, now_s):
             misses += 1
             if misses > MISSES_AT_MOST:
@@ -70,7 +72,7 @@
         return False
     reservation = cell.reservations.get(step.key)
     if reservation is not None:
-        advice.ask_ahead(cell, step, queue, reservation, now_s)
+        advice.ask_ahead(cell, step, queue, pool, reservation, now_s)
     elif _may_use(cell, step, pool, 1):
         advice.ask_again(cell, step, queue, pool, now_s)
     return False
@@ -130,7 +132,9 @@
     if _may_use(cell, step, pool, len(waiting)):
         chosen = choose_gang(step, waiting, workers)
     if chosen is None:
-        reserve(cell, step, pool, now_s)
+        # Gangs that are of no more use hold up nothing that still is.
+        if pool.all_late or rank(cell, step, now_s)[0] != Tier.PAST_USE:
+            reserve(cell, step, pool, now_s)
         return False
     step.run_number = max(task.last_run for task in step.tasks) + 1
     checkpoint = _gang_checkpoint(step)
--- a/packages/scheduler/bulrushspur_scheduler/ranking.py
+++ b/packages/scheduler/bulrushspur_scheduler/ranking.py
@@ -20,6 +20,7 @@
 class Tier(enum.IntEnum):
     """Classes of waiting work; a lower one goes first."""
 
+    INCOMPLETE = -1
     ON_TIME = 0
     EXCESS = 1
     LATE = 2
@@ -60,6 +61,9 @@
 def rank(cell: Cell, step: StepRun, now_s: float) -> tuple[int, int, float, str]:
     """Return the sort key of a waiting step."""
     job = step.job
+    if step.spec.gang and any(task.runs for task in step.tasks):
+        # Its members wait for the others only for a moment.
+        return (Tier.INCOMPLETE, job.priority, 0.0, job.id)
     left_s = cached_remaining_s(cell, step, now_s)
     tier = tier_of(job, left_s, now_s, step)
     latest_start_s = job.accepted_s + job.objective_s - left_s
--- /dev/null
+++ b/tests/test_advice.py
@@ -0,0 +1,87 @@
+"""Tests of when and about whom the placement advice service is asked."""
+
+import unittest
+
+from bulrushspur_scheduler.advice import Lane, choose_lane, note_advice
+from bulrushspur_scheduler.planning import plan
+from bulrushspur_scheduler.resources import Resources
+from tests.cells import add_test_job, add_worker, heard, make_test_cell, started
+
+
+def answer(cell, good, now_s, valid_s=2.5):
+    """Answer the one call that was decided."""
+    (ask,) = cell.asks
+    cell.asks.clear()
+    rows = [(name, "t") for name in ask.workers if name in good]
+    note_advice(cell, ask.step, ask.workers, rows, valid_s, now_s)
+    return ask
+
+
+class AdviceTest(unittest.TestCase):
+    def test_starts_only_where_a_ticket_is_valid(self):
+        cell = make_test_cell(3)
+        add_test_job(cell, queue="advised", now_s=0.1, count=3)
+        plan(cell, 0.1)
+        self.assertEqual(cell.starts, [])
+        answer(cell, {"w1"}, 0.6)
+        plan(cell, 0.6)
+        self.assertEqual({one.worker for one in cell.starts}, {"w1"})
+        self.assertEqual({one.ticket for one in cell.starts}, {"t"})
+
+    def test_expired_tickets_are_renewed_for_good_workers_only(self):
+        cell = make_test_cell(3)
+        add_test_job(cell, "full", "bulk", count=48, now_s=0.1)
+        plan(cell, 0.1)
+        running = started(cell, 0.1)
+        add_test_job(cell, queue="advised", now_s=0.2)
+        plan(cell, 0.2)
+        answer(cell, {"w1", "w2"}, 0.7)
+        plan(cell, 0.7)
+        self.assertEqual(cell.starts, [])
+        for order in running:
+            cell.workers[order.worker].runs.clear()
+        for worker in cell.workers.values():
+            worker.free.cpu_milli = 16_000
+        heard(cell, 4.0)
+        plan(cell, 4.0)
+        ask = answer(cell, {"w1", "w2"}, 4.4)
+        self.assertEqual(set(ask.workers), {"w1", "w2"})
+        heard(cell, 4.4)
+        plan(cell, 4.4)
+        self.assertEqual(len(cell.starts), 1)
+
+    def test_gang_whose_room_is_far_off_asks_about_other_workers(self):
+        cell = make_test_cell(8)
+        add_test_job(
+            cell,
+            "busy",
+            "bulk",
+            0.1,
+            count=8,
+            max_per_worker=1,
+            estimate_s=10.0,
+            resources=Resources(9000, 1),
+        )
+        plan(cell, 0.1)
+        busy = {one.worker for one in started(cell, 0.1)}
+        for index in range(8):
+            add_worker(cell, f"idle{index}", now_s=0.2)
+        fields = {"count": 6, "gang": True, "resources": Resources(9000, 10)}
+        job = add_test_job(cell, queue="advised", now_s=0.2, **fields)
+        step = job.occurrences[0].steps[0]
+        step.judged |= busy
+        step.good |= busy
+        heard(cell, 0.2)
+        plan(cell, 0.2)
+        (ask,) = cell.asks
+        self.assertEqual({one[:4] for one in ask.workers}, {"idle"})
+
+    def test_long_calls_keep_to_a_part_of_the_lanes(self):
+        lanes = [Lane(f"n{index}") for index in range(4)]
+        used = set()
+        for _ in range(8):
+            lane = choose_lane(lanes, 0.5, 1.0)
+            lane.busy_until_s = max(lane.busy_until_s, 1.0) + 0.5
+            used.add(lane.name)
+        self.assertEqual(used, {"n0", "n1"})
+        self.assertIn(choose_lane(lanes, 0.02, 1.0).name, {"n2", "n3"})
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -6,6 +6,7 @@
 from bulrushspur_scheduler.leases import check_leases, extend_lease
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.reports import StartResult, note_start, note_stop
+from bulrushspur_scheduler.resources import Resources
 from tests.cells import add_test_job, heard, make_test_cell, report, started
 
 
@@ -124,3 +125,18 @@
         report(self.cell, "w0", 0.6, [order.run.key])
         plan(self.cell, 0.6)
         self.assertEqual(len(self.cell.starts), 1)
+
+    def test_incomplete_gang_is_stopped_whatever_else_waits(self):
+        self.start_one(workers=2, gang=True, count=2, max_per_worker=1)
+        orders = list(self.cell.starts)
+        self.cell.starts.clear()
+        note_start(self.cell, orders[0].run, StartResult.STARTED, 0.2)
+        note_start(self.cell, orders[1].run, StartResult.NO_ROOM, 0.2)
+        for index in range(80):
+            add_test_job(
+                self.cell, f"n{index}", "small", 0.2, resources=Resources(99_000, 1)
+            )
+        heard(self.cell, 2.0)
+        self.cell.workers[orders[1].worker].draining = True
+        plan(self.cell, 2.0)
+        self.assertEqual([one.key for one in self.cell.stops], [orders[0].run.task.key])
