--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -134,9 +134,9 @@
         note_start(self.cell, orders[1].run, StartResult.NO_ROOM, 0.2)
         for index in range(80):
             add_test_job(
-                self.cell, f"n{index}", "small", 0.2, resources=Resources(99_000, 1)
+                self.cell, f"n{index}", "small", 19.9, resources=Resources(99_000, 1)
             )
-        heard(self.cell, 2.0)
+        heard(self.cell, 20.0)
         self.cell.workers[orders[1].worker].draining = True
-        plan(self.cell, 2.0)
+        plan(self.cell, 20.0)
         self.assertEqual([one.key for one in self.cell.stops], [orders[0].run.task.key])
