--- a/packages/kernel/bulrushspur_kernel/http_client.py
+++ b/packages/kernel/bulrushspur_kernel/http_client.py
@@ -32,10 +32,6 @@
     status: int = 0
     headers: list[tuple[str, str]] = dataclasses.field(default_factory=list)
 
-    async def send_head(self, method: str, path: str, headers: Headers) -> None:
-        """Send the head of the request; raises LostError."""
-        await self._send(h11.Request(method=method, target=path, headers=headers))
-
     async def send_whole(
         self, method: str, path: str, headers: Headers, body: bytes
     ) -> None:
@@ -44,14 +40,6 @@
         request = h11.Request(method=method, target=path, headers=rows)
         await self._send(request, h11.Data(data=body), h11.EndOfMessage())
 
-    async def send_body(self, data: bytes) -> None:
-        """Send a part of the body and wait while the other side is slow."""
-        await self._send(h11.Data(data=data))
-
-    async def end_body(self) -> None:
-        """End the request."""
-        await self._send(h11.EndOfMessage())
-
     async def read_head(self) -> int:
         """Read the head of the answer and return its status; raises LostError."""
         while True:
@@ -93,11 +81,6 @@
         """Close the connection."""
         self.writer.close()
 
-    def abort_unless_idle(self) -> None:
-        """Abort if a request on this connection has no whole answer yet."""
-        if self.connection.our_state is not h11.IDLE:
-            self.abort()
-
     def abort(self) -> None:
         """Close the connection and drop what was not sent yet."""
         self.writer.transport.abort()
--- a/packages/kernel/bulrushspur_kernel/text.py
+++ b/packages/kernel/bulrushspur_kernel/text.py
@@ -118,13 +118,6 @@
         """Find a service by name."""
         return next((one for one in self.services if one.name == name), None)
 
-    def find_kind(self, service: str, kind: str) -> Kind | None:
-        """Find a kind of a service by name."""
-        found = self.find_service(service)
-        if found is None:
-            return None
-        return next((one for one in found.kinds if one.name == kind), None)
-
 
 _STRUCTS: t.Final = {
     "$": Text,
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -13,7 +13,6 @@
     make_pool,
     needs_advice,
     room_of_account,
-    room_on,
 )
 from bulrushspur_scheduler.ranking import Tier, rank
 from bulrushspur_scheduler.reservations import clear_reservations, reserve
@@ -179,8 +178,3 @@
         _start(cell, task, worker, step.run_number, pool, now_s)
     cell.waiting_steps.pop(step.key, None)
     return True
-
-
-def workers_with_room(step: StepRun, workers: list[Worker]) -> int:
-    """Count tasks of a step that fit on some workers."""
-    return sum(room_on(step, one) for one in workers)
--- a/packages/scheduler/bulrushspur_scheduler/takeover.py
+++ b/packages/scheduler/bulrushspur_scheduler/takeover.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from bulrushspur_scheduler.cell import Cell
-from bulrushspur_scheduler.jobs import FINAL_STATES, Job, make_occurrence
+from bulrushspur_scheduler.jobs import Job, make_occurrence
 from bulrushspur_scheduler.progress import add_job
 from bulrushspur_scheduler.records import (
     ACCEPTED_PREFIX,
@@ -94,9 +94,3 @@
     cell.log("settled", tasks=freed, dark=len(cell.dark))
     cell.dark.clear()
     return True
-
-
-def is_known_final(cell: Cell, job_id: str) -> bool:
-    """Tell whether a job is known to have ended."""
-    found = cell.finished.get(job_id)
-    return found is not None and found.state in FINAL_STATES
