--- a/packages/daemon/bulrushspur_daemon/cell_log.py
+++ b/packages/daemon/bulrushspur_daemon/cell_log.py
@@ -46,6 +46,7 @@
     # The newest claim was there already when this process first looked.
     term_loaded: bool = False
     next_offset: int | None = None
+    first_kept: int = 0
     store_ok_s: float = -1e9
     store_ok_boot_s: float = -1e9
     lost: bool = False
@@ -57,8 +58,8 @@
         while True:
             try:
                 await self._follow(me)
-            except StoreGapError:
-                self.next_offset = None
+            except StoreGapError as exc:
+                self.note_gap(exc.first)
             except StoreUnavailableError as exc:
                 if not self.lost:
                     self.lost = True
@@ -77,16 +78,23 @@
             self.lost = False
             self.log.event("cell_log_regained", urgent=True)
 
+    def note_gap(self, first: int) -> None:
+        """Load the newest records again, and go on from the oldest that is kept."""
+        self.first_kept = first
+        self.next_offset = None
+
     async def load(self) -> None:
         """Read the newest records."""
         sent_s, sent_boot_s = steady_s(), boot_s()
-        newest, end = await self.store.newest(CELL_TOPIC, CALL_S)
+        newest, _ = await self.store.newest(CELL_TOPIC, CALL_S)
         self._note_ok(sent_s, sent_boot_s)
         first = self.next_offset is None
         for row in sorted(newest.values(), key=lambda one: one.offset):
             self._apply(row)
         self.term_loaded = first and self.leader is not None
-        self.next_offset = max(self.next_offset or 0, end)
+        # What came while the newest were read may be missing among them.
+        after = max((row.offset + 1 for row in newest.values()), default=0)
+        self.next_offset = max(self.next_offset or 0, after, self.first_kept)
 
     async def read(self, wait_s: float = 0.0) -> None:
         """Read what came since; raises StoreUnavailableError or StoreGapError."""
--- a/packages/daemon/bulrushspur_daemon/config_watch.py
+++ b/packages/daemon/bulrushspur_daemon/config_watch.py
@@ -14,7 +14,9 @@
 )
 from bulrushspur_scheduler.config import CellConfig
 
-POLL_S: t.Final = 4.0
+# A poll that hangs is noticed within a configuration's time to be in force.
+POLL_S: t.Final = 1.0
+ANSWER_S: t.Final = 0.5
 RETRY_S: t.Final = 0.25
 
 
@@ -28,10 +30,12 @@
     records: dict[str, StoredRecord] = dataclasses.field(default_factory=dict)
     current: CellConfig | None = None
     next_offset: int | None = None
+    first_kept: int = 0
     lost: bool = False
     listeners: list[t.Callable[[CellConfig], None]] = dataclasses.field(
         default_factory=list
     )
+    ask_leader: t.Callable[[], None] = lambda: None
     refresh: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
     async def run(self) -> None:
@@ -42,7 +46,8 @@
                 if self.lost:
                     self.lost = False
                     self.log.event("config_source_regained", urgent=True)
-            except StoreGapError:
+            except StoreGapError as exc:
+                self.first_kept = exc.first
                 self.next_offset = None
             except StoreUnavailableError as exc:
                 if not self.lost:
@@ -55,17 +60,22 @@
         if self.next_offset is None:
             await self._load()
             return
-        rows, self.next_offset = await self.store.read(topic, self.next_offset, POLL_S)
+        rows, self.next_offset = await self.store.read(
+            topic, self.next_offset, POLL_S, ANSWER_S
+        )
         if self._note(rows):
             self._fold()
 
     async def _load(self) -> None:
-        newest, end = await self.store.newest(self.interface.config_topic)
+        newest, _ = await self.store.newest(self.interface.config_topic)
         changed = self._note(newest.values())
         for key in [key for key in self.records if key not in newest]:
             del self.records[key]
             changed = True
-        self.next_offset = max(self.next_offset or 0, end)
+        # What came while the newest were read may be missing among them: the end that
+        # was told with them is not relied on.
+        after = max((row.offset + 1 for row in newest.values()), default=0)
+        self.next_offset = max(self.next_offset or 0, after, self.first_kept)
         if changed or self.current is None:
             self._fold()
 
@@ -89,15 +99,28 @@
             self.refresh.set()
 
     async def run_refresh(self) -> None:
-        """Read the newest version when one is expected; the poll may be silent."""
+        """Get the version that is expected: from the leader, else from the store."""
         while True:
             await self.refresh.wait()
             self.refresh.clear()
+            before = self.current.version if self.current is not None else None
+            self.ask_leader()
+            await asyncio.sleep(RETRY_S)
+            if self.current is not None and self.current.version != before:
+                continue
             try:
                 await self._load()
             except StoreUnavailableError as exc:
                 self.log.event("config_refresh_failed", reason=str(exc))
-            await asyncio.sleep(RETRY_S)
+
+    def tell(self) -> list[tuple[str, bytes, int]]:
+        """Return all records, for a process that the store turns away."""
+        return [(one.key, one.value, one.offset) for one in self.records.values()]
+
+    def hear(self, rows: list[tuple[str, bytes, int]]) -> None:
+        """Take in the records that the leader has."""
+        if self._note(StoredRecord(offset, key, value) for key, value, offset in rows):
+            self._fold()
 
     def _fold(self) -> None:
         """Take a configuration into use unless it is older than the present one."""
--- a/packages/daemon/bulrushspur_daemon/election.py
+++ b/packages/daemon/bulrushspur_daemon/election.py
@@ -121,8 +121,8 @@
             self.log.event("claim", urgent=True, at=self.cell_log.next_offset)
             await self.cell_log.claim(LeaderRecord(self.name, claim, self.boot))
             self.wanted_since_s = None
-        except StoreGapError:
-            self.cell_log.next_offset = None
+        except StoreGapError as exc:
+            self.cell_log.note_gap(exc.first)
         except StoreUnavailableError as exc:
             self.store_failed = True
             self.log.event("claim_failed", reason=str(exc))
--- a/packages/daemon/bulrushspur_daemon/process.py
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -34,7 +34,9 @@
 from bulrushspur_kernel.messages import (
     Advised,
     AskAdvice,
+    AskConfig,
     Beat,
+    ConfigRecords,
     Message,
     Reply,
     Resign,
@@ -115,6 +117,7 @@
             self.metrics,
             self._term_over,
         )
+        self.term.tell_config = self.config_watch.tell
         self.advice.local = self.term.lanes.finish
         peers.update()
         self.term.start()
@@ -152,6 +155,13 @@
             self.advice.ask(identity, message)
         elif isinstance(message, Resign):
             self.link.note_resigned(message)
+        elif isinstance(message, ConfigRecords):
+            self.config_watch.hear(message.rows)
+
+    def ask_config(self) -> None:
+        """Ask the leader for the configuration that it uses."""
+        if self.term is None and self.link.identity:
+            self.peer_server.send(self.link.identity, AskConfig(0))
 
     def is_ready(self) -> bool:
         """Tell whether this process should get new connections."""
@@ -225,6 +235,7 @@
         AdviceCalls(adapter, settings.advice_address, peer_server.send, log, metrics),
         peer_server,
     )
+    config_watch.ask_leader = lambda: process.ask_config()
     cell_log.on_term = lambda: process.begin_term()
     cell_log.on_change = lambda: process.update_peers()
     config_watch.listeners.append(lambda config: process.take_config(config))
--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -16,8 +16,10 @@
 from bulrushspur_kernel.logs import EventLog
 from bulrushspur_kernel.messages import (
     Advised,
+    AskConfig,
     Beat,
     Cancel,
+    ConfigRecords,
     Message,
     Outcome,
     Query,
@@ -82,6 +84,7 @@
     lanes: AdviceLanes = dataclasses.field(init=False)
     watch: WorkerWatch = dataclasses.field(init=False)
     requests: TermRequests = dataclasses.field(init=False)
+    tell_config: t.Callable[[], list[tuple[str, bytes, int]]] = list
     serving: bool = False
     over: bool = False
     wake: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
@@ -354,6 +357,8 @@
         """Take in a message of another process."""
         if isinstance(message, Advised):
             self.lanes.finish(message)
+        elif isinstance(message, AskConfig):
+            reply(ConfigRecords(self.tell_config()))
         elif isinstance(message, Submit | Query | Cancel):
             task = asyncio.ensure_future(self._answer_and_send(message, reply))
             self.tasks.append(task)
--- a/packages/kernel/bulrushspur_kernel/messages.py
+++ b/packages/kernel/bulrushspur_kernel/messages.py
@@ -89,7 +89,30 @@
     term: int
 
 
-Message = Submit | Query | Cancel | Reply | Beat | AskAdvice | Advised | Resign
+class AskConfig(_Message, tag=9):
+    """Ask the leader for the records of the configuration."""
+
+    version: int
+
+
+class ConfigRecords(_Message, tag=10):
+    """The records of the configuration: key, value and offset of each."""
+
+    rows: list[tuple[str, bytes, int]]
+
+
+Message = (
+    Submit
+    | Query
+    | Cancel
+    | Reply
+    | Beat
+    | AskAdvice
+    | Advised
+    | Resign
+    | AskConfig
+    | ConfigRecords
+)
 
 encode = msgspec.msgpack.Encoder().encode
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/tests/test_takeover_processes.py
+++ b/tests/test_takeover_processes.py
@@ -4,8 +4,10 @@
 import time
 import unittest
 
+from bulrushspur_daemon.config_watch import POLL_S
+from bulrushspur_kernel.store import StoreUnavailableError
 from bulrushspur_scheduler.records import decode_workers
-from tests.cluster import Cluster, job_id
+from tests.cluster import CONFIG, Cluster, job_id
 
 
 class TakeoverTest(unittest.IsolatedAsyncioTestCase):
@@ -135,3 +137,31 @@
         await cluster.wait_for(lambda: not term.writer.extra and not term.writer.batch)
         self.assertEqual(self.recorded(), {"w0", "w1"})
         self.assertIn(lapsed.id, term.cell.dark)
+
+
+class AwayStore:
+    """A store that answers nothing."""
+
+    async def newest(self, topic, timeout_s=2.0):
+        raise StoreUnavailableError("away")
+
+    async def read(self, topic, start, wait_s=0.0, timeout_s=1.0):
+        raise StoreUnavailableError("away")
+
+
+class ConfigRelayTest(unittest.IsolatedAsyncioTestCase):
+    async def test_process_that_the_store_turns_away_hears_of_withdrawn_keys(self):
+        cluster = Cluster()
+        self.addAsyncCleanup(cluster.stop)
+        await cluster.start(nodes=2, workers=1)
+        leader = cluster.leader()
+        other = next(one for one in cluster.nodes.values() if one is not leader)
+        other.process.config_watch.store = AwayStore()
+        # The poll that is under way ends first.
+        await asyncio.sleep(POLL_S + 0.3)
+        tenants = [{**CONFIG["tenants"][0], "api_keys": ["another"]}]
+        cluster.put_config({**CONFIG, "version": 9, "tenants": tenants})
+        watch = other.process.config_watch
+        await cluster.wait_for(lambda: watch.current.version == 9, 2.0)
+        answer = await cluster.submit(job_id(1), node=other)
+        self.assertEqual(answer.status, 401)
