Let the stand-in worker end work that was done within its lease

Where the loop of a test stood still for longer than a lease, the stand-in looked at the lease first and called work lapsed that had ended before (test first: test_standins).

--- a/standins/bulrushspur_standins/worker.py
+++ b/standins/bulrushspur_standins/worker.py
@@ -12,6 +12,8 @@
 from bulrushspur_kernel.http_server import HttpServer
 from bulrushspur_standins.serving import Answer, Faults, json_answer, make_server
 
+CLOCK_START_MS: t.Final = 1000
+
 
 @dataclasses.dataclass
 class Running:
@@ -118,7 +120,7 @@
 
     def clock_ms(self) -> int:
         """Return the worker's own clock."""
-        return 1000 + int((time.monotonic() - self.began_s) * 1000)
+        return CLOCK_START_MS + int((time.monotonic() - self.began_s) * 1000)
 
     async def _tick(self) -> None:
         while True:
@@ -127,12 +129,14 @@
 
     def _advance(self) -> None:
         now_s = time.monotonic()
-        if self.running and self.clock_ms() > self.lease_until_ms:
-            for one in list(self.running.values()):
-                self._end(one, "lapsed")
+        # Seen late, work that ended within its lease has ended well all the same.
+        lease_end_s = self.began_s + (self.lease_until_ms - CLOCK_START_MS) / 1000
         for one in list(self.running.values()):
-            if one.end_s <= now_s:
+            if one.end_s <= min(now_s, lease_end_s):
                 self._end(one, one.how)
+        if now_s > lease_end_s:
+            for one in list(self.running.values()):
+                self._end(one, "lapsed")
 
     def _end(self, one: Running, how: str) -> None:
         self.running.pop((one.task, one.run), None)
