Keep only live tasks in a term, and state three small rules once

Cause: each accepted job left its ended task in the term's list for good, and another kind of task was taken out of that list by a search; one set that drops what has ended serves both.

--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -88,8 +88,7 @@
     serving: bool = False
     over: bool = False
     wake: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
-    tasks: list[asyncio.Task[t.Any]] = dataclasses.field(default_factory=list)
-    arriving: dict[str, asyncio.Future[Reply]] = dataclasses.field(default_factory=dict)
+    tasks: set[asyncio.Task[t.Any]] = dataclasses.field(default_factory=set)
     known_workers: dict[str, WorkerRecord] = dataclasses.field(default_factory=dict)
 
     def start(self) -> None:
@@ -99,8 +98,12 @@
         self._spawn(self._run())
 
     def _spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
-        task = asyncio.create_task(self._guard(work))
-        self.tasks.append(task)
+        self._keep(asyncio.create_task(self._guard(work)))
+
+    def _keep(self, task: asyncio.Task[t.Any]) -> None:
+        """Keep a task until it ends, so that it ends with the term at the latest."""
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
 
     async def _guard(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
         try:
@@ -122,7 +125,7 @@
         self.serving = False
         self.log.event("term_over", urgent=True, term=self.number, reason=reason)
         current = asyncio.current_task()
-        for task in self.tasks:
+        for task in list(self.tasks):
             if task is not current:
                 task.cancel()
         self.writer.stop()
@@ -136,7 +139,7 @@
         if self.over:
             return
         self._spawn(self.writer.run())
-        self._spawn(self._watch_loop())
+        self._spawn(self.watch.run())
         self._spawn(self._plan_loop())
         self._spawn(self._tick_loop())
         self._spawn(self._confirm_loop())
@@ -236,9 +239,6 @@
             set_objective(self.cell, job)
         self.poke()
 
-    async def _watch_loop(self) -> None:
-        await self.watch.run()
-
     async def _plan_loop(self) -> None:
         pause_s = 0.0
         while True:
@@ -360,9 +360,7 @@
         elif isinstance(message, AskConfig):
             reply(ConfigRecords(self.tell_config()))
         elif isinstance(message, Submit | Query | Cancel):
-            task = asyncio.ensure_future(self._answer_and_send(message, reply))
-            self.tasks.append(task)
-            task.add_done_callback(self.tasks.remove)
+            self._keep(asyncio.create_task(self._answer_and_send(message, reply)))
 
     async def _answer_and_send(
         self, message: Request, reply: t.Callable[[Message], t.Any]
--- a/packages/scheduler/bulrushspur_scheduler/admission.py
+++ b/packages/scheduler/bulrushspur_scheduler/admission.py
@@ -40,7 +40,7 @@
     ]
     if workers and not any(
         one.entry.capacity.holds(step.resources)
-        and (not step.required_label or step.required_label in one.entry.labels)
+        and step.accepts_labels(one.entry.labels)
         for one in workers
     ):
         return "no worker is large enough"
--- a/packages/scheduler/bulrushspur_scheduler/advice.py
+++ b/packages/scheduler/bulrushspur_scheduler/advice.py
@@ -43,7 +43,7 @@
         for one in pool.workers
         if one.id not in known
         and one.entry.capacity.holds(spec.resources)
-        and (not spec.required_label or spec.required_label in one.entry.labels)
+        and spec.accepts_labels(one.entry.labels)
     ]
     rows.sort(key=lambda one: -one.free.cpu_milli)
     per_worker = (
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -80,6 +80,10 @@
     fills: bool = False
     target_latency_s: float = 0.0
 
+    def accepts_labels(self, labels: t.Sequence[str]) -> bool:
+        """Tell whether a worker with these labels may run the step."""
+        return not self.required_label or self.required_label in labels
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobSpec:
--- a/packages/scheduler/bulrushspur_scheduler/placement.py
+++ b/packages/scheduler/bulrushspur_scheduler/placement.py
@@ -72,7 +72,7 @@
         one
         for one in workers
         if (not ticketed or has_ticket(step, one, now_s))
-        and (not spec.required_label or spec.required_label in one.entry.labels)
+        and spec.accepts_labels(one.entry.labels)
         and (
             one.reserved_for in (None, step.key)
             or urgent
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -140,17 +140,22 @@
 def _confirm(cell: Cell, run: Run, row: RunningRow, now_s: float) -> None:
     if row.checkpoint and run.task.step.spec.checkpointing:
         run.checkpoint = row.checkpoint
-    if run.state in (RunState.STARTING, RunState.UNCONFIRMED):
-        run.state = RunState.RUNNING
-    if not run.confirmed_s:
-        run.confirmed_s = now_s
-        note_started(cell, run.task.step.job)
+    _note_running(cell, run, now_s)
     if run.task.done and run.state is RunState.RUNNING:
         return
     if run.task.step.job.id not in cell.jobs:
         stop_run(cell, run, "job ended")
 
 
+def _note_running(cell: Cell, run: Run, now_s: float) -> None:
+    """Note that a worker has begun a run, by its lists or its answer."""
+    if run.state in (RunState.STARTING, RunState.UNCONFIRMED):
+        run.state = RunState.RUNNING
+    if not run.confirmed_s:
+        run.confirmed_s = now_s
+    note_started(cell, run.task.step.job)
+
+
 def _check_missing(cell: Cell, run: Run, sent_s: float) -> None:
     """Judge a run that its worker does not list any more, or not yet."""
     if run.state is RunState.RUNNING and sent_s < run.confirmed_s:
@@ -254,11 +259,7 @@
         return
     cell.counters[f"start_{result.value}"] += 1
     if result is StartResult.STARTED:
-        if run.state in (RunState.STARTING, RunState.UNCONFIRMED):
-            run.state = RunState.RUNNING
-        if not run.confirmed_s:
-            run.confirmed_s = now_s
-        note_started(cell, run.task.step.job)
+        _note_running(cell, run, now_s)
         return
     cell.log(
         "start_refused",
--- a/packages/scheduler/bulrushspur_scheduler/reservations.py
+++ b/packages/scheduler/bulrushspur_scheduler/reservations.py
@@ -50,7 +50,9 @@
     """Reserve the workers that will hold a gang soonest; tell whether any do."""
     taken = sum(one.reserved_for is not None for one in pool.workers)
     usable = [
-        one for one in pool.workers if one.reserved_for is None and _may_hold(step, one)
+        one
+        for one in pool.workers
+        if one.reserved_for is None and step.spec.accepts_labels(one.entry.labels)
     ]
     if needs_advice(cell, step):
         usable = [one for one in usable if one.id in step.good]
@@ -79,11 +81,6 @@
     return True
 
 
-def _may_hold(step: StepRun, worker: Worker) -> bool:
-    label = step.spec.required_label
-    return not label or label in worker.entry.labels
-
-
 def _openings(
     cell: Cell, step: StepRun, worker: Worker, now_s: float
 ) -> t.Iterator[tuple[float, Worker, int]]:
