Count what may run unseen towards the caps of client accounts

Cause: a new term counted only the runs that it had adopted. Tasks of earlier terms on workers that were not heard yet, and runs being stopped for another term, were missing from the use of their account, so that new work could go beyond the cap. Ruled out: late configurations (the cap only rose) and lost ends (use is freed by evidence only).

--- a/fuzz/world.py
+++ b/fuzz/world.py
@@ -34,7 +34,7 @@
 HOLD_S: t.Final = 0.4
 TICK_S: t.Final = 0.1
 DEAD_S: t.Final = 1.0
-CAP_MILLI: t.Final = 30_000
+CAP_MILLI: t.Final = 24_000
 WORKER_MILLI: t.Final = 8_000
 
 CONFIG: t.Final[CellConfig] = make_config(
@@ -247,13 +247,11 @@
         self._store(leader)
         if self.has_authority(leader):
             plan(cell, self.now_s)
-            self._check_cap(cell)
+            self._check_cap()
             self._send(leader)
         self.after(TICK_S, lambda: self._tick(leader))
 
-    def _check_cap(self, cell: Cell) -> None:
-        if len(self.leaders) > 1:
-            return
+    def _check_cap(self) -> None:
         used = sum(
             run.cpu_milli for one in self.workers.values() for run in one.runs.values()
         )
--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -104,6 +104,8 @@
     finished: dict[str, Finished] = dataclasses.field(default_factory=dict)
     workers: dict[str, Worker] = dataclasses.field(default_factory=dict)
     usage: dict[str, Usage] = dataclasses.field(default_factory=dict)
+    # What accounts may have running unseen; made anew by each planning pass.
+    unseen: dict[str, Usage] = dataclasses.field(default_factory=dict)
     urgent_cpu: dict[str, int] = dataclasses.field(default_factory=dict)
     urgent_mean: dict[str, float] = dataclasses.field(default_factory=dict)
     times: dict[str, TimeModel] = dataclasses.field(default_factory=dict)
--- a/packages/scheduler/bulrushspur_scheduler/placement.py
+++ b/packages/scheduler/bulrushspur_scheduler/placement.py
@@ -110,7 +110,9 @@
     found = cell.account_of(account)
     if found is None:
         return NO_LIMIT
-    return cap_room(found, cell.usage_of(account), each)
+    used = cell.usage_of(account)
+    unseen = cell.unseen.get(account)
+    return cap_room(found, used if unseen is None else used.plus(unseen), each)
 
 
 def cap_room(account: Account, used: Usage, each: Resources) -> int:
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -17,6 +17,7 @@
 from bulrushspur_scheduler.ranking import Tier, rank
 from bulrushspur_scheduler.reservations import clear_reservations, reserve
 from bulrushspur_scheduler.runs import begin_run, stop_step
+from bulrushspur_scheduler.unseen import count_unseen
 from bulrushspur_scheduler.workers import Worker
 
 # A pass gives up after so many steps that found no room.
@@ -31,6 +32,7 @@
     all_late = bool(steps) and rank(cell, steps[0], now_s)[0] == Tier.PAST_USE
     pools: dict[str, Pool] = {}
     clear_reservations(cell)
+    cell.unseen = count_unseen(cell)
     misses = 0
     for step in steps:
         waiting = step.waiting()
--- a/packages/scheduler/bulrushspur_scheduler/resources.py
+++ b/packages/scheduler/bulrushspur_scheduler/resources.py
@@ -49,6 +49,15 @@
         self.gpus -= amount.gpus
         self.tasks -= 1
 
+    def plus(self, other: "Usage") -> "Usage":
+        """Return the sum of two totals."""
+        return Usage(
+            self.cpu_milli + other.cpu_milli,
+            self.memory_mb + other.memory_mb,
+            self.gpus + other.gpus,
+            self.tasks + other.tasks,
+        )
+
 
 def count_that_fits(free: Usage, each: Resources) -> int:
     """Tell how many tasks of one size fit into what is free."""
