Ask about wide steps in parallel, fit gangs in, and preempt for gangs that cannot wait

A step's calls for advice, half a second each, went one after the other; free room on workers that were reserved for other gangs lay idle; and narrow work with much time left filled what gangs of higher priority needed at once.

- Workers named suffice for the share that the queue's advice usually finds good, in calls of at most 24 that go through different lanes at the same time.
- A gang may start on reserved workers if it ends before the reservation is due.
- A gang that has to start now stops tasks of lower priority that checkpoint and can still be in time.
Each is stopped at most twice.

--- a/packages/scheduler/bulrushspur_scheduler/advice.py
+++ b/packages/scheduler/bulrushspur_scheduler/advice.py
@@ -19,9 +19,11 @@
 )
 from bulrushspur_scheduler.workers import Worker
 
-NAMED_AT_MOST: t.Final = 100
-NAMED_FIRST: t.Final = 24
-SPARE_FACTOR: t.Final = 4
+# A call names at most so many workers; more are shared out over several lanes.
+CALL_WORKERS: t.Final = 24
+# Workers named hold this many times the step, if as many are good as usual.
+SPARE_FACTOR: t.Final = 2.0
+GANG_SPARE_FACTOR: t.Final = 3.0
 ASK_AGAIN_S: t.Final = 0.1
 AHEAD_S: t.Final = 0.1
 # Room that is so many calls away is far off.
@@ -29,40 +31,42 @@
 LONG_CALL_S: t.Final = 0.25
 LONG_SHARE: t.Final = 0.5
 EXPIRY_MARGIN_S: t.Final = 0.1
+GOOD_SHARE_ASSUMED: t.Final = 0.5
+GOOD_SHARE_GAIN: t.Final = 0.05
+GOOD_SHARE_LEAST: t.Final = 0.1
 
 
 def ask_first(cell: Cell, step: StepRun, queue: Queue, pool: Pool) -> None:
     """Ask about many workers for a step of which nothing is known."""
-    _ask(cell, step, queue, _first_workers(step, pool, step.judged))
+    _ask(cell, step, queue, _first_workers(cell, step, pool))
 
 
-def _first_workers(step: StepRun, pool: Pool, known: set[str]) -> list[Worker]:
+def _first_workers(cell: Cell, step: StepRun, pool: Pool) -> list[Worker]:
+    """Choose among the workers that were not judged yet; those with most room."""
     spec = step.spec
     rows = [
         one
         for one in pool.workers
-        if one.id not in known
+        if one.id not in step.judged
         and one.entry.capacity.holds(spec.resources)
         and spec.accepts_labels(one.entry.labels)
     ]
     rows.sort(key=lambda one: -one.free.cpu_milli)
-    per_worker = (
-        max(
-            (one.entry.capacity.cpu_milli // max(spec.resources.cpu_milli, 1))
-            for one in rows
-        )
-        if rows
-        else 1
-    )
-    wanted = SPARE_FACTOR * math.ceil(spec.count / max(per_worker, 1))
-    return rows[: min(max(wanted, NAMED_FIRST), NAMED_AT_MOST)]
+    if not rows:
+        return rows
+    largest = max(one.entry.capacity.cpu_milli for one in rows)
+    per_worker = max(largest // max(spec.resources.cpu_milli, 1), 1)
+    spare = GANG_SPARE_FACTOR if spec.gang else SPARE_FACTOR
+    share = cell.good_shares.get(step.job.queue, GOOD_SHARE_ASSUMED)
+    wanted = math.ceil(spare * math.ceil(spec.count / per_worker) / share)
+    return rows[: max(wanted, CALL_WORKERS)]
 
 
 def ask_again(
     cell: Cell, step: StepRun, queue: Queue, pool: Pool, now_s: float
 ) -> None:
     """Renew tickets of a step that would fit now, or look at further workers."""
-    if step.asking or now_s < step.ask_after_s:
+    if step.open_asks or now_s < step.ask_after_s:
         return
     waiting = len(step.waiting())
     usable = eligible(cell, step, pool, now_s, ticketed=False)
@@ -74,7 +78,7 @@
         stale = [one for one in with_room if not has_ticket(step, one, now_s)]
         _ask(cell, step, queue, stale[: waiting * 2 + 2])
         return
-    fresh = _first_workers(step, pool, step.judged)
+    fresh = _first_workers(cell, step, pool)
     if any(room_on(step, one) for one in fresh):
         _ask(cell, step, queue, fresh)
 
@@ -92,7 +96,7 @@
     Where that is far off, ask about other workers that have the room now.
     """
     assert queue.advice is not None
-    if step.asking or now_s < step.ask_after_s:
+    if step.open_asks or now_s < step.ask_after_s:
         return
     call_s = queue.advice.call_s(len(reservation.workers))
     if reservation.ready_s > now_s + call_s + AHEAD_S:
@@ -105,19 +109,19 @@
 
 
 def _ask_further(cell: Cell, step: StepRun, queue: Queue, pool: Pool) -> None:
-    fresh = _first_workers(step, pool, step.judged)
+    fresh = _first_workers(cell, step, pool)
     if sum(room_on(step, one) for one in fresh) >= len(step.tasks):
         _ask(cell, step, queue, fresh)
 
 
 def _ask(cell: Cell, step: StepRun, queue: Queue, workers: list[Worker]) -> None:
     assert queue.advice is not None
-    if not workers:
-        return
-    step.asking = True
-    ids = tuple(one.id for one in workers)
-    call_s = queue.advice.call_s(len(ids))
-    cell.asks.append(AdviceAsk(step.key, ids, call_s, queue.priority))
+    calls = math.ceil(len(workers) / CALL_WORKERS)
+    for index in range(calls):
+        ids = tuple(one.id for one in workers[index::calls])
+        step.open_asks += 1
+        call_s = queue.advice.call_s(len(ids))
+        cell.asks.append(AdviceAsk(step.key, ids, call_s, queue.priority))
 
 
 def ask_early(cell: Cell, job: Job, pool: Pool) -> None:
@@ -142,12 +146,13 @@
     step = cell.find_step(key)
     if step is None:
         return
-    step.asking = False
+    step.open_asks -= 1
     if good is None:
         step.ask_after_s = now_s + ASK_AGAIN_S
         cell.log("advice_failed", key.job, step=key.step, named=len(named))
         return
     step.judged.update(named)
+    _note_good_share(cell, step.job.queue, len(good) / max(len(named), 1))
     expiry_s = now_s + valid_s - EXPIRY_MARGIN_S
     for worker, ticket in good:
         step.good.add(worker)
@@ -155,6 +160,12 @@
     cell.log("advice", key.job, step=key.step, named=len(named), good=len(good))
 
 
+def _note_good_share(cell: Cell, queue: str, share: float) -> None:
+    mean = cell.good_shares.get(queue, GOOD_SHARE_ASSUMED)
+    mean += GOOD_SHARE_GAIN * (share - mean)
+    cell.good_shares[queue] = max(mean, GOOD_SHARE_LEAST)
+
+
 @dataclasses.dataclass(slots=True)
 class Lane:
     """A VM that can call the service, and until when its calls keep it busy."""
--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -30,6 +30,7 @@
     far_factor: float = 2.0
     early_s: float = 0.25
     status_s: float = 120.0
+    save_s: float = 1.0
     lease_s: float = 6.5
     lease_most_s: float = 10.0
 
@@ -109,6 +110,8 @@
     urgent_cpu: dict[str, int] = dataclasses.field(default_factory=dict)
     urgent_mean: dict[str, float] = dataclasses.field(default_factory=dict)
     times: dict[str, TimeModel] = dataclasses.field(default_factory=dict)
+    # Share of the workers named that the advice service finds good, by queue.
+    good_shares: dict[str, float] = dataclasses.field(default_factory=dict)
     buckets: dict[str, TokenBucket] = dataclasses.field(default_factory=dict)
     waiting_steps: dict[StepKey, StepRun] = dataclasses.field(default_factory=dict)
     reservations: dict[StepKey, t.Any] = dataclasses.field(default_factory=dict)
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -111,6 +111,8 @@
     stop_reason: str = ""
     checkpoint: str = ""
     started_from: str = ""
+    # When it was last seen to make progress; 0 before it began.
+    progress_s: float = 0.0
 
     @property
     def key(self) -> tuple[TaskKey, int]:
@@ -129,6 +131,7 @@
     failed_runs: set[int] = dataclasses.field(default_factory=set)
     failed_on: set[str] = dataclasses.field(default_factory=set)
     overdue_stops: int = 0
+    preempted: int = 0
     checkpoint: str = ""
     done: bool = False
     unaccounted: bool = False
@@ -150,7 +153,7 @@
     good: set[str] = dataclasses.field(default_factory=set)
     judged: set[str] = dataclasses.field(default_factory=set)
     tickets: dict[str, tuple[str, float]] = dataclasses.field(default_factory=dict)
-    asking: bool = False
+    open_asks: int = 0
     ask_after_s: float = 0.0
     times_seen: int = 0
     times_log: float = 0.0
--- a/packages/scheduler/bulrushspur_scheduler/placement.py
+++ b/packages/scheduler/bulrushspur_scheduler/placement.py
@@ -62,8 +62,7 @@
     """List the workers of a pool that may run tasks of a step at all."""
     spec = step.spec
     urgent = step.job.priority == 0
-    # A gang ends as a whole, and is not fitted in between.
-    ends_s = None if spec.gang else now_s + predict_step(cell, step)[0]
+    ends_s = now_s + predict_step(cell, step)[0]
     workers: t.Iterable[Worker] = pool.workers
     if ticketed:
         ids = [one for one in step.tickets if one in pool.by_id]
@@ -76,7 +75,7 @@
         and (
             one.reserved_for in (None, step.key)
             or urgent
-            or (ends_s is not None and ends_s <= one.reserved_until_s)
+            or ends_s <= one.reserved_until_s
         )
         and not disturbs(step, one)
     ]
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -1,5 +1,6 @@
 """One planning pass: start what fits, in order of rank."""
 
+import math
 import typing as t
 
 from bulrushspur_scheduler import advice
@@ -14,6 +15,7 @@
     needs_advice,
     room_of_account,
 )
+from bulrushspur_scheduler.preemption import preempt
 from bulrushspur_scheduler.ranking import Tier, rank
 from bulrushspur_scheduler.reservations import clear_reservations, reserve
 from bulrushspur_scheduler.runs import begin_run, stop_step
@@ -58,7 +60,7 @@
     ticketed = needs_advice(cell, step)
     if ticketed and not step.judged:
         queue = cell.queue_of(step.job)
-        if queue is not None and not step.asking and now_s >= step.ask_after_s:
+        if queue is not None and not step.open_asks and now_s >= step.ask_after_s:
             advice.ask_first(cell, step, queue, pool)
         return True
     workers = eligible(cell, step, pool, now_s, ticketed)
@@ -136,6 +138,7 @@
         # Gangs that are of no more use hold up nothing that still is.
         if pool.all_late or rank(cell, step, now_s)[0] != Tier.PAST_USE:
             reserve(cell, step, pool, now_s)
+            _preempt(cell, step, pool, now_s)
         return False
     step.run_number = max(task.last_run for task in step.tasks) + 1
     checkpoint = _gang_checkpoint(step)
@@ -146,6 +149,13 @@
     return True
 
 
+def _preempt(cell: Cell, step: StepRun, pool: Pool, now_s: float) -> None:
+    """Stop work that can wait where the reserved room comes too late."""
+    reservation = cell.reservations.get(step.key)
+    ready_s = reservation.ready_s if reservation else math.inf
+    preempt(cell, step, pool, ready_s, now_s)
+
+
 def _gang_checkpoint(step: StepRun) -> str:
     """Choose one checkpoint for all members: any member's is valid for all."""
     return next((task.checkpoint for task in step.tasks if task.checkpoint), "")
--- a/packages/scheduler/bulrushspur_scheduler/ranking.py
+++ b/packages/scheduler/bulrushspur_scheduler/ranking.py
@@ -64,10 +64,14 @@
     if step.spec.gang and any(task.runs for task in step.tasks):
         # Its members wait for the others only for a moment.
         return (Tier.INCOMPLETE, job.priority, 0.0, job.id)
-    left_s = cached_remaining_s(cell, step, now_s)
-    tier = tier_of(job, left_s, now_s, step)
-    latest_start_s = job.accepted_s + job.objective_s - left_s
-    return (tier, job.priority, latest_start_s, job.id)
+    tier = tier_of(job, cached_remaining_s(cell, step, now_s), now_s, step)
+    return (tier, job.priority, latest_start_s(cell, step, now_s), job.id)
+
+
+def latest_start_s(cell: Cell, step: StepRun, now_s: float) -> float:
+    """Return when a step has to start to meet its job's objective."""
+    job = step.job
+    return job.accepted_s + job.objective_s - cached_remaining_s(cell, step, now_s)
 
 
 def is_excess(cell: Cell, account: str, now_s: float) -> bool:
--- a/packages/scheduler/bulrushspur_scheduler/reservations.py
+++ b/packages/scheduler/bulrushspur_scheduler/reservations.py
@@ -10,7 +10,7 @@
 
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.estimates import predict_step
-from bulrushspur_scheduler.jobs import Run, StepRun
+from bulrushspur_scheduler.jobs import Run, RunState, StepRun
 from bulrushspur_scheduler.placement import Pool, needs_advice
 from bulrushspur_scheduler.resources import Usage, count_that_fits
 from bulrushspur_scheduler.workers import Worker
@@ -20,6 +20,8 @@
 RESERVED_SHARE: t.Final = 0.7
 # Two tasks that run are seldom both done by the time expected of each.
 LATE_FACTOR: t.Final = 1.2
+# A run that is told to stop ends after about so long.
+STOPPING_S: t.Final = 0.3
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,6 +41,8 @@
 
 def expected_end_s(cell: Cell, run: Run, speed: float, now_s: float) -> float:
     """Estimate when a run ends, on the steady clock."""
+    if run.state is RunState.STOPPING:
+        return now_s + STOPPING_S
     began_s = run.confirmed_s or run.ordered_s
     mean_s, _ = predict_step(cell, run.task.step)
     took_s = LATE_FACTOR * mean_s / max(speed, 0.25)
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -43,7 +43,7 @@
     return worker
 
 
-def report(cell, name, now_s, running=(), ended=(), sent_s=None, born_ms=1):
+def report(cell, name, now_s, running=(), ended=(), sent_s=None, born_ms=1, saved=""):
     """Let a worker list its runs, and its ends by position."""
     apply_report(
         cell,
@@ -52,7 +52,7 @@
             now_s if sent_s is None else sent_s,
             int(now_s * 1000) + 1,
             born_ms,
-            [RunningRow(key, number, "", 100) for key, number in running],
+            [RunningRow(key, number, saved, 100) for key, number in running],
             [
                 EndRow(position, key, number, EndKind(how), "")
                 for position, key, number, how in ended
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -76,6 +76,37 @@
         (ask,) = cell.asks
         self.assertEqual({one[:4] for one in ask.workers}, {"idle"})
 
+    def test_wide_step_is_asked_about_in_calls_that_run_side_by_side(self):
+        cell = make_test_cell(100)
+        spec = {"count": 30, "gang": True, "resources": Resources(8000, 10)}
+        add_test_job(cell, queue="advised", now_s=0.1, **spec)
+        plan(cell, 0.1)
+        named = [name for ask in cell.asks for name in ask.workers]
+        self.assertGreater(len(cell.asks), 2)
+        self.assertTrue(all(len(ask.workers) <= 24 for ask in cell.asks))
+        self.assertEqual(len(named), len(set(named)))
+        self.assertGreaterEqual(len(named), 90)
+        asks, cell.asks = cell.asks, []
+        for ask in asks[:-1]:
+            rows = [(name, "t") for name in ask.workers]
+            note_advice(cell, ask.step, ask.workers, rows, 2.5, 0.6)
+        plan(cell, 0.6)
+        self.assertEqual(len(cell.starts), 30)
+
+    def test_short_gang_is_fitted_in_before_a_reservation_is_due(self):
+        cell = make_test_cell(2)
+        busy = {"count": 2, "max_per_worker": 1, "estimate_s": 9.0}
+        add_test_job(cell, "b", "bulk", 0.1, resources=Resources(9000, 1), **busy)
+        plan(cell, 0.1)
+        started(cell, 0.1)
+        heard(cell, 0.2)
+        wide = {"count": 4, "gang": True, "resources": Resources(8000, 1)}
+        add_test_job(cell, "wide", "heavy", 0.2, estimate_s=9.0, **wide)
+        short = {"count": 2, "gang": True, "resources": Resources(6000, 1)}
+        add_test_job(cell, "short", "bulk", 0.2, estimate_s=1.0, **short)
+        plan(cell, 0.2)
+        self.assertEqual({one.run.task.key.job for one in cell.starts}, {"short"})
+
     def test_long_calls_keep_to_a_part_of_the_lanes(self):
         lanes = [Lane(f"n{index}") for index in range(4)]
         used = set()
--- /dev/null
+++ b/tests/test_preemption.py
@@ -0,0 +1,98 @@
+"""Tests of stopping work that can wait for a gang that cannot."""
+
+import unittest
+
+from bulrushspur_scheduler.planning import plan
+from bulrushspur_scheduler.resources import Resources
+from tests.cells import add_test_job, heard, make_test_cell, report, started
+
+
+def full_cell(**fields):
+    """Fill two workers with long narrow work that began at 0.1 s."""
+    cell = make_test_cell(2)
+    spec = {"count": 8, "estimate_s": 8.0, "checkpointing": True}
+    spec.update(fields)
+    add_test_job(cell, "b", "bulk", 0.1, resources=Resources(4000, 10), **spec)
+    plan(cell, 0.1)
+    started(cell, 0.1)
+    for second in range(1, 4):
+        for name, worker in cell.workers.items():
+            keys = [run.key for run in worker.runs.values()]
+            report(cell, name, second, keys, saved=f"c{second}")
+    return cell
+
+
+def add_gang(cell, now_s, estimate_s=1.0):
+    """Add a gang that needs half of each worker, with an objective of 3 s."""
+    return add_test_job(
+        cell,
+        "g",
+        "heavy",
+        now_s,
+        count=2,
+        gang=True,
+        max_per_worker=1,
+        estimate_s=estimate_s,
+        resources=Resources(8000, 10),
+    )
+
+
+def stopped(cell):
+    return [one.run for one in cell.stops]
+
+
+class PreemptionTest(unittest.TestCase):
+    def test_gang_that_has_to_start_now_gets_room_and_the_work_resumes(self):
+        cell = full_cell()
+        add_gang(cell, 2.0)
+        heard(cell, 3.0)
+        plan(cell, 3.0)
+        runs = stopped(cell)
+        self.assertEqual(len(runs), 4)
+        self.assertEqual({run.stop_reason for run in runs}, {"preempted"})
+        for name, worker in cell.workers.items():
+            gone = [run for run in worker.runs.values() if run in runs]
+            left = [run.key for run in worker.runs.values() if run not in runs]
+            ends = [(i + 1, *run.key, "stopped") for i, run in enumerate(gone)]
+            report(cell, name, 3.4, left, ends, saved="c3")
+        cell.stops.clear()
+        plan(cell, 3.4)
+        self.assertEqual({one.run.task.key.job for one in cell.starts}, {"g"})
+        self.assertEqual(len(cell.starts), 2)
+        waiting = cell.jobs["b"].occurrences[0].steps[0].waiting()
+        self.assertEqual({task.checkpoint for task in waiting}, {"c3"})
+
+    def test_gang_that_has_time_waits(self):
+        cell = full_cell()
+        add_gang(cell, 2.9, estimate_s=8.0)
+        heard(cell, 3.0)
+        plan(cell, 3.0)
+        self.assertEqual(stopped(cell), [])
+
+    def test_work_that_saves_nothing_is_left_alone(self):
+        cell = full_cell(checkpointing=False)
+        add_gang(cell, 2.0)
+        heard(cell, 3.0)
+        plan(cell, 3.0)
+        self.assertEqual(stopped(cell), [])
+
+    def test_work_that_would_be_late_is_left_alone(self):
+        cell = full_cell()
+        cell.jobs["b"].objective_s = 11.0
+        add_gang(cell, 2.0)
+        heard(cell, 3.0)
+        plan(cell, 3.0)
+        self.assertEqual(stopped(cell), [])
+
+    def test_nothing_is_stopped_where_that_is_not_enough(self):
+        cell = full_cell()
+        add_gang(cell, 2.0)
+        for run in cell.workers["w1"].runs.values():
+            run.task.preempted = 2
+        heard(cell, 3.0)
+        plan(cell, 3.0)
+        self.assertEqual(stopped(cell), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
