Judge overdue work by step, by its siblings elsewhere, and by its checkpoints

Now a step counts as one missed end, and not at all while it is as late on other workers; a run that checkpoints is judged by whether it still does.

Three new tests failed first.

--- a/packages/daemon/bulrushspur_daemon/process.py
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -102,6 +102,7 @@
             early_s=site.early_ms / 1000,
             lease_most_s=site.lease_most_ms / 1000,
             far_factor=site.far_factor,
+            save_s=site.save_s,
             status_s=site.status_s,
         )
         self.term = make_term(
--- a/packages/kernel/bulrushspur_kernel/settings.py
+++ b/packages/kernel/bulrushspur_kernel/settings.py
@@ -40,6 +40,7 @@
     lease_most_ms: Whole = 10_000
     status_s: Positive = 120.0
     far_factor: Positive = 2.0
+    save_s: Positive = 1.0
 
 
 class LogSettings(_Strict, frozen=True):
--- a/packages/scheduler/bulrushspur_scheduler/health.py
+++ b/packages/scheduler/bulrushspur_scheduler/health.py
@@ -8,7 +8,7 @@
 
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.estimates import note_time, predict_step, share_over
-from bulrushspur_scheduler.jobs import Run, RunState
+from bulrushspur_scheduler.jobs import Run, RunState, StepKey, StepRun
 from bulrushspur_scheduler.workers import Worker
 
 SUSPECT_AT: t.Final = 2.0
@@ -27,6 +27,9 @@
 OVERDUE_FACTOR: t.Final = 3.2
 OVERDUE_DEVIATIONS: t.Final = 3.5
 OVERDUE_EXTRA_S: t.Final = 0.5
+# A run that checkpoints has stalled after the time of so many checkpoints.
+STALLED_SAVES: t.Final = 5.0
+STALLED_EXTRA_S: t.Final = 1.0
 
 
 def note_success(cell: Cell, worker: Worker, run: Run, now_s: float) -> None:
@@ -88,25 +91,62 @@
 
 
 def overdue_runs(cell: Cell, worker: Worker, now_s: float) -> list[Run]:
-    """List the runs of a worker that are better started elsewhere."""
-    missed, late, hopeless = 0.0, [], []
+    """List the runs of a worker that are better started elsewhere.
+
+    Tasks of one step are alike, so that all of a step count as one missed end.
+    """
+    missed: dict[StepKey, float] = {}
+    late, hopeless = [], []
     for run in worker.runs.values():
-        if run.state is not RunState.RUNNING or not run.confirmed_s:
+        if not _may_be_overdue(run):
             continue
-        if run.task.step.spec.long_running or run.task.done:
+        if run.task.step.spec.checkpointing and run.progress_s:
+            if has_stalled(cell, worker, run, now_s):
+                hopeless.append(run)
             continue
-        mean_s, error = predict_step(cell, run.task.step)
-        # A task that was given up before may just be long.
-        mean_s *= 2**run.task.overdue_stops
-        mean_s /= min(max(worker.speed, SLOWEST_NORMAL), 1.0)
-        elapsed_s = now_s - run.confirmed_s - OVERDUE_EXTRA_S
-        share = share_over(elapsed_s, mean_s, error)
-        missed += share
+        share, is_hopeless = _judge_by_time(cell, worker, run, now_s)
+        step = run.task.step
+        if not _is_alike_elsewhere(step, worker):
+            missed[step.key] = max(missed.get(step.key, 0.0), share)
         if share > LATE_SHARE:
             late.append(run)
-        factor = max(OVERDUE_FACTOR, math.exp(OVERDUE_DEVIATIONS * error))
-        if elapsed_s > factor * mean_s:
+        if is_hopeless:
             hopeless.append(run)
-    if missed >= MISSED_ENDS and now_s - worker.last_normal_end_s > NORMAL_WITHIN_S:
+    all_missed = sum(missed.values())
+    if all_missed >= MISSED_ENDS and now_s - worker.last_normal_end_s > NORMAL_WITHIN_S:
         return late
     return hopeless
+
+
+def _may_be_overdue(run: Run) -> bool:
+    if run.state is not RunState.RUNNING or not run.confirmed_s:
+        return False
+    return not (run.task.step.spec.long_running or run.task.done)
+
+
+def has_stalled(cell: Cell, worker: Worker, run: Run, now_s: float) -> bool:
+    """Tell whether a run that checkpoints has made none for far too long."""
+    if now_s < worker.listed_s + worker.entry.cold_s:
+        return False
+    most_s = STALLED_SAVES * cell.bounds.save_s + STALLED_EXTRA_S
+    return now_s - run.progress_s > most_s
+
+
+def _judge_by_time(
+    cell: Cell, worker: Worker, run: Run, now_s: float
+) -> tuple[float, bool]:
+    """Return the share of such runs that have ended by now, and whether to give up."""
+    mean_s, error = predict_step(cell, run.task.step)
+    # A task that was given up before may just be long.
+    mean_s *= 2**run.task.overdue_stops
+    mean_s /= min(max(worker.speed, SLOWEST_NORMAL), 1.0)
+    elapsed_s = now_s - run.confirmed_s - OVERDUE_EXTRA_S
+    factor = max(OVERDUE_FACTOR, math.exp(OVERDUE_DEVIATIONS * error))
+    return share_over(elapsed_s, mean_s, error), elapsed_s > factor * mean_s
+
+
+def _is_alike_elsewhere(step: StepRun, worker: Worker) -> bool:
+    """Tell whether a step is as late on other workers, so that this one is no cause."""
+    if step.times_seen:
+        return False
+    return any(run.worker != worker.id for task in step.tasks for run in task.runs)
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -138,8 +138,10 @@
 
 
 def _confirm(cell: Cell, run: Run, row: RunningRow, now_s: float) -> None:
-    if row.checkpoint and run.task.step.spec.checkpointing:
+    checkpointing = run.task.step.spec.checkpointing
+    if checkpointing and row.checkpoint and row.checkpoint != run.checkpoint:
         run.checkpoint = row.checkpoint
+        run.progress_s = now_s
     _note_running(cell, run, now_s)
     if run.task.done and run.state is RunState.RUNNING:
         return
@@ -152,7 +154,7 @@
     if run.state in (RunState.STARTING, RunState.UNCONFIRMED):
         run.state = RunState.RUNNING
     if not run.confirmed_s:
-        run.confirmed_s = now_s
+        run.confirmed_s = run.progress_s = now_s
     note_started(cell, run.task.step.job)
 
 
@@ -181,6 +183,7 @@
     key = (row.key, row.number)
     if task is not None and _adoptable(task, row):
         run = Run(task, row.number, worker.id, RunState.RUNNING, now_s, now_s)
+        run.progress_s = now_s
         run.checkpoint = row.checkpoint
         run.started_from = row.checkpoint or "adopted"
         task.unaccounted = False
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -58,6 +58,33 @@
         self.assertGreaterEqual(len(late), 3)
         self.assertEqual({one.worker for one in cell.stops}, {slow})
 
+    def test_wide_step_with_a_bad_estimate_is_no_fault_of_its_workers(self):
+        cell = make_test_cell(3)
+        add_test_job(cell, "j1", "bulk", 0.1, count=30, estimate_s=1.0)
+        plan(cell, 0.1)
+        started(cell, 0.1)
+        heard(cell, 3.0)
+        relieve(cell, 3.0)
+        self.assertEqual(cell.stops, [])
+
+    def test_run_without_checkpoints_has_stalled_however_long_it_may_take(self):
+        cell = make_test_cell(2)
+        (order,) = run_jobs(cell, 1, estimate_s=60.0, checkpointing=True)
+        heard(cell, 5.9)
+        relieve(cell, 5.9)
+        self.assertEqual(cell.stops, [])
+        heard(cell, 6.5)
+        relieve(cell, 6.5)
+        self.assertEqual([one.run for one in cell.stops], [order.run])
+
+    def test_run_that_checkpoints_goes_on_however_late_it_is(self):
+        cell = make_test_cell(2)
+        (order,) = run_jobs(cell, 1, estimate_s=0.5, checkpointing=True)
+        for second in range(1, 20):
+            report(cell, order.worker, second, [order.run.key], saved=f"c{second}")
+            relieve(cell, second)
+        self.assertEqual(cell.stops, [])
+
 
 class ApartTest(unittest.TestCase):
     def test_worker_that_fails_all_is_set_apart_and_tried_again(self):
