Wait for large answers, and take no leader for lost behind one

Each read of it was given up and begun again, all 26 small VMs asked the leader for it besides, heartbeats queued behind all that, and a small VM that heard none for 1.7 s took the lead from a leader that was well; the same again after all power was lost.

Now a large answer is waited for while its parts arrive, nothing is asked for again meanwhile, and the leader counts as lost only after 2.5 s of silence behind one. Ruled out: the leader's processor (passes and stores took their usual times until then).

The tests of the pool, the watch and the view of the leader failed first.

--- a/packages/daemon/bulrushspur_daemon/config_watch.py
+++ b/packages/daemon/bulrushspur_daemon/config_watch.py
@@ -4,6 +4,7 @@
 import dataclasses
 import typing as t
 
+from bulrushspur_daemon.clock import steady_s
 from bulrushspur_kernel.adapter import CallerInterface
 from bulrushspur_kernel.logs import EventLog
 from bulrushspur_kernel.store import (
@@ -18,6 +19,8 @@
 POLL_S: t.Final = 1.0
 ANSWER_S: t.Final = 0.5
 RETRY_S: t.Final = 0.25
+# A large answer that arrives has its next part within this time.
+BULK_S: t.Final = 0.4
 
 
 @dataclasses.dataclass
@@ -99,20 +102,35 @@
             self.refresh.set()
 
     async def run_refresh(self) -> None:
-        """Get the version that is expected: from the leader, else from the store."""
+        """Get the version that is expected: from the leader, else from the store.
+
+        It is on its way already where the store answers: only what does not come is
+        asked for, and nothing while a large answer arrives.
+        """
         while True:
             await self.refresh.wait()
             self.refresh.clear()
-            before = self.current.version if self.current is not None else None
+            before = self._version()
+            await self._until_quiet()
+            if self._version() != before:
+                continue
             self.ask_leader()
-            await asyncio.sleep(RETRY_S)
-            if self.current is not None and self.current.version != before:
+            await self._until_quiet()
+            if self._version() != before:
                 continue
             try:
                 await self._load()
             except StoreUnavailableError as exc:
                 self.log.event("config_refresh_failed", reason=str(exc))
 
+    def _version(self) -> int | None:
+        return self.current.version if self.current is not None else None
+
+    async def _until_quiet(self) -> None:
+        await asyncio.sleep(RETRY_S)
+        while steady_s() - self.store.bulk_s < BULK_S:
+            await asyncio.sleep(RETRY_S)
+
     def tell(self) -> list[tuple[str, bytes, int]]:
         """Return all records, for a process that the store turns away."""
         return [(one.key, one.value, one.offset) for one in self.records.values()]
--- a/packages/daemon/bulrushspur_daemon/election.py
+++ b/packages/daemon/bulrushspur_daemon/election.py
@@ -22,6 +22,8 @@
 TICK_S: t.Final = 0.03
 # A store that takes so long serves the leader no better than others.
 SLOW_STORE_S: t.Final = 0.25
+# A large answer fills the link for so long after each of its parts.
+BULK_S: t.Final = 0.4
 BACKOFF_S: t.Final = 0.4
 BACKOFF_MOST_S: t.Final = 1.6
 
@@ -58,6 +60,7 @@
             store_age_s=link.store_age_s if heard else 0.0,
             resigned=heard and link.resigned,
             rejoined_age_s=steady_s() - self.rejoined_s,
+            link_busy=steady_s() - log.store.bulk_s < BULK_S,
         )
 
     async def run(self) -> None:
--- a/packages/kernel/bulrushspur_kernel/http_pool.py
+++ b/packages/kernel/bulrushspur_kernel/http_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import socket
+import time
 import typing as t
 
 from bulrushspur_kernel.http_client import (
@@ -16,6 +17,10 @@
 CONNECT_S: t.Final = 0.5
 UNACKNOWLEDGED_MS: t.Final = 1200
 IDLE_KEPT: t.Final = 4
+# An answer whose body goes on arriving is waited for; a pause this long ends it.
+BODY_PAUSE_S: t.Final = 1.0
+# More of one body than this may fill a slow link for a while.
+BULK_BYTES: t.Final = 32_768
 
 
 @dataclasses.dataclass
@@ -26,6 +31,8 @@
     host: str = ""
     idle: list[Call] = dataclasses.field(default_factory=list)
     opened: int = 0
+    # When a part of a large body last arrived, on the steady clock.
+    bulk_s: float = -1e9
 
     async def request(
         self,
@@ -35,17 +42,21 @@
         headers: t.Sequence[tuple[str, str]] = (),
         timeout_s: float = 1.0,
     ) -> Answer:
-        """Make one request; raises NotSentError, or LostError when in doubt."""
+        """Make one request; raises NotSentError, or LostError when in doubt.
+
+        ``timeout_s`` bounds the wait for the answer to begin; its body may take longer.
+        """
         call = await self._take(timeout_s)
         whole = False
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as limit:
                 rows = [("host", self.host or self.address), *headers]
                 if body:
                     rows.append(("content-type", "application/json"))
                 await call.send_whole(method, path, rows, body)
                 status = await call.read_head()
-                answer = Answer(status, dict(call.headers), await call.read_all())
+                data = await self._read_body(call, limit)
+                answer = Answer(status, dict(call.headers), data)
             whole = True
         except TimeoutError as exc:
             raise LostError(f"no answer in {timeout_s:g} s") from exc
@@ -56,6 +67,19 @@
                 call.abort()
         return answer
 
+    async def _read_body(self, call: Call, limit: asyncio.Timeout) -> bytes:
+        """Read a body, and move the limit of time on with each part."""
+        loop = asyncio.get_running_loop()
+        parts: list[bytes] = []
+        size = 0
+        async for data in call.chunks():
+            parts.append(data)
+            size += len(data)
+            if size > BULK_BYTES:
+                self.bulk_s = time.monotonic()
+                limit.reschedule(max(limit.when() or 0.0, loop.time() + BODY_PAUSE_S))
+        return b"".join(parts)
+
     async def _take(self, timeout_s: float) -> Call:
         while self.idle:
             call = self.idle.pop()
--- a/packages/kernel/bulrushspur_kernel/store.py
+++ b/packages/kernel/bulrushspur_kernel/store.py
@@ -45,6 +45,14 @@
 class Store(t.Protocol):
     """One client for the platform's store; records have keys, the newest counts."""
 
+    @property
+    def bulk_s(self) -> float:
+        """Tell when a part of a large answer last came, on the steady clock.
+
+        The VM's link may be full then, and everything else on it late.
+        """
+        ...
+
     async def append(
         self,
         topic: str,
--- a/packages/scheduler/bulrushspur_scheduler/leadership.py
+++ b/packages/scheduler/bulrushspur_scheduler/leadership.py
@@ -6,6 +6,8 @@
 LOST_S: t.Final = 0.7
 BROKEN_LOST_S: t.Final = 0.35
 STORE_LOST_S: t.Final = 0.9
+# Behind a large answer on a slow link heartbeats come late.
+LINK_BUSY_LOST_S: t.Final = 2.5
 CLAIM_GRACE_S: t.Final = 1.0
 LOADED_GRACE_S: t.Final = 0.6
 REJOIN_S: t.Final = 1.0
@@ -19,6 +21,8 @@
 
     ``rejoined_age_s`` tells how long the store has answered this process again.
 
+    ``link_busy`` tells that a large answer is arriving here, and delays all else.
+
     ``loaded`` tells that the claim was there when this process started, ``dead`` that
     the leader's process has started again since, ``broken`` that its connection broke.
     """
@@ -33,6 +37,7 @@
     store_age_s: float
     resigned: bool
     rejoined_age_s: float = 1e9
+    link_busy: bool = False
 
 
 def leader_is_lost(view: LeaderView) -> bool:
@@ -42,6 +47,9 @@
     if view.rejoined_age_s < REJOIN_S:
         # Whoever was cut off hears a living leader in a moment.
         return False
+    if view.link_busy:
+        silent_s = view.heard_age_s if view.heard else view.claim_age_s
+        return silent_s > LINK_BUSY_LOST_S
     if not view.heard:
         grace_s = LOADED_GRACE_S if view.loaded else CLAIM_GRACE_S
         return view.claim_age_s > grace_s
--- a/tests/test_config_watch.py
+++ b/tests/test_config_watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import time
 import unittest
 
 from bulrushspur_daemon.config_watch import ConfigWatch
@@ -29,8 +30,12 @@
     records: list = dataclasses.field(default_factory=list)
     first: int = 0
     unseen: int = 0
+    hidden: int = 0
+    loads: int = 0
+    bulk_s: float = -1e9
 
     async def newest(self, topic, timeout_s=2.0):
+        self.loads += 1
         seen = self.records[: len(self.records) - self.unseen]
         return {one.key: one for one in seen}, len(self.records)
 
@@ -38,7 +43,8 @@
         await asyncio.sleep(0.01)
         if start < self.first:
             raise StoreGapError(self.first)
-        return self.records[start:], len(self.records)
+        end = len(self.records) - self.hidden
+        return self.records[start:end], max(start, end)
 
     def put(self, version):
         value = str(version).encode()
@@ -80,3 +86,39 @@
         await self.version(watch, 4)
         store.put(6)
         await self.version(watch, 6)
+
+    async def test_nothing_is_asked_for_again_while_a_large_answer_arrives(self):
+        store = FakeStore()
+        store.put(1)
+        watch = await self.start(store)
+        await self.version(watch, 1)
+        asked = []
+        watch.ask_leader = lambda: asked.append(time.monotonic())
+        task = asyncio.create_task(watch.run_refresh())
+        self.addCleanup(task.cancel)
+        store.hidden = 1
+        store.put(2)
+        loads = store.loads
+        for _ in range(8):
+            watch.expect(2)
+            store.bulk_s = time.monotonic()
+            await asyncio.sleep(0.1)
+        self.assertEqual((asked, store.loads), ([], loads))
+        store.hidden = 0
+        await self.version(watch, 2)
+
+    async def test_version_that_does_not_come_is_asked_for(self):
+        store = FakeStore()
+        store.put(1)
+        watch = await self.start(store)
+        await self.version(watch, 1)
+        asked = []
+        watch.ask_leader = lambda: asked.append(1)
+        task = asyncio.create_task(watch.run_refresh())
+        self.addCleanup(task.cancel)
+        store.hidden = 1
+        store.put(2)
+        watch.expect(2)
+        await asyncio.sleep(0.4)
+        self.assertEqual(asked, [1])
+        await self.version(watch, 2)
--- /dev/null
+++ b/tests/test_http_pool.py
@@ -0,0 +1,49 @@
+"""Tests of answers that take long to arrive."""
+
+import asyncio
+import time
+import unittest
+
+from bulrushspur_kernel.http_pool import LostError, make_http_pool
+
+
+class SlowBodyTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, parts, pause_s):
+        """Serve one answer in parts of 20 KB with a pause before each."""
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            size = 20_000 * parts
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % size)
+            for _ in range(parts):
+                await asyncio.sleep(pause_s)
+                writer.write(b"x" * 20_000)
+                await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        return make_http_pool(f"127.0.0.1:{port}")
+
+    async def test_large_body_that_goes_on_arriving_is_waited_for(self):
+        pool = await self.start(parts=8, pause_s=0.1)
+        answer = await pool.request("GET", "/", timeout_s=0.4)
+        self.assertEqual(len(answer.body), 160_000)
+        self.assertLess(time.monotonic() - pool.bulk_s, 0.3)
+
+    async def test_body_that_stops_arriving_is_lost(self):
+        pool = await self.start(parts=8, pause_s=1.3)
+        with self.assertRaises(LostError):
+            await pool.request("GET", "/", timeout_s=1.5)
+
+    async def test_answer_that_does_not_begin_is_lost_in_time(self):
+        pool = await self.start(parts=1, pause_s=2.0)
+        began_s = time.monotonic()
+        with self.assertRaises(LostError):
+            await pool.request("GET", "/", timeout_s=0.3)
+        self.assertLess(time.monotonic() - began_s, 1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -35,6 +35,13 @@
         self.assertTrue(self.lost(resigned=True))
         self.assertTrue(self.lost(dead=True))
 
+    def test_silence_behind_a_large_answer_is_no_loss_at_once(self):
+        self.assertFalse(self.lost(heard_age_s=2.0, link_busy=True))
+        self.assertTrue(self.lost(heard_age_s=2.6, link_busy=True))
+        just_started = {"heard": False, "heard_age_s": 1e9, "loaded": True}
+        self.assertFalse(self.lost(claim_age_s=2.0, link_busy=True, **just_started))
+        self.assertTrue(self.lost(claim_age_s=2.0, **just_started))
+
     def test_silence(self):
         self.assertFalse(self.lost(heard_age_s=0.5))
         self.assertTrue(self.lost(heard_age_s=1.0))
--- a/tests/test_takeover_processes.py
+++ b/tests/test_takeover_processes.py
@@ -142,6 +142,8 @@
 class AwayStore:
     """A store that answers nothing."""
 
+    bulk_s = -1e9
+
     async def newest(self, topic, timeout_s=2.0):
         raise StoreUnavailableError("away")
 
