Give up workers that the platform's list of machines does not name any more

A silent worker that the list of machines does not name runs nothing: its work starts elsewhere at once, in a term's recovery and later.

--- a/packages/daemon/bulrushspur_daemon/process.py
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -29,6 +29,7 @@
 from bulrushspur_kernel.cell_records import NodeRecord
 from bulrushspur_kernel.errors import Refusal
 from bulrushspur_kernel.http_exchange import Exchange, Request
+from bulrushspur_kernel.http_pool import HttpPool, make_http_pool
 from bulrushspur_kernel.http_server import HttpServer, make_http_server
 from bulrushspur_kernel.logs import EventLog, set_up_logs
 from bulrushspur_kernel.messages import (
@@ -71,6 +72,8 @@
     election: Election
     advice: AdviceCalls
     peer_server: PeerServer
+    # The platform's list of lives; None where it has none.
+    lives_pool: HttpPool | None = None
     term: Term | None = None
     stopping: bool = False
     servers: list[HttpServer] = dataclasses.field(default_factory=list)
@@ -117,6 +120,7 @@
             self.log,
             self.metrics,
             self._term_over,
+            self.lives_pool,
         )
         self.term.tell_config = self.config_watch.tell
         self.advice.local = self.term.lanes.finish
@@ -236,6 +240,8 @@
         AdviceCalls(adapter, settings.advice_address, peer_server.send, log, metrics),
         peer_server,
     )
+    if settings.machines_address:
+        process.lives_pool = make_http_pool(settings.machines_address)
     config_watch.ask_leader = lambda: process.ask_config()
     cell_log.on_term = lambda: process.begin_term()
     cell_log.on_change = lambda: process.update_peers()
--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -7,12 +7,14 @@
 from bulrushspur_daemon.cell_log import CellLog
 from bulrushspur_daemon.clock import boot_s, steady_s, unix_s
 from bulrushspur_daemon.lanes import AdviceLanes
+from bulrushspur_daemon.life_watch import LifeWatch
 from bulrushspur_daemon.term_peers import TermPeers
 from bulrushspur_daemon.term_requests import Request, TermRequests
 from bulrushspur_daemon.worker_links import WorkerLinks
 from bulrushspur_daemon.worker_watch import WorkerWatch
 from bulrushspur_daemon.writer import JOBS_TOPIC, WRITER_NAME, RecordWriter
 from bulrushspur_kernel.adapter import Adapter
+from bulrushspur_kernel.http_pool import HttpPool
 from bulrushspur_kernel.logs import EventLog
 from bulrushspur_kernel.messages import (
     Advised,
@@ -83,6 +85,7 @@
     links: WorkerLinks = dataclasses.field(init=False)
     lanes: AdviceLanes = dataclasses.field(init=False)
     watch: WorkerWatch = dataclasses.field(init=False)
+    lives: LifeWatch = dataclasses.field(init=False)
     requests: TermRequests = dataclasses.field(init=False)
     tell_config: t.Callable[[], list[tuple[str, bytes, int]]] = list
     serving: bool = False
@@ -140,6 +143,7 @@
             return
         self._spawn(self.writer.run())
         self._spawn(self.watch.run())
+        self._spawn(self.lives.run())
         self._spawn(self._plan_loop())
         self._spawn(self._tick_loop())
         self._spawn(self._confirm_loop())
@@ -195,7 +199,9 @@
             self.known_workers[row.id] = row
             worker = self.cell.workers.get(row.id)
             if worker is None:
-                entry = WorkerEntry(row.id, "", row.address, "", _NOTHING)
+                entry = WorkerEntry(
+                    row.id, "", row.address, "", _NOTHING, born_ms=row.born_ms
+                )
                 worker = self.cell.workers[row.id] = make_worker(entry, now_s)
                 worker.listed = False
                 self.links.open(worker)
@@ -389,6 +395,7 @@
     log: EventLog,
     metrics: Metrics,
     on_over: t.Callable[[str], None],
+    lives_pool: HttpPool | None = None,
 ) -> Term:
     """Make a term that has not begun."""
     cell = make_cell(config, fence=number, bounds=bounds)
@@ -418,6 +425,7 @@
         cell, log, metrics, peers.send_to, peers.lane_names, term.poke
     )
     term.watch = WorkerWatch(store, adapter, cell, log, term.note_new_worker, term.poke)
+    term.lives = LifeWatch(adapter, lives_pool, cell, log, metrics, term.poke)
     term.requests = TermRequests(
         cell, writer, term.lanes, term._spawn, term.poke, term._flush
     )
--- a/packages/kernel/bulrushspur_kernel/adapter.py
+++ b/packages/kernel/bulrushspur_kernel/adapter.py
@@ -33,6 +33,10 @@
     """Tell that the advice service gave no answer."""
 
 
+class LivesUnavailableError(Exception):
+    """Tell that the platform did not list the lives of workers."""
+
+
 class WorkerClient(t.Protocol):
     """Orders to one worker."""
 
@@ -88,6 +92,8 @@
         [t.Any, "StepKey", t.Sequence[str]],
         t.Awaitable[tuple[list[tuple[str, str]], float]],
     ]
+    # Lists the ids of all lives of workers; raises LivesUnavailableError.
+    list_lives: t.Callable[[t.Any], t.Awaitable[frozenset[str]]]
     workers_topic: str
     decode_worker: t.Callable[[str, bytes], "WorkerEntry | None"]
     interface: CallerInterface
--- a/packages/kernel/bulrushspur_kernel/settings.py
+++ b/packages/kernel/bulrushspur_kernel/settings.py
@@ -60,6 +60,7 @@
     peers_address: Address
     store_address: Address
     advice_address: str = ""
+    machines_address: str = ""
     operators_address: str = ""
     adapter: str = "bulrushspur_platform"
     interface: t.Literal["platform", "native"] = "platform"
--- /dev/null
+++ b/standins/bulrushspur_standins/machines.py
@@ -0,0 +1,41 @@
+"""A stand-in of the platform's list of machines, in pages."""
+
+import dataclasses
+import random
+
+from bulrushspur_kernel.http_exchange import Request
+from bulrushspur_kernel.http_server import HttpServer
+from bulrushspur_standins.serving import Answer, Faults, json_answer, make_server
+
+
+@dataclasses.dataclass
+class MachinesStandin:
+    """The list; ``lives`` maps a machine to the worker that lives on it."""
+
+    lives: dict[str, str] = dataclasses.field(default_factory=dict)
+    page: int = 2
+    faults: Faults = dataclasses.field(default_factory=Faults)
+    rng: random.Random = dataclasses.field(default_factory=lambda: random.Random(1))
+    server: HttpServer | None = None
+
+    async def start(self) -> str:
+        """Listen and return the address."""
+        self.server = make_server(self._handle, self.faults, self.rng)
+        await self.server.listen("127.0.0.1", 0)
+        return f"127.0.0.1:{self.server.port}"
+
+    async def _handle(self, request: Request, body: bytes) -> Answer:
+        first = int(request.query.get("page_token", 0))
+        rows = sorted(self.lives.items())
+        page = rows[first : first + self.page]
+        after = first + self.page
+        return json_answer(
+            200,
+            {
+                "machines": [
+                    {"machine": name, "pool": "coursework", "state": "up", "id": worker}
+                    for name, worker in page
+                ],
+                "next_token": str(after) if after < len(rows) else "",
+            },
+        )
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -110,6 +110,7 @@
         self.workers = []
         self.nodes = {}
         self.heartbeats = None
+        self.machines_address = ""
 
     async def start(self, nodes=3, workers=4, config=None):
         self.store_address = await self.store.start()
@@ -140,6 +141,7 @@
             *(f"127.0.0.1:{free_port()}" for _ in range(3)),
             self.store_address,
             advice_address=self.advice_address,
+            machines_address=self.machines_address,
             operators_address=f"127.0.0.1:{free_port()}",
             site=SiteBounds(status_s=30.0),
             **fields,
