Keep leases and the leader over an outage of the store

The loop that holds a worker's lease waited for the store whenever the worker had listed an end, so that all workers fell silent for the leader one after the other, and leases lapsed after 6.5 s. And a process that had not tried to claim before took the first answer of the store as its chance, before the leader could be heard with the store again.

Now ends are stored beside the holds, and a process whose own reading of the cell's log had failed gives the leader a second first.

--- a/packages/daemon/bulrushspur_daemon/election.py
+++ b/packages/daemon/bulrushspur_daemon/election.py
@@ -109,8 +109,9 @@
         try:
             # The store must answer now, and nobody may have claimed meanwhile.
             began_s = steady_s()
+            was_lost = self.cell_log.lost
             await self.cell_log.read()
-            if self.store_failed:
+            if self.store_failed or was_lost:
                 self.store_failed = False
                 self.rejoined_s = steady_s()
             view = self.view()
--- a/packages/daemon/bulrushspur_daemon/worker_links.py
+++ b/packages/daemon/bulrushspur_daemon/worker_links.py
@@ -30,6 +30,8 @@
 IDLE_WAIT_MS: t.Final = 700
 RETRY_S: t.Final = 0.1
 STOP_AGAIN_S: t.Final = 0.3
+# A hold goes out again after this long, whether the store answers or not.
+STORE_WAIT_S: t.Final = 0.4
 ORDERS_AT_ONCE: t.Final = 3
 SILENT_LOGGED_S: t.Final = 1.0
 HEARD_WITHIN_S: t.Final = 1.2
@@ -49,6 +51,8 @@
     silent: bool = False
     # The last call failed: another life may answer the next one.
     doubtful: bool = True
+    # Waits until the ends that were listed are stored.
+    storing: asyncio.Task[None] | None = None
 
 
 @dataclasses.dataclass
@@ -77,8 +81,9 @@
         link = self.links.pop(worker_id, None)
         if link is None:
             return
-        if link.task is not None:
-            link.task.cancel()
+        for task in (link.task, link.storing):
+            if task is not None:
+                task.cancel()
         link.client.close()
 
     def close_all(self) -> None:
@@ -139,9 +144,23 @@
             self.log.event("worker_regained", worker=worker.id)
         self.poke()
         if worker.applied_upto > link.noted_upto:
-            upto = worker.applied_upto
+            await self._store_ends(link)
+
+    async def _store_ends(self, link: WorkerLink) -> None:
+        """Wait until the ends are stored, but not so long that leases lapse."""
+        if link.storing is None:
+            link.storing = asyncio.create_task(self._note_stored(link))
+        await asyncio.wait([link.storing], timeout=STORE_WAIT_S)
+
+    async def _note_stored(self, link: WorkerLink) -> None:
+        upto, born_ms = link.worker.applied_upto, link.worker.born_ms
+        try:
             await self.writer.durable()
-            link.noted_upto = min(upto, worker.applied_upto)
+            # Another life counts its ends anew.
+            if born_ms == link.worker.born_ms:
+                link.noted_upto = max(link.noted_upto, upto)
+        finally:
+            link.storing = None
 
     def _note_silence(self, link: WorkerLink, reason: str) -> None:
         quiet_s = steady_s() - link.worker.heard_s
--- a/tests/test_takeover_processes.py
+++ b/tests/test_takeover_processes.py
@@ -94,6 +94,20 @@
         self.assertEqual(await cluster.state(job_id(3)), 410)
         self.assertEqual(cluster.ledger.violations, [])
 
+    async def test_leases_last_while_ends_wait_for_the_store(self):
+        cluster = self.cluster
+        for number in (1, 2):
+            await cluster.submit(job_id(number), count=1, ms=9000)
+        await cluster.submit(job_id(3), count=8, ms=800)
+        await cluster.wait_for(lambda: len(cluster.ledger.now) == 10)
+        cluster.store.faults.status = 503
+        await asyncio.sleep(8.5)
+        cluster.store.faults.status = 0
+        for number in (1, 2, 3):
+            await cluster.wait_state(job_id(number), "completed")
+        self.assertEqual(len(cluster.ledger.starts), 10)
+        self.assertEqual(cluster.ledger.violations, [])
+
     async def test_lost_answers_of_the_store_lose_and_double_nothing(self):
         cluster = self.cluster
         cluster.store.faults.lost_share = 0.4
