Keep the tickets of the gangs that are next valid while they wait

Cause: a gang held the room that it had found for the half second of a call for advice, after each wait of over two seconds, and other gangs waited behind it. The first eight gangs in order renew their tickets before they expire, so that room is used at once.

--- a/packages/scheduler/bulrushspur_scheduler/advice.py
+++ b/packages/scheduler/bulrushspur_scheduler/advice.py
@@ -26,6 +26,9 @@
 GANG_SPARE_FACTOR: t.Final = 3.0
 ASK_AGAIN_S: t.Final = 0.1
 AHEAD_S: t.Final = 0.1
+# Tickets are kept for this many times the room of a gang, and renewed in groups.
+SPARE_ROOM: t.Final = 1.5
+STALE_SHARE: t.Final = 0.3
 # Room that is so many calls away is far off.
 FAR_FACTOR: t.Final = 2.0
 LONG_CALL_S: t.Final = 0.25
@@ -108,6 +111,32 @@
     _ask(cell, step, queue, stale)
 
 
+def keep_tickets(
+    cell: Cell, step: StepRun, queue: Queue, pool: Pool, now_s: float
+) -> None:
+    """Renew the tickets of a gang that may start soon before they expire.
+
+    Room that comes free is then used at once, and not held for the time of a call.
+    """
+    assert queue.advice is not None
+    if step.open_asks or now_s < step.ask_after_s:
+        return
+    reservation = cell.reservations.get(step.key)
+    wanted = {one.id: one for one in reservation.workers} if reservation else {}
+    good = [pool.by_id[one] for one in step.good if one in pool.by_id]
+    rooms = sorted(((room_on(step, one), one.id) for one in good), reverse=True)
+    needed = SPARE_ROOM * len(step.tasks)
+    for room, worker_id in rooms:
+        if needed <= 0 or not room:
+            break
+        wanted[worker_id] = pool.by_id[worker_id]
+        needed -= room
+    due_s = now_s + queue.advice.call_s(min(len(wanted), CALL_WORKERS)) + AHEAD_S
+    stale = [one for one in wanted.values() if not has_ticket(step, one, due_s)]
+    if len(stale) > STALE_SHARE * len(wanted):
+        _ask(cell, step, queue, stale)
+
+
 def _ask_further(cell: Cell, step: StepRun, queue: Queue, pool: Pool) -> None:
     fresh = _first_workers(cell, step, pool)
     if sum(room_on(step, one) for one in fresh) >= len(step.tasks):
--- a/packages/scheduler/bulrushspur_scheduler/placement.py
+++ b/packages/scheduler/bulrushspur_scheduler/placement.py
@@ -26,6 +26,8 @@
     by_id: dict[str, Worker] = dataclasses.field(default_factory=dict)
     # Nothing that waits is still of use to its caller.
     all_late: bool = False
+    # Gangs of which this pass has kept the tickets valid.
+    ready_gangs: int = 0
 
 
 def make_pool(cell: Cell, service: str, now_s: float) -> Pool:
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -24,6 +24,8 @@
 
 # A pass gives up after so many steps that found no room.
 MISSES_AT_MOST: t.Final = 60
+# The first gangs in order have their tickets kept valid while they wait.
+READY_GANGS: t.Final = 8
 # Members that are missing may still join a gang this long after its first order.
 GANG_JOIN_SHARE: t.Final = 0.5
 
@@ -78,6 +80,9 @@
         advice.ask_ahead(cell, step, queue, pool, reservation, now_s)
     elif _may_use(cell, step, pool, 1):
         advice.ask_again(cell, step, queue, pool, now_s)
+    if step.spec.gang and pool.ready_gangs < READY_GANGS:
+        pool.ready_gangs += 1
+        advice.keep_tickets(cell, step, queue, pool, now_s)
     return False
 
 
