Let who waits for all changes wait for those of the next append, too

Cause: an append takes 400 rows at most, but all who waited for what had changed were released with the first one. After an outage of the store more than 200 jobs can have changed, so that workers were told to forget ends that were not stored yet; a leader lost then would have let done tasks start again.

--- a/packages/daemon/bulrushspur_daemon/writer.py
+++ b/packages/daemon/bulrushspur_daemon/writer.py
@@ -128,9 +128,10 @@
     def _take(self) -> Batch:
         batch = Batch(waiters=self.waiters)
         self.waiters = []
+        stored: list[asyncio.Future[None]] = []
         for job_id, (record, done) in self.accepted.items():
             batch.rows.append((ACCEPTED_PREFIX + job_id, record))
-            batch.waiters.append(done)
+            stored.append(done)
         self.accepted = {}
         batch.rows += self.extra.items()
         self.extra = {}
@@ -138,6 +139,10 @@
             job_id = self.cell.dirty.pop()
             batch.jobs.add(job_id)
             batch.rows += self._progress_rows(job_id)
+        if self.cell.dirty:
+            # Who waits for all that has changed waits for the rest, too.
+            self.waiters, batch.waiters = batch.waiters, []
+        batch.waiters += stored
         return batch
 
     def _progress_rows(self, job_id: str) -> list[Row]:
