Begin long calls for advice only while a lane is free, in order of rank

With as many calls for advice as gangs want, each lane had 4.7 s of calls waiting, so that tickets that last 2 s came too late to be used together (load player with lanes: 100 gangs, 4.7 s of lag). Ruled out: caps of accounts (19 accounts had gangs waiting), terms, settling.

--- a/packages/daemon/bulrushspur_daemon/lanes.py
+++ b/packages/daemon/bulrushspur_daemon/lanes.py
@@ -8,7 +8,12 @@
 from bulrushspur_kernel.logs import EventLog
 from bulrushspur_kernel.messages import Advised, AskAdvice
 from bulrushspur_kernel.metrics import Metrics
-from bulrushspur_scheduler.advice import Lane, choose_lane, note_advice
+from bulrushspur_scheduler.advice import (
+    Lane,
+    choose_lane,
+    count_free_long_lanes,
+    note_advice,
+)
 from bulrushspur_scheduler.cell import AdviceAsk, Cell
 
 # A lane that has not answered by this much after the estimate has lost the call.
@@ -40,13 +45,20 @@
         for ask in asks:
             self._dispatch(ask)
 
-    def _dispatch(self, ask: AdviceAsk) -> None:
-        now_s = steady_s()
+    def note_free(self) -> None:
+        """Tell the planner how many long calls can begin now."""
+        free = count_free_long_lanes(self._open_lanes(), steady_s())
+        self.cell.free_long_lanes = free
+
+    def _open_lanes(self) -> list[Lane]:
         names = set(self.lane_names())
         for name in names - self.lanes.keys():
             self.lanes[name] = Lane(name)
-        lanes = [one for name, one in self.lanes.items() if name in names]
-        lane = choose_lane(lanes, ask.call_s, now_s)
+        return [one for name, one in self.lanes.items() if name in names]
+
+    def _dispatch(self, ask: AdviceAsk) -> None:
+        now_s = steady_s()
+        lane = choose_lane(self._open_lanes(), ask.call_s, now_s)
         number = self.next_ask
         self.next_ask += 1
         key = ask.step
--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -257,6 +257,7 @@
             now_s = steady_s()
             takeover.settle(self.cell, self.writer.confirmed_s)
             if self.has_authority():
+                self.lanes.note_free()
                 plan(self.cell, now_s)
                 # Passes leave at least half of the processor to the rest.
                 pause_s = min(steady_s() - now_s, PLAN_PAUSE_MOST_S)
--- a/packages/daemon/bulrushspur_daemon/term_requests.py
+++ b/packages/daemon/bulrushspur_daemon/term_requests.py
@@ -93,6 +93,7 @@
         cell.pending[job.id] = job
         pool = make_pool(cell, job.service, now_s)
         if pool.workers:
+            self.lanes.note_free()
             advice.ask_early(cell, job, pool)
             self.lanes.dispatch()
         try:
--- a/packages/scheduler/bulrushspur_scheduler/advice.py
+++ b/packages/scheduler/bulrushspur_scheduler/advice.py
@@ -33,6 +33,8 @@
 FAR_FACTOR: t.Final = 2.0
 LONG_CALL_S: t.Final = 0.25
 LONG_SHARE: t.Final = 0.5
+# A lane that comes free within this time counts as free.
+LANE_SOON_S: t.Final = 0.05
 EXPIRY_MARGIN_S: t.Final = 0.1
 GOOD_SHARE_ASSUMED: t.Final = 0.5
 GOOD_SHARE_GAIN: t.Final = 0.05
@@ -144,12 +146,20 @@
 
 
 def _ask(cell: Cell, step: StepRun, queue: Queue, workers: list[Worker]) -> None:
+    """Ask in calls side by side; long ones only while a lane is free for them.
+
+    Calls that queue up would bring tickets that are old when they come.
+    """
     assert queue.advice is not None
     calls = math.ceil(len(workers) / CALL_WORKERS)
     for index in range(calls):
         ids = tuple(one.id for one in workers[index::calls])
-        step.open_asks += 1
         call_s = queue.advice.call_s(len(ids))
+        if call_s > LONG_CALL_S:
+            if not cell.free_long_lanes:
+                return
+            cell.free_long_lanes -= 1
+        step.open_asks += 1
         cell.asks.append(AdviceAsk(step.key, ids, call_s, queue.priority))
 
 
@@ -204,13 +214,24 @@
     waiting: int = 0
 
 
+def _share_out(lanes: list[Lane]) -> tuple[list[Lane], list[Lane]]:
+    """Return the lanes for long and for short calls."""
+    ordered = sorted(lanes, key=lambda one: one.name)
+    split = max(math.ceil(len(ordered) * LONG_SHARE), 1)
+    return ordered[:split], ordered[split:]
+
+
+def count_free_long_lanes(lanes: list[Lane], now_s: float) -> int:
+    """Count the lanes that can begin a long call now."""
+    return sum(one.busy_until_s <= now_s + LANE_SOON_S for one in _share_out(lanes)[0])
+
+
 def choose_lane(lanes: list[Lane], call_s: float, now_s: float) -> Lane | None:
     """Choose the lane that is free first; long calls use only a part of the lanes."""
     if not lanes:
         return None
-    ordered = sorted(lanes, key=lambda one: one.name)
-    split = max(math.ceil(len(ordered) * LONG_SHARE), 1)
-    mine = ordered[:split] if call_s > LONG_CALL_S else (ordered[split:] or ordered)
+    long, short = _share_out(lanes)
+    mine = long if call_s > LONG_CALL_S else (short or long)
     open_lanes = [one for one in mine if one.waiting < 24]
     return min(
         open_lanes,
--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -112,6 +112,8 @@
     times: dict[str, TimeModel] = dataclasses.field(default_factory=dict)
     # Share of the workers named that the advice service finds good, by queue.
     good_shares: dict[str, float] = dataclasses.field(default_factory=dict)
+    # Lanes that can begin a long call for advice now.
+    free_long_lanes: int = 1_000_000
     buckets: dict[str, TokenBucket] = dataclasses.field(default_factory=dict)
     waiting_steps: dict[StepKey, StepRun] = dataclasses.field(default_factory=dict)
     reservations: dict[StepKey, t.Any] = dataclasses.field(default_factory=dict)
--- a/tests/load.py
+++ b/tests/load.py
@@ -54,7 +54,9 @@
 class Load:
     """A cell under load."""
 
-    def __init__(self, kinds, workers, cpu_milli, seed=1, hung=0.0, save_s=0.5):
+    def __init__(
+        self, kinds, workers, cpu_milli, seed=1, hung=0.0, save_s=0.5, lanes=36
+    ):
         self.rng = random.Random(seed)
         self.kinds = kinds
         self.save_s = save_s
@@ -74,6 +76,7 @@
         self.handed_in = {}
         self.by_kind = collections.defaultdict(list)
         self.asks = []
+        self.lanes = [advice.Lane(f"n{index:02}") for index in range(lanes)]
         self.saves = {}
         self.ended = collections.defaultdict(list)
         self.listed_s = {}
@@ -131,6 +134,8 @@
         self.report()
         self.answer_asks()
         relieve(self.cell, self.now_s)
+        free = advice.count_free_long_lanes(self.lanes, self.now_s)
+        self.cell.free_long_lanes = free
         plan(self.cell, self.now_s)
         self.cell.events.clear()
         self.carry_out_stops()
@@ -139,7 +144,13 @@
             self.start(order.run)
         asks, self.cell.asks = self.cell.asks, []
         for ask in asks:
-            self.asks.append((self.now_s + ask.call_s, ask))
+            self.asks.append((self.lane_end_s(ask), ask))
+
+    def lane_end_s(self, ask):
+        """Return when a call ends on the lane that is free first, one at a time."""
+        lane = advice.choose_lane(self.lanes, ask.call_s, self.now_s)
+        lane.busy_until_s = max(lane.busy_until_s, self.now_s) + ask.call_s
+        return lane.busy_until_s
 
     def start(self, run):
         note_start(self.cell, run, StartResult.STARTED, self.now_s)
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -93,6 +93,18 @@
         plan(cell, 0.6)
         self.assertEqual(len(cell.starts), 30)
 
+    def test_long_calls_wait_for_a_free_lane_in_order_of_rank(self):
+        cell = make_test_cell(30)
+        for index in range(4):
+            add_test_job(cell, f"j{index}", "advised", 0.1 + 0.1 * index)
+        cell.free_long_lanes = 2
+        plan(cell, 0.6)
+        self.assertEqual([one.step.job for one in cell.asks], ["j0", "j1"])
+        cell.asks.clear()
+        cell.free_long_lanes = 1
+        plan(cell, 0.7)
+        self.assertEqual([one.step.job for one in cell.asks], ["j2"])
+
     def test_short_gang_is_fitted_in_before_a_reservation_is_due(self):
         cell = make_test_cell(2)
         busy = {"count": 2, "max_per_worker": 1, "estimate_s": 9.0}
