State once when a large answer arrives, and drop a check that says nothing new

The election and the watch of the configuration each had the same constant and comparison; receives_bulk of the store's module serves both. A doubtful worker was heard before the list was asked for by definition, so that asking it again decided nothing.

--- a/packages/daemon/bulrushspur_daemon/config_watch.py
+++ b/packages/daemon/bulrushspur_daemon/config_watch.py
@@ -12,6 +12,7 @@
     StoredRecord,
     StoreGapError,
     StoreUnavailableError,
+    receives_bulk,
 )
 from bulrushspur_scheduler.config import CellConfig
 
@@ -19,8 +20,6 @@
 POLL_S: t.Final = 1.0
 ANSWER_S: t.Final = 0.5
 RETRY_S: t.Final = 0.25
-# A large answer that arrives has its next part within this time.
-BULK_S: t.Final = 0.4
 
 
 @dataclasses.dataclass
@@ -128,7 +127,7 @@
 
     async def _until_quiet(self) -> None:
         await asyncio.sleep(RETRY_S)
-        while steady_s() - self.store.bulk_s < BULK_S:
+        while receives_bulk(self.store, steady_s()):
             await asyncio.sleep(RETRY_S)
 
     def tell(self) -> list[tuple[str, bytes, int]]:
--- a/packages/daemon/bulrushspur_daemon/election.py
+++ b/packages/daemon/bulrushspur_daemon/election.py
@@ -10,7 +10,11 @@
 from bulrushspur_daemon.leader_link import LeaderLink
 from bulrushspur_kernel.cell_records import LeaderRecord
 from bulrushspur_kernel.logs import EventLog
-from bulrushspur_kernel.store import StoreGapError, StoreUnavailableError
+from bulrushspur_kernel.store import (
+    StoreGapError,
+    StoreUnavailableError,
+    receives_bulk,
+)
 from bulrushspur_scheduler.leadership import (
     LOST_S,
     Candidate,
@@ -22,8 +26,6 @@
 TICK_S: t.Final = 0.03
 # A store that takes so long serves the leader no better than others.
 SLOW_STORE_S: t.Final = 0.25
-# A large answer fills the link for so long after each of its parts.
-BULK_S: t.Final = 0.4
 BACKOFF_S: t.Final = 0.4
 BACKOFF_MOST_S: t.Final = 1.6
 
@@ -60,7 +62,7 @@
             store_age_s=link.store_age_s if heard else 0.0,
             resigned=heard and link.resigned,
             rejoined_age_s=steady_s() - self.rejoined_s,
-            link_busy=steady_s() - log.store.bulk_s < BULK_S,
+            link_busy=receives_bulk(log.store, steady_s()),
         )
 
     async def run(self) -> None:
--- a/packages/kernel/bulrushspur_kernel/store.py
+++ b/packages/kernel/bulrushspur_kernel/store.py
@@ -42,6 +42,10 @@
     sequence: int
 
 
+# A large answer that arrives has its next part within this time.
+BULK_PAUSE_S: t.Final = 0.4
+
+
 class Store(t.Protocol):
     """One client for the platform's store; records have keys, the newest counts."""
 
@@ -84,3 +88,8 @@
         Raises StoreUnavailableError.
         """
         ...
+
+
+def receives_bulk(store: Store, now_s: float) -> bool:
+    """Tell whether a large answer arrives now, and may fill the VM's link."""
+    return now_s - store.bulk_s < BULK_PAUSE_S
--- a/packages/scheduler/bulrushspur_scheduler/lives.py
+++ b/packages/scheduler/bulrushspur_scheduler/lives.py
@@ -45,9 +45,7 @@
     gone = [
         one
         for one in doubtful
-        if one.id not in lives
-        and one.heard_s < asked_s
-        and 0 < one.born_ms < (unix_s - YOUNG_S) * 1000
+        if one.id not in lives and 0 < one.born_ms < (unix_s - YOUNG_S) * 1000
     ]
     for worker in gone:
         cell.log(
