--- a/packages/client/bulrushspur_client/entry_processes.py
+++ b/packages/client/bulrushspur_client/entry_processes.py
@@ -9,8 +9,8 @@
 
 from bulrushspur_kernel.http_client import NotSentError, ResponseLostError, fetch
 from bulrushspur_kernel.membership_records import (
-    MEMBERSHIP_TOPIC,
     NODE_PREFIX,
+    NODES_TOPIC,
     NodeRecord,
 )
 from bulrushspur_kernel.store import Store, StoreUnavailableError
@@ -33,7 +33,7 @@
     """Find entry processes in the store and by addresses, and ask for their status."""
     entries = {address: EntryInfo(address, address) for address in addresses}
     try:
-        records, _ = await store.read_newest(MEMBERSHIP_TOPIC)
+        records, _ = await store.read_newest(NODES_TOPIC)
     except StoreUnavailableError:
         # The entry processes at the given addresses can still be asked.
         records = {}
--- a/packages/daemon/bulrushspur_daemon/membership_log.py
+++ b/packages/daemon/bulrushspur_daemon/claim_log.py
@@ -1,8 +1,8 @@
-"""Follow the membership topic of the store: the processes of the cell and its leader.
+"""Follow the claims to lead the cell in the store, and append claims.
 
-Node records and claims to lead are read from the topic and appended to it. A claim is
-appended only if nothing was appended since the claimant last read the topic. The number
-of a term is the offset of its claim plus one, and fences the orders of earlier terms.
+A claim is appended only if no other claim was appended since the claimant last read the
+topic. The number of a term is the offset of its claim plus one, and fences the orders
+of earlier terms.
 """
 
 import asyncio
@@ -14,11 +14,9 @@
 from bulrushspur_daemon.clock import boottime_s, monotonic_s
 from bulrushspur_kernel.logs import EventLog
 from bulrushspur_kernel.membership_records import (
+    CLAIMS_TOPIC,
     LEADER_KEY,
-    MEMBERSHIP_TOPIC,
-    NODE_PREFIX,
     LeaderRecord,
-    NodeRecord,
 )
 from bulrushspur_kernel.store import (
     Store,
@@ -34,16 +32,15 @@
 
 
 @dataclasses.dataclass
-class MembershipLog:
-    """The newest node records and the newest claim that were read from the topic.
+class ClaimLog:
+    """The newest claim that was read from the topic.
 
-    ``last_store_success_s`` is when the latest store call that succeeded was sent.
+    ``last_store_success_s`` is when the latest store call that succeeded was sent, and
+    ``store_latency_s`` how long the latest one took that did not wait for a record.
     """
 
     store: Store
     log: EventLog
-    nodes: dict[str, NodeRecord] = dataclasses.field(default_factory=dict)
-    node_offsets: dict[str, int] = dataclasses.field(default_factory=dict)
     leader: LeaderRecord | None = None
     term: int = 0
     term_seen_s: float = -1e9
@@ -53,15 +50,17 @@
     first_retained_offset: int = 0
     last_store_success_s: float = -1e9
     last_store_success_boottime_s: float = -1e9
+    store_latency_s: float = 0.0
     store_unavailable: bool = False
-    on_node_change: t.Callable[[], None] = lambda: None
     on_new_term: t.Callable[[], None] = lambda: None
+    # Gets records that are no claims: earlier versions kept node records here.
+    on_other_record: t.Callable[[StoredRecord], None] = lambda record: None
 
-    async def run(self, own_record: NodeRecord) -> None:
-        """Register this process and follow the topic until cancelled."""
+    async def run(self) -> None:
+        """Follow the topic until cancelled."""
         while True:
             try:
-                await self._follow_once(own_record)
+                await self._follow_once()
             except StoreTruncatedError as exc:
                 self.handle_truncation(exc.oldest_offset)
             except StoreUnavailableError as exc:
@@ -70,14 +69,9 @@
                     self.log.event("cell_log_lost", urgent=True, reason=str(exc))
                 await asyncio.sleep(RETRY_INTERVAL_S)
 
-    async def _follow_once(self, own_record: NodeRecord) -> None:
+    async def _follow_once(self) -> None:
         if self.next_offset is None:
             await self.load()
-        if self.nodes.get(own_record.name) != own_record:
-            await self.store.append(
-                MEMBERSHIP_TOPIC,
-                [(NODE_PREFIX + own_record.name, msgspec.msgpack.encode(own_record))],
-            )
         await self.read(LONG_POLL_TIMEOUT_S)
         if self.store_unavailable:
             self.store_unavailable = False
@@ -94,7 +88,8 @@
     async def load(self) -> None:
         """Load the newest record of each key; raises StoreUnavailableError."""
         sent_s, sent_boot_s = monotonic_s(), boottime_s()
-        newest, _ = await self.store.read_newest(MEMBERSHIP_TOPIC, STORE_TIMEOUT_S)
+        newest, _ = await self.store.read_newest(CLAIMS_TOPIC, STORE_TIMEOUT_S)
+        self.store_latency_s = monotonic_s() - sent_s
         self._record_store_success(sent_s, sent_boot_s)
         is_first_load = self.next_offset is None
         for record in sorted(newest.values(), key=lambda record: record.offset):
@@ -113,8 +108,10 @@
         sent_s, sent_boot_s = monotonic_s(), boottime_s()
         start = self.next_offset or 0
         records, end = await self.store.read(
-            MEMBERSHIP_TOPIC, start, wait_s, STORE_TIMEOUT_S
+            CLAIMS_TOPIC, start, wait_s, STORE_TIMEOUT_S
         )
+        if not wait_s:
+            self.store_latency_s = monotonic_s() - sent_s
         self._record_store_success(sent_s, sent_boot_s)
         for record in records:
             if record.offset >= (self.next_offset or 0):
@@ -129,14 +126,11 @@
         )
 
     def _apply(self, record: StoredRecord) -> None:
+        if record.key != LEADER_KEY or not record.value:
+            self.on_other_record(record)
+            return
         try:
-            if record.key == LEADER_KEY and record.value:
-                self._apply_leader(record)
-            elif record.key.startswith(NODE_PREFIX) and record.value:
-                node = msgspec.msgpack.decode(record.value, type=NodeRecord)
-                self.nodes[node.name] = node
-                self.node_offsets[node.name] = record.offset
-                self.on_node_change()
+            self._apply_leader(record)
         except msgspec.DecodeError as exc:
             self.log.event("cell_record_unreadable", key=record.key, reason=str(exc))
 
@@ -148,18 +142,14 @@
         self.term_preexisting = False
         self.term_seen_s = monotonic_s()
         self.log.event(
-            "leader_claim", urgent=True, leader=self.leader.name, term=self.term
+            "leader_claim",
+            urgent=True,
+            leader=self.leader.name,
+            term=self.term,
+            unsettled_terms=self.leader.unsettled_terms,
         )
         self.on_new_term()
 
-    @property
-    def leader_restarted(self) -> bool:
-        """Return whether the process of the newest claim has restarted since."""
-        if self.leader is None:
-            return False
-        node = self.nodes.get(self.leader.name)
-        return node is not None and node.incarnation != self.leader.incarnation
-
     async def claim(self, record: LeaderRecord) -> None:
         """Append a claim to lead, then read the topic to learn which claim succeeded.
 
@@ -170,7 +160,7 @@
         data = msgspec.msgpack.encode(record)
         try:
             await self.store.append(
-                MEMBERSHIP_TOPIC,
+                CLAIMS_TOPIC,
                 [(LEADER_KEY, data)],
                 expected_offset=self.next_offset,
                 timeout_s=STORE_TIMEOUT_S,
--- a/packages/daemon/bulrushspur_daemon/election.py
+++ b/packages/daemon/bulrushspur_daemon/election.py
@@ -1,9 +1,9 @@
 """Claim to lead the cell when its leader is lost.
 
-The membership log, the heartbeats of the leader and the state of the store go in;
-claims go out to the membership log. The process with the best rank claims first, the
-others after a delay. Nobody claims while the store does not answer, or while it is slow
-and the leader still sends heartbeats.
+The claim log, the heartbeats of the leader and the state of the store go in; claims go
+out to the claim log. The process with the best rank claims first, the others after a
+delay. Nobody claims while the store does not answer, or while it is slow and the leader
+still sends heartbeats.
 """
 
 import asyncio
@@ -11,9 +11,10 @@
 import os
 import typing as t
 
+from bulrushspur_daemon.claim_log import ClaimLog
 from bulrushspur_daemon.clock import monotonic_s
 from bulrushspur_daemon.leader_client import LeaderClient
-from bulrushspur_daemon.membership_log import MembershipLog
+from bulrushspur_daemon.node_registry import NodeRegistry
 from bulrushspur_kernel.logs import EventLog
 from bulrushspur_kernel.membership_records import LeaderRecord
 from bulrushspur_kernel.store import (
@@ -25,6 +26,7 @@
     LEADER_TIMEOUT_S,
     Candidate,
     LeaderView,
+    TermWatch,
     claim_delay_s,
     is_leader_lost,
 )
@@ -45,7 +47,8 @@
 
     name: str
     incarnation: str
-    membership_log: MembershipLog
+    claim_log: ClaimLog
+    node_registry: NodeRegistry
     leader_client: LeaderClient
     log: EventLog
     is_leader: t.Callable[[], bool]
@@ -55,34 +58,47 @@
     store_regained_s: float = -1e9
     backoff_s: float = MIN_BACKOFF_S
     claim_ids: set[str] = dataclasses.field(default_factory=set)
+    term_watch: TermWatch = dataclasses.field(default_factory=TermWatch)
 
     def make_leader_view(self) -> LeaderView:
         """Return what this process knows of the leader now."""
-        membership_log, client = self.membership_log, self.leader_client
-        has_heartbeat = client.term >= membership_log.term
+        claim_log, client = self.claim_log, self.leader_client
+        has_heartbeat = client.term >= claim_log.term
         return LeaderView(
-            is_known=membership_log.leader is not None,
+            is_known=claim_log.leader is not None,
             has_heartbeat=has_heartbeat,
             heartbeat_age_s=client.heartbeat_age_s() if has_heartbeat else 1e9,
-            claim_age_s=monotonic_s() - membership_log.term_seen_s,
-            claim_preexisting=membership_log.term_preexisting,
-            restarted=membership_log.leader_restarted,
+            claim_age_s=monotonic_s() - claim_log.term_seen_s,
+            claim_preexisting=claim_log.term_preexisting,
+            restarted=self.node_registry.has_restarted(claim_log.leader),
             disconnected=client.connection_broken_s > client.last_heartbeat_s,
             leader_store_age_s=client.store_age_s if has_heartbeat else 0.0,
             resigned=has_heartbeat and client.resigned,
             store_regained_age_s=monotonic_s() - self.store_regained_s,
-            link_busy=is_receiving_bulk(membership_log.store, monotonic_s()),
+            link_busy=is_receiving_bulk(claim_log.store, monotonic_s()),
+            is_recovering=has_heartbeat and not client.serving,
+            recovery_stalled_s=client.recovery_stalled_s(),
+            unsettled_terms=self.term_watch.unsettled_terms,
         )
 
+    def _observe_term(self) -> None:
+        """Follow whether the present term settles, also while this process leads."""
+        claim_log, client = self.claim_log, self.leader_client
+        if claim_log.leader is not None and claim_log.term > self.term_watch.term:
+            self.term_watch.begin_term(
+                claim_log.term,
+                claim_log.leader.unsettled_terms,
+                not claim_log.term_preexisting,
+            )
+        is_serving = client.term == self.term_watch.term and client.serving
+        self.term_watch.observe(is_serving, monotonic_s())
+
     async def run(self) -> None:
         """Watch the leader, and claim when it is lost, until cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            if (
-                self.stopping
-                or self.is_leader()
-                or self.membership_log.next_offset is None
-            ):
+            self._observe_term()
+            if self.stopping or self.is_leader() or self.claim_log.next_offset is None:
                 self.leader_lost_since_s = None
                 continue
             view = self.make_leader_view()
@@ -96,9 +112,12 @@
                 self.log.event(
                     "leader_lost",
                     urgent=True,
-                    term=self.membership_log.term,
+                    term=self.claim_log.term,
                     heard_age_ms=round(min(view.heartbeat_age_s, 1e6) * 1000),
                     store_age_ms=round(view.leader_store_age_s * 1000),
+                    recovering=view.is_recovering,
+                    stalled_ms=round(min(view.recovery_stalled_s, 1e6) * 1000),
+                    unsettled_terms=view.unsettled_terms,
                     resigned=view.resigned,
                     dead=view.restarted,
                     broken=view.disconnected,
@@ -107,29 +126,33 @@
                 await self._claim()
 
     def _claim_delay_s(self, view: LeaderView) -> float:
-        membership_log = self.membership_log
-        leader = membership_log.leader.name if membership_log.leader is not None else ""
-        leader_node = membership_log.nodes.get(leader)
+        registry = self.node_registry
+        record = self.claim_log.leader
+        leader = record.name if record is not None else ""
+        leader_node = registry.nodes.get(leader)
         candidates = [
             Candidate(
-                node.name,
-                node.domain,
-                node.cores,
-                membership_log.node_offsets.get(node.name, 0),
+                node.name, node.domain, node.cores, registry.offsets.get(node.name, 0)
             )
-            for node in membership_log.nodes.values()
+            for node in registry.nodes.values()
             if node.name != leader or node.name == self.name
         ]
         domain = leader_node.domain if leader_node is not None else ""
-        return claim_delay_s(self.name, candidates, domain, not view.is_known)
+        return claim_delay_s(
+            self.name,
+            candidates,
+            domain,
+            not view.is_known,
+            self.claim_log.store_latency_s,
+        )
 
     async def _claim(self) -> None:
         try:
             # Claim only if the store answers now and no other process has claimed since
             # the last read.
             began_s = monotonic_s()
-            was_unavailable = self.membership_log.store_unavailable
-            await self.membership_log.read()
+            was_unavailable = self.claim_log.store_unavailable
+            await self.claim_log.read()
             if self.store_failed or was_unavailable:
                 self.store_failed = False
                 self.store_regained_s = monotonic_s()
@@ -146,13 +169,18 @@
                 return
             claim_id = os.urandom(8).hex()
             self.claim_ids.add(claim_id)
-            self.log.event("claim", urgent=True, at=self.membership_log.next_offset)
-            await self.membership_log.claim(
-                LeaderRecord(self.name, claim_id, self.incarnation)
+            self.log.event("claim", urgent=True, at=self.claim_log.next_offset)
+            await self.claim_log.claim(
+                LeaderRecord(
+                    self.name,
+                    claim_id,
+                    self.incarnation,
+                    self.term_watch.next_unsettled_terms(),
+                )
             )
             self.leader_lost_since_s = None
         except StoreTruncatedError as exc:
-            self.membership_log.handle_truncation(exc.oldest_offset)
+            self.claim_log.handle_truncation(exc.oldest_offset)
         except StoreUnavailableError as exc:
             self.store_failed = True
             self.log.event("claim_failed", reason=str(exc))
@@ -161,5 +189,5 @@
 
     def holds_newest_claim(self) -> bool:
         """Return whether the newest claim is one of this incarnation of the process."""
-        leader = self.membership_log.leader
+        leader = self.claim_log.leader
         return leader is not None and leader.claim_id in self.claim_ids
--- a/packages/daemon/bulrushspur_daemon/introspection.py
+++ b/packages/daemon/bulrushspur_daemon/introspection.py
@@ -17,7 +17,7 @@
     """Return the state of the process, and of its cell if it leads.
 
     The leader's age is that of its latest heartbeat; the store's age is the time since
-    the latest successful store call of the membership log was sent.
+    the latest successful store call of the claim log was sent.
     """
     leader_client, watch = process.leader_client, process.config_watch
     state = {
@@ -29,9 +29,7 @@
         "leader": leader_client.leader_name,
         "term": leader_client.term,
         "leader_age_s": round(leader_client.heartbeat_age_s(), 3),
-        "store_age_s": round(
-            monotonic_s() - process.membership_log.last_store_success_s, 3
-        ),
+        "store_age_s": round(monotonic_s() - process.claim_log.last_store_success_s, 3),
         "config_version": watch.current.version if watch.current else None,
         "metrics": process.metrics.dump(),
     }
--- a/packages/daemon/bulrushspur_daemon/leader_client.py
+++ b/packages/daemon/bulrushspur_daemon/leader_client.py
@@ -62,6 +62,9 @@
     last_heartbeat_s: float = -1e9
     connection_broken_s: float = -1e9
     store_age_s: float = 0.0
+    # How far the leader's recovery has come, and when it last advanced.
+    recovery_progress: tuple[int, int, int] = (0, 0, 0)
+    recovery_advanced_s: float = -1e9
     resigned: bool = False
     waiting_jobs: dict[str, int] = dataclasses.field(default_factory=dict)
     pending_replies: dict[int, asyncio.Future[Reply]] = dataclasses.field(
@@ -93,12 +96,23 @@
         self.serving = heartbeat.serving
         self.last_heartbeat_s = monotonic_s()
         self.store_age_s = heartbeat.store_age_ms / 1000
+        self._record_recovery_progress(heartbeat)
         self.waiting_jobs = heartbeat.waiting_jobs
         self.on_config_version(heartbeat.config_version)
         if has_changed:
             self._notify_change()
         return True
 
+    def _record_recovery_progress(self, heartbeat: Heartbeat) -> None:
+        progress = (
+            heartbeat.term,
+            heartbeat.loaded_bytes,
+            heartbeat.recovered_records,
+        )
+        if progress != self.recovery_progress:
+            self.recovery_progress = progress
+            self.recovery_advanced_s = self.last_heartbeat_s
+
     def handle_disconnect(self) -> None:
         """Record that a connection of a leader broke; the next heartbeat clears it."""
         self.connection_broken_s = monotonic_s()
@@ -130,6 +144,10 @@
         """Return the age of the leader's latest heartbeat in seconds."""
         return monotonic_s() - self.last_heartbeat_s
 
+    def recovery_stalled_s(self) -> float:
+        """Return the time since the leader's recovery last advanced, in seconds."""
+        return monotonic_s() - self.recovery_advanced_s
+
     def _notify_change(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
--- a/packages/daemon/bulrushspur_daemon/main.py
+++ b/packages/daemon/bulrushspur_daemon/main.py
@@ -12,6 +12,12 @@
 SETTINGS_VARIABLE = "BULRUSHSPUR_SETTINGS"
 
 
+def configure_garbage_collection() -> None:
+    """Collect rarely, and never what was made before: a collection holds the loop."""
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 50)
+
+
 def main() -> None:
     """Run an entry process with the settings file from the argument or the environment.
 
@@ -26,6 +32,5 @@
     except BulrushspurError as exc:
         sys.stderr.write(exc.format() + "\n")
         sys.exit(exc.exit_code)
-    gc.freeze()
-    gc.set_threshold(20_000, 20, 50)
+    configure_garbage_collection()
     asyncio.run(run_process(settings, path))
--- a/packages/daemon/bulrushspur_daemon/process.py
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -1,7 +1,7 @@
 """Build an entry process from its parts, and run it until a signal stops it.
 
 The settings go in. Every process serves callers, the balancer and operators, follows
-the membership log and the configuration, and makes advice calls for the leader. It also
+the claim log and the configuration, and makes advice calls for the leader. It also
 runs a term while the newest claim to lead is its own. An error in a background loop
 stops the process.
 """
@@ -16,12 +16,13 @@
 
 import bulrushspur_daemon.native_interface  # noqa: F401 - registers itself
 from bulrushspur_daemon.advice_caller import AdviceCaller
+from bulrushspur_daemon.claim_log import ClaimLog
 from bulrushspur_daemon.clock import monotonic_s
 from bulrushspur_daemon.config_watch import ConfigWatch
 from bulrushspur_daemon.election import Election
 from bulrushspur_daemon.gateway import Gateway
 from bulrushspur_daemon.leader_client import LeaderClient
-from bulrushspur_daemon.membership_log import MembershipLog
+from bulrushspur_daemon.node_registry import NodeRegistry
 from bulrushspur_daemon.operator_interface import handle_operator_request
 from bulrushspur_daemon.peer_sockets import PeerServer, make_peer_server
 from bulrushspur_daemon.term import Term, make_term
@@ -72,7 +73,8 @@
     metrics: Metrics
     context: zmq.asyncio.Context
     config_watch: ConfigWatch
-    membership_log: MembershipLog
+    claim_log: ClaimLog
+    node_registry: NodeRegistry
     leader_client: LeaderClient
     gateway: Gateway
     election: Election
@@ -87,19 +89,19 @@
     def handle_new_term(self) -> None:
         """Start a term if the newest claim is our own; end one that it supersedes."""
         if self.term is not None:
-            if self.membership_log.term > self.term.number:
+            if self.claim_log.term > self.term.number:
                 self.term.stop("a later claim was read")
             else:
                 return
         if not self.election.holds_newest_claim() or self.stopping:
             return
-        number = self.membership_log.term
+        number = self.claim_log.term
         name = self.settings.name
         peers = TermPeers(
             self.context,
             name,
             f"{name}/{number}/{os.urandom(4).hex()}".encode(),
-            self.membership_log,
+            self.node_registry,
             self.log,
             self._handle_local_heartbeat,
             self.advice_caller.enqueue_local,
@@ -119,7 +121,7 @@
             name,
             self.store,
             self.adapter,
-            self.membership_log,
+            self.claim_log,
             self.config_watch.current,
             timing_limits,
             peers,
@@ -131,6 +133,7 @@
         self.term.list_config_records = self.config_watch.list_records
         self.advice_caller.on_local_reply = self.term.advice_dispatcher.handle_reply
         peers.update()
+        self.node_registry.request_read()
         self.term.start()
 
     def _handle_local_heartbeat(self, heartbeat: Heartbeat) -> None:
@@ -184,7 +187,7 @@
             return False
         if self.leader_client.is_available():
             return True
-        store_age_s = monotonic_s() - self.membership_log.last_store_success_s
+        store_age_s = monotonic_s() - self.claim_log.last_store_success_s
         max_age_s = (
             MAX_READY_LEADER_AGE_S
             if store_age_s < MAX_FRESH_STORE_AGE_S
@@ -234,11 +237,18 @@
         interface = lookup(INTERFACE_POINT, "native")
     config_watch = ConfigWatch(store, interface, log)
     leader_client.on_config_version = config_watch.refresh_if_older
-    membership_log = MembershipLog(store, log)
+    claim_log = ClaimLog(store, log)
+    node_registry = NodeRegistry(
+        store,
+        log,
+        lambda: process.term is not None,
+        lambda: claim_log.leader is not None,
+    )
     election = Election(
         settings.name,
         incarnation,
-        membership_log,
+        claim_log,
+        node_registry,
         leader_client,
         log,
         lambda: process.term is not None,
@@ -252,7 +262,8 @@
         metrics,
         context,
         config_watch,
-        membership_log,
+        claim_log,
+        node_registry,
         leader_client,
         Gateway(config_watch, leader_client, log, metrics),
         election,
@@ -262,8 +273,9 @@
     if settings.machines_address:
         process.incarnations_pool = make_http_pool(settings.machines_address)
     config_watch.request_from_leader = lambda: process.request_config()
-    membership_log.on_new_term = lambda: process.handle_new_term()
-    membership_log.on_node_change = lambda: process.update_peers()
+    claim_log.on_new_term = lambda: process.handle_new_term()
+    claim_log.on_other_record = node_registry.apply_legacy
+    node_registry.on_change = lambda: process.update_peers()
     config_watch.listeners.append(lambda config: process.apply_config(config))
     return process
 
@@ -319,7 +331,8 @@
         process.peer_server.watch_disconnects(),
         process.config_watch.run(),
         process.config_watch.run_refresh(),
-        process.membership_log.run(own_record),
+        process.claim_log.run(),
+        process.node_registry.run(own_record),
         process.election.run(),
         process.advice_caller.run(),
     ]
--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -11,13 +11,15 @@
 import typing as t
 
 from bulrushspur_daemon.advice_dispatcher import AdviceDispatcher
+from bulrushspur_daemon.claim_log import ClaimLog
 from bulrushspur_daemon.clock import boottime_s, monotonic_s, unix_s
 from bulrushspur_daemon.leader_requests import LeaderRequest, LeaderRequestHandler
 from bulrushspur_daemon.liveness_watch import LivenessWatch
-from bulrushspur_daemon.membership_log import MembershipLog
-from bulrushspur_daemon.record_writer import JOBS_TOPIC, WRITER_NAME, RecordWriter
+from bulrushspur_daemon.record_writer import RecordWriter
 from bulrushspur_daemon.term_peers import TermPeers
+from bulrushspur_daemon.term_recovery import TermRecovery
 from bulrushspur_daemon.worker_connections import WorkerConnections
+from bulrushspur_daemon.worker_records import WorkerRecords
 from bulrushspur_daemon.worker_watch import WorkerWatch
 from bulrushspur_kernel.adapter import Adapter
 from bulrushspur_kernel.http_pool import HttpPool
@@ -39,7 +41,6 @@
     Store,
     StoreFencedError,
     StoreUnavailableError,
-    WriterIdentity,
 )
 from bulrushspur_scheduler import takeover
 from bulrushspur_scheduler.cell import Cell, TimingLimits, make_cell
@@ -53,21 +54,12 @@
     set_objective,
     start_due_occurrences,
 )
-from bulrushspur_scheduler.records import (
-    WORKERS_KEY,
-    WorkerRecord,
-    decode_workers,
-    encode_workers,
-)
-from bulrushspur_scheduler.resources import Resources
-from bulrushspur_scheduler.workers import Worker, WorkerEntry, make_worker
 
 TICK_INTERVAL_S: t.Final = 0.1
 HEARTBEAT_INTERVAL_S: t.Final = 0.15
 PLAN_BATCH_DELAY_S: t.Final = 0.002
 MAX_PLAN_PAUSE_S: t.Final = 0.1
 CONFIRM_INTERVAL_S: t.Final = 0.4
-RECOVER_RETRY_INTERVAL_S: t.Final = 0.15
 # After this long without confirmation by the store, no run is started and no lease is
 # extended: a later term may have begun.
 AUTHORITY_TIMEOUT_S: t.Final = 10.0
@@ -76,17 +68,13 @@
 
 @dataclasses.dataclass
 class Term:
-    """The state and the background tasks of one term; ``number`` is its fencing token.
-
-    ``worker_records`` has every worker on which something may run, as stored for the
-    next term.
-    """
+    """The state and the tasks of one term; ``number`` is its fencing token."""
 
     number: int
     name: str
     store: Store
     adapter: Adapter
-    membership_log: MembershipLog
+    claim_log: ClaimLog
     cell: Cell
     log: EventLog
     metrics: Metrics
@@ -95,7 +83,9 @@
     on_end: t.Callable[[str], None]
     worker_connections: WorkerConnections = dataclasses.field(init=False)
     advice_dispatcher: AdviceDispatcher = dataclasses.field(init=False)
+    worker_records: WorkerRecords = dataclasses.field(init=False)
     worker_watch: WorkerWatch = dataclasses.field(init=False)
+    recovery: TermRecovery = dataclasses.field(init=False)
     liveness_watch: LivenessWatch = dataclasses.field(init=False)
     request_handler: LeaderRequestHandler = dataclasses.field(init=False)
     list_config_records: t.Callable[[], list[tuple[str, bytes, int]]] = list
@@ -103,7 +93,6 @@
     ended: bool = False
     plan_requested: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     tasks: set[asyncio.Task[t.Any]] = dataclasses.field(default_factory=set)
-    worker_records: dict[str, WorkerRecord] = dataclasses.field(default_factory=dict)
 
     def start(self) -> None:
         """Start sending heartbeats, and recover and serve in the background."""
@@ -162,108 +151,13 @@
         self._spawn(self._confirm_loop())
 
     async def _recover(self) -> None:
-        """Rebuild the cell from the store, retrying until it answers; then serve.
-
-        A term that is fenced by a later one ends instead.
-        """
-        began_s = monotonic_s()
-        while not self.ended:
-            try:
-                stored = await self._load()
-                break
-            except StoreFencedError as exc:
-                self.stop(f"fenced while recovering: {exc}")
-                return
-            except StoreUnavailableError as exc:
-                self.log.event("recover_retry", reason=str(exc))
-                await asyncio.sleep(RECOVER_RETRY_INTERVAL_S)
-        if self.ended:
-            return
-        cell, now_s = self.cell, monotonic_s()
-        worker_data = stored.pop(WORKERS_KEY, b"")
-        takeover.recover_jobs(cell, stored, now_s, unix_s())
-        if worker_data:
-            self._recover_workers(decode_workers(worker_data), now_s)
-        cell.unobserved_workers = {
-            worker.id for worker in cell.workers.values() if not worker.has_reported
-        }
-        cell.reconciled = not cell.jobs
-        # By then earlier terms have lost their authority, and the leases that they
-        # granted have expired; the 5 % allow for worker clocks that run slow.
-        cell.reconcile_by_s = (
-            now_s + AUTHORITY_TIMEOUT_S + cell.timing_limits.lease_s * 1.05
-        )
-        self.serving = True
-        self.log.event(
-            "term_serving",
-            urgent=True,
-            term=self.number,
-            jobs=len(cell.jobs),
-            finished=len(cell.finished_jobs),
-            workers=len(cell.workers),
-            dark=len(cell.unobserved_workers),
-            took_ms=round((monotonic_s() - began_s) * 1000),
-        )
-
-    async def _load(self) -> dict[str, bytes]:
-        """Read the records of earlier terms, by key, and the entries of the workers.
-
-        The empty append comes first: it fences earlier terms, so that none of them can
-        change a record after it was read here.
-        """
-        writer = WriterIdentity(WRITER_NAME, self.number, 0)
-        sent_s, sent_boot_s = monotonic_s(), boottime_s()
-        await self.store.append(JOBS_TOPIC, [], writer=writer)
-        newest, _ = await self.store.read_newest(JOBS_TOPIC)
-        self.worker_watch.next_offset = None
-        await self.worker_watch.poll()
-        self.writer.record_confirmation(sent_s, sent_boot_s)
-        self.writer.sequence = 1
-        return {row.key: row.value for row in newest.values() if row.value}
-
-    def _recover_workers(self, records: list[WorkerRecord], now_s: float) -> None:
-        """Add the workers on which earlier terms may have left runs."""
-        for record in records:
-            self.worker_records[record.id] = record
-            worker = self.cell.workers.get(record.id)
-            if worker is None:
-                entry = WorkerEntry(
-                    record.id,
-                    "",
-                    record.address,
-                    "",
-                    _NO_RESOURCES,
-                    incarnation_start_ms=record.incarnation_start_ms,
-                )
-                worker = self.cell.workers[record.id] = make_worker(entry, now_s)
-                worker.listed = False
-                self.worker_connections.open(worker)
-        # The list queued while the workers' entries were loaded lacks these records.
-        self._queue_worker_records()
-
-    def record_new_worker(self, worker: Worker) -> None:
-        """Store a record of a new worker, then connect to it.
-
-        The record comes first, so that the next term knows every worker on which this
-        term may have started runs.
-        """
-        if worker.id in self.worker_records:
-            self.worker_connections.open(worker)
+        """Recover the cell, then serve; end the term if a later one fences it."""
+        try:
+            await self.recovery.run()
+        except StoreFencedError as exc:
+            self.stop(f"fenced while recovering: {exc}")
             return
-        entry = worker.entry
-        record = WorkerRecord(worker.id, entry.address, entry.incarnation_start_ms)
-        self.worker_records[worker.id] = record
-        self._queue_worker_records()
-        self._spawn(self._open_when_durable(worker))
-
-    def _queue_worker_records(self) -> None:
-        records = list(self.worker_records.values())
-        self.writer.pending_records[WORKERS_KEY] = encode_workers(records)
-
-    async def _open_when_durable(self, worker: Worker) -> None:
-        await self.writer.wait_durable()
-        if not self.ended and worker.id in self.cell.workers:
-            self.worker_connections.open(worker)
+        self.serving = not self.ended
 
     def has_authority(self) -> bool:
         """Return whether this term may still start runs and extend leases.
@@ -361,26 +255,25 @@
         for worker in expired:
             del self.cell.workers[worker.id]
             self.worker_connections.close(worker.id)
-            if self.worker_records.pop(worker.id, None) is not None:
-                self._queue_worker_records()
+            self.worker_records.remove(worker.id)
             self.cell.log("worker_gone", worker=worker.id)
 
     async def _confirm_loop(self) -> None:
-        """Read the membership log to confirm the term while nothing is written."""
+        """Read the claim log to confirm the term while nothing is written."""
         while True:
             await asyncio.sleep(CONFIRM_INTERVAL_S / 2)
-            membership_log = self.membership_log
+            claim_log = self.claim_log
             if monotonic_s() - self.writer.confirmed_s > CONFIRM_INTERVAL_S:
                 try:
-                    await membership_log.read()
+                    await claim_log.read()
                 except StoreUnavailableError:
                     # Not logged: heartbeats report the age of the last answer.
                     self.metrics.count("confirm_failed")
                     await asyncio.sleep(CONFIRM_INTERVAL_S)
-            if membership_log.term == self.number:
+            if claim_log.term == self.number:
                 self.writer.record_confirmation(
-                    membership_log.last_store_success_s,
-                    membership_log.last_store_success_boottime_s,
+                    claim_log.last_store_success_s,
+                    claim_log.last_store_success_boottime_s,
                 )
 
     async def _heartbeat_loop(self) -> None:
@@ -389,9 +282,14 @@
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     def make_heartbeat(self) -> Heartbeat:
-        """Make a heartbeat that reports the current state of the term."""
+        """Make a heartbeat that reports the current state of the term.
+
+        A large answer of the store that is still arriving counts as contact with it.
+        """
         age_s = monotonic_s() - max(
-            self.writer.confirmed_s, self.membership_log.last_store_success_s
+            self.writer.confirmed_s,
+            self.claim_log.last_store_success_s,
+            self.store.last_bulk_s,
         )
         return Heartbeat(
             self.number,
@@ -400,6 +298,8 @@
             self.cell.config.version,
             round(max(age_s, 0.0) * 1000),
             self._count_waiting_jobs(),
+            self.recovery.loaded_bytes,
+            self.recovery.recovered_records,
         )
 
     def _count_waiting_jobs(self) -> dict[str, int]:
@@ -432,15 +332,12 @@
         return await self.request_handler.answer(message)
 
 
-_NO_RESOURCES = Resources()
-
-
 def make_term(
     number: int,
     name: str,
     store: Store,
     adapter: Adapter,
-    membership_log: MembershipLog,
+    claim_log: ClaimLog,
     config: CellConfig | None,
     timing_limits: TimingLimits,
     peers: TermPeers,
@@ -462,7 +359,7 @@
         name,
         store,
         adapter,
-        membership_log,
+        claim_log,
         cell,
         log,
         metrics,
@@ -476,8 +373,24 @@
     term.advice_dispatcher = AdviceDispatcher(
         cell, log, metrics, peers.send_to, peers.lane_names, term.request_plan
     )
+    term.worker_records = WorkerRecords(
+        cell,
+        writer,
+        term.worker_connections.open,
+        term._spawn,
+        lambda: term.ended,
+    )
     term.worker_watch = WorkerWatch(
-        store, adapter, cell, log, term.record_new_worker, term.request_plan
+        store, adapter, cell, log, term.worker_records.add, term.request_plan
+    )
+    term.recovery = TermRecovery(
+        store,
+        cell,
+        writer,
+        term.worker_watch,
+        term.worker_records,
+        log,
+        AUTHORITY_TIMEOUT_S,
     )
     term.liveness_watch = LivenessWatch(
         adapter, incarnations_pool, cell, log, metrics, term.request_plan
--- a/packages/daemon/bulrushspur_daemon/term_peers.py
+++ b/packages/daemon/bulrushspur_daemon/term_peers.py
@@ -1,6 +1,6 @@
 """Connect the leader to all other entry processes of the cell.
 
-Node records of the membership log go in; heartbeats, resignations and advice requests
+Node records of the registry go in; heartbeats, resignations and advice requests
 go out. The leader's own process is reached by callbacks instead of a socket.
 """
 
@@ -10,7 +10,7 @@
 import zmq.asyncio
 
 from bulrushspur_daemon.clock import monotonic_s
-from bulrushspur_daemon.membership_log import MembershipLog
+from bulrushspur_daemon.node_registry import NodeRegistry
 from bulrushspur_daemon.peer_sockets import PeerClient, make_peer_client
 from bulrushspur_kernel.logs import EventLog
 from bulrushspur_kernel.messages import AdviceRequest, Heartbeat, Message, Resign
@@ -25,7 +25,7 @@
     context: zmq.asyncio.Context
     name: str
     identity: bytes
-    membership_log: MembershipLog
+    node_registry: NodeRegistry
     log: EventLog
     on_local_heartbeat: t.Callable[[Heartbeat], None]
     on_local_advice_request: t.Callable[[AdviceRequest], None]
@@ -35,8 +35,8 @@
     clients: dict[str, PeerClient] = dataclasses.field(default_factory=dict)
 
     def update(self) -> None:
-        """Connect to every process in the membership log, at its current address."""
-        for name, node in self.membership_log.nodes.items():
+        """Connect to every registered process, at its current address."""
+        for name, node in self.node_registry.nodes.items():
             client = self.clients.get(name)
             if name == self.name or (client and client.address == node.peers_address):
                 continue
--- /dev/null
+++ b/packages/daemon/bulrushspur_daemon/term_recovery.py
@@ -0,0 +1,129 @@
+"""Recover the cell at the start of a term from the records in the store.
+
+The records of earlier terms and the entries of the workers go in; the cell is rebuilt
+from them in slices, so that heartbeats go out meanwhile. Heartbeats report how far the
+recovery has come: the other processes do not replace a leader whose recovery advances.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import gc
+import typing as t
+
+from bulrushspur_daemon.clock import boottime_s, monotonic_s, unix_s
+from bulrushspur_daemon.record_writer import JOBS_TOPIC, WRITER_NAME, RecordWriter
+from bulrushspur_daemon.worker_records import WorkerRecords
+from bulrushspur_daemon.worker_watch import WorkerWatch
+from bulrushspur_kernel.logs import EventLog
+from bulrushspur_kernel.store import Store, StoreUnavailableError, WriterIdentity
+from bulrushspur_scheduler import takeover
+from bulrushspur_scheduler.cell import Cell
+from bulrushspur_scheduler.records import WORKERS_KEY
+
+RETRY_INTERVAL_S: t.Final = 0.15
+# Other tasks, such as heartbeats, run between two slices.
+SLICE_S: t.Final = 0.01
+
+
+@dataclasses.dataclass
+class TermRecovery:
+    """The recovery of one term, and how far it has come."""
+
+    store: Store
+    cell: Cell
+    writer: RecordWriter
+    worker_watch: WorkerWatch
+    worker_records: WorkerRecords
+    log: EventLog
+    # By how long a term without an answer of the store may outlive the last one.
+    authority_timeout_s: float
+    loaded_bytes: int = 0
+    recovered_records: int = 0
+
+    async def run(self) -> None:
+        """Rebuild the cell, retrying until the store answers.
+
+        Raises StoreFencedError if a later term has begun.
+        """
+        began_s = monotonic_s()
+        stored = await self._load_until_answered()
+        loaded_s = monotonic_s()
+        worker_data = stored.pop(WORKERS_KEY, b"")
+        with _pause_garbage_collection():
+            await self._recover_jobs(stored)
+        cell, now_s = self.cell, monotonic_s()
+        if worker_data:
+            self.worker_records.recover(worker_data, now_s)
+        cell.unobserved_workers = {
+            worker.id for worker in cell.workers.values() if not worker.has_reported
+        }
+        cell.reconciled = not cell.jobs
+        # By then earlier terms have lost their authority, and the leases that they
+        # granted have expired; the 5 % allow for worker clocks that run slow.
+        cell.reconcile_by_s = (
+            now_s + self.authority_timeout_s + cell.timing_limits.lease_s * 1.05
+        )
+        self.log.event(
+            "term_serving",
+            urgent=True,
+            term=cell.fencing_token,
+            jobs=len(cell.jobs),
+            finished=len(cell.finished_jobs),
+            workers=len(cell.workers),
+            dark=len(cell.unobserved_workers),
+            loaded_bytes=self.loaded_bytes,
+            load_ms=round((loaded_s - began_s) * 1000),
+            took_ms=round((monotonic_s() - began_s) * 1000),
+        )
+
+    async def _load_until_answered(self) -> dict[str, bytes]:
+        while True:
+            try:
+                return await self._load()
+            except StoreUnavailableError as exc:
+                self.log.event("recover_retry", reason=str(exc))
+                await asyncio.sleep(RETRY_INTERVAL_S)
+
+    async def _load(self) -> dict[str, bytes]:
+        """Read the records of earlier terms, by key, and the entries of the workers.
+
+        The empty append comes first: it fences earlier terms, so that none of them can
+        change a record after it was read here.
+        """
+        writer = WriterIdentity(WRITER_NAME, self.cell.fencing_token, 0)
+        sent_s, sent_boot_s = monotonic_s(), boottime_s()
+        await self.store.append(JOBS_TOPIC, [], writer=writer)
+        self.recovered_records += 1
+        newest, _ = await self.store.read_newest(
+            JOBS_TOPIC, on_received=self._count_received
+        )
+        self.worker_watch.next_offset = None
+        await self.worker_watch.poll(self._count_received)
+        self.writer.record_confirmation(sent_s, sent_boot_s)
+        self.writer.sequence = 1
+        return {row.key: row.value for row in newest.values() if row.value}
+
+    def _count_received(self, size_bytes: int) -> None:
+        self.loaded_bytes += size_bytes
+
+    async def _recover_jobs(self, stored: dict[str, bytes]) -> None:
+        slice_began_s = monotonic_s()
+        for _ in takeover.iter_recovery(self.cell, stored, slice_began_s, unix_s()):
+            self.recovered_records += 1
+            if monotonic_s() - slice_began_s > SLICE_S:
+                await asyncio.sleep(0)
+                slice_began_s = monotonic_s()
+
+
+@contextlib.contextmanager
+def _pause_garbage_collection() -> t.Iterator[None]:
+    """Collect no garbage meanwhile: a collection would scan all new objects at once."""
+    gc.disable()
+    try:
+        yield
+    finally:
+        # Together these move the new objects to the oldest generation, unscanned.
+        gc.freeze()
+        gc.unfreeze()
+        gc.enable()
--- /dev/null
+++ b/packages/daemon/bulrushspur_daemon/worker_records.py
@@ -0,0 +1,83 @@
+"""Keep the stored list of the workers on which runs may be in progress.
+
+A worker is recorded before the term connects to it, so that the next term knows every
+worker on which this term may have started runs.
+"""
+
+import dataclasses
+import typing as t
+
+from bulrushspur_daemon.record_writer import RecordWriter
+from bulrushspur_scheduler.cell import Cell
+from bulrushspur_scheduler.records import (
+    WORKERS_KEY,
+    WorkerRecord,
+    decode_workers,
+    encode_workers,
+)
+from bulrushspur_scheduler.resources import Resources
+from bulrushspur_scheduler.workers import Worker, WorkerEntry, make_worker
+
+_NO_RESOURCES = Resources()
+
+
+@dataclasses.dataclass
+class WorkerRecords:
+    """The recorded workers by id; ``open_connection`` is called once one is stored."""
+
+    cell: Cell
+    writer: RecordWriter
+    open_connection: t.Callable[[Worker], None]
+    spawn: t.Callable[[t.Coroutine[t.Any, t.Any, None]], None]
+    has_ended: t.Callable[[], bool]
+    by_id: dict[str, WorkerRecord] = dataclasses.field(default_factory=dict)
+
+    def add(self, worker: Worker) -> None:
+        """Store a record of a new worker, then connect to it."""
+        if worker.id in self.by_id:
+            self.open_connection(worker)
+            return
+        entry = worker.entry
+        self.by_id[worker.id] = WorkerRecord(
+            worker.id, entry.address, entry.incarnation_start_ms
+        )
+        self._queue()
+        self.spawn(self._open_when_durable(worker))
+
+    def remove(self, worker_id: str) -> None:
+        """Remove a worker on which nothing can run any more."""
+        if self.by_id.pop(worker_id, None) is not None:
+            self._queue()
+
+    def recover(self, data: bytes, now_s: float) -> None:
+        """Add the workers on which earlier terms may have left runs.
+
+        Raises msgspec.DecodeError.
+        """
+        for record in decode_workers(data):
+            self.by_id[record.id] = record
+            worker = self.cell.workers.get(record.id)
+            if worker is None:
+                entry = WorkerEntry(
+                    record.id,
+                    "",
+                    record.address,
+                    "",
+                    _NO_RESOURCES,
+                    incarnation_start_ms=record.incarnation_start_ms,
+                )
+                worker = self.cell.workers[record.id] = make_worker(entry, now_s)
+                worker.listed = False
+                self.open_connection(worker)
+        # The list queued while the workers' entries were loaded lacks these records.
+        self._queue()
+
+    def _queue(self) -> None:
+        self.writer.pending_records[WORKERS_KEY] = encode_workers(
+            list(self.by_id.values())
+        )
+
+    async def _open_when_durable(self, worker: Worker) -> None:
+        await self.writer.wait_durable()
+        if not self.has_ended() and worker.id in self.cell.workers:
+            self.open_connection(worker)
--- a/packages/daemon/bulrushspur_daemon/worker_watch.py
+++ b/packages/daemon/bulrushspur_daemon/worker_watch.py
@@ -62,14 +62,17 @@
             self._unlist_missing()
             await asyncio.sleep(POLL_INTERVAL_S)
 
-    async def poll(self) -> None:
+    async def poll(self, on_received: t.Callable[[int], None] | None = None) -> None:
         """Apply the records added since the last poll, at first the newest of each key.
 
+        ``on_received`` gets the number of bytes of each part of the newest records.
         Raises StoreTruncatedError and StoreUnavailableError.
         """
         topic = self.adapter.workers_topic
         if self.next_offset is None:
-            newest, self.next_offset = await self.store.read_newest(topic)
+            newest, self.next_offset = await self.store.read_newest(
+                topic, on_received=on_received
+            )
             for worker in self.cell.workers.values():
                 if worker.id not in newest and worker.listed:
                     self.missing_since_s.setdefault(worker.id, monotonic_s())
--- a/packages/kernel/bulrushspur_kernel/http_pool.py
+++ b/packages/kernel/bulrushspur_kernel/http_pool.py
@@ -46,11 +46,13 @@
         body: bytes = b"",
         headers: t.Sequence[tuple[str, str]] = (),
         timeout_s: float = 1.0,
+        on_received: t.Callable[[int], None] | None = None,
     ) -> HttpResponse:
         """Make one request; raises NotSentError or ResponseLostError.
 
         ``timeout_s`` limits the wait for the response; while the parts of a large body
-        keep arriving, the wait continues.
+        keep arriving, the wait continues. ``on_received`` gets the number of bytes of
+        each part of the body when it arrives.
         """
         connection = await self._acquire(timeout_s)
         complete = False
@@ -61,7 +63,7 @@
                     all_headers.append(("content-type", "application/json"))
                 await connection.send_request(method, path, all_headers, body)
                 status = await connection.read_response_head()
-                data = await self._read_body(connection, timeout)
+                data = await self._read_body(connection, timeout, on_received)
                 response = HttpResponse(status, dict(connection.headers), data)
             complete = True
         except TimeoutError as exc:
@@ -78,7 +80,10 @@
         return response
 
     async def _read_body(
-        self, connection: ClientConnection, timeout: asyncio.Timeout
+        self,
+        connection: ClientConnection,
+        timeout: asyncio.Timeout,
+        on_received: t.Callable[[int], None] | None,
     ) -> bytes:
         """Read a body; extend the timeout with each part of a large one."""
         loop = asyncio.get_running_loop()
@@ -87,6 +92,8 @@
         async for data in connection.iter_body():
             parts.append(data)
             size += len(data)
+            if on_received is not None:
+                on_received(len(data))
             if size > MIN_BULK_BYTES:
                 self.last_bulk_s = time.monotonic()
                 timeout.reschedule(
--- a/packages/kernel/bulrushspur_kernel/membership_records.py
+++ b/packages/kernel/bulrushspur_kernel/membership_records.py
@@ -4,8 +4,10 @@
 
 import msgspec
 
-MEMBERSHIP_TOPIC: t.Final = "keyed.cell"
+CLAIMS_TOPIC: t.Final = "keyed.cell"
 LEADER_KEY: t.Final = "leader"
+# Apart from the claims: a claim is appended on condition that its topic has not grown.
+NODES_TOPIC: t.Final = "keyed.nodes"
 NODE_PREFIX: t.Final = "node/"
 
 
@@ -21,8 +23,12 @@
 
 
 class LeaderRecord(msgspec.Struct, array_like=True):
-    """A claim to lead, by an incarnation of a process; ``claim_id`` is unique."""
+    """A claim to lead, by an incarnation of a process; ``claim_id`` is unique.
+
+    ``unsettled_terms`` counts the terms just before it that did not serve for long.
+    """
 
     name: str
     claim_id: str
     incarnation: str = ""
+    unsettled_terms: int = 0
--- a/packages/kernel/bulrushspur_kernel/messages.py
+++ b/packages/kernel/bulrushspur_kernel/messages.py
@@ -65,7 +65,8 @@
 
     ``store_age_ms`` is the time since the store last answered the leader, and
     ``waiting_jobs`` counts by queue the jobs of which no task has started, without
-    repeating jobs.
+    repeating jobs. Before the leader serves, ``loaded_bytes`` and ``recovered_records``
+    show how far its recovery has come.
     """
 
     term: int
@@ -74,6 +75,8 @@
     config_version: int
     store_age_ms: int
     waiting_jobs: dict[str, int] = {}
+    loaded_bytes: int = 0
+    recovered_records: int = 0
 
 
 class AdviceRequest(_Message, tag=6):
--- a/packages/kernel/bulrushspur_kernel/store.py
+++ b/packages/kernel/bulrushspur_kernel/store.py
@@ -90,11 +90,15 @@
         ...
 
     async def read_newest(
-        self, topic: str, timeout_s: float = 2.0
+        self,
+        topic: str,
+        timeout_s: float = 2.0,
+        on_received: t.Callable[[int], None] | None = None,
     ) -> tuple[dict[str, StoredRecord], int]:
         """Read the newest record of each key; return them and the next offset.
 
-        Raises StoreUnavailableError.
+        ``on_received`` gets the number of bytes of each part of an answer when it
+        arrives. Raises StoreUnavailableError.
         """
         ...
 
--- a/packages/scheduler/bulrushspur_scheduler/leadership.py
+++ b/packages/scheduler/bulrushspur_scheduler/leadership.py
@@ -4,6 +4,10 @@
 it. The result is whether the leader counts as lost, and how long this process waits
 before it claims. Each process decides by itself. The waiting times differ by rank:
 normally the best candidate claims first, and the others see its claim in time.
+
+A leader that recovers slowly is not replaced while it makes progress, because its
+successor would have to load the same records. Terms that end before they have served
+for a while lengthen the timeouts of the next one.
 """
 
 import dataclasses
@@ -17,8 +21,19 @@
 FIRST_HEARTBEAT_TIMEOUT_S: t.Final = 1.0
 PREEXISTING_CLAIM_TIMEOUT_S: t.Final = 0.6
 REJOIN_GRACE_S: t.Final = 1.0
+# Processes that start together need this long to register and to see each other.
+FIRST_CLAIM_WAIT_S: t.Final = 0.5
 CLAIM_STAGGER_S: t.Final = 0.12
-FIRST_CLAIM_STAGGER_S: t.Final = 0.06
+# The first ranks are far enough apart to see each other's claims. The others are
+# closer, so that the loss of many VMs does not leave the cell without a leader.
+WIDELY_STAGGERED_RANKS: t.Final = 4
+CLOSE_CLAIM_STAGGER_S: t.Final = 0.006
+# If the store answers more slowly, claims are seen later, and the close ranks wait
+# longer.
+USUAL_STORE_LATENCY_S: t.Final = 0.015
+# A term that has served for this long is settled.
+SETTLED_AFTER_S: t.Final = 3.0
+MAX_PATIENCE: t.Final = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,6 +44,9 @@
     - ``restarted``: the leader's process has restarted since its claim.
     - ``disconnected``: the connection to the leader broke after its last heartbeat.
     - ``leader_store_age_s``: the time since the store last answered the leader.
+    - ``is_recovering``: its last heartbeat said that it does not serve yet.
+    - ``recovery_stalled_s``: the time since its recovery last advanced.
+    - ``unsettled_terms``: how many terms in succession ended before they had settled.
     - ``store_regained_age_s``: the time since the store answered this process again.
     - ``link_busy``: a large answer is arriving here and delays all other messages.
     """
@@ -44,6 +62,54 @@
     resigned: bool
     store_regained_age_s: float = 1e9
     link_busy: bool = False
+    is_recovering: bool = False
+    recovery_stalled_s: float = 0.0
+    unsettled_terms: int = 0
+
+
+@dataclasses.dataclass
+class TermWatch:
+    """Observe whether the present term settles, and count those that did not.
+
+    ``unsettled_terms`` counts the terms before the present one, as its claim says.
+    """
+
+    term: int = 0
+    unsettled_terms: int = 0
+    # A term that began before this process watched may have served unobserved.
+    is_observed: bool = False
+    serving_since_s: float | None = None
+    is_settled: bool = False
+
+    def begin_term(self, term: int, unsettled_terms: int, is_observed: bool) -> None:
+        """Start to observe a new term."""
+        self.term = term
+        self.unsettled_terms = unsettled_terms
+        self.is_observed = is_observed
+        self.serving_since_s = None
+        self.is_settled = False
+
+    def observe(self, is_serving: bool, now_s: float) -> None:
+        """Record whether the leader of the present term serves now."""
+        if not is_serving:
+            self.serving_since_s = None
+            return
+        if self.serving_since_s is None:
+            self.serving_since_s = now_s
+        if now_s - self.serving_since_s >= SETTLED_AFTER_S:
+            self.is_settled = True
+            self.unsettled_terms = 0
+
+    def next_unsettled_terms(self) -> int:
+        """Return the count that a claim made now, to replace this term, should have."""
+        if self.is_settled or not self.term:
+            return 0
+        return self.unsettled_terms + self.is_observed
+
+
+def patience(unsettled_terms: int) -> int:
+    """Return by how much to multiply the timeouts for a slow leader."""
+    return min(1 << min(unsettled_terms, MAX_PATIENCE), MAX_PATIENCE)
 
 
 def is_leader_lost(view: LeaderView) -> bool:
@@ -65,13 +131,15 @@
             if view.claim_preexisting
             else FIRST_HEARTBEAT_TIMEOUT_S
         )
-        return view.claim_age_s > grace_s
+        return view.claim_age_s > grace_s * patience(view.unsettled_terms)
     if view.disconnected and view.heartbeat_age_s > DISCONNECTED_LEADER_TIMEOUT_S:
         return True
-    return (
-        view.heartbeat_age_s > LEADER_TIMEOUT_S
-        or view.leader_store_age_s > STORE_CONTACT_TIMEOUT_S
+    if view.heartbeat_age_s > LEADER_TIMEOUT_S:
+        return True
+    stalled_s = (
+        view.recovery_stalled_s if view.is_recovering else view.leader_store_age_s
     )
+    return stalled_s > STORE_CONTACT_TIMEOUT_S * patience(view.unsettled_terms)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,14 +153,20 @@
 
 
 def claim_delay_s(
-    name: str, candidates: t.Iterable[Candidate], lost_domain: str, is_first: bool
+    name: str,
+    candidates: t.Iterable[Candidate],
+    lost_domain: str,
+    is_first: bool,
+    store_latency_s: float = 0.0,
 ) -> float:
     """Return how many seconds a process waits before its claim.
 
     Candidates in other failure domains than that of the lost leader go first, because
     all of its domain may be unreachable; then VMs with more cores; among equals the
     process that was started last, because in a rolling restart it is the last to be
-    stopped again. ``is_first`` means that the cell has no known leader to replace.
+    stopped again. ``is_first`` means that the cell has no known leader to replace; then
+    all wait until the processes that start with them have registered.
+    ``store_latency_s`` is how long the store takes to answer.
     """
     order = [
         candidate.name
@@ -107,4 +181,10 @@
         )
     ]
     rank = order.index(name) if name in order else len(order)
-    return rank * (FIRST_CLAIM_STAGGER_S if is_first else CLAIM_STAGGER_S)
+    wide_ranks = min(rank, WIDELY_STAGGERED_RANKS)
+    slowness = max(store_latency_s / USUAL_STORE_LATENCY_S, 1.0)
+    return (
+        wide_ranks * CLAIM_STAGGER_S
+        + (rank - wide_ranks) * CLOSE_CLAIM_STAGGER_S * slowness
+        + (FIRST_CLAIM_WAIT_S if is_first else 0.0)
+    )
--- a/packages/scheduler/bulrushspur_scheduler/records.py
+++ b/packages/scheduler/bulrushspur_scheduler/records.py
@@ -231,7 +231,7 @@
     is; returns None otherwise. Raises msgspec.DecodeError.
     """
     record = _decode_progress(data)
-    state = JOB_STATES[record.state]
+    state = _decode_state(record.state)
     if state in (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED):
         return FinishedJob(state, record.account, record.queue, 0.0)
     job.state = state
@@ -254,13 +254,19 @@
     return None
 
 
+def _decode_state(number: int) -> JobState:
+    if not 0 <= number < len(JOB_STATES):
+        raise msgspec.ValidationError(f"unknown state of a job: {number}")
+    return JOB_STATES[number]
+
+
 def decode_finished(data: bytes) -> FinishedJob | None:
     """Decode the progress record of a job whose job record was removed.
 
     Returns None if it has no final state. Raises msgspec.DecodeError.
     """
     record = _decode_progress(data)
-    state = JOB_STATES[record.state]
+    state = _decode_state(record.state)
     if state in (JobState.QUEUED, JobState.RUNNING):
         return None
     return FinishedJob(state, record.account, record.queue, 0.0)
--- a/packages/scheduler/bulrushspur_scheduler/takeover.py
+++ b/packages/scheduler/bulrushspur_scheduler/takeover.py
@@ -28,24 +28,40 @@
 def recover_jobs(
     cell: Cell, stored: dict[str, bytes], now_s: float, unix_s: float
 ) -> None:
-    """Rebuild jobs and final states from the stored records, given by key.
+    """Rebuild jobs and final states from the stored records, given by key."""
+    for _ in iter_recovery(cell, stored, now_s, unix_s):
+        pass
 
-    A job whose records can't be decoded is logged and skipped. Raises
-    msgspec.DecodeError for an invalid progress record without a job record.
+
+def iter_recovery(
+    cell: Cell, stored: dict[str, bytes], now_s: float, unix_s: float
+) -> t.Iterator[None]:
+    """Rebuild jobs and final states; yield after each record.
+
+    The caller may do other work between two records, but not change the jobs of the
+    cell. A record that can't be decoded is logged and skipped.
     """
     for key, data in stored.items():
-        if not key.startswith(PROGRESS_KEY_PREFIX):
-            continue
-        job_id = key[len(PROGRESS_KEY_PREFIX) :]
-        if JOB_KEY_PREFIX + job_id in stored:
-            continue
+        if key.startswith(PROGRESS_KEY_PREFIX):
+            job_id = key[len(PROGRESS_KEY_PREFIX) :]
+            if JOB_KEY_PREFIX + job_id not in stored:
+                _recover_finished(cell, job_id, data, now_s)
+        elif key.startswith(JOB_KEY_PREFIX):
+            job_id = key[len(JOB_KEY_PREFIX) :]
+            _recover_job(cell, job_id, data, stored, now_s, unix_s)
+        yield
+
+
+def _recover_finished(cell: Cell, job_id: str, data: bytes, now_s: float) -> None:
+    """Recover the final state of a job whose job record was removed."""
+    try:
         finished = decode_finished(data)
-        if finished is not None:
-            finished.finished_s = now_s
-            cell.finished_jobs[job_id] = finished
-    for key, data in stored.items():
-        if key.startswith(JOB_KEY_PREFIX):
-            _recover_job(cell, key[len(JOB_KEY_PREFIX) :], data, stored, now_s, unix_s)
+    except msgspec.DecodeError as exc:
+        cell.log("record_unreadable", job_id, reason=str(exc))
+        return
+    if finished is not None:
+        finished.finished_s = now_s
+        cell.finished_jobs[job_id] = finished
 
 
 def _recover_job(
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,15 +1,20 @@
 """Forward loopback TCP connections to a target, with faults injected on the way.
 
-The proxy can delay data, block one or both directions, and reset connections. It
-never drops, changes or reorders the data of a connection that stays open.
+The proxy can delay data, limit its rate, block one or both directions, and reset
+connections. It never drops, changes or reorders the data of a connection that stays
+open.
 """
 
 import asyncio
 import contextlib
 import dataclasses
 import enum
+import time
 import typing as t
 
+# Small enough that a slow link carries a chunk in less time than a heartbeat interval.
+CHUNK_BYTES: t.Final = 8192
+
 
 class LinkFault(enum.Enum):
     """Fault that a proxy applies to the data in transit."""
@@ -26,12 +31,16 @@
     """Listen on a loopback port and forward each connection to ``target``.
 
     ``target`` is ``host:port``. ``fault`` may be changed while connections are open.
-    ``delay_s`` applies to each chunk of data under ``LinkFault.DELAY``.
+    ``delay_s`` applies to each chunk of data under ``LinkFault.DELAY``. All connections
+    share ``bytes_per_s`` in each direction; 0 means no limit.
     """
 
     target: str
     fault: LinkFault = LinkFault.NONE
     delay_s: float = 0.1
+    bytes_per_s: float = 0.0
+    # Until when the link is busy, by direction.
+    busy_until_s: dict[LinkFault, float] = dataclasses.field(default_factory=dict)
     server: asyncio.Server | None = None
     writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
     tasks: set[asyncio.Task[t.Any]] = dataclasses.field(default_factory=set)
@@ -70,17 +79,27 @@
         blocking_fault: LinkFault,
     ) -> None:
         with contextlib.suppress(OSError):
-            while data := await source.read(65_536):
+            while data := await source.read(CHUNK_BYTES):
                 # Blocked data is delivered late and in order once the fault is cleared.
                 while self.fault in (LinkFault.BLOCK_BOTH, blocking_fault):
                     await asyncio.sleep(0.02)
                 if self.fault is LinkFault.DELAY:
                     await asyncio.sleep(self.delay_s)
+                await self._wait_for_link(len(data), blocking_fault)
                 sink.write(data)
                 await sink.drain()
         sink.close()
         self.writers.discard(sink)
 
+    async def _wait_for_link(self, size_bytes: int, direction: LinkFault) -> None:
+        """Wait for as long as the data takes on a link of the limited rate."""
+        if not self.bytes_per_s:
+            return
+        now_s = time.monotonic()
+        busy_until_s = max(self.busy_until_s.get(direction, 0.0), now_s)
+        self.busy_until_s[direction] = busy_until_s + size_bytes / self.bytes_per_s
+        await asyncio.sleep(self.busy_until_s[direction] - now_s)
+
     def reset(self) -> None:
         """Reset all open connections; the proxy keeps listening."""
         for writer in list(self.writers):
--- /dev/null
+++ b/tests/test_term_recovery.py
@@ -0,0 +1,135 @@
+"""Test that the recovery of a term shows its progress and does not hold the event loop.
+
+A leader whose heartbeats stop or show no progress while it loads is replaced, and its
+successor has to load the same records.
+"""
+
+import asyncio
+import dataclasses
+import gc
+import time
+import unittest
+
+from bulrushspur_daemon.main import configure_garbage_collection
+from bulrushspur_daemon.record_writer import RecordWriter
+from bulrushspur_daemon.term_recovery import TermRecovery
+from bulrushspur_daemon.worker_records import WorkerRecords
+from bulrushspur_kernel.metrics import Metrics
+from bulrushspur_kernel.store import StoredRecord, StoreUnavailableError
+from bulrushspur_scheduler.cell import make_cell
+from bulrushspur_scheduler.config import make_config
+from bulrushspur_scheduler.jobs import Job, JobSpec, StepSpec
+from bulrushspur_scheduler.records import (
+    JOB_KEY_PREFIX,
+    PROGRESS_KEY_PREFIX,
+    WORKERS_KEY,
+    WorkerRecord,
+    encode_job,
+    encode_workers,
+)
+from bulrushspur_scheduler.resources import Resources
+from tests.cluster import job_id
+from tests.test_config_watch import NullEventLog
+
+PART_COUNT = 10
+MAX_HOLD_S = 0.05
+
+
+@dataclasses.dataclass
+class SlowStore:
+    """A store whose answer with all records arrives in parts, after some failures."""
+
+    records: dict
+    failures: int = 0
+    appends: int = 0
+    last_bulk_s: float = -1e9
+
+    async def append(self, topic, rows, writer=None):
+        self.appends += 1
+
+    async def read_newest(self, topic, timeout_s=2.0, on_received=None):
+        if self.failures:
+            self.failures -= 1
+            raise StoreUnavailableError("no answer")
+        for _ in range(PART_COUNT):
+            await asyncio.sleep(0.01)
+            on_received(1000)
+        rows = {key: StoredRecord(0, key, value) for key, value in self.records.items()}
+        return rows, 1
+
+
+class FakeWorkerWatch:
+    next_offset = None
+
+    async def poll(self, on_received):
+        on_received(500)
+
+
+def make_job_records(count, tasks):
+    step = StepSpec(tasks, Resources(1000, 100, 0), 1.0)
+    records = {}
+    for number in range(count):
+        spec = JobSpec(job_id(number), "payload", (step, step))
+        job = Job(spec, "assess", "coursework", "school", 0.0, time.time())
+        records[JOB_KEY_PREFIX + spec.id] = encode_job(job)
+    return records
+
+
+class TermRecoveryTest(unittest.IsolatedAsyncioTestCase):
+    def make_recovery(self, store):
+        cell = make_cell(make_config(1), fencing_token=3)
+        log = NullEventLog()
+        writer = RecordWriter(store, cell, log, Metrics(), lambda reason: None)
+        self.opened = []
+        records = WorkerRecords(
+            cell, writer, self.opened.append, lambda coroutine: None, lambda: False
+        )
+        return TermRecovery(store, cell, writer, FakeWorkerWatch(), records, log, 10.0)
+
+    async def watch_loop(self, recovery):
+        """Return the longest time that the loop was held for, and the progress seen."""
+        longest_s, seen = 0.0, []
+        task = asyncio.create_task(recovery.run())
+        while not task.done():
+            began_s = time.monotonic()
+            await asyncio.sleep(0.001)
+            longest_s = max(longest_s, time.monotonic() - began_s)
+            seen.append((recovery.loaded_bytes, recovery.recovered_records))
+        await task
+        return longest_s, seen
+
+    async def test_progress_is_shown_and_the_loop_is_never_held_for_long(self):
+        recovery = self.make_recovery(SlowStore(make_job_records(2000, 20)))
+        self.addCleanup(gc.unfreeze)
+        self.addCleanup(gc.set_threshold, *gc.get_threshold())
+        configure_garbage_collection()
+        longest_s, seen = await self.watch_loop(recovery)
+        self.assertLess(longest_s, MAX_HOLD_S)
+        self.assertEqual(len(recovery.cell.jobs), 2000)
+        self.assertGreater(len({loaded for loaded, _ in seen}), PART_COUNT // 2)
+        self.assertGreater(len({recovered for _, recovered in seen}), 5)
+
+    async def test_load_is_repeated_and_recorded_workers_are_opened(self):
+        records = make_job_records(1, 2)
+        records[WORKERS_KEY] = encode_workers([WorkerRecord("w1", "a:1", 5)])
+        store = SlowStore(records, failures=2)
+        recovery = self.make_recovery(store)
+        await recovery.run()
+        self.assertEqual(store.appends, 3)
+        self.assertEqual([worker.id for worker in self.opened], ["w1"])
+        self.assertEqual(recovery.cell.unobserved_workers, {"w1"})
+        self.assertFalse(recovery.cell.reconciled)
+
+    async def test_unreadable_records_are_skipped(self):
+        records = make_job_records(1, 2)
+        records[PROGRESS_KEY_PREFIX + job_id(7)] = b"\xc1"
+        # A final state that this version does not know.
+        records[PROGRESS_KEY_PREFIX + job_id(8)] = b"\x93\x63\xa1a\xa1q"
+        records[PROGRESS_KEY_PREFIX + job_id(0)] = b"\x93\x63\xa1a\xa1q"
+        recovery = self.make_recovery(SlowStore(records))
+        await recovery.run()
+        self.assertEqual(recovery.cell.counters["record_unreadable"], 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
