Tell no count before the leader has one, and judge restarts by offset

After all processes were killed five claims followed each other: each claim looked like that of a restarted process, since the node records were older than it. A process that had just registered claimed 1 s after a claim, before the leader had read its registration.

Change: counts come only from heartbeats of a leader that serves, and hold for 3 s; without one the answer is 503 with Retry-After. A claim has the offset of its process's registration, and only a later registration counts as a restart. A process that registered less than 1.5 s ago leaves the leader time to find it, and none claims before it has registered.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -11,7 +11,6 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -19,6 +18,7 @@
 
 import msgspec
 
+from bench.ports import find_free_port
 from bulrushspur_kernel.http_client import (
     NotSentError,
     ResponseLostError,
@@ -32,13 +32,6 @@
 READY_TIMEOUT_S: t.Final = 15.0
 
 
-def find_free_port() -> int:
-    """Return a loopback TCP port that is free now; nothing reserves it."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 @dataclasses.dataclass
 class EntryProcess:
     """An entry process and its settings; ``process`` is None while it is stopped."""
--- a/packages/daemon/bulrushspur_daemon/election.py
+++ b/packages/daemon/bulrushspur_daemon/election.py
@@ -78,6 +78,7 @@
             link_busy=is_receiving_bulk(claim_log.store, monotonic_s()),
             is_recovering=has_heartbeat and not client.serving,
             recovery_stalled_s=client.recovery_stalled_s(),
+            registered_age_s=monotonic_s() - self.node_registry.registered_s,
             unsettled_terms=self.term_watch.unsettled_terms,
         )
 
@@ -98,7 +99,7 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             self._observe_term()
-            if self.stopping or self.is_leader() or self.claim_log.next_offset is None:
+            if self.stopping or self.is_leader() or not self._may_claim():
                 self.leader_lost_since_s = None
                 continue
             view = self.make_leader_view()
@@ -125,6 +126,13 @@
             if now_s - self.leader_lost_since_s >= self._claim_delay_s(view):
                 await self._claim()
 
+    def _may_claim(self) -> bool:
+        """Return whether the claims were read and this process has registered."""
+        return (
+            self.claim_log.next_offset is not None
+            and self.node_registry.own_offset is not None
+        )
+
     def _claim_delay_s(self, view: LeaderView) -> float:
         registry = self.node_registry
         record = self.claim_log.leader
@@ -176,6 +184,7 @@
                     claim_id,
                     self.incarnation,
                     self.term_watch.next_unsettled_terms(),
+                    self.node_registry.own_offset or 0,
                 )
             )
             self.leader_lost_since_s = None
--- a/packages/daemon/bulrushspur_daemon/gateway.py
+++ b/packages/daemon/bulrushspur_daemon/gateway.py
@@ -30,6 +30,8 @@
 # answered as in doubt; its caller may send it again.
 SUBMIT_TIMEOUT_S: t.Final = 1.5
 DEADLINE_MARGIN_S: t.Final = 0.1
+# Older counts of waiting jobs are not passed on.
+MAX_COUNT_AGE_S: t.Final = 3.0
 MAX_FINAL_STATES: t.Final = 5000
 
 ANONYMOUS_ACCOUNT: t.Final = Account("")
@@ -89,9 +91,16 @@
             return ANONYMOUS_ACCOUNT
         return account
 
-    def count_waiting(self, queue: Queue) -> int:
-        """Return the number of jobs of a queue of which no task has started."""
-        return self.leader_client.waiting_jobs.get(queue.name, 0)
+    def count_waiting(self, queue: Queue) -> int | None:
+        """Return the number of jobs of a queue of which no task has started.
+
+        Returns None if no leader has told it recently: a leader that recovers does not
+        know it yet.
+        """
+        client = self.leader_client
+        if monotonic_s() - client.waiting_jobs_s > MAX_COUNT_AGE_S:
+            return None
+        return client.waiting_jobs.get(queue.name, 0)
 
     async def submit(
         self, queue: Queue, account: Account, spec: JobSpec, deadline_s: float
--- a/packages/daemon/bulrushspur_daemon/leader_client.py
+++ b/packages/daemon/bulrushspur_daemon/leader_client.py
@@ -66,7 +66,9 @@
     recovery_progress: tuple[int, int, int] = (0, 0, 0)
     recovery_advanced_s: float = -1e9
     resigned: bool = False
+    # Counts by queue of the latest leader that served, and when they came.
     waiting_jobs: dict[str, int] = dataclasses.field(default_factory=dict)
+    waiting_jobs_s: float = -1e9
     pending_replies: dict[int, asyncio.Future[Reply]] = dataclasses.field(
         default_factory=dict
     )
@@ -97,7 +99,9 @@
         self.last_heartbeat_s = monotonic_s()
         self.store_age_s = heartbeat.store_age_ms / 1000
         self._record_recovery_progress(heartbeat)
-        self.waiting_jobs = heartbeat.waiting_jobs
+        if heartbeat.serving:
+            self.waiting_jobs = heartbeat.waiting_jobs
+            self.waiting_jobs_s = self.last_heartbeat_s
         self.on_config_version(heartbeat.config_version)
         if has_changed:
             self._notify_change()
--- a/packages/daemon/bulrushspur_daemon/native_interface.py
+++ b/packages/daemon/bulrushspur_daemon/native_interface.py
@@ -193,8 +193,11 @@
         return
     job_id = request.path[len(queue.path_prefix) :]
     if not job_id and request.method == "GET":
-        answer = {"waiting": gateway.count_waiting(queue)}
-        await exchange.send_json(200, msgspec.json.encode(answer))
+        count = gateway.count_waiting(queue)
+        if count is None:
+            await _refuse(exchange, ErrorKind.PEER_LOST, "No leader has counted yet.")
+            return
+        await exchange.send_json(200, msgspec.json.encode({"waiting": count}))
         return
     if not job_id.isalnum() or len(job_id) > MAX_JOB_ID_LENGTH:
         sentence = (
--- a/packages/daemon/bulrushspur_daemon/node_registry.py
+++ b/packages/daemon/bulrushspur_daemon/node_registry.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from bulrushspur_daemon.clock import monotonic_s
 from bulrushspur_kernel.logs import EventLog
 from bulrushspur_kernel.membership_records import (
     NODE_PREFIX,
@@ -49,6 +50,9 @@
     has_known_leader: t.Callable[[], bool]
     nodes: dict[str, NodeRecord] = dataclasses.field(default_factory=dict)
     offsets: dict[str, int] = dataclasses.field(default_factory=dict)
+    # Where this process has registered, and when.
+    own_offset: int | None = None
+    registered_s: float = -1e9
     next_offset: int | None = None
     first_retained_offset: int = 0
     store_unavailable: bool = False
@@ -74,9 +78,10 @@
             await self._load()
         if self.nodes.get(own_record.name) != own_record:
             key = NODE_PREFIX + own_record.name
-            await self.store.append(
+            self.own_offset = await self.store.append(
                 NODES_TOPIC, [(key, msgspec.msgpack.encode(own_record))]
             )
+            self.registered_s = monotonic_s()
         await self._read(LONG_POLL_TIMEOUT_S if self.is_leader() else 0.0)
         if self.store_unavailable:
             self.store_unavailable = False
@@ -147,8 +152,16 @@
             self.apply(dataclasses.replace(record, offset=_LEGACY_OFFSET))
 
     def has_restarted(self, leader: LeaderRecord | None) -> bool:
-        """Return whether the process that made a claim has restarted since."""
+        """Return whether the process that made a claim has restarted since.
+
+        The records read here may be older than the claim, so another incarnation alone
+        proves nothing.
+        """
         if leader is None:
             return False
         node = self.nodes.get(leader.name)
-        return node is not None and node.incarnation != leader.incarnation
+        return (
+            node is not None
+            and node.incarnation != leader.incarnation
+            and self.offsets[leader.name] > leader.node_offset
+        )
--- a/packages/scheduler/bulrushspur_scheduler/leadership.py
+++ b/packages/scheduler/bulrushspur_scheduler/leadership.py
@@ -20,6 +20,8 @@
 BUSY_LINK_LEADER_TIMEOUT_S: t.Final = 2.5
 FIRST_HEARTBEAT_TIMEOUT_S: t.Final = 1.0
 PREEXISTING_CLAIM_TIMEOUT_S: t.Final = 0.6
+# The leader connects to a process only after it has read its registration.
+NEWCOMER_GRACE_S: t.Final = 1.5
 REJOIN_GRACE_S: t.Final = 1.0
 # Processes that start together need this long to register and to see each other.
 FIRST_CLAIM_WAIT_S: t.Final = 0.5
@@ -46,6 +48,7 @@
     - ``leader_store_age_s``: the time since the store last answered the leader.
     - ``is_recovering``: its last heartbeat said that it does not serve yet.
     - ``recovery_stalled_s``: the time since its recovery last advanced.
+    - ``registered_age_s``: the time since this process registered.
     - ``unsettled_terms``: how many terms in succession ended before they had settled.
     - ``store_regained_age_s``: the time since the store answered this process again.
     - ``link_busy``: a large answer is arriving here and delays all other messages.
@@ -64,6 +67,7 @@
     link_busy: bool = False
     is_recovering: bool = False
     recovery_stalled_s: float = 0.0
+    registered_age_s: float = 1e9
     unsettled_terms: int = 0
 
 
@@ -131,7 +135,10 @@
             if view.claim_preexisting
             else FIRST_HEARTBEAT_TIMEOUT_S
         )
-        return view.claim_age_s > grace_s * patience(view.unsettled_terms)
+        return (
+            view.claim_age_s > grace_s * patience(view.unsettled_terms)
+            and view.registered_age_s > NEWCOMER_GRACE_S
+        )
     if view.disconnected and view.heartbeat_age_s > DISCONNECTED_LEADER_TIMEOUT_S:
         return True
     if view.heartbeat_age_s > LEADER_TIMEOUT_S:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -7,12 +7,12 @@
 import asyncio
 import dataclasses
 import os
-import socket
 import tempfile
 import time
 
 import msgspec
 
+from bench.ports import find_free_port
 from bulrushspur_daemon.process import listen, make_background_loops, make_process
 from bulrushspur_kernel.http_client import (
     NotSentError,
@@ -64,13 +64,6 @@
 }
 
 
-def find_free_port():
-    """Return a port that was free just now; another process may take it."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 @dataclasses.dataclass
 class InProcessEntry:
     """An entry process with the tasks of its background loops and its log file."""
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -49,6 +49,8 @@
 
     nodes: dict = dataclasses.field(default_factory=dict)
     offsets: dict = dataclasses.field(default_factory=dict)
+    own_offset: int = 0
+    registered_s: float = -1e9
 
     def has_restarted(self, leader):
         return False
--- a/tests/test_first_hour.py
+++ b/tests/test_first_hour.py
@@ -11,7 +11,7 @@
 import tempfile
 import unittest
 
-from bench.processes import find_free_port
+from bench.ports import find_free_port
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PAGE = ROOT / "docs" / "OPERATORS.md"
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -76,6 +76,12 @@
             self.is_lost(**new_leader, claim_age_s=0.8, claim_preexisting=True)
         )
 
+    def test_process_that_just_registered_gives_the_leader_time_to_find_it(self):
+        no_heartbeat = {"has_heartbeat": False, "claim_age_s": 5.0}
+        self.assertFalse(self.is_lost(**no_heartbeat, registered_age_s=1.0))
+        self.assertTrue(self.is_lost(**no_heartbeat, registered_age_s=2.0))
+        self.assertTrue(self.is_lost(restarted=True, registered_age_s=0.1))
+
     def test_process_that_was_cut_off_waits_for_heartbeats(self):
         self.assertFalse(self.is_lost(heartbeat_age_s=5.0, store_regained_age_s=0.3))
         self.assertTrue(self.is_lost(heartbeat_age_s=5.0, store_regained_age_s=1.5))
--- a/tests/test_node_registry.py
+++ b/tests/test_node_registry.py
@@ -32,6 +32,7 @@
         await asyncio.sleep(0.002)
         for key, value in rows:
             self.records.append(StoredRecord(len(self.records), key, value))
+        return len(self.records) - 1
 
     async def read_newest(self, topic, timeout_s):
         self.reads += 1
@@ -93,8 +94,14 @@
         registry = make_registry(FakeStore())
         value = msgspec.msgpack.encode(make_record("n1", "b"))
         registry.apply(StoredRecord(3, NODE_PREFIX + "n1", value))
-        self.assertFalse(registry.has_restarted(LeaderRecord("n1", "c", "b")))
-        self.assertTrue(registry.has_restarted(LeaderRecord("n1", "c", "a")))
+        for incarnation, node_offset, restarted in (
+            ("b", 3, False),
+            ("a", 2, True),
+            # The claim of an incarnation whose record was not read here yet.
+            ("c", 4, False),
+        ):
+            claim = LeaderRecord("n1", "id", incarnation, node_offset=node_offset)
+            self.assertEqual(registry.has_restarted(claim), restarted)
         self.assertFalse(registry.has_restarted(None))
 
     async def test_record_of_an_earlier_version_gives_way_to_a_new_one(self):
