--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Developer commands. All but clean first set up .venv if a requirements or project file
 # has changed.
-# Variables: SEED and STEPS for fuzz; QUICK=1 for a short bench; SEED, SEEDS and MINUTES
+# Variables: WORKERS, JOBS (a second) and SECONDS for profile; SEED and STEPS for fuzz; QUICK=1 for a short bench; SEED, SEEDS and MINUTES
 # for soak.
 PY := .venv/bin/python
 STAMP := .venv/.ready
@@ -47,6 +47,10 @@
 
 SEEDS ?=
 MINUTES ?=
+.PHONY: profile
+profile: $(STAMP)
+	WORKERS="$(WORKERS)" JOBS="$(JOBS)" SECONDS="$(SECONDS)" $(PY) -m bench.profile
+
 .PHONY: soak
 soak: $(STAMP)
 	SEED="$(SEED)" SEEDS="$(SEEDS)" MINUTES="$(MINUTES)" $(PY) -m soak.run
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -55,14 +55,15 @@
         self.start_count += 1
         with open(log_path, "wb") as log_file:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "bulrushspur_daemon",
-                str(path),
+                *self.command(path),
                 stdout=log_file,
                 stderr=log_file,
             )
 
+    def command(self, settings_path: pathlib.Path) -> list[str]:
+        """Return the command line of the process."""
+        return [sys.executable, "-m", "bulrushspur_daemon", str(settings_path)]
+
     def send_signal(self, signal_number: int) -> None:
         """Send a signal to the process if it is running."""
         if self.process is not None and self.process.returncode is None:
