--- a/packages/daemon/bulrushspur_daemon/advice_dispatcher.py
+++ b/packages/daemon/bulrushspur_daemon/advice_dispatcher.py
@@ -18,15 +18,19 @@
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_scheduler.advice import (
     Lane,
+    LaneGroups,
     apply_advice,
     choose_lane,
     count_free_long_call_lanes,
+    split_lanes,
 )
 from bulrushspur_scheduler.cell import AdviceCall, Cell
 
 # A call without a reply this long after its expected end counts as lost. The expected
 # end allows for the calls queued before it in its lane.
 CALL_TIMEOUT_MARGIN_S: t.Final = 1.0
+# How often to look which entry processes can make calls.
+LANES_REFRESH_INTERVAL_S: t.Final = 0.2
 
 
 @dataclasses.dataclass
@@ -50,6 +54,8 @@
         default_factory=dict
     )
     next_request_id: int = 1
+    lane_groups: LaneGroups = dataclasses.field(default_factory=lambda: split_lanes([]))
+    lanes_refreshed_s: float = -1e9
 
     def dispatch(self) -> None:
         """Send all calls that were added to the cell, urgent ones first."""
@@ -66,20 +72,26 @@
         Only a part of the lanes makes long calls, so that short ones do not wait for
         them.
         """
-        free_count = count_free_long_call_lanes(self._available_lanes(), monotonic_s())
+        now_s = monotonic_s()
+        free_count = count_free_long_call_lanes(self._available_lanes(now_s), now_s)
         self.cell.free_long_call_lanes = free_count
 
-    def _available_lanes(self) -> list[Lane]:
+    def _available_lanes(self, now_s: float) -> LaneGroups:
         """Return the lanes available now; the others are kept with their backlog."""
-        available_names = set(self.lane_names())
-        for name in available_names - self.lanes.keys():
-            self.lanes[name] = Lane(name)
-        return [lane for name, lane in self.lanes.items() if name in available_names]
+        if now_s - self.lanes_refreshed_s > LANES_REFRESH_INTERVAL_S:
+            self.lanes_refreshed_s = now_s
+            available_names = self.lane_names()
+            for name in available_names:
+                if name not in self.lanes:
+                    self.lanes[name] = Lane(name)
+            self.lane_groups = split_lanes([self.lanes[n] for n in available_names])
+        return self.lane_groups
 
     def _send_call(self, call: AdviceCall) -> None:
         """Send a call to a lane, or apply it as failed if no lane takes it."""
         now_s = monotonic_s()
-        lane = choose_lane(self._available_lanes(), call.expected_call_s, now_s)
+        lanes = self._available_lanes(now_s)
+        lane = choose_lane(lanes, call.expected_call_s, now_s)
         request_id = self.next_request_id
         self.next_request_id += 1
         step_key = call.step
--- a/packages/daemon/bulrushspur_daemon/leader_requests.py
+++ b/packages/daemon/bulrushspur_daemon/leader_requests.py
@@ -19,7 +19,7 @@
 from bulrushspur_scheduler import admission, advice, ranking
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.jobs import FINAL_STATES, JobState, make_occurrence
-from bulrushspur_scheduler.placement import make_pool
+from bulrushspur_scheduler.placement import find_recent_pool
 from bulrushspur_scheduler.progress import add_job, finish_job, set_objective
 from bulrushspur_scheduler.records import decode_job
 
@@ -104,7 +104,7 @@
         if not job.is_repeating:
             make_occurrence(job, 0)
         cell.uncommitted_jobs[job.id] = job
-        pool = make_pool(cell, job.service, now_s)
+        pool = find_recent_pool(cell, job.service, now_s)
         if pool.workers:
             self.advice_dispatcher.update_free_long_call_lanes()
             advice.prefetch_advice(cell, job, pool)
--- a/packages/daemon/bulrushspur_daemon/peer_sockets.py
+++ b/packages/daemon/bulrushspur_daemon/peer_sockets.py
@@ -90,7 +90,11 @@
 
     def send(self, message: messages.Message) -> bool:
         """Send to the process; return whether the message was queued for it."""
-        return _send(self.socket, [messages.encode_message(message)])
+        return self.send_encoded(messages.encode_message(message))
+
+    def send_encoded(self, data: bytes) -> bool:
+        """Send a message that is encoded already, as one sent to many processes is."""
+        return _send(self.socket, [data])
 
     def close(self) -> None:
         """Close the socket."""
--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -58,6 +58,9 @@
 TICK_INTERVAL_S: t.Final = 0.1
 HEARTBEAT_INTERVAL_S: t.Final = 0.15
 PLAN_BATCH_DELAY_S: t.Final = 0.002
+# A pause of this many times the pass leaves most of the processor time to the other
+# tasks. Only a pass longer than a third of the limit takes more of it.
+PLAN_PAUSE_FACTOR: t.Final = 3.0
 MAX_PLAN_PAUSE_S: t.Final = 0.1
 CONFIRM_INTERVAL_S: t.Final = 0.4
 # After this long without confirmation by the store, no run is started and no lease is
@@ -193,10 +196,9 @@
             if self.has_authority():
                 self.advice_dispatcher.update_free_long_call_lanes()
                 plan(self.cell, now_s)
-                # A pause as long as the pass leaves half of the processor time to the
-                # other tasks. Only a pass longer than the limit takes more than half.
-                pause_s = min(monotonic_s() - now_s, MAX_PLAN_PAUSE_S)
-                self.metrics.record_duration("plan", pause_s)
+                took_s = monotonic_s() - now_s
+                pause_s = min(took_s * PLAN_PAUSE_FACTOR, MAX_PLAN_PAUSE_S)
+                self.metrics.record_duration("plan", took_s)
             self._flush()
 
     def _flush(self) -> None:
--- a/packages/daemon/bulrushspur_daemon/term_peers.py
+++ b/packages/daemon/bulrushspur_daemon/term_peers.py
@@ -13,7 +13,13 @@
 from bulrushspur_daemon.node_registry import NodeRegistry
 from bulrushspur_daemon.peer_sockets import PeerClient, make_peer_client
 from bulrushspur_kernel.logs import EventLog
-from bulrushspur_kernel.messages import AdviceRequest, Heartbeat, Message, Resign
+from bulrushspur_kernel.messages import (
+    AdviceRequest,
+    Heartbeat,
+    Message,
+    Resign,
+    encode_message,
+)
 
 PEER_TIMEOUT_S: t.Final = 1.0
 
@@ -58,8 +64,9 @@
     def broadcast_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Send a heartbeat to all processes, including this one."""
         self.on_local_heartbeat(heartbeat)
+        data = encode_message(heartbeat)
         for client in self.clients.values():
-            client.send(heartbeat)
+            client.send_encoded(data)
 
     def resign(self, term: int) -> None:
         """Announce to all other processes that the term ends."""
--- a/packages/scheduler/bulrushspur_scheduler/advice.py
+++ b/packages/scheduler/bulrushspur_scheduler/advice.py
@@ -240,7 +240,7 @@
     _update_approval_rate(cell, step.job.queue, len(approved) / max(len(worker_ids), 1))
     expiry_s = now_s + valid_s - TICKET_EXPIRY_MARGIN_S
     for worker_id, ticket in approved:
-        step.approved_workers.add(worker_id)
+        step.approved_workers[worker_id] = None
         step.tickets[worker_id] = (ticket, expiry_s)
     cell.log(
         "advice", key.job, step=key.step, named=len(worker_ids), good=len(approved)
@@ -263,34 +263,39 @@
     queued_calls: int = 0
 
 
-def _split_lanes(lanes: list[Lane]) -> tuple[list[Lane], list[Lane]]:
-    """Return the lanes for long calls and those for short calls only."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class LaneGroups:
+    """The lanes for long calls, and those for short calls only."""
+
+    long_call_lanes: list[Lane]
+    short_call_lanes: list[Lane]
+
+
+def split_lanes(lanes: list[Lane]) -> LaneGroups:
+    """Divide the lanes by the calls that they make."""
     ordered = sorted(lanes, key=lambda lane: lane.name)
-    split = max(math.ceil(len(ordered) * LONG_CALL_LANE_SHARE), 1)
-    return ordered[:split], ordered[split:]
+    split = math.ceil(len(ordered) * LONG_CALL_LANE_SHARE)
+    return LaneGroups(ordered[:split], ordered[split:])
 
 
-def count_free_long_call_lanes(lanes: list[Lane], now_s: float) -> int:
+def count_free_long_call_lanes(groups: LaneGroups, now_s: float) -> int:
     """Return the number of lanes that can begin a long call now."""
     return sum(
         lane.busy_until_s <= now_s + LANE_FREE_TOLERANCE_S
-        for lane in _split_lanes(lanes)[0]
+        for lane in groups.long_call_lanes
     )
 
 
-def choose_lane(lanes: list[Lane], call_s: float, now_s: float) -> Lane | None:
+def choose_lane(groups: LaneGroups, call_s: float, now_s: float) -> Lane | None:
     """Return the lane that is free first for a call of ``call_s`` seconds, or None.
 
     Long calls use only their part of the lanes, and short calls only the rest, unless
     there is no rest. A lane with a full backlog takes no call.
     """
-    if not lanes:
-        return None
-    long_call_lanes, short_call_lanes = _split_lanes(lanes)
     allowed = (
-        long_call_lanes
+        groups.long_call_lanes
         if call_s > MIN_LONG_CALL_S
-        else (short_call_lanes or long_call_lanes)
+        else (groups.short_call_lanes or groups.long_call_lanes)
     )
     available = [lane for lane in allowed if lane.queued_calls < 24]
     return min(
--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -123,10 +123,13 @@
     approval_rates: dict[str, float] = dataclasses.field(default_factory=dict)
     # Number of lanes that can start a long advice call now.
     free_long_call_lanes: int = 1_000_000
+    # The pool of each service that a planning pass or a submission made last.
+    recent_pools: dict[str, t.Any] = dataclasses.field(default_factory=dict)
     # By account.
     token_buckets: dict[str, TokenBucket] = dataclasses.field(default_factory=dict)
     waiting_steps: dict[StepKey, Step] = dataclasses.field(default_factory=dict)
     reservations: dict[StepKey, t.Any] = dataclasses.field(default_factory=dict)
+    reservations_made_s: float = -1e9
     # Workers that may run tasks of earlier terms and have not reported to this term.
     unobserved_workers: set[str] = dataclasses.field(default_factory=set)
     # After a takeover, recovered tasks start again only once it is known that no worker
--- a/packages/scheduler/bulrushspur_scheduler/placement.py
+++ b/packages/scheduler/bulrushspur_scheduler/placement.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import heapq
 import typing as t
 
 from bulrushspur_scheduler.cell import Cell
@@ -23,6 +24,7 @@
 # pool.
 HEADROOM_FACTOR: t.Final = 1.25
 MAX_HEADROOM_SHARE: t.Final = 0.25
+MAX_RECENT_POOL_AGE_S: t.Final = 0.1
 # Number of tasks that fit where there is no cap.
 NO_LIMIT: t.Final = 1_000_000
 
@@ -32,12 +34,17 @@
     """The schedulable workers of a service, and the CPU left for lower priorities."""
 
     workers: list[Worker]
+    made_s: float = 0.0
     lower_priority_cpu_milli: int = 0
     by_id: dict[str, Worker] = dataclasses.field(default_factory=dict)
     # Every waiting step will end past its deadline, too late to be useful.
     all_past_deadline: bool = False
     # Number of gangs whose tickets were kept valid in this planning pass.
     ticketed_gangs: int = 0
+    # Number of workers that are reserved for gangs.
+    reserved_count: int = 0
+    # This planning pass makes the reservations anew.
+    renews_reservations: bool = True
 
 
 def make_pool(cell: Cell, service: str, now_s: float) -> Pool:
@@ -54,9 +61,19 @@
         total * MAX_HEADROOM_SHARE,
     )
     headroom = max(urgent_target_cpu_milli - cell.urgent_cpu_milli.get(service, 0), 0.0)
-    return Pool(
-        workers, int(free - headroom), {worker.id: worker for worker in workers}
+    pool = Pool(
+        workers, now_s, int(free - headroom), {worker.id: worker for worker in workers}
     )
+    cell.recent_pools[service] = pool
+    return pool
+
+
+def find_recent_pool(cell: Cell, service: str, now_s: float) -> Pool:
+    """Return a pool of a service that is recent enough to ask for advice by."""
+    pool: Pool | None = cell.recent_pools.get(service)
+    if pool is not None and now_s - pool.made_s < MAX_RECENT_POOL_AGE_S:
+        return pool
+    return make_pool(cell, service, now_s)
 
 
 def needs_advice(cell: Cell, step: Step) -> bool:
@@ -168,15 +185,52 @@
     return best
 
 
-def _score_worker(step: Step, task: Task, worker: Worker) -> tuple[int, float]:
-    """Score a worker for a task; the lowest score is best.
+def make_worker_chooser(
+    step: Step, workers: list[Worker]
+) -> t.Callable[[Task], Worker | None]:
+    """Make a function that chooses workers for the tasks of a step, one by one.
+
+    It chooses like ``choose_worker``. The tasks must be started as chosen, and by
+    nothing else meanwhile: then only the worker chosen last has another score.
+    """
+    scores: dict[int, tuple[int, float]] = {}
+    heap: list[tuple[tuple[int, float], int]] = []
+    last_index = -1
+
+    def add(index: int) -> None:
+        if free_slots_on(step, workers[index]) < 1:
+            scores.pop(index, None)
+            return
+        scores[index] = _score_worker(step, None, workers[index])
+        heapq.heappush(heap, (scores[index], index))
+
+    def choose(task: Task) -> Worker | None:
+        nonlocal last_index
+        if last_index >= 0:
+            add(last_index)
+        if task.failed_worker_ids:
+            worker = choose_worker(step, task, workers)
+            last_index = -1 if worker is None else workers.index(worker)
+            return worker
+        while heap and scores.get(heap[0][1]) != heap[0][0]:
+            heapq.heappop(heap)
+        last_index = heap[0][1] if heap else -1
+        return workers[last_index] if heap else None
+
+    for index in range(len(workers)):
+        add(index)
+    return choose
+
+
+def _score_worker(step: Step, task: Task | None, worker: Worker) -> tuple[int, float]:
+    """Score a worker for a task, or any task that has not failed; the lowest is best.
 
     Failures come first. Then the best fit counts, which leaves the least capacity free,
     together with the preferred rack and the speed of the worker.
     """
     spec = step.spec
     failure_rank = 0
-    if worker.id in task.failed_worker_ids:
+    if task is not None and worker.id in task.failed_worker_ids:
         failure_rank += 2
     if worker.failure_score >= 1.0:
         failure_rank += 1
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -16,15 +16,19 @@
 from bulrushspur_scheduler.placement import (
     Pool,
     choose_gang_workers,
-    choose_worker,
     eligible_workers,
     free_slots_of_account,
     make_pool,
+    make_worker_chooser,
     needs_advice,
 )
 from bulrushspur_scheduler.preemption import preempt
 from bulrushspur_scheduler.ranking import Tier, rank
-from bulrushspur_scheduler.reservations import clear_reservations, reserve
+from bulrushspur_scheduler.reservations import (
+    release_reservation,
+    renew_reservations,
+    reserve,
+)
 from bulrushspur_scheduler.runs import start_run, stop_step
 from bulrushspur_scheduler.unobserved_usage import count_unobserved_usage
 from bulrushspur_scheduler.workers import Worker
@@ -47,7 +51,7 @@
         bool(steps) and rank(cell, steps[0], now_s)[0] == Tier.PAST_DEADLINE
     )
     pools: dict[str, Pool] = {}
-    clear_reservations(cell)
+    renews_reservations = renew_reservations(cell, now_s)
     cell.unobserved_usage = count_unobserved_usage(cell)
     unplaced_steps = 0
     for step in steps:
@@ -62,6 +66,7 @@
         if pool is None:
             pool = pools[service] = make_pool(cell, service, now_s)
             pool.all_past_deadline = all_past_deadline
+            pool.renews_reservations = renews_reservations
         if not _plan_step(cell, step, startable, pool, now_s):
             unplaced_steps += 1
             if unplaced_steps > MAX_UNPLACED_STEPS:
@@ -127,10 +132,13 @@
     now_s: float,
 ) -> bool:
     """Start single tasks while they fit; return whether all were started."""
+    if not _is_within_limits(cell, step, pool, 1):
+        return False
+    choose_worker = make_worker_chooser(step, workers)
     for task in startable:
         if not _is_within_limits(cell, step, pool, 1):
             return False
-        worker = choose_worker(step, task, workers)
+        worker = choose_worker(task)
         if worker is None:
             return False
         _start_task(cell, task, worker, task.last_run_number + 1, pool, now_s)
@@ -165,7 +173,9 @@
         chosen = choose_gang_workers(step, startable, workers)
     if chosen is None:
         # Gangs past their deadline must not hold back steps that are still useful.
-        if pool.all_past_deadline or rank(cell, step, now_s)[0] != Tier.PAST_DEADLINE:
+        if pool.renews_reservations and (
+            pool.all_past_deadline or rank(cell, step, now_s)[0] != Tier.PAST_DEADLINE
+        ):
             reserve(cell, step, pool, now_s)
             _preempt_if_reserved_too_late(cell, step, pool, now_s)
         return False
@@ -175,6 +185,7 @@
         task.checkpoint = checkpoint
         _start_task(cell, task, worker, step.gang_run_number, pool, now_s)
     cell.waiting_steps.pop(step.key, None)
+    release_reservation(cell, step.key)
     return True
 
 
--- a/packages/scheduler/bulrushspur_scheduler/reservations.py
+++ b/packages/scheduler/bulrushspur_scheduler/reservations.py
@@ -3,7 +3,10 @@
 Without reservations narrow steps would take each free slot first, and a wide gang would
 never start. Each waiting gang gets workers of its own, in order of rank, up to a share
 of the pool. Urgent work may still start on reserved workers, and so may work that is
-expected to end before the gang can start. Each planning pass makes new reservations.
+expected to end before the gang can start.
+
+Reservations are made anew at an interval and not by each planning pass: with many gangs
+waiting on a large pool they would take most of the processor time.
 """
 
 import dataclasses
@@ -11,9 +14,9 @@
 
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.estimates import predict_step_duration
-from bulrushspur_scheduler.jobs import Run, RunState, Step
+from bulrushspur_scheduler.jobs import Run, RunState, Step, StepKey
 from bulrushspur_scheduler.placement import Pool, needs_advice
-from bulrushspur_scheduler.resources import Usage, count_fitting_tasks
+from bulrushspur_scheduler.resources import Resources, Usage, count_fitting_tasks
 from bulrushspur_scheduler.workers import Worker
 
 # A reservation is useful only if enough tasks are expected to end within this time.
@@ -24,6 +27,9 @@
 EXPECTED_END_FACTOR: t.Final = 1.2
 # Expected time from a stop order to the end of the run.
 EXPECTED_STOP_S: t.Final = 0.3
+RESERVATION_INTERVAL_S: t.Final = 0.1
+# Expected ends of runs are not older than this.
+MAX_EXPECTED_ENDS_AGE_S: t.Final = 0.25
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,11 +43,30 @@
     ready_s: float
 
 
-def clear_reservations(cell: Cell) -> None:
-    """Remove the reservations of the last pass; each pass makes new ones."""
+def renew_reservations(cell: Cell, now_s: float) -> bool:
+    """Remove all reservations if they are due; return whether to make new ones.
+
+    Otherwise only those of steps that no longer wait are removed.
+    """
+    if now_s - cell.reservations_made_s < RESERVATION_INTERVAL_S:
+        for key in [key for key in cell.reservations if key not in cell.waiting_steps]:
+            release_reservation(cell, key)
+        return False
+    cell.reservations_made_s = now_s
     cell.reservations.clear()
     for worker in cell.workers.values():
         worker.reserved_for = None
+    return True
+
+
+def release_reservation(cell: Cell, key: StepKey) -> None:
+    """Remove the reservation of a step, if it has one."""
+    reservation = cell.reservations.pop(key, None)
+    if reservation is None:
+        return
+    for worker in reservation.workers:
+        if worker.reserved_for == key:
+            worker.reserved_for = None
 
 
 def expected_end_s(cell: Cell, run: Run, speed: float, now_s: float) -> float:
@@ -60,20 +85,13 @@
 
 def reserve(cell: Cell, step: Step, pool: Pool, now_s: float) -> bool:
     """Reserve the workers where a gang fits soonest; return False if it can't."""
-    reserved_count = sum(worker.reserved_for is not None for worker in pool.workers)
-    candidates = [
-        worker
-        for worker in pool.workers
-        if worker.reserved_for is None and step.spec.accepts_labels(worker.entry.labels)
-    ]
-    if needs_advice(cell, step):
-        candidates = [
-            worker for worker in candidates if worker.id in step.approved_workers
-        ]
+    max_reserved = MAX_RESERVED_SHARE * len(pool.workers)
+    if pool.reserved_count and pool.reserved_count >= max_reserved:
+        return False
     openings = sorted(
         (
             row
-            for worker in candidates
+            for worker in _list_candidates(cell, step, pool)
             for row in _find_openings(cell, step, worker, now_s)
         ),
         key=lambda row: row[0],
@@ -91,10 +109,9 @@
         return False
     # The first gang may reserve all workers; with further gangs only a share of the
     # pool may be reserved in total.
-    if reserved_count and reserved_count + len(chosen) > MAX_RESERVED_SHARE * len(
-        pool.workers
-    ):
+    if pool.reserved_count and pool.reserved_count + len(chosen) > max_reserved:
         return False
+    pool.reserved_count += len(chosen)
     for worker in chosen.values():
         worker.reserved_for = step.key
         worker.reserved_until_s = ready_s
@@ -102,6 +119,39 @@
     return True
 
 
+def _list_candidates(cell: Cell, step: Step, pool: Pool) -> list[Worker]:
+    """List the workers that may run a gang and are not reserved for another one."""
+    workers: t.Iterable[Worker] = pool.workers
+    if needs_advice(cell, step):
+        approved = [pool.by_id.get(worker_id) for worker_id in step.approved_workers]
+        workers = [worker for worker in approved if worker is not None]
+    return [
+        worker
+        for worker in workers
+        if worker.reserved_for is None and step.spec.accepts_labels(worker.entry.labels)
+    ]
+
+
+def _list_expected_ends(
+    cell: Cell, worker: Worker, now_s: float
+) -> list[tuple[float, Resources]]:
+    """Return when the runs of a worker are expected to end, and their resources."""
+    age_s = now_s - worker.expected_ends_at_s
+    if worker.expected_ends is None or age_s > MAX_EXPECTED_ENDS_AGE_S:
+        worker.expected_ends = sorted(
+            (
+                (
+                    expected_end_s(cell, run, worker.speed, now_s),
+                    run.task.step.spec.resources,
+                )
+                for run in worker.runs.values()
+            ),
+            key=lambda row: row[0],
+        )
+        worker.expected_ends_at_s = now_s
+    return worker.expected_ends
+
+
 def _find_openings(
     cell: Cell, step: Step, worker: Worker, now_s: float
 ) -> t.Iterator[tuple[float, Worker, int]]:
@@ -112,12 +162,7 @@
     yielded = min(count_fitting_tasks(free, each), max_slots)
     if yielded:
         yield (now_s, worker, yielded)
-    ends = [
-        (expected_end_s(cell, run, worker.speed, now_s), run.task.step.spec.resources)
-        for run in worker.runs.values()
-    ]
-    ends.sort(key=lambda row: row[0])
-    for end_s, amount in ends:
+    for end_s, amount in _list_expected_ends(cell, worker, now_s):
         if end_s > now_s + RESERVATION_HORIZON_S:
             return
         free.add(amount)
--- a/packages/scheduler/bulrushspur_scheduler/resources.py
+++ b/packages/scheduler/bulrushspur_scheduler/resources.py
@@ -61,13 +61,13 @@
 
 def count_fitting_tasks(free: Usage, each: Resources) -> int:
     """Return how many tasks of size ``each`` fit into ``free``; 0 for an empty size."""
-    counts = [
-        available // needed
-        for available, needed in (
-            (free.cpu_milli, each.cpu_milli),
-            (free.memory_mb, each.memory_mb),
-            (free.gpus, each.gpus),
-        )
-        if needed > 0
-    ]
-    return max(min(counts, default=0), 0)
+    rv = None
+    if each.cpu_milli > 0:
+        rv = free.cpu_milli // each.cpu_milli
+    if each.memory_mb > 0:
+        count = free.memory_mb // each.memory_mb
+        rv = count if rv is None or count < rv else rv
+    if each.gpus > 0:
+        count = free.gpus // each.gpus
+        rv = count if rv is None or count < rv else rv
+    return rv if rv is not None and rv > 0 else 0
--- a/packages/scheduler/bulrushspur_scheduler/runs.py
+++ b/packages/scheduler/bulrushspur_scheduler/runs.py
@@ -41,6 +41,7 @@
     task.last_run_number = max(task.last_run_number, run.number)
     task.runs.append(run)
     worker.runs[run.key] = run
+    worker.expected_ends = None
     worker.free.subtract(amount)
     job = task.step.job
     cell.usage_of(job.account).add(amount)
@@ -61,6 +62,7 @@
     amount = task.step.spec.resources
     worker = cell.workers.get(run.worker_id)
     if worker is not None and worker.runs.pop(run.key, None) is not None:
+        worker.expected_ends = None
         worker.free.add(amount)
     job = task.step.job
     cell.usage_of(job.account).subtract(amount)
@@ -79,6 +81,9 @@
         return
     run.state = RunState.STOPPING
     run.stop_reason = reason
+    worker = cell.workers.get(run.worker_id)
+    if worker is not None:
+        worker.expected_ends = None
     cell.stop_orders.append(StopOrder(run.worker_id, run.task.key, run.number, run))
     key = run.task.key
     cell.log(
--- a/packages/scheduler/bulrushspur_scheduler/workers.py
+++ b/packages/scheduler/bulrushspur_scheduler/workers.py
@@ -106,6 +106,10 @@
     last_on_time_end_s: float = -1e9
     reserved_for: StepKey | None = None
     reserved_until_s: float = 0.0
+    # When its runs are expected to end, and when that was computed; None after a change
+    # of its runs.
+    expected_ends: list[tuple[float, Resources]] | None = None
+    expected_ends_at_s: float = 0.0
 
     @property
     def id(self) -> str:
--- a/tests/load_simulation.py
+++ b/tests/load_simulation.py
@@ -87,7 +87,9 @@
         self.submissions = {}
         self.job_ids_by_queue = collections.defaultdict(list)
         self.pending_advice_calls = []
-        self.lanes = [advice.Lane(f"n{index:02}") for index in range(lanes)]
+        self.lanes = advice.split_lanes(
+            [advice.Lane(f"n{index:02}") for index in range(lanes)]
+        )
         self.run_started_s = {}
         self.unreported_ends = collections.defaultdict(list)
         self.last_report_s = {}
@@ -354,3 +356,47 @@
             task_time_spread=0.15,
         ),
     ]
+
+
+def make_large_deployment_kinds():
+    """Return job kinds modelled on a fleet of some hundred workers, nearly full."""
+    heavy = AdvicePolicy(0.39, 0.0056, 2.5)
+    middling = AdvicePolicy(0.14, 0.002, 2.5)
+    quick = AdvicePolicy(0.013, 0.00018, 2.5)
+    return [
+        JobKind(
+            Queue("heavy", "", "/h/", "svc", 1, 3, 2.2, 1.0, advice=heavy),
+            4.2,
+            13,
+            4500,
+            4.4,
+            gang=True,
+            approved_share=0.35,
+            estimate_error=0.9,
+            task_count_spread=0.6,
+            checkpointing_share=0.5,
+            second_step_share=0.2,
+        ),
+        JobKind(
+            Queue("middling", "", "/m/", "svc", 2, 3, 4.0, 3.0, advice=middling),
+            5.5,
+            17,
+            2800,
+            2.0,
+            approved_share=0.45,
+            task_count_spread=0.8,
+            task_time_spread=0.15,
+            checkpointing_share=0.8,
+            second_step_share=0.5,
+        ),
+        JobKind(
+            Queue("small", "", "/s/", "svc", 0, 3, 1.5, 0.3, advice=quick),
+            45.0,
+            2.4,
+            3900,
+            0.58,
+            approved_share=0.7,
+            task_count_spread=0.8,
+            task_time_spread=0.15,
+        ),
+    ]
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -7,7 +7,12 @@
 
 import unittest
 
-from bulrushspur_scheduler.advice import Lane, apply_advice, choose_lane
+from bulrushspur_scheduler.advice import (
+    Lane,
+    apply_advice,
+    choose_lane,
+    split_lanes,
+)
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.resources import Resources
 from tests.cell_fixtures import (
@@ -81,7 +86,7 @@
         job = add_test_job(cell, queue="advised", now_s=0.2, **fields)
         step = job.occurrences[0].steps[0]
         step.evaluated_workers |= busy
-        step.approved_workers |= busy
+        step.approved_workers |= dict.fromkeys(busy)
         report_all_workers(cell, 0.2)
         plan(cell, 0.2)
         (call,) = cell.advice_calls
@@ -136,8 +141,8 @@
         lanes = [Lane(f"n{index}") for index in range(4)]
         used = set()
         for _ in range(8):
-            lane = choose_lane(lanes, 0.5, 1.0)
+            lane = choose_lane(split_lanes(lanes), 0.5, 1.0)
             lane.busy_until_s = max(lane.busy_until_s, 1.0) + 0.5
             used.add(lane.name)
         self.assertEqual(used, {"n0", "n1"})
-        self.assertIn(choose_lane(lanes, 0.02, 1.0).name, {"n2", "n3"})
+        self.assertIn(choose_lane(split_lanes(lanes), 0.02, 1.0).name, {"n2", "n3"})
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,11 +4,14 @@
 start in part, gangs that starve behind narrow work, and tasks that interfere.
 """
 
+import random
 import unittest
 
 from bulrushspur_scheduler.config import Account
+from bulrushspur_scheduler.placement import choose_worker, make_worker_chooser
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.resources import Resources
+from bulrushspur_scheduler.runs import start_run
 from tests.cell_fixtures import (
     acknowledge_starts,
     add_test_job,
@@ -142,3 +145,35 @@
             running += acknowledge_starts(cell, now_s)
             now_s += 0.1
         self.assertIn("wide", cell.finished_jobs)
+
+
+class WorkerChooserTest(unittest.TestCase):
+    def test_chooses_like_a_search_of_all_workers_for_each_task(self):
+        rng = random.Random(5)
+        for _ in range(50):
+            cell = make_test_cell(0)
+            for index in range(12):
+                labels = ("a", rng.choice(("r1", "r2")))
+                add_worker(cell, f"w{index}", rng.choice((8000, 16_000)), labels=labels)
+            for worker in cell.workers.values():
+                worker.speed = rng.choice((0.8, 1.0))
+                worker.failure_score = rng.choice((0.0, 0.0, 2.0))
+            add_test_job(
+                cell,
+                count=30,
+                resources=Resources(rng.choice((1000, 3000)), 100),
+                preferred_rack=rng.choice(("", "r1")),
+                max_per_worker=rng.choice((0, 2)),
+            )
+            step = next(iter(cell.waiting_steps.values()))
+            workers = list(cell.workers.values())
+            choose = make_worker_chooser(step, workers)
+            for task in step.tasks:
+                if rng.random() < 0.2:
+                    task.failed_worker_ids.add(rng.choice(workers).id)
+                expected = choose_worker(step, task, workers)
+                worker = choose(task)
+                self.assertIs(worker, expected)
+                if worker is None:
+                    break
+                start_run(cell, task, worker, 1, 0.1)
