--- a/packages/daemon/bulrushspur_daemon/gateway.py
+++ b/packages/daemon/bulrushspur_daemon/gateway.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 import typing as t
 
 from bulrushspur_daemon.clock import monotonic_s, unix_s
@@ -30,6 +31,10 @@
 # answered as in doubt; its caller may send it again.
 SUBMIT_TIMEOUT_S: t.Final = 1.5
 DEADLINE_MARGIN_S: t.Final = 0.1
+# A caller told to come back is left time to come back this often before its deadline:
+# what it waits for, such as the store, may return earlier than expected.
+TRIES_BEFORE_DEADLINE: t.Final = 2
+MIN_RETRY_AFTER_S: t.Final = 1.0
 # Older counts of waiting jobs are not passed on.
 MAX_COUNT_AGE_S: t.Final = 3.0
 MAX_FINAL_STATES: t.Final = 5000
@@ -149,6 +154,12 @@
             in_doubt = exc.in_doubt and operation == "submit"
             outcome = "in_doubt" if in_doubt else "unavailable"
             result = Result(outcome, "", "no leader answers", RETRY_AFTER_S)
+        if result.retry_after_s:
+            remaining_s = began_s + deadline_s - monotonic_s()
+            result = dataclasses.replace(
+                result,
+                retry_after_s=limit_retry_after_s(result.retry_after_s, remaining_s),
+            )
         if result.state in _FINAL_STATES:
             self._cache_final_state(job_id, result.state)
         took_s = monotonic_s() - began_s
@@ -180,6 +191,20 @@
         self.final_states[job_id] = state
 
 
+def limit_retry_after_s(expected_s: float, remaining_s: float) -> float:
+    """Return when a caller should come back that has ``remaining_s`` seconds left.
+
+    That is after ``expected_s``, or sooner where this is past its deadline; in whole
+    seconds then, as they are told to callers. A caller without time for another try is
+    told what is expected.
+    """
+    if expected_s <= remaining_s - DEADLINE_MARGIN_S:
+        return expected_s
+    shared_s = (remaining_s - DEADLINE_MARGIN_S) / TRIES_BEFORE_DEADLINE
+    limited_s = max(float(math.floor(shared_s)), MIN_RETRY_AFTER_S)
+    return limited_s if limited_s < remaining_s else expected_s
+
+
 def _make_result(reply: Reply) -> Result:
     outcomes = {
         Outcome.OK: "ok",
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -22,6 +22,7 @@
     add_test_job,
     add_worker,
     make_test_cell,
+    report_all_workers,
 )
 
 WORKERS = 20
@@ -30,13 +31,13 @@
 def make_full_cell(gangs=5):
     """Make a cell whose workers are full, with gangs that wait."""
     cell = make_test_cell(WORKERS)
-    add_test_job(cell, "full", "bulk", WORKERS * 2, resources=Resources(8000, 10))
+    resources = Resources(8000, 10)
+    add_test_job(cell, "full", "bulk", count=WORKERS * 2, resources=resources)
     plan(cell, 0.1)
     acknowledge_starts(cell, 0.1)
     for index in range(gangs):
-        add_test_job(
-            cell, f"gang{index}", count=4, gang=True, resources=Resources(8000, 10)
-        )
+        add_test_job(cell, f"gang{index}", count=4, gang=True, resources=resources)
+    report_all_workers(cell, 0.5)
     return cell
 
 
