--- a/models/run.py
+++ b/models/run.py
@@ -17,15 +17,21 @@
 
 MODEL_MODULES: t.Final[list[str]] = [
     "takeover",
+    "succession",
 ]
 
 MAX_STATES: t.Final = 5_000_000
+# Name of the check that every reachable state can reach a goal of the protocol.
+LIVENESS: t.Final = "a goal stays in reach"
 
 _VERDICTS: t.Final = {True: "holds", False: "REFUTED", None: "NOT EXHAUSTIVE"}
 
 
 class Spec(t.NamedTuple):
-    """A protocol, and its mutants by name with the invariant that each must violate."""
+    """A protocol, and its mutants by name with the check that each must fail.
+
+    The check is an invariant, or LIVENESS for a protocol with a goal.
+    """
 
     protocol: minicheck.Protocol
     mutants: dict[str, tuple[minicheck.Protocol, str]]
@@ -42,19 +48,21 @@
     took_s = time.monotonic() - started_s
     print(f"{spec.protocol.name}: {result['reachable_states']} states, {took_s:.1f} s")
     refuted = 0
-    for name, verdict in result["properties"].items():
+    properties = dict(result["properties"])
+    if spec.protocol.goal is not None:
+        properties[LIVENESS] = minicheck.check_liveness(spec.protocol)
+    for name, verdict in properties.items():
         print(f"  {name}: {_VERDICTS[verdict['holds']]}")
         if not verdict["holds"]:
             refuted += 1
-            _print_trace(verdict["counterexample"] or [])
+            _print_trace(verdict.get("counterexample") or [])
     return result["reachable_states"], refuted, _check_mutants(spec)
 
 
 def _check_mutants(spec: Spec) -> int:
     surviving = 0
     for name, (mutant, invariant) in spec.mutants.items():
-        result = minicheck.check_safety(mutant, max_states=MAX_STATES)
-        verdict = result["properties"][invariant]
+        verdict = _check_mutant(mutant, invariant)
         if verdict["holds"] is not False:
             surviving += 1
             print(
@@ -67,6 +75,13 @@
     return surviving
 
 
+def _check_mutant(mutant: minicheck.Protocol, check: str) -> dict[str, t.Any]:
+    if check == LIVENESS:
+        return minicheck.check_liveness(mutant)
+    result = minicheck.check_safety(mutant, max_states=MAX_STATES)
+    return result["properties"][check]
+
+
 def _print_trace(trace: list[dict[str, t.Any]]) -> None:
     print("    " + " > ".join(str(step["label"] or "start") for step in trace))
 
--- a/packages/daemon/bulrushspur_daemon/advice_dispatcher.py
+++ b/packages/daemon/bulrushspur_daemon/advice_dispatcher.py
@@ -29,6 +29,7 @@
 # A call without a reply this long after its expected end counts as lost. The expected
 # end allows for the calls queued before it in its lane.
 CALL_TIMEOUT_MARGIN_S: t.Final = 1.0
+REQUEST_IDS_PER_TERM: t.Final = 1 << 32
 # How often to look which entry processes can make calls.
 LANES_REFRESH_INTERVAL_S: t.Final = 0.2
 
@@ -39,7 +40,8 @@
 
     ``send`` takes the name of a lane and returns whether the message was queued;
     ``lane_names`` returns the lanes that can make calls now. ``in_flight`` maps a
-    request id to the call, its lane and the time when it was sent. The id 0 is not
+    request id to the call, its lane and the time when it was sent. The ids of a term
+    are its own, so that a late reply to another term finds no call. The id 0 is not
     used: entry processes send it in an empty reply, to show that they can make calls.
     """
 
@@ -53,10 +55,13 @@
     in_flight: dict[int, tuple[AdviceCall, Lane, float]] = dataclasses.field(
         default_factory=dict
     )
-    next_request_id: int = 1
+    next_request_id: int = 0
     lane_groups: LaneGroups = dataclasses.field(default_factory=lambda: split_lanes([]))
     lanes_refreshed_s: float = -1e9
 
+    def __post_init__(self) -> None:
+        self.next_request_id = self.cell.fencing_token * REQUEST_IDS_PER_TERM + 1
+
     def dispatch(self) -> None:
         """Send all calls that were added to the cell, urgent ones first."""
         calls, self.cell.advice_calls = self.cell.advice_calls, []
--- a/packages/daemon/bulrushspur_daemon/config_watch.py
+++ b/packages/daemon/bulrushspur_daemon/config_watch.py
@@ -145,17 +145,35 @@
             for record in self.records.values()
         ]
 
-    def apply_records(self, records: list[tuple[str, bytes, int]]) -> None:
-        """Apply records received from the leader."""
-        if self._merge(
-            StoredRecord(offset, key, value) for key, value, offset in records
-        ):
-            self._rebuild()
+    def apply_records(
+        self, records: list[tuple[str, bytes, int]], end_offset: int
+    ) -> None:
+        """Apply the records that the leader has, all of those before ``end_offset``.
 
-    def _rebuild(self) -> None:
-        """Build a configuration and apply it if it is newer than the current one."""
+        A key that is not among them and has no later record here was deleted.
+        """
+        changed = self._merge(
+            StoredRecord(offset, key, value) for key, value, offset in records
+        )
+        relayed = {key for key, _, _ in records}
+        for key, record in list(self.records.items()):
+            if key not in relayed and record.offset < end_offset:
+                del self.records[key]
+                changed = True
+        if self.next_offset is not None:
+            self.next_offset = max(self.next_offset, end_offset)
+        if changed:
+            self._rebuild(end_offset)
+
+    def _rebuild(self, end_offset: int = 0) -> None:
+        """Build a configuration and apply it if it is newer than the current one.
+
+        It is that of the records before ``end_offset``, or before the next one to read
+        if that is later.
+        """
+        end_offset = max(end_offset, self.next_offset or 0)
         try:
-            config = self.interface.build_config(self.records, self.next_offset or 0)
+            config = self.interface.build_config(self.records, end_offset)
         except ValueError as exc:
             self.log.event("config_unreadable", urgent=True, reason=str(exc))
             return
--- a/packages/daemon/bulrushspur_daemon/process.py
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -130,7 +130,7 @@
             self._clear_term,
             self.incarnations_pool,
         )
-        self.term.list_config_records = self.config_watch.list_records
+        self.term.make_config_records = self._make_config_records
         self.advice_caller.on_local_reply = self.term.advice_dispatcher.handle_reply
         peers.update()
         self.node_registry.request_read()
@@ -170,7 +170,11 @@
         elif isinstance(message, Resign):
             self.leader_client.handle_resign(message)
         elif isinstance(message, ConfigRecords):
-            self.config_watch.apply_records(message.records)
+            self.config_watch.apply_records(message.records, message.end_offset)
+
+    def _make_config_records(self) -> ConfigRecords:
+        watch = self.config_watch
+        return ConfigRecords(watch.list_records(), watch.next_offset or 0)
 
     def request_config(self) -> None:
         """Request the leader's configuration records, unless this process leads."""
--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -91,7 +91,7 @@
     recovery: TermRecovery = dataclasses.field(init=False)
     liveness_watch: LivenessWatch = dataclasses.field(init=False)
     request_handler: LeaderRequestHandler = dataclasses.field(init=False)
-    list_config_records: t.Callable[[], list[tuple[str, bytes, int]]] = list
+    make_config_records: t.Callable[[], ConfigRecords] = lambda: ConfigRecords([])
     serving: bool = False
     ended: bool = False
     plan_requested: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
@@ -318,7 +318,7 @@
         if isinstance(message, AdviceReply):
             self.advice_dispatcher.handle_reply(message)
         elif isinstance(message, ConfigRequest):
-            reply(ConfigRecords(self.list_config_records()))
+            reply(self.make_config_records())
         elif isinstance(message, Submit | Query | Cancel):
             self._track_task(asyncio.create_task(self._answer_and_send(message, reply)))
 
--- a/packages/kernel/bulrushspur_kernel/messages.py
+++ b/packages/kernel/bulrushspur_kernel/messages.py
@@ -114,9 +114,13 @@
 
 
 class ConfigRecords(_Message, tag=10):
-    """Configuration records: key, value and offset of each."""
+    """Configuration records: key, value and offset of each.
+
+    They are the newest record of each key that has any before ``end_offset``.
+    """
 
     records: list[tuple[str, bytes, int]]
+    end_offset: int = 0
 
 
 Message = (
--- a/packages/scheduler/bulrushspur_scheduler/health.py
+++ b/packages/scheduler/bulrushspur_scheduler/health.py
@@ -134,9 +134,9 @@
 def find_overdue_runs(cell: Cell, worker: Worker, now_s: float) -> list[Run]:
     """Return the runs of a worker that should be restarted on other workers.
 
-    Normally these are single runs that have stalled or are overdue. For a worker that
-    is late as a whole they are all its late runs instead; runs that are judged by their
-    checkpoints are not among those.
+    These are single runs that have stalled or are overdue. For a worker that is late as
+    a whole they are also all its late runs; runs that are judged by their checkpoints
+    are not among those.
     Tasks of one step have similar durations, so all runs of a step together count as at
     most one missed end.
     """
@@ -163,10 +163,14 @@
         missed_ends >= MISSED_ENDS_THRESHOLD
         and now_s - worker.last_on_time_end_s > ON_TIME_END_WINDOW_S
     ):
-        return late
+        return [*late, *(run for run in overdue if not _contains(late, run))]
     return overdue
 
 
+def _contains(runs: list[Run], run: Run) -> bool:
+    return any(other is run for other in runs)
+
+
 def _may_be_overdue(run: Run) -> bool:
     """Return whether a run has certainly started, and should end by itself.
 
--- a/packages/scheduler/bulrushspur_scheduler/preemption.py
+++ b/packages/scheduler/bulrushspur_scheduler/preemption.py
@@ -103,21 +103,20 @@
 ) -> PreemptionOption:
     """Count the slots that a gang gets on a worker, and list the runs to stop for them.
 
-    Runs are considered in the order in which the worker got them, and become victims
+    What is being stopped ends soon anyway, so its resources count as free. The other
+    runs are considered in the order in which the worker got them, and become victims
     only where stopping them adds a slot.
     """
     each = step.spec.resources
     max_slots = step.spec.max_per_worker or len(step.tasks)
     free = Usage(worker.free.cpu_milli, worker.free.memory_mb, worker.free.gpus)
+    for run in worker.runs.values():
+        if run.state is RunState.STOPPING:
+            free.add(run.task.step.spec.resources)
     slots = min(count_fitting_tasks(free, each), max_slots)
     victims: list[Run] = []
     candidates: list[Run] = []
     for run in worker.runs.values():
-        if run.state is RunState.STOPPING:
-            # It ends soon anyway, so its resources count as free, but only once a
-            # preemptible run follows.
-            free.add(run.task.step.spec.resources)
-            continue
         if not is_preemptible(cell, step, run, now_s):
             continue
         candidates.append(run)
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -7,12 +7,17 @@
 
 import unittest
 
+from bulrushspur_daemon.advice_dispatcher import AdviceDispatcher
+from bulrushspur_kernel.messages import AdviceReply
+from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_scheduler.advice import (
     Lane,
     apply_advice,
     choose_lane,
     split_lanes,
 )
+from bulrushspur_scheduler.cell import AdviceCall
+from bulrushspur_scheduler.jobs import StepKey
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.resources import Resources
 from tests.cell_fixtures import (
@@ -22,6 +27,7 @@
     make_test_cell,
     report_all_workers,
 )
+from tests.test_config_watch import NullEventLog
 
 
 def reply_to_call(cell, approved, now_s, valid_s=2.5):
@@ -146,3 +152,30 @@
             used.add(lane.name)
         self.assertEqual(used, {"n0", "n1"})
         self.assertIn(choose_lane(split_lanes(lanes), 0.02, 1.0).name, {"n2", "n3"})
+
+
+class DispatcherTest(unittest.IsolatedAsyncioTestCase):
+    def make_dispatcher(self, term, sent):
+        cell = make_test_cell(1)
+        cell.fencing_token = term
+
+        def send(lane, request):
+            sent.append(request)
+            return True
+
+        return AdviceDispatcher(
+            cell, NullEventLog(), Metrics(), send, lambda: ["n1"], lambda: None
+        )
+
+    async def test_late_reply_to_an_earlier_term_finds_no_call(self):
+        sent = []
+        for term in (5, 6):
+            dispatcher = self.make_dispatcher(term, sent)
+            call = AdviceCall(StepKey("j1", 0, 0), ("w0",), 0.1, 0)
+            dispatcher.cell.advice_calls.append(call)
+            dispatcher.dispatch()
+        earlier, later = sent
+        dispatcher.handle_reply(AdviceReply(earlier.request_id, [("w0", "t")], 1000))
+        self.assertEqual(len(dispatcher.in_flight), 1)
+        dispatcher.handle_reply(AdviceReply(later.request_id, [("w0", "t")], 1000))
+        self.assertEqual(len(dispatcher.in_flight), 0)
--- a/tests/test_config_watch.py
+++ b/tests/test_config_watch.py
@@ -131,3 +131,40 @@
         await asyncio.sleep(0.4)
         self.assertEqual(requests, [1])
         await self.wait_version(watch, 2)
+
+
+class RelayTest(unittest.TestCase):
+    """The version of a text is the end offset of its topic, as with the product's own
+    interface; a process without the store gets the records from the leader."""
+
+    def make_watch(self):
+        def build(records, end_offset):
+            return make_config(end_offset) if "text" in records else None
+
+        interface = CallerInterface("keyed.text", build, None)
+        return ConfigWatch(FakeStore(), interface, NullEventLog())
+
+    def test_relayed_change_makes_a_newer_version(self):
+        watch = self.make_watch()
+        watch.next_offset = 2
+        watch.apply_records([("text", b"a", 0), ("key/1", b"k", 1)], 2)
+        self.assertEqual(watch.current.version, 2)
+        watch.apply_records([("text", b"b", 2), ("key/1", b"k", 1)], 3)
+        self.assertEqual(watch.current.version, 3)
+        self.assertEqual(watch.next_offset, 3)
+
+    def test_key_that_the_leader_no_longer_has_is_withdrawn(self):
+        watch = self.make_watch()
+        watch.next_offset = 2
+        watch.apply_records([("text", b"a", 0), ("key/1", b"k", 1)], 2)
+        watch.apply_records([("text", b"a", 0)], 3)
+        self.assertEqual(set(watch.records), {"text"})
+        self.assertEqual(watch.current.version, 3)
+
+    def test_older_relay_changes_nothing(self):
+        watch = self.make_watch()
+        watch.next_offset = 4
+        watch.apply_records([("text", b"a", 0), ("key/2", b"k", 3)], 4)
+        watch.apply_records([("text", b"a", 0)], 2)
+        self.assertEqual(set(watch.records), {"text", "key/2"})
+        self.assertEqual(watch.current.version, 4)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -55,6 +55,20 @@
         evict_runs(cell, 16.5)
         self.assertEqual(cell.stop_orders, [])
 
+    def test_stalled_run_on_a_worker_that_is_late_as_a_whole_is_moved_too(self):
+        cell = make_test_cell(1, cpu_milli=64_000)
+        orders = run_jobs(cell, 8, estimate_s=2.0)
+        add_test_job(cell, "saves", "bulk", 0.1, checkpointing=True, estimate_s=60.0)
+        plan(cell, 0.1)
+        (saving_order,) = acknowledge_starts(cell, 0.1)
+        saving = saving_order.run
+        keys = [order.run.key for order in orders] + [saving.key]
+        apply_worker_report(cell, "w0", 0.5, keys, checkpoint="c1")
+        apply_worker_report(cell, "w0", 12.0, keys, checkpoint="c1")
+        evict_runs(cell, 12.0)
+        self.assertIn(saving, [order.run for order in cell.stop_orders])
+        self.assertGreater(len(cell.stop_orders), 1)
+
     def test_worker_whose_runs_are_all_late_is_evicted_sooner(self):
         cell = make_test_cell(3)
         orders = run_jobs(cell, 12, estimate_s=2.0)
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -8,6 +8,7 @@
 
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.resources import Resources
+from bulrushspur_scheduler.runs import stop_run
 from tests.cell_fixtures import (
     acknowledge_starts,
     add_test_job,
@@ -103,6 +104,22 @@
         plan(cell, 3.0)
         self.assertEqual(stopped_runs(cell), [])
 
+    def test_room_of_a_stopping_run_counts_without_a_later_victim(self):
+        for stopping_index in (0, 3):
+            cell = make_full_cell()
+            add_gang(cell, 2.0)
+            for worker in cell.workers.values():
+                runs = list(worker.runs.values())
+                for run in runs:
+                    run.task.preemption_count = 2
+                # One preemptible run and one that stops make a slot together.
+                runs[1].task.preemption_count = 0
+                stop_run(cell, runs[stopping_index], "overdue")
+            cell.stop_orders.clear()
+            report_all_workers(cell, 3.0)
+            plan(cell, 3.0)
+            self.assertEqual(len(stopped_runs(cell)), 2, stopping_index)
+
 
 if __name__ == "__main__":
     unittest.main()
