Play slow loading of new leaders in the fuzzer

A new leader fences the store, reads it, and serves 0, 0.3, 2 or 9 s later. The histories without it stay as they are, so the regression seeds still play what once failed; the test plays each seed both ways.

--- a/fuzz/run.py
+++ b/fuzz/run.py
@@ -39,7 +39,8 @@
     elif draw < 0.43:
         simulation.make_store_unavailable(rng.choice((0.5, 2.0, 5.0)))
     elif draw < 0.46:
-        simulation.take_over(rng.random() < 0.5)
+        old_leader_survives = rng.random() < 0.5
+        simulation.take_over(old_leader_survives, simulation.draw_load_s())
     simulation.advance(rng.choice((0.05, 0.2, 0.6)))
 
 
@@ -59,10 +60,13 @@
         )
 
 
-def run_history(seed: int) -> tuple[Simulation, int]:
-    """Run the history of a seed; return the simulation and the number of steps."""
+def run_history(seed: int, slow_loading: bool = True) -> tuple[Simulation, int]:
+    """Run the history of a seed; return the simulation and the number of steps.
+
+    Without ``slow_loading`` each new leader serves at once, and all else is the same.
+    """
     rng = random.Random(seed)
-    simulation = Simulation(seed)
+    simulation = Simulation(seed, slow_loading)
     for step in range(MAX_STEPS_PER_HISTORY):
         if not simulation.leaders:
             simulation.take_over(False)
--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -69,7 +69,8 @@
 
     The end sequences are, by worker, the number of the last end that is stored and of
     the last that is acknowledged. A worker is unverified from each lease renewal until
-    it answers: it may have restarted.
+    it answers: it may have restarted. A leader that loads has fenced the store and read
+    it, and does nothing else yet.
     """
 
     term: int
@@ -81,14 +82,17 @@
     unreachable_workers: set[str] = dataclasses.field(default_factory=set)
     store_unreachable: bool = False
     ended: bool = False
+    loading: bool = False
     unstored_jobs: set[str] = dataclasses.field(default_factory=set)
 
 
 class Simulation:
     """The simulated cell; it starts with four workers and a leader of term 1."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, slow_loading: bool = False) -> None:
         self.rng = random.Random(seed)
+        # Apart from the other draws, so that they are the same with and without.
+        self.load_rng = random.Random(seed) if slow_loading else None
         self.now_s = 100.0
         self.oracle = Oracle()
         self.workers: dict[str, SimWorker] = {}
@@ -151,8 +155,14 @@
         self.fault_count += 1
         self.store.unavailable_until_s = self.now_s + duration_s
 
-    def take_over(self, old_leader_survives: bool) -> None:
-        """Start a term, unless the store is unavailable.
+    def draw_load_s(self) -> float:
+        """Return how long the next leader loads before it serves."""
+        if self.load_rng is None:
+            return 0.0
+        return self.load_rng.choice((0.0, 0.3, 2.0, 9.0))
+
+    def take_over(self, old_leader_survives: bool, load_s: float = 0.0) -> None:
+        """Start a term, unless the store is unavailable; it serves after ``load_s``.
 
         A surviving old leader loses the store and half of the workers; the new leader
         reaches the other half only after 5 s.
@@ -186,8 +196,22 @@
             f"term {self.newest_term} starts, old one survives: {old_leader_survives}"
         )
         self.store.epoch = self.oracle.newest_term = self.newest_term
+        self.leaders.append(leader)
+        stored = dict(self.store.records)
+        if load_s:
+            leader.loading = True
+            self.schedule(load_s, lambda: self._begin_to_serve(leader, stored))
+        else:
+            self._begin_to_serve(leader, stored)
+
+    def _begin_to_serve(self, leader: SimLeader, stored: dict[str, bytes]) -> None:
+        """Rebuild the cell from the records that were read, then plan and poll."""
+        leader.loading = False
+        if leader.ended:
+            return
         cell = leader.cell
-        takeover.recover_jobs(cell, dict(self.store.records), self.now_s, self.now_s)
+        names = sorted(self.workers)
+        takeover.recover_jobs(cell, stored, self.now_s, self.now_s)
         for name in names:
             entry = WorkerEntry(
                 name, "svc", "", "z", Resources(WORKER_CPU_MILLI, 99_999)
@@ -200,7 +224,6 @@
         cell.reconcile_by_s = (
             self.now_s + AUTHORITY_TIMEOUT_S + cell.timing_limits.lease_s * 1.05
         )
-        self.leaders.append(leader)
         for name in names:
             self._renew_lease(leader, name)
         self._tick(leader)
@@ -211,10 +234,13 @@
             self.leaders.remove(leader)
 
     def submit(self, spec: JobSpec, queue: str) -> None:
-        """Submit a job to the newest leader; refused if the store is unavailable."""
+        """Submit a job to the newest leader.
+
+        It is refused while the store is unavailable or the leader loads.
+        """
         leader = self.leaders[-1]
         self.oracle.jobs[spec.id] = spec
-        if self.now_s < self.store.unavailable_until_s:
+        if self.now_s < self.store.unavailable_until_s or leader.loading:
             self.oracle.refused_jobs.add(spec.id)
             return
         job = Job(spec, queue, "svc", "team", self.now_s, self.now_s)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -22,6 +22,7 @@
 class FuzzTest(unittest.TestCase):
     def test_histories_violate_no_guarantee(self):
         for seed in sorted({*SEEDS, *REGRESSION_SEEDS}):
-            with self.subTest(seed=seed):
-                simulation, _ = run_history(seed)
-                self.assertEqual(simulation.oracle.violations, [])
+            for slow_loading in (False, True):
+                with self.subTest(seed=seed, slow_loading=slow_loading):
+                    simulation, _ = run_history(seed, slow_loading)
+                    self.assertEqual(simulation.oracle.violations, [])
