Say once what stood in two places, and use the usual terms for timeouts

Found in reading the whole change as a newcomer: - preemption no longer counted the workers that it reserves towards the share of reserved workers (a loss of the change of reservations); it does again, and its head says when those reservations end; - the offset to read on after the newest records stood three times (store.offset_after), the handling of final states and unreadable records twice (takeover.iter_recovery), the command line of an entry process twice; - 'patience' and 'settled' are a timeout factor and a stable term; the log field is unstable_terms; - the proxy of the soak reads in small chunks only on a limited link, as before; - the kinds of jobs are apart from the simulation of load (tests/load_kinds.py).

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Developer commands. All but clean first set up .venv if a requirements or project file
 # has changed.
-# Variables: WORKERS, JOBS (a second) and SECONDS for profile; SEED and STEPS for fuzz; QUICK=1 for a short bench; SEED, SEEDS and MINUTES
-# for soak.
+# Variables: SEED and STEPS for fuzz; QUICK=1 for a short bench; SEED, SEEDS and MINUTES
+# for soak; WORKERS, JOBS (a second) and SECONDS for profile.
 PY := .venv/bin/python
 STAMP := .venv/.ready
 SEED ?=
@@ -47,10 +47,13 @@
 
 SEEDS ?=
 MINUTES ?=
-.PHONY: profile
-profile: $(STAMP)
-	WORKERS="$(WORKERS)" JOBS="$(JOBS)" SECONDS="$(SECONDS)" $(PY) -m bench.profile
-
 .PHONY: soak
 soak: $(STAMP)
 	SEED="$(SEED)" SEEDS="$(SEEDS)" MINUTES="$(MINUTES)" $(PY) -m soak.run
+
+WORKERS ?=
+JOBS ?=
+SECONDS ?=
+.PHONY: profile
+profile: $(STAMP)
+	WORKERS="$(WORKERS)" JOBS="$(JOBS)" SECONDS="$(SECONDS)" $(PY) -m bench.profile
--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -9,22 +9,24 @@
 import time
 import typing as t
 
-from tests import load_simulation
+from tests import load_kinds, load_simulation
 
 LOAD_S: t.Final = 10.0
 DRAIN_S: t.Final = 8.0
-USUAL_WORKERS: t.Final = 270
+# The kinds of jobs are sized for this many workers.
+BASE_WORKERS: t.Final = 270
+LANES: t.Final = 97
 # The load is this many times the usual, so that a queue of gangs builds up.
 LOAD_FACTOR: t.Final = 1.4
 
 
 def measure(worker_count: int, load_s: float, drain_s: float) -> dict[str, float]:
     """Play the load scaled to a number of workers; return figures by name."""
-    kinds = load_simulation.make_large_deployment_kinds()
+    kinds = load_kinds.make_large_deployment_kinds()
     for kind in kinds:
-        kind.jobs_per_s *= LOAD_FACTOR * worker_count / USUAL_WORKERS
+        kind.jobs_per_s *= LOAD_FACTOR * worker_count / BASE_WORKERS
     simulation = load_simulation.LoadSimulation(
-        kinds, worker_count, 16_000, seed=4, lanes=97
+        kinds, worker_count, 16_000, seed=4, lanes=LANES
     )
     passes_s: list[float] = []
     plan = load_simulation.plan
@@ -50,7 +52,7 @@
 
 def main() -> None:
     """Print the figures for the number of workers in the first argument."""
-    worker_count = int(sys.argv[1]) if len(sys.argv) > 1 else USUAL_WORKERS
+    worker_count = int(sys.argv[1]) if len(sys.argv) > 1 else BASE_WORKERS
     for name, value in measure(worker_count, LOAD_S, DRAIN_S).items():
         print(f"figure {name}_{worker_count}_workers {value:.3f}")
 
--- a/bench/profile.py
+++ b/bench/profile.py
@@ -11,7 +11,6 @@
 import pathlib
 import pstats
 import resource
-import sys
 import time
 import typing as t
 
@@ -52,14 +51,8 @@
 
     def command(self, settings_path: pathlib.Path) -> list[str]:
         """Return the command line of the process."""
-        profiler = ["-m", "cProfile", "-o", str(self.profile_path)]
-        return [
-            sys.executable,
-            *profiler,
-            "-m",
-            "bulrushspur_daemon",
-            str(settings_path),
-        ]
+        python, *args = super().command(settings_path)
+        return [python, "-m", "cProfile", "-o", str(self.profile_path), *args]
 
 
 async def submit_jobs(entry: EntryProcess, jobs_per_s: float, until_s: float) -> int:
--- a/models/succession.py
+++ b/models/succession.py
@@ -14,7 +14,7 @@
 import minicheck
 
 from bulrushspur_kernel import plugins
-from bulrushspur_scheduler.leadership import MAX_PATIENCE, patience
+from bulrushspur_scheduler.leadership import MAX_TIMEOUT_FACTOR, timeout_factor
 from models.run import LIVENESS, Spec
 
 PARTS: t.Final = 6
@@ -23,9 +23,9 @@
 MAX_DEATHS: t.Final = 2
 
 BY_AGE: t.Final = "loss is judged by the age of the load"
-BY_AGE_PATIENTLY: t.Final = "the age of the load is judged, with patience"
-NO_PATIENCE: t.Final = "no term gets more time than the one before"
-FORGETFUL: t.Final = "a successor forgets the terms before it"
+BY_AGE_WITH_BACKOFF: t.Final = "the age of the load is judged, with longer timeouts"
+NO_BACKOFF: t.Final = "no term gets more time than the one before"
+UNCOUNTED: t.Final = "a claim does not count the terms before it"
 
 
 class SuccessionState(t.NamedTuple):
@@ -37,7 +37,7 @@
     loaded_parts: int = 0
     age_ticks: int = 0
     stalled_ticks: int = 0
-    unsettled_terms: int = 0
+    unstable_terms: int = 0
     deaths_left: int = MAX_DEATHS
     is_alive: bool = True
 
@@ -47,24 +47,24 @@
     if not state.is_alive:
         return True
     timeout_ticks = TIMEOUT_TICKS
-    if mutant not in (BY_AGE, NO_PATIENCE):
-        timeout_ticks *= patience(state.unsettled_terms)
+    if mutant not in (BY_AGE, NO_BACKOFF):
+        timeout_ticks *= timeout_factor(state.unstable_terms)
     waited_ticks = (
-        state.age_ticks if mutant in (BY_AGE, BY_AGE_PATIENTLY) else state.stalled_ticks
+        state.age_ticks
+        if mutant in (BY_AGE, BY_AGE_WITH_BACKOFF)
+        else state.stalled_ticks
     )
     return waited_ticks > timeout_ticks
 
 
 def succeed(state: SuccessionState, mutant: str) -> SuccessionState:
     """Return the state after a claim that replaces the leader."""
-    unsettled_terms = state.unsettled_terms + 1
-    if mutant == FORGETFUL:
-        unsettled_terms = 0
+    unstable_terms = state.unstable_terms + 1
+    if mutant == UNCOUNTED:
+        unstable_terms = 0
     # More do not lengthen the timeout any further.
-    unsettled_terms = min(unsettled_terms, MAX_PATIENCE)
-    return SuccessionState(
-        unsettled_terms=unsettled_terms, deaths_left=state.deaths_left
-    )
+    unstable_terms = min(unstable_terms, MAX_TIMEOUT_FACTOR)
+    return SuccessionState(unstable_terms=unstable_terms, deaths_left=state.deaths_left)
 
 
 def tick(state: SuccessionState) -> SuccessionState:
@@ -84,7 +84,7 @@
         state = SuccessionState(*values)
         if state.loaded_parts == PARTS:
             return []
-        # Nothing else happens first: the other processes are as hasty as they may be.
+        # In the worst case another process claims before anything else happens.
         if is_lost(state, mutant):
             return [("another process claims", tuple(succeed(state, mutant)))]
         successors = [("a tick passes", tuple(tick(state)))]
@@ -100,8 +100,8 @@
         initial=tuple(SuccessionState()),
         transitions=transitions,
         invariants={
-            "patience has a limit": lambda fields: (
-                patience(fields["unsettled_terms"]) <= MAX_PATIENCE
+            "the timeouts have a limit": lambda fields: (
+                timeout_factor(fields["unstable_terms"]) <= MAX_TIMEOUT_FACTOR
             ),
         },
         goal=lambda fields: fields["loaded_parts"] == PARTS,
@@ -111,7 +111,7 @@
 @plugins.register("model", "succession")
 def make_spec() -> Spec:
     """Make the protocol and the mutants that must fail to make a term serve."""
-    mutants = (BY_AGE, BY_AGE_PATIENTLY, NO_PATIENCE, FORGETFUL)
+    mutants = (BY_AGE, BY_AGE_WITH_BACKOFF, NO_BACKOFF, UNCOUNTED)
     return Spec(
         make_protocol(),
         {f"{name} / {LIVENESS}": (make_protocol(name), LIVENESS) for name in mutants},
--- a/packages/daemon/bulrushspur_daemon/claim_log.py
+++ b/packages/daemon/bulrushspur_daemon/claim_log.py
@@ -24,6 +24,7 @@
     StoredRecord,
     StoreTruncatedError,
     StoreUnavailableError,
+    offset_after,
 )
 
 LONG_POLL_TIMEOUT_S: t.Final = 3.0
@@ -95,10 +96,8 @@
         for record in sorted(newest.values(), key=lambda record: record.offset):
             self._apply(record)
         self.term_preexisting = is_first_load and self.leader is not None
-        # Records appended during the call may be missing from its result, so go on
-        # after the newest record returned and not at the end of the topic.
-        after = max((record.offset + 1 for record in newest.values()), default=0)
-        self.next_offset = max(self.next_offset or 0, after, self.first_retained_offset)
+        after = offset_after(newest.values(), self.first_retained_offset)
+        self.next_offset = max(self.next_offset or 0, after)
 
     async def read(self, wait_s: float = 0.0) -> None:
         """Read the records appended since; wait up to ``wait_s`` for the first.
@@ -146,7 +145,7 @@
             urgent=True,
             leader=self.leader.name,
             term=self.term,
-            unsettled_terms=self.leader.unsettled_terms,
+            unstable_terms=self.leader.unstable_terms,
         )
         self.on_new_term()
 
--- a/packages/daemon/bulrushspur_daemon/config_watch.py
+++ b/packages/daemon/bulrushspur_daemon/config_watch.py
@@ -18,6 +18,7 @@
     StoreTruncatedError,
     StoreUnavailableError,
     is_receiving_bulk,
+    offset_after,
 )
 from bulrushspur_scheduler.config import CellConfig
 
@@ -84,12 +85,8 @@
         for key in [key for key in self.records if key not in newest]:
             del self.records[key]
             changed = True
-        # Records appended during the read may be missing from the answer, although the
-        # end offset returned with it is beyond them: that offset is not used.
-        next_unread = max((record.offset + 1 for record in newest.values()), default=0)
-        self.next_offset = max(
-            self.next_offset or 0, next_unread, self.first_retained_offset
-        )
+        after = offset_after(newest.values(), self.first_retained_offset)
+        self.next_offset = max(self.next_offset or 0, after)
         if changed or self.current is None:
             self._rebuild()
 
--- a/packages/daemon/bulrushspur_daemon/election.py
+++ b/packages/daemon/bulrushspur_daemon/election.py
@@ -79,16 +79,16 @@
             is_recovering=has_heartbeat and not client.serving,
             recovery_stalled_s=client.recovery_stalled_s(),
             registered_age_s=monotonic_s() - self.node_registry.registered_s,
-            unsettled_terms=self.term_watch.unsettled_terms,
+            unstable_terms=self.term_watch.unstable_terms,
         )
 
     def _observe_term(self) -> None:
-        """Follow whether the present term settles, also while this process leads."""
+        """Follow whether the present term is stable, also while this process leads."""
         claim_log, client = self.claim_log, self.leader_client
         if claim_log.leader is not None and claim_log.term > self.term_watch.term:
             self.term_watch.begin_term(
                 claim_log.term,
-                claim_log.leader.unsettled_terms,
+                claim_log.leader.unstable_terms,
                 not claim_log.term_preexisting,
             )
         is_serving = client.term == self.term_watch.term and client.serving
@@ -118,7 +118,7 @@
                     store_age_ms=round(view.leader_store_age_s * 1000),
                     recovering=view.is_recovering,
                     stalled_ms=round(min(view.recovery_stalled_s, 1e6) * 1000),
-                    unsettled_terms=view.unsettled_terms,
+                    unstable_terms=view.unstable_terms,
                     resigned=view.resigned,
                     dead=view.restarted,
                     broken=view.disconnected,
@@ -183,7 +183,7 @@
                     self.name,
                     claim_id,
                     self.incarnation,
-                    self.term_watch.next_unsettled_terms(),
+                    self.term_watch.next_unstable_terms(),
                     self.node_registry.own_offset or 0,
                 )
             )
--- a/packages/daemon/bulrushspur_daemon/gateway.py
+++ b/packages/daemon/bulrushspur_daemon/gateway.py
@@ -194,7 +194,7 @@
 def limit_retry_after_s(expected_s: float, remaining_s: float) -> float:
     """Return when a caller should come back that has ``remaining_s`` seconds left.
 
-    That is after ``expected_s``, or sooner where this is past its deadline; in whole
+    This is for callers with short deadlines in an outage that may end any time. It is after ``expected_s``, or sooner where this is past its deadline; in whole
     seconds then, as they are told to callers. A caller without time for another try is
     told what is expected.
     """
--- a/packages/daemon/bulrushspur_daemon/node_registry.py
+++ b/packages/daemon/bulrushspur_daemon/node_registry.py
@@ -26,6 +26,7 @@
     StoredRecord,
     StoreTruncatedError,
     StoreUnavailableError,
+    offset_after,
 )
 
 STORE_TIMEOUT_S: t.Final = 0.6
@@ -112,10 +113,7 @@
         newest, _ = await self.store.read_newest(NODES_TOPIC, STORE_TIMEOUT_S)
         for record in newest.values():
             self.apply(record)
-        # Records appended during the call may be missing from its result, so go on
-        # after the newest record returned and not at the end of the topic.
-        after = max((record.offset + 1 for record in newest.values()), default=0)
-        self.next_offset = max(after, self.first_retained_offset)
+        self.next_offset = offset_after(newest.values(), self.first_retained_offset)
 
     async def _read(self, wait_s: float) -> None:
         assert self.next_offset is not None
--- a/packages/kernel/bulrushspur_kernel/membership_records.py
+++ b/packages/kernel/bulrushspur_kernel/membership_records.py
@@ -25,7 +25,7 @@
 class LeaderRecord(msgspec.Struct, array_like=True):
     """A claim to lead, by an incarnation of a process; ``claim_id`` is unique.
 
-    ``unsettled_terms`` counts the terms just before it that did not serve for long, and
+    ``unstable_terms`` counts the terms just before it that did not serve for long, and
     ``node_offset`` is where the incarnation has registered: a later registration of the
     process means that it has restarted since.
     """
@@ -33,5 +33,5 @@
     name: str
     claim_id: str
     incarnation: str = ""
-    unsettled_terms: int = 0
+    unstable_terms: int = 0
     node_offset: int = -1
--- a/packages/kernel/bulrushspur_kernel/store.py
+++ b/packages/kernel/bulrushspur_kernel/store.py
@@ -111,6 +111,16 @@
         ...
 
 
+def offset_after(newest: t.Iterable[StoredRecord], first_retained: int) -> int:
+    """Return the offset from which to read on after the newest records were read.
+
+    Records appended meanwhile may be missing from them, although the end offset of that
+    answer is beyond; so it is the offset after the newest of them, or the oldest kept.
+    """
+    after = max((record.offset + 1 for record in newest), default=0)
+    return max(after, first_retained)
+
+
 def is_receiving_bulk(store: Store, now_s: float) -> bool:
     """Return whether a large response is arriving that may saturate the VM's link."""
     return now_s - store.last_bulk_s < MAX_BULK_GAP_S
--- a/packages/scheduler/bulrushspur_scheduler/health.py
+++ b/packages/scheduler/bulrushspur_scheduler/health.py
@@ -163,14 +163,10 @@
         missed_ends >= MISSED_ENDS_THRESHOLD
         and now_s - worker.last_on_time_end_s > ON_TIME_END_WINDOW_S
     ):
-        return [*late, *(run for run in overdue if not _contains(late, run))]
+        return [*late, *(run for run in overdue if run not in late)]
     return overdue
 
 
-def _contains(runs: list[Run], run: Run) -> bool:
-    return any(other is run for other in runs)
-
-
 def _may_be_overdue(run: Run) -> bool:
     """Return whether a run has certainly started, and should end by itself.
 
--- a/packages/scheduler/bulrushspur_scheduler/leadership.py
+++ b/packages/scheduler/bulrushspur_scheduler/leadership.py
@@ -21,7 +21,7 @@
 FIRST_HEARTBEAT_TIMEOUT_S: t.Final = 1.0
 PREEXISTING_CLAIM_TIMEOUT_S: t.Final = 0.6
 # The leader connects to a process only after it has read its registration.
-NEWCOMER_GRACE_S: t.Final = 1.5
+REGISTRATION_GRACE_S: t.Final = 1.5
 REJOIN_GRACE_S: t.Final = 1.0
 # Processes that start together need this long to register and to see each other.
 FIRST_CLAIM_WAIT_S: t.Final = 0.5
@@ -36,9 +36,9 @@
 # A recovery that takes longer is given up even while it advances: another process may
 # have a better link.
 MAX_RECOVERY_S: t.Final = 8.0
-# A term that has served for this long is settled.
-SETTLED_AFTER_S: t.Final = 3.0
-MAX_PATIENCE: t.Final = 8
+# A term that has served for this long is stable.
+STABLE_AFTER_S: t.Final = 3.0
+MAX_TIMEOUT_FACTOR: t.Final = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,7 +52,7 @@
     - ``is_recovering``: its last heartbeat said that it does not serve yet.
     - ``recovery_stalled_s``: the time since its recovery last advanced.
     - ``registered_age_s``: the time since this process registered.
-    - ``unsettled_terms``: how many terms in succession ended before they had settled.
+    - ``unstable_terms``: how many terms in succession ended before they were stable.
     - ``store_regained_age_s``: the time since the store answered this process again.
     - ``link_busy``: a large answer is arriving here and delays all other messages.
     """
@@ -71,30 +71,30 @@
     is_recovering: bool = False
     recovery_stalled_s: float = 0.0
     registered_age_s: float = 1e9
-    unsettled_terms: int = 0
+    unstable_terms: int = 0
 
 
 @dataclasses.dataclass
 class TermWatch:
-    """Observe whether the present term settles, and count those that did not.
+    """Observe whether the present term is stable, and count those that were not.
 
-    ``unsettled_terms`` counts the terms before the present one, as its claim says.
+    ``unstable_terms`` counts the terms before the present one, as its claim says.
     """
 
     term: int = 0
-    unsettled_terms: int = 0
+    unstable_terms: int = 0
     # A term that began before this process watched may have served unobserved.
     is_observed: bool = False
     serving_since_s: float | None = None
-    is_settled: bool = False
+    is_stable: bool = False
 
-    def begin_term(self, term: int, unsettled_terms: int, is_observed: bool) -> None:
+    def begin_term(self, term: int, unstable_terms: int, is_observed: bool) -> None:
         """Start to observe a new term."""
         self.term = term
-        self.unsettled_terms = unsettled_terms
+        self.unstable_terms = unstable_terms
         self.is_observed = is_observed
         self.serving_since_s = None
-        self.is_settled = False
+        self.is_stable = False
 
     def observe(self, is_serving: bool, now_s: float) -> None:
         """Record whether the leader of the present term serves now."""
@@ -103,20 +103,20 @@
             return
         if self.serving_since_s is None:
             self.serving_since_s = now_s
-        if now_s - self.serving_since_s >= SETTLED_AFTER_S:
-            self.is_settled = True
-            self.unsettled_terms = 0
+        if now_s - self.serving_since_s >= STABLE_AFTER_S:
+            self.is_stable = True
+            self.unstable_terms = 0
 
-    def next_unsettled_terms(self) -> int:
+    def next_unstable_terms(self) -> int:
         """Return the count that a claim made now, to replace this term, should have."""
-        if self.is_settled or not self.term:
+        if self.is_stable or not self.term:
             return 0
-        return self.unsettled_terms + self.is_observed
+        return self.unstable_terms + self.is_observed
 
 
-def patience(unsettled_terms: int) -> int:
+def timeout_factor(unstable_terms: int) -> int:
     """Return by how much to multiply the timeouts for a slow leader."""
-    return min(1 << min(unsettled_terms, MAX_PATIENCE), MAX_PATIENCE)
+    return min(1 << min(unstable_terms, MAX_TIMEOUT_FACTOR), MAX_TIMEOUT_FACTOR)
 
 
 def is_leader_lost(view: LeaderView) -> bool:
@@ -139,8 +139,8 @@
             else FIRST_HEARTBEAT_TIMEOUT_S
         )
         return (
-            view.claim_age_s > grace_s * patience(view.unsettled_terms)
-            and view.registered_age_s > NEWCOMER_GRACE_S
+            view.claim_age_s > grace_s * timeout_factor(view.unstable_terms)
+            and view.registered_age_s > REGISTRATION_GRACE_S
         )
     if view.disconnected and view.heartbeat_age_s > DISCONNECTED_LEADER_TIMEOUT_S:
         return True
@@ -151,7 +151,7 @@
 
 def _is_leader_slow(view: LeaderView) -> bool:
     """Return whether a leader that sends heartbeats makes too little progress."""
-    factor = patience(view.unsettled_terms)
+    factor = timeout_factor(view.unstable_terms)
     if view.is_recovering:
         return (
             view.recovery_stalled_s > STORE_CONTACT_TIMEOUT_S * factor
--- a/packages/scheduler/bulrushspur_scheduler/preemption.py
+++ b/packages/scheduler/bulrushspur_scheduler/preemption.py
@@ -1,7 +1,7 @@
 """Stop runs that can resume later, to free slots for a gang that has to start now.
 
 The input is a gang that does not fit; the result is stop orders, and a reservation of
-the workers for the gang until the next planning pass. The objective of a job is the
+the workers for the gang until reservations are made anew. The objective of a job is the
 time within which it should complete. Only a gang that would miss it by waiting
 preempts. Victims are only runs of lower priority (a greater number) that checkpoint and
 have time left to meet the objective of their own job.
@@ -66,6 +66,7 @@
         needed -= option.slots
     if needed > 0:
         return False
+    pool.reserved_count += sum(row.worker.reserved_for is None for row in chosen)
     for option in chosen:
         option.worker.reserved_for = step.key
         option.worker.reserved_until_s = now_s + PREEMPTION_DELAY_S
--- a/packages/scheduler/bulrushspur_scheduler/takeover.py
+++ b/packages/scheduler/bulrushspur_scheduler/takeover.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from bulrushspur_scheduler.cell import Cell
+from bulrushspur_scheduler.cell import Cell, FinishedJob
 from bulrushspur_scheduler.jobs import Job, make_occurrence
 from bulrushspur_scheduler.progress import add_job
 from bulrushspur_scheduler.records import (
@@ -42,26 +42,31 @@
     cell. A record that can't be decoded is logged and skipped.
     """
     for key, data in stored.items():
-        if key.startswith(PROGRESS_KEY_PREFIX):
-            job_id = key[len(PROGRESS_KEY_PREFIX) :]
-            if JOB_KEY_PREFIX + job_id not in stored:
-                _recover_finished(cell, job_id, data, now_s)
-        elif key.startswith(JOB_KEY_PREFIX):
-            job_id = key[len(JOB_KEY_PREFIX) :]
-            _recover_job(cell, job_id, data, stored, now_s, unix_s)
+        # Both prefixes have one letter.
+        job_id = key[1:]
+        try:
+            if key.startswith(JOB_KEY_PREFIX):
+                finished = _recover_job(cell, job_id, data, stored, now_s, unix_s)
+            elif key.startswith(PROGRESS_KEY_PREFIX):
+                finished = _recover_final_state(job_id, data, stored)
+            else:
+                continue
+        except msgspec.DecodeError as exc:
+            cell.log("record_unreadable", job_id, reason=str(exc))
+            continue
+        if finished is not None:
+            finished.finished_s = now_s
+            cell.finished_jobs[job_id] = finished
         yield
 
 
-def _recover_finished(cell: Cell, job_id: str, data: bytes, now_s: float) -> None:
-    """Recover the final state of a job whose job record was removed."""
-    try:
-        finished = decode_finished(data)
-    except msgspec.DecodeError as exc:
-        cell.log("record_unreadable", job_id, reason=str(exc))
-        return
-    if finished is not None:
-        finished.finished_s = now_s
-        cell.finished_jobs[job_id] = finished
+def _recover_final_state(
+    job_id: str, data: bytes, stored: dict[str, bytes]
+) -> FinishedJob | None:
+    """Return the final state of a job whose job record was removed."""
+    if JOB_KEY_PREFIX + job_id in stored:
+        return None
+    return decode_finished(data)
 
 
 def _recover_job(
@@ -71,23 +76,18 @@
     stored: dict[str, bytes],
     now_s: float,
     unix_s: float,
-) -> None:
-    try:
-        job = decode_job(job_id, data, now_s, unix_s)
-        job.run_number_base = cell.fencing_token * RUN_NUMBERS_PER_TERM
-        if not job.is_repeating:
-            make_occurrence(job, 0)
-        progress = stored.get(PROGRESS_KEY_PREFIX + job_id)
-        finished = apply_progress(job, progress) if progress is not None else None
-    except msgspec.DecodeError as exc:
-        cell.log("record_unreadable", job_id, reason=str(exc))
-        return
-    if finished is not None:
-        finished.finished_s = now_s
-        cell.finished_jobs[job_id] = finished
-        return
-    _mark_unreconciled(cell, job)
-    add_job(cell, job, now_s, unix_s)
+) -> FinishedJob | None:
+    """Add a job to the cell, or return its final state if it has one."""
+    job = decode_job(job_id, data, now_s, unix_s)
+    job.run_number_base = cell.fencing_token * RUN_NUMBERS_PER_TERM
+    if not job.is_repeating:
+        make_occurrence(job, 0)
+    progress = stored.get(PROGRESS_KEY_PREFIX + job_id)
+    finished = apply_progress(job, progress) if progress is not None else None
+    if finished is None:
+        _mark_unreconciled(cell, job)
+        add_job(cell, job, now_s, unix_s)
+    return finished
 
 
 def _mark_unreconciled(cell: Cell, job: Job) -> None:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -12,8 +12,9 @@
 import time
 import typing as t
 
+CHUNK_BYTES: t.Final = 65_536
 # Small enough that a slow link carries a chunk in less time than a heartbeat interval.
-CHUNK_BYTES: t.Final = 8192
+LIMITED_CHUNK_BYTES: t.Final = 8192
 
 
 class LinkFault(enum.Enum):
@@ -79,7 +80,8 @@
         blocking_fault: LinkFault,
     ) -> None:
         with contextlib.suppress(OSError):
-            while data := await source.read(CHUNK_BYTES):
+            chunk_bytes = LIMITED_CHUNK_BYTES if self.bytes_per_s else CHUNK_BYTES
+            while data := await source.read(chunk_bytes):
                 # Blocked data is delivered late and in order once the fault is cleared.
                 while self.fault in (LinkFault.BLOCK_BOTH, blocking_fault):
                     await asyncio.sleep(0.02)
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -20,7 +20,7 @@
 
 @dataclasses.dataclass
 class FakeClaimLog:
-    """A membership log with one leader, which claimed long ago."""
+    """A claim log with one leader, which claimed long ago."""
 
     store_unavailable: bool = False
     term: int = 1
@@ -109,16 +109,16 @@
         await election._claim()
         self.assertEqual(claim_log.claims, 1)
 
-    async def test_claim_counts_the_terms_that_did_not_settle(self):
+    async def test_claim_counts_the_unstable_terms(self):
         claim_log, election = self.make_election(store_unavailable=False)
-        claim_log.leader = LeaderRecord("other", "c", "b", unsettled_terms=1)
+        claim_log.leader = LeaderRecord("other", "c", "b", unstable_terms=1)
         election.leader_client.store_age_s = 1.5
         election._observe_term()
         await election._claim()
         self.assertEqual(claim_log.claims, 0)
         election.leader_client.store_age_s = 8.0
         await election._claim()
-        self.assertEqual(claim_log.claimed.unsettled_terms, 2)
+        self.assertEqual(claim_log.claimed.unstable_terms, 2)
 
 
 if __name__ == "__main__":
--- a/tests/test_heavy_load.py
+++ b/tests/test_heavy_load.py
@@ -8,11 +8,8 @@
 import statistics
 import unittest
 
-from tests.load_simulation import (
-    LoadSimulation,
-    make_grown_deployment_kinds,
-    make_heavy_day_kinds,
-)
+from tests.load_kinds import make_grown_deployment_kinds, make_heavy_day_kinds
+from tests.load_simulation import LoadSimulation
 
 
 class HeavyDayTest(unittest.TestCase):
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -10,7 +10,7 @@
 import unittest
 
 from bulrushspur_scheduler.leadership import (
-    SETTLED_AFTER_S,
+    STABLE_AFTER_S,
     Candidate,
     LeaderView,
     TermWatch,
@@ -100,19 +100,19 @@
         recovering = {"is_recovering": True, "recovery_stalled_s": 0.1}
         self.assertFalse(self.is_lost(**recovering, claim_age_s=7.0))
         self.assertTrue(self.is_lost(**recovering, claim_age_s=9.0))
-        self.assertFalse(self.is_lost(**recovering, claim_age_s=9.0, unsettled_terms=1))
+        self.assertFalse(self.is_lost(**recovering, claim_age_s=9.0, unstable_terms=1))
 
-    def test_terms_that_did_not_settle_lengthen_the_timeouts_of_a_slow_leader(self):
+    def test_unstable_terms_lengthen_the_timeouts_of_a_slow_leader(self):
         for changes in (
             {"leader_store_age_s": 1.7},
             {"is_recovering": True, "recovery_stalled_s": 1.7, "claim_age_s": 3.0},
             {"has_heartbeat": False, "claim_age_s": 1.9},
         ):
             self.assertTrue(self.is_lost(**changes))
-            self.assertFalse(self.is_lost(**changes, unsettled_terms=1))
-        # The patience has a limit, and a silent leader gets none.
-        self.assertTrue(self.is_lost(leader_store_age_s=8.0, unsettled_terms=50))
-        self.assertTrue(self.is_lost(heartbeat_age_s=1.0, unsettled_terms=50))
+            self.assertFalse(self.is_lost(**changes, unstable_terms=1))
+        # The factor has a limit, and does not apply to a silent leader.
+        self.assertTrue(self.is_lost(leader_store_age_s=8.0, unstable_terms=50))
+        self.assertTrue(self.is_lost(heartbeat_age_s=1.0, unstable_terms=50))
 
     def test_claim_order(self):
         candidates = [
@@ -130,22 +130,22 @@
 
 
 class TermWatchTest(unittest.TestCase):
-    def test_unsettled_terms_are_counted_and_a_settled_term_ends_the_count(self):
+    def test_unstable_terms_are_counted_and_a_stable_term_ends_the_count(self):
         watch = TermWatch()
-        self.assertEqual(watch.next_unsettled_terms(), 0)
+        self.assertEqual(watch.next_unstable_terms(), 0)
         watch.begin_term(7, 2, True)
         watch.observe(True, 100.0)
         watch.observe(False, 101.0)
-        self.assertEqual(watch.next_unsettled_terms(), 3)
+        self.assertEqual(watch.next_unstable_terms(), 3)
         watch.observe(True, 102.0)
-        watch.observe(True, 102.0 + SETTLED_AFTER_S)
-        self.assertEqual(watch.next_unsettled_terms(), 0)
-        self.assertEqual(watch.unsettled_terms, 0)
+        watch.observe(True, 102.0 + STABLE_AFTER_S)
+        self.assertEqual(watch.next_unstable_terms(), 0)
+        self.assertEqual(watch.unstable_terms, 0)
 
     def test_process_that_just_started_keeps_the_count_of_the_claim(self):
         watch = TermWatch()
         watch.begin_term(7, 2, False)
-        self.assertEqual(watch.next_unsettled_terms(), 2)
+        self.assertEqual(watch.next_unstable_terms(), 2)
 
 
 def play_claims(process_count, dead_count, is_first, store_latency_s=0.015):
