--- a/models/succession.py
+++ b/models/succession.py
@@ -49,12 +49,9 @@
     timeout_ticks = TIMEOUT_TICKS
     if mutant not in (BY_AGE, NO_BACKOFF):
         timeout_ticks *= timeout_factor(state.unstable_terms)
-    waited_ticks = (
-        state.age_ticks
-        if mutant in (BY_AGE, BY_AGE_WITH_BACKOFF)
-        else state.stalled_ticks
-    )
-    return waited_ticks > timeout_ticks
+    if mutant in (BY_AGE, BY_AGE_WITH_BACKOFF):
+        return state.age_ticks > timeout_ticks
+    return state.stalled_ticks > timeout_ticks
 
 
 def succeed(state: SuccessionState, mutant: str) -> SuccessionState:
--- a/packages/daemon/bulrushspur_daemon/gateway.py
+++ b/packages/daemon/bulrushspur_daemon/gateway.py
@@ -194,9 +194,10 @@
 def limit_retry_after_s(expected_s: float, remaining_s: float) -> float:
     """Return when a caller should come back that has ``remaining_s`` seconds left.
 
-    This is for callers with short deadlines in an outage that may end any time. It is after ``expected_s``, or sooner where this is past its deadline; in whole
+    That is after ``expected_s``, or sooner where this is past its deadline; in whole
     seconds then, as they are told to callers. A caller without time for another try is
-    told what is expected.
+    told what is expected. The load is callers with short deadlines, in an outage that
+    may end at any time.
     """
     if expected_s <= remaining_s - DEADLINE_MARGIN_S:
         return expected_s
--- a/packages/daemon/bulrushspur_daemon/main.py
+++ b/packages/daemon/bulrushspur_daemon/main.py
@@ -5,7 +5,7 @@
 import os
 import sys
 
-from bulrushspur_daemon.process import run_process
+from bulrushspur_daemon.lifecycle import run_process
 from bulrushspur_kernel.errors import BulrushspurError
 from bulrushspur_kernel.settings import load_settings
 
--- a/packages/daemon/bulrushspur_daemon/process.py
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -1,15 +1,12 @@
-"""Build an entry process from its parts, and run it until a signal stops it.
+"""Build an entry process from its parts, and pass messages and events between them.
 
 The settings go in. Every process serves callers, the balancer and operators, follows
 the claim log and the configuration, and makes advice calls for the leader. It also
-runs a term while the newest claim to lead is its own. An error in a background loop
-stops the process.
+runs a term while the newest claim to lead is its own.
 """
 
-import asyncio
 import dataclasses
 import os
-import signal
 import typing as t
 
 import zmq.asyncio
@@ -33,12 +30,10 @@
     CallerInterface,
     load_adapter,
 )
-from bulrushspur_kernel.errors import Refusal
 from bulrushspur_kernel.http_exchange import Exchange, Request
 from bulrushspur_kernel.http_pool import HttpPool, make_http_pool
-from bulrushspur_kernel.http_server import HttpServer, make_http_server
-from bulrushspur_kernel.logs import EventLog, configure_logging
-from bulrushspur_kernel.membership_records import NodeRecord
+from bulrushspur_kernel.http_server import HttpServer
+from bulrushspur_kernel.logs import EventLog
 from bulrushspur_kernel.messages import (
     AdviceReply,
     AdviceRequest,
@@ -51,14 +46,13 @@
 )
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_kernel.plugins import lookup
-from bulrushspur_kernel.settings import Settings, load_settings, split_address
+from bulrushspur_kernel.settings import Settings
 from bulrushspur_kernel.store import Store
 from bulrushspur_scheduler.cell import TimingLimits
 
 MAX_READY_LEADER_AGE_S: t.Final = 2.5
 MAX_READY_LEADER_AGE_NO_STORE_S: t.Final = 0.7
 MAX_FRESH_STORE_AGE_S: t.Final = 1.5
-DRAIN_CHECK_INTERVAL_S: t.Final = 0.05
 
 
 @dataclasses.dataclass
@@ -212,12 +206,6 @@
         await handle_operator_request(self, request, exchange)
 
 
-async def send_refusal(exchange: Exchange, refusal: Refusal) -> None:
-    """Send an error of the HTTP server itself as JSON, without the sentence."""
-    body = f'{{"error":"{refusal.kind.value}"}}'.encode()
-    await exchange.send_json(refusal.details.status, body)
-
-
 def make_process(settings: Settings, log: EventLog, incarnation: str) -> Process:
     """Make a process that does not run yet; needs a running event loop.
 
@@ -282,122 +270,3 @@
     node_registry.on_change = lambda: process.update_peers()
     config_watch.listeners.append(lambda config: process.apply_config(config))
     return process
-
-
-async def run_process(settings: Settings, path: str) -> None:
-    """Run an entry process until SIGTERM, SIGINT or an error in a background loop.
-
-    SIGHUP checks the settings file at ``path``.
-    """
-    log = configure_logging(settings.name, settings.log.level, settings.log.lines_per_s)
-    log.event(
-        "start",
-        urgent=True,
-        domain=settings.domain,
-        cores=settings.cores,
-        pid=os.getpid(),
-    )
-    incarnation = os.urandom(6).hex()
-    process = make_process(settings, log, incarnation)
-    loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: reload_settings(process, path))
-    loops = make_background_loops(process, incarnation)
-    tasks = [
-        asyncio.create_task(_stop_on_error(coroutine, log, stop)) for coroutine in loops
-    ]
-    await listen(process)
-    await stop.wait()
-    await shut_down(process)
-    for task in tasks:
-        task.cancel()
-    process.context.destroy(linger=0)
-    log.event("stop", urgent=True)
-
-
-def make_background_loops(
-    process: Process, incarnation: str
-) -> list[t.Coroutine[t.Any, t.Any, None]]:
-    """Make the background loops of a process, all but its servers and its term."""
-    settings = process.settings
-    own_record = NodeRecord(
-        settings.name,
-        settings.domain,
-        settings.peers_address,
-        settings.cores,
-        incarnation,
-        settings.operators_address,
-    )
-    return [
-        process.peer_server.run(),
-        process.peer_server.watch_disconnects(),
-        process.config_watch.run(),
-        process.config_watch.run_refresh(),
-        process.claim_log.run(),
-        process.node_registry.run(own_record),
-        process.election.run(),
-        process.advice_caller.run(),
-    ]
-
-
-async def _stop_on_error(
-    coroutine: t.Coroutine[t.Any, t.Any, None], log: EventLog, stop: asyncio.Event
-) -> None:
-    try:
-        await coroutine
-    except asyncio.CancelledError:
-        raise
-    except Exception as exc:
-        log.event("fault", urgent=True, reason=repr(exc))
-        stop.set()
-        raise
-
-
-def reload_settings(process: Process, path: str) -> None:
-    """Read the settings again and log whether they changed; they apply at a restart."""
-    try:
-        new_settings = load_settings(path)
-    except Exception as exc:
-        process.log.event("reload_failed", urgent=True, reason=str(exc))
-        return
-    unchanged = new_settings == process.settings
-    process.log.event("reload", urgent=True, changed=not unchanged)
-
-
-async def listen(process: Process) -> None:
-    """Start the HTTP servers for callers, the balancer and operators, in this order."""
-    settings = process.settings
-    endpoints = [
-        (settings.callers_address, process.handle_caller),
-        (settings.ready_address, process.handle_ready),
-    ]
-    if settings.operators_address:
-        endpoints.append((settings.operators_address, process.handle_operator))
-    for address, handler in endpoints:
-        server = make_http_server(handler, send_refusal, settings.bounds)
-        await server.listen(*split_address(address))
-        process.servers.append(server)
-
-
-async def shut_down(process: Process) -> None:
-    """Resign if this process leads, then let open requests finish and close servers.
-
-    Callers' requests have ``drain_s`` seconds of the settings to finish.
-    """
-    process.stopping = True
-    process.election.stopping = True
-    process.log.event("stopping", urgent=True, leads=process.term is not None)
-    if process.term is not None:
-        term = process.term
-        term.peers.resign(term.number)
-        await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
-        term.stop("the process stops")
-    callers_server = process.servers[0]
-    callers_server.begin_close()
-    deadline_s = monotonic_s() + process.settings.bounds.drain_s
-    while callers_server.connection_tasks and monotonic_s() < deadline_s:
-        await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
-    for server in process.servers:
-        await server.close(0.2)
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -13,7 +13,8 @@
 import msgspec
 
 from bench.ports import find_free_port
-from bulrushspur_daemon.process import listen, make_background_loops, make_process
+from bulrushspur_daemon.lifecycle import listen, make_background_loops
+from bulrushspur_daemon.process import make_process
 from bulrushspur_kernel.http_client import (
     NotSentError,
     ResponseLostError,
--- a/tests/test_slow_takeover.py
+++ b/tests/test_slow_takeover.py
@@ -1,4 +1,4 @@
-"""Test that a term serves and stays where its processes load the records of jobs slowly.
+"""Test that a term serves and stays where processes load the records slowly.
 
 Real processes reach the store over a slow link and find some hundred jobs recorded. The
 tests guard against a leader that is replaced while it loads them: its successor would
