--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -46,14 +46,15 @@
 from bulrushspur_scheduler.cell import Cell, TimingLimits, make_cell
 from bulrushspur_scheduler.config import CellConfig
 from bulrushspur_scheduler.eviction import evict_runs
-from bulrushspur_scheduler.jobs import JobState
-from bulrushspur_scheduler.leases import expire_leases
+from bulrushspur_scheduler.leases import expire_leases, list_expired_workers
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import (
+    count_waiting_jobs,
     purge_finished_jobs,
     set_objective,
-    start_due_occurrences,
+    start_all_due_occurrences,
 )
+from bulrushspur_scheduler.runs import update_mean_urgent_cpu
 
 TICK_INTERVAL_S: t.Final = 0.1
 HEARTBEAT_INTERVAL_S: t.Final = 0.15
@@ -66,7 +67,6 @@
 # After this long without confirmation by the store, no run is started and no lease is
 # extended: a later term may have begun.
 AUTHORITY_TIMEOUT_S: t.Final = 10.0
-URGENT_CPU_SMOOTHING_FACTOR: t.Final = 0.02
 
 
 @dataclasses.dataclass
@@ -222,39 +222,18 @@
             now_s = monotonic_s()
             cell = self.cell
             expire_leases(cell, self.writer.confirmed_s)
-            self._start_occurrences(now_s)
+            start_all_due_occurrences(cell, now_s, unix_s())
             evict_runs(cell, now_s)
-            self._update_mean_urgent_cpu()
+            update_mean_urgent_cpu(cell)
             self._remove_expired_workers(now_s)
             for job_id in purge_finished_jobs(cell, now_s):
                 cell.dirty_jobs.add(job_id)
             self.request_plan()
 
-    def _start_occurrences(self, now_s: float) -> None:
-        for job in self.cell.jobs.values():
-            if job.is_repeating:
-                start_due_occurrences(self.cell, job, now_s, unix_s())
-
-    def _update_mean_urgent_cpu(self) -> None:
-        cell = self.cell
-        for service, used in cell.urgent_cpu_milli.items():
-            mean = cell.mean_urgent_cpu_milli.get(service, 0.0)
-            cell.mean_urgent_cpu_milli[service] = mean + URGENT_CPU_SMOOTHING_FACTOR * (
-                used - mean
-            )
-
     def _remove_expired_workers(self, now_s: float) -> None:
         """Remove unlisted workers on which nothing can run any more."""
-        expired = [
-            worker
-            for worker in self.cell.workers.values()
-            if not worker.listed
-            and not worker.runs
-            and worker.id not in self.cell.unobserved_workers
-            and worker.is_lease_expired(self.writer.confirmed_s)
-            and now_s - worker.unlisted_s > 1.0
-        ]
-        for worker in expired:
+        confirmed_s = self.writer.confirmed_s
+        for worker in list_expired_workers(self.cell, confirmed_s, now_s):
             del self.cell.workers[worker.id]
             self.worker_connections.close(worker.id)
             self.worker_records.remove(worker.id)
@@ -299,18 +278,11 @@
             self.serving,
             self.cell.config.version,
             round(max(age_s, 0.0) * 1000),
-            self._count_waiting_jobs(),
+            count_waiting_jobs(self.cell),
             self.recovery.loaded_bytes,
             self.recovery.recovered_records,
         )
 
-    def _count_waiting_jobs(self) -> dict[str, int]:
-        counts: dict[str, int] = {}
-        for job in self.cell.jobs.values():
-            if job.state is JobState.QUEUED and not job.is_repeating:
-                counts[job.queue] = counts.get(job.queue, 0) + 1
-        return counts
-
     def handle_message(
         self, message: Message, reply: t.Callable[[Message], t.Any]
     ) -> None:
--- a/packages/scheduler/bulrushspur_scheduler/leases.py
+++ b/packages/scheduler/bulrushspur_scheduler/leases.py
@@ -6,12 +6,16 @@
 steps are planned again.
 """
 
+import typing as t
+
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.jobs import Run
 from bulrushspur_scheduler.progress import requeue_step
 from bulrushspur_scheduler.runs import release_run
 from bulrushspur_scheduler.workers import Worker
 
+UNLISTED_GRACE_S: t.Final = 1.0
+
 
 def extend_lease(cell: Cell, worker: Worker, now_s: float, lease_s: float) -> int:
     """Extend a lease by ``lease_s``; return its end in ms on the worker's clock.
@@ -61,3 +65,16 @@
     for worker in cell.workers.values():
         if (worker.runs or worker.orphan_runs) and worker.is_lease_expired(confirmed_s):
             mark_worker_lost(cell, worker, "lease over")
+
+
+def list_expired_workers(cell: Cell, confirmed_s: float, now_s: float) -> list[Worker]:
+    """List the unlisted workers on which nothing can run any more."""
+    return [
+        worker
+        for worker in cell.workers.values()
+        if not worker.listed
+        and not worker.runs
+        and worker.id not in cell.unobserved_workers
+        and worker.is_lease_expired(confirmed_s)
+        and now_s - worker.unlisted_s > UNLISTED_GRACE_S
+    ]
--- a/packages/scheduler/bulrushspur_scheduler/progress.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress.py
@@ -54,6 +54,22 @@
     job.priority = queue.priority
 
 
+def start_all_due_occurrences(cell: Cell, now_s: float, unix_s: float) -> None:
+    """Start the due occurrences of all repeating jobs."""
+    for job in cell.jobs.values():
+        if job.is_repeating:
+            start_due_occurrences(cell, job, now_s, unix_s)
+
+
+def count_waiting_jobs(cell: Cell) -> dict[str, int]:
+    """Count by queue the jobs of which no task has started, without repeating ones."""
+    counts: dict[str, int] = {}
+    for job in cell.jobs.values():
+        if job.state is JobState.QUEUED and not job.is_repeating:
+            counts[job.queue] = counts.get(job.queue, 0) + 1
+    return counts
+
+
 def start_due_occurrences(cell: Cell, job: Job, now_s: float, unix_s: float) -> None:
     """Start the due occurrences of a repeating job that have not started yet."""
     spec = job.spec
