--- a/fuzz/run.py
+++ b/fuzz/run.py
@@ -13,7 +13,8 @@
 import traceback
 import typing as t
 
-from fuzz.simulation import Simulation, make_random_spec
+from fuzz.jobs import make_random_spec
+from fuzz.simulation import Simulation
 
 DEFAULT_SEED: t.Final = 1
 DEFAULT_STEPS: t.Final = 20_000
--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -6,18 +6,17 @@
 their times and draw from one generator, so a seed always gives the same history.
 """
 
-import dataclasses
 import heapq
 import itertools
 import random
 import typing as t
 
 from bulrushspur_scheduler import takeover
-from bulrushspur_scheduler.cell import Cell, StartOrder, StopOrder, make_cell
+from bulrushspur_scheduler.cell import StartOrder, StopOrder, make_cell
 from bulrushspur_scheduler.config import Account, CellConfig, Queue, make_config
 from bulrushspur_scheduler.eviction import evict_runs
-from bulrushspur_scheduler.jobs import Job, JobSpec, JobState, StepSpec, TaskKey
-from bulrushspur_scheduler.leases import expire_leases, extend_lease, mark_worker_lost
+from bulrushspur_scheduler.jobs import Job, JobSpec, JobState, TaskKey
+from bulrushspur_scheduler.leases import expire_leases, extend_lease
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import add_job, finish_job
 from bulrushspur_scheduler.records import (
@@ -34,6 +33,7 @@
 )
 from bulrushspur_scheduler.resources import Resources
 from bulrushspur_scheduler.workers import WorkerEntry, make_worker
+from fuzz.leaders import SimLeader, SimStore
 from fuzz.workers import Oracle, SimWorker
 
 AUTHORITY_TIMEOUT_S: t.Final = 6.0
@@ -53,39 +53,6 @@
 )
 
 
-@dataclasses.dataclass
-class SimStore:
-    """The store: records by key, worker ids, and the epoch that fences writers."""
-
-    records: dict[str, bytes] = dataclasses.field(default_factory=dict)
-    worker_ids: set[str] = dataclasses.field(default_factory=set)
-    epoch: int = 0
-    unavailable_until_s: float = 0.0
-
-
-@dataclasses.dataclass
-class SimLeader:
-    """A leader with its cell, which can be cut off from the store and from workers.
-
-    The end sequences are, by worker, the number of the last end that is stored and of
-    the last that is acknowledged. A worker is unverified from each lease renewal until
-    it answers: it may have restarted. A leader that loads has fenced the store and read
-    it, and does nothing else yet.
-    """
-
-    term: int
-    cell: Cell
-    authority_confirmed_s: float
-    durable_end_sequences: dict[str, int] = dataclasses.field(default_factory=dict)
-    acknowledged_end_sequences: dict[str, int] = dataclasses.field(default_factory=dict)
-    unverified_workers: set[str] = dataclasses.field(default_factory=set)
-    unreachable_workers: set[str] = dataclasses.field(default_factory=set)
-    store_unreachable: bool = False
-    ended: bool = False
-    loading: bool = False
-    unstored_jobs: set[str] = dataclasses.field(default_factory=set)
-
-
 class Simulation:
     """The simulated cell; it starts with four workers and a leader of term 1."""
 
@@ -439,23 +406,3 @@
 
         self.schedule(self._delay_s(), arrive)
         self.schedule(RENEWAL_INTERVAL_S, lambda: self._renew_lease(leader, name))
-
-
-def make_random_spec(rng: random.Random, job_id: str) -> JobSpec:
-    """Make a random job of one or two steps; the second depends on the first."""
-    steps = []
-    for index in range(rng.choice((1, 1, 2))):
-        steps.append(
-            StepSpec(
-                rng.choice((1, 2, 3, 6)),
-                Resources(rng.choice((500, 1000, 2500, 4000)), 10),
-                rng.choice((0.3, 0.8, 2.0)),
-                (0,) if index else (),
-                gang=rng.random() < 0.3,
-                max_per_worker=rng.choice((0, 0, 2)),
-            )
-        )
-    return JobSpec(job_id, "p", tuple(steps))
-
-
-__all__ = ["Simulation", "make_random_spec", "mark_worker_lost"]
--- a/packages/daemon/bulrushspur_daemon/advice_dispatcher.py
+++ b/packages/daemon/bulrushspur_daemon/advice_dispatcher.py
@@ -16,15 +16,15 @@
 from bulrushspur_kernel.logs import EventLog
 from bulrushspur_kernel.messages import AdviceReply, AdviceRequest
 from bulrushspur_kernel.metrics import Metrics
-from bulrushspur_scheduler.advice import (
+from bulrushspur_scheduler.advice import apply_advice
+from bulrushspur_scheduler.cell import AdviceCall, Cell
+from bulrushspur_scheduler.lanes import (
     Lane,
     LaneGroups,
-    apply_advice,
     choose_lane,
     count_free_long_call_lanes,
     split_lanes,
 )
-from bulrushspur_scheduler.cell import AdviceCall, Cell
 
 # A call without a reply this long after its expected end counts as lost. The expected
 # end allows for the calls queued before it in its lane.
--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -15,6 +15,7 @@
 from bulrushspur_daemon.clock import boottime_s, monotonic_s, unix_s
 from bulrushspur_daemon.leader_requests import LeaderRequest, LeaderRequestHandler
 from bulrushspur_daemon.liveness_watch import LivenessWatch
+from bulrushspur_daemon.plan_loop import PlanLoop
 from bulrushspur_daemon.record_writer import RecordWriter
 from bulrushspur_daemon.term_peers import TermPeers
 from bulrushspur_daemon.term_recovery import TermRecovery
@@ -42,12 +43,10 @@
     StoreFencedError,
     StoreUnavailableError,
 )
-from bulrushspur_scheduler import takeover
 from bulrushspur_scheduler.cell import Cell, TimingLimits, make_cell
 from bulrushspur_scheduler.config import CellConfig
 from bulrushspur_scheduler.eviction import evict_runs
 from bulrushspur_scheduler.leases import expire_leases, list_expired_workers
-from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import (
     count_waiting_jobs,
     purge_finished_jobs,
@@ -58,11 +57,6 @@
 
 TICK_INTERVAL_S: t.Final = 0.1
 HEARTBEAT_INTERVAL_S: t.Final = 0.15
-PLAN_BATCH_DELAY_S: t.Final = 0.002
-# A pause of this many times the pass leaves most of the processor time to the other
-# tasks. Only a pass longer than a third of the limit takes more of it.
-PLAN_PAUSE_FACTOR: t.Final = 3.0
-MAX_PLAN_PAUSE_S: t.Final = 0.1
 CONFIRM_INTERVAL_S: t.Final = 0.4
 # After this long without confirmation by the store, no run is started and no lease is
 # extended: a later term may have begun.
@@ -90,11 +84,11 @@
     worker_watch: WorkerWatch = dataclasses.field(init=False)
     recovery: TermRecovery = dataclasses.field(init=False)
     liveness_watch: LivenessWatch = dataclasses.field(init=False)
+    plan_loop: PlanLoop = dataclasses.field(init=False)
     request_handler: LeaderRequestHandler = dataclasses.field(init=False)
     make_config_records: t.Callable[[], ConfigRecords] = lambda: ConfigRecords([])
     serving: bool = False
     ended: bool = False
-    plan_requested: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     tasks: set[asyncio.Task[t.Any]] = dataclasses.field(default_factory=set)
 
     def start(self) -> None:
@@ -149,7 +143,7 @@
         self._spawn(self.writer.run())
         self._spawn(self.worker_watch.run())
         self._spawn(self.liveness_watch.run())
-        self._spawn(self._plan_loop())
+        self._spawn(self.plan_loop.run())
         self._spawn(self._tick_loop())
         self._spawn(self._confirm_loop())
 
@@ -172,8 +166,8 @@
         return boottime_s() - self.writer.confirmed_boottime_s < AUTHORITY_TIMEOUT_S
 
     def request_plan(self) -> None:
-        """Wake the planning loop; requests made close together share one pass."""
-        self.plan_requested.set()
+        """Wake the planning loop."""
+        self.plan_loop.request()
 
     def apply_config(self, config: CellConfig) -> None:
         """Replace the configuration, and plan again with it."""
@@ -182,40 +176,6 @@
             set_objective(self.cell, job)
         self.request_plan()
 
-    async def _plan_loop(self) -> None:
-        pause_s = 0.0
-        while True:
-            await self.plan_requested.wait()
-            await asyncio.sleep(max(PLAN_BATCH_DELAY_S, pause_s))
-            self.plan_requested.clear()
-            if self.cell.superseded:
-                self.stop("a worker reported a later term")
-                return
-            now_s = monotonic_s()
-            takeover.reconcile(self.cell, self.writer.confirmed_s)
-            if self.has_authority():
-                self.advice_dispatcher.update_free_long_call_lanes()
-                plan(self.cell, now_s)
-                took_s = monotonic_s() - now_s
-                pause_s = min(took_s * PLAN_PAUSE_FACTOR, MAX_PLAN_PAUSE_S)
-                self.metrics.record_duration("plan", took_s)
-            self._flush()
-
-    def _flush(self) -> None:
-        self.worker_connections.send_orders()
-        self.advice_dispatcher.dispatch()
-        self.writer.request_write()
-        self._write_events()
-
-    def _write_events(self) -> None:
-        events = self.cell.events
-        while events:
-            event = events.popleft()
-            # Lines about workers and the term are few, so they are exempt from the rate
-            # limit of the log.
-            fields = {"job": event.job} if event.job else {}
-            self.log.event(event.name, urgent=not event.job, **fields, **event.fields)
-
     async def _tick_loop(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
@@ -369,13 +329,23 @@
     term.liveness_watch = LivenessWatch(
         adapter, incarnations_pool, cell, log, metrics, term.request_plan
     )
+    term.plan_loop = PlanLoop(
+        cell,
+        writer,
+        term.worker_connections,
+        term.advice_dispatcher,
+        log,
+        metrics,
+        term.has_authority,
+        term.stop,
+    )
     term.request_handler = LeaderRequestHandler(
         cell,
         writer,
         term.advice_dispatcher,
         term._spawn,
         term.request_plan,
-        term._flush,
+        term.plan_loop.flush,
     )
     peers.on_message = term.handle_message
     return term
--- a/packages/scheduler/bulrushspur_scheduler/advice.py
+++ b/packages/scheduler/bulrushspur_scheduler/advice.py
@@ -5,18 +5,15 @@
 usable workers, or the service's reply; the result is advice calls to send, and the
 approved workers and tickets of the step. A step gets no new calls while earlier ones
 are in flight.
-
-The service handles one call at a time from each calling VM, so every VM is a lane. Long
-calls are limited to a part of the lanes, so that short calls do not wait behind them.
 """
 
-import dataclasses
 import math
 import typing as t
 
 from bulrushspur_scheduler.cell import AdviceCall, Cell
 from bulrushspur_scheduler.config import Queue
 from bulrushspur_scheduler.jobs import Job, Step, StepKey
+from bulrushspur_scheduler.lanes import MIN_LONG_CALL_S
 from bulrushspur_scheduler.placement import (
     Pool,
     eligible_workers,
@@ -38,10 +35,6 @@
 MAX_STALE_TICKET_SHARE: t.Final = 0.3
 # A reservation is distant if it will be ready later than this many call durations.
 DISTANT_RESERVATION_FACTOR: t.Final = 2.0
-MIN_LONG_CALL_S: t.Final = 0.25
-LONG_CALL_LANE_SHARE: t.Final = 0.5
-# A lane that becomes free within this time counts as free.
-LANE_FREE_TOLERANCE_S: t.Final = 0.05
 TICKET_EXPIRY_MARGIN_S: t.Final = 0.1
 PRIOR_APPROVAL_RATE: t.Final = 0.5
 APPROVAL_RATE_GAIN: t.Final = 0.05
@@ -252,54 +245,3 @@
     mean = cell.approval_rates.get(queue, PRIOR_APPROVAL_RATE)
     mean += APPROVAL_RATE_GAIN * (share - mean)
     cell.approval_rates[queue] = max(mean, MIN_APPROVAL_RATE)
-
-
-@dataclasses.dataclass(slots=True)
-class Lane:
-    """A VM that can call the service, and until when its calls keep it busy."""
-
-    name: str
-    busy_until_s: float = 0.0
-    queued_calls: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LaneGroups:
-    """The lanes for long calls, and those for short calls only."""
-
-    long_call_lanes: list[Lane]
-    short_call_lanes: list[Lane]
-
-
-def split_lanes(lanes: list[Lane]) -> LaneGroups:
-    """Divide the lanes by the calls that they make."""
-    ordered = sorted(lanes, key=lambda lane: lane.name)
-    split = math.ceil(len(ordered) * LONG_CALL_LANE_SHARE)
-    return LaneGroups(ordered[:split], ordered[split:])
-
-
-def count_free_long_call_lanes(groups: LaneGroups, now_s: float) -> int:
-    """Return the number of lanes that can begin a long call now."""
-    return sum(
-        lane.busy_until_s <= now_s + LANE_FREE_TOLERANCE_S
-        for lane in groups.long_call_lanes
-    )
-
-
-def choose_lane(groups: LaneGroups, call_s: float, now_s: float) -> Lane | None:
-    """Return the lane that is free first for a call of ``call_s`` seconds, or None.
-
-    Long calls use only their part of the lanes, and short calls only the rest, unless
-    there is no rest. A lane with a full backlog takes no call.
-    """
-    allowed = (
-        groups.long_call_lanes
-        if call_s > MIN_LONG_CALL_S
-        else (groups.short_call_lanes or groups.long_call_lanes)
-    )
-    available = [lane for lane in allowed if lane.queued_calls < 24]
-    return min(
-        available,
-        key=lambda lane: (max(lane.busy_until_s, now_s), lane.queued_calls),
-        default=None,
-    )
--- a/tests/load_simulation.py
+++ b/tests/load_simulation.py
@@ -16,6 +16,12 @@
 from bulrushspur_scheduler.config import Account, make_config
 from bulrushspur_scheduler.eviction import evict_runs
 from bulrushspur_scheduler.jobs import Job, JobSpec, RunOutcome, RunState, StepSpec
+from bulrushspur_scheduler.lanes import (
+    Lane,
+    choose_lane,
+    count_free_long_call_lanes,
+    split_lanes,
+)
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import add_job
 from bulrushspur_scheduler.reports import (
@@ -66,9 +72,7 @@
         self.submissions = {}
         self.job_ids_by_queue = collections.defaultdict(list)
         self.pending_advice_calls = []
-        self.lanes = advice.split_lanes(
-            [advice.Lane(f"n{index:02}") for index in range(lanes)]
-        )
+        self.lanes = split_lanes([Lane(f"n{index:02}") for index in range(lanes)])
         self.run_started_s = {}
         self.unreported_ends = collections.defaultdict(list)
         self.last_report_s = {}
@@ -129,7 +133,7 @@
         self.report_workers()
         self.answer_advice_calls()
         evict_runs(self.cell, self.now_s)
-        free_lanes = advice.count_free_long_call_lanes(self.lanes, self.now_s)
+        free_lanes = count_free_long_call_lanes(self.lanes, self.now_s)
         self.cell.free_long_call_lanes = free_lanes
         plan(self.cell, self.now_s)
         self.cell.events.clear()
@@ -146,7 +150,7 @@
 
         A lane makes one call at a time.
         """
-        lane = advice.choose_lane(self.lanes, call.expected_call_s, self.now_s)
+        lane = choose_lane(self.lanes, call.expected_call_s, self.now_s)
         lane.busy_until_s = max(lane.busy_until_s, self.now_s) + call.expected_call_s
         return lane.busy_until_s
 
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -10,14 +10,10 @@
 from bulrushspur_daemon.advice_dispatcher import AdviceDispatcher
 from bulrushspur_kernel.messages import AdviceReply
 from bulrushspur_kernel.metrics import Metrics
-from bulrushspur_scheduler.advice import (
-    Lane,
-    apply_advice,
-    choose_lane,
-    split_lanes,
-)
+from bulrushspur_scheduler.advice import apply_advice
 from bulrushspur_scheduler.cell import AdviceCall
 from bulrushspur_scheduler.jobs import StepKey
+from bulrushspur_scheduler.lanes import Lane, choose_lane, split_lanes
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.resources import Resources
 from tests.cell_fixtures import (
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -4,9 +4,12 @@
 that lose their work or miss their own objective.
 """
 
+import math
 import unittest
 
+from bulrushspur_scheduler.placement import make_pool
 from bulrushspur_scheduler.planning import plan
+from bulrushspur_scheduler.preemption import preempt
 from bulrushspur_scheduler.resources import Resources
 from bulrushspur_scheduler.runs import stop_run
 from tests.cell_fixtures import (
@@ -120,6 +123,15 @@
             plan(cell, 3.0)
             self.assertEqual(len(stopped_runs(cell)), 2, stopping_index)
 
+    def test_workers_reserved_by_preemption_count_as_reserved(self):
+        cell = make_full_cell()
+        add_gang(cell, 2.0)
+        report_all_workers(cell, 3.0)
+        pool = make_pool(cell, "svc", 3.0)
+        step = cell.jobs["g"].occurrences[0].steps[0]
+        self.assertTrue(preempt(cell, step, pool, math.inf, 3.0))
+        self.assertEqual(pool.reserved_count, 2)
+
 
 if __name__ == "__main__":
     unittest.main()
