--- a/Makefile
+++ b/Makefile
@@ -57,3 +57,8 @@
 .PHONY: profile
 profile: $(STAMP)
 	WORKERS="$(WORKERS)" JOBS="$(JOBS)" SECONDS="$(SECONDS)" $(PY) -m bench.profile
+
+LOG ?=
+.PHONY: losses
+losses: $(STAMP)
+	LOG="$(LOG)" $(PY) -m bench.losses
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -223,6 +223,8 @@
     accepted_s: float
     accepted_unix_s: float
     objective_s: float = 0.0
+    # Expected length of the longest chain of steps; the objective is made from it.
+    path_s: float = 0.0
     priority: int = 0
     # Arrived beyond its account's share.
     over_share: bool = False
--- a/packages/scheduler/bulrushspur_scheduler/progress.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress.py
@@ -50,6 +50,7 @@
         job.spec.steps,
         lambda spec: predict_duration(cell, job.queue, spec.estimate_s)[0],
     )
+    job.path_s = path_s
     job.objective_s = queue.stretch * path_s + queue.target_latency_s
     job.priority = queue.priority
 
@@ -177,6 +178,7 @@
         state=state.value,
         took_ms=round((now_s - job.accepted_s) * 1000),
         objective_ms=round(job.objective_s * 1000),
+        path_ms=round(job.path_s * 1000),
         queue=job.queue,
         account=job.account,
     )
