--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -12,6 +12,7 @@
 
 from bulrushspur_scheduler import advice
 from bulrushspur_scheduler.cell import Cell
+from bulrushspur_scheduler.domain_choice import choose_domain
 from bulrushspur_scheduler.jobs import RunState, Step, Task
 from bulrushspur_scheduler.placement import (
     Pool,
@@ -134,7 +135,8 @@
     """Start single tasks while they fit; return whether all were started."""
     if not _is_within_limits(cell, step, pool, 1):
         return False
-    choose_worker = make_worker_chooser(step, workers)
+    domain = choose_domain(step, len(startable), workers)
+    choose_worker = make_worker_chooser(step, workers, domain)
     for task in startable:
         if not _is_within_limits(cell, step, pool, 1):
             return False
@@ -170,7 +172,8 @@
         return False
     chosen = None
     if _is_within_limits(cell, step, pool, len(startable)):
-        chosen = choose_gang_workers(step, startable, workers)
+        domain = choose_domain(step, len(startable), workers)
+        chosen = choose_gang_workers(step, startable, workers, domain)
     if chosen is None:
         # Gangs past their deadline must not hold back steps that are still useful.
         if pool.renews_reservations and (
@@ -229,7 +232,12 @@
     )
     same_number = all(run.number == step.gang_run_number for run in runs)
     chosen = (
-        choose_gang_workers(step, startable, workers)
+        choose_gang_workers(
+            step,
+            startable,
+            workers,
+            choose_domain(step, len(startable), workers),
+        )
         if in_join_window and same_number
         else None
     )
