Send callers away from a leader that is cut off

Change: heartbeats say when the leader reaches neither the store nor most processes; processes that follow it are not ready then, and answers close their connections. A process that lost the leader is not ready as soon as its calls of the store fail. Tests fail without it. Not measured yet.

--- a/packages/daemon/bulrushspur_daemon/leader_client.py
+++ b/packages/daemon/bulrushspur_daemon/leader_client.py
@@ -66,6 +66,8 @@
     recovery_progress: tuple[int, int, int] = (0, 0, 0)
     recovery_advanced_s: float = -1e9
     resigned: bool = False
+    # The leader has lost the store and most processes.
+    leader_isolated: bool = False
     # Counts by queue of the latest leader that served, and when they came.
     waiting_jobs: dict[str, int] = dataclasses.field(default_factory=dict)
     waiting_jobs_s: float = -1e9
@@ -98,6 +100,7 @@
         self.serving = heartbeat.serving
         self.last_heartbeat_s = monotonic_s()
         self.store_age_s = heartbeat.store_age_ms / 1000
+        self.leader_isolated = heartbeat.isolated
         self._record_recovery_progress(heartbeat)
         if heartbeat.serving:
             self.waiting_jobs = heartbeat.waiting_jobs
--- a/packages/daemon/bulrushspur_daemon/lifecycle.py
+++ b/packages/daemon/bulrushspur_daemon/lifecycle.py
@@ -115,6 +115,8 @@
         server = make_http_server(handler, send_refusal, settings.bounds)
         await server.listen(*split_address(address))
         process.servers.append(server)
+    # Callers that keep their connection would not come to a process that is ready.
+    process.servers[0].is_ready = process.is_ready
 
 
 async def shut_down(process: Process) -> None:
--- a/packages/daemon/bulrushspur_daemon/process.py
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -179,20 +179,27 @@
         """Return whether this process should get new connections.
 
         Without an available leader it stays ready for a short time, longer while the
-        store answers, because a new leader can then take over.
+        store answers, because a new leader can then take over. With a leader that is
+        isolated it is not ready: only processes elsewhere can accept jobs.
         """
         if self.stopping or self.config_watch.current is None:
             return False
         if self.leader_client.is_available():
-            return True
-        store_age_s = monotonic_s() - self.claim_log.last_store_success_s
+            return not self.leader_client.leader_isolated
         max_age_s = (
-            MAX_READY_LEADER_AGE_S
-            if store_age_s < MAX_FRESH_STORE_AGE_S
-            else MAX_READY_LEADER_AGE_NO_STORE_S
+            MAX_READY_LEADER_AGE_NO_STORE_S
+            if self._is_store_lost()
+            else MAX_READY_LEADER_AGE_S
         )
         return self.leader_client.heartbeat_age_s() < max_age_s
 
+    def _is_store_lost(self) -> bool:
+        """Return whether the latest calls of the store failed, or are long ago."""
+        if self.claim_log.store_unavailable or self.election.store_failed:
+            return True
+        store_age_s = monotonic_s() - self.claim_log.last_store_success_s
+        return store_age_s >= MAX_FRESH_STORE_AGE_S
+
     async def handle_caller(self, request: Request, exchange: Exchange) -> None:
         """Answer a request of a caller."""
         await self.interface.handle_caller(self.gateway, request, exchange)
--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -61,6 +61,9 @@
 # After this long without confirmation by the store, no run is started and no lease is
 # extended: a later term may have begun.
 AUTHORITY_TIMEOUT_S: t.Final = 10.0
+# A leader that reaches few processes is isolated after this time without the store. The
+# time is above two intervals of confirmation.
+ISOLATION_TIMEOUT_S: t.Final = 1.0
 
 
 @dataclasses.dataclass
@@ -223,15 +226,8 @@
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     def make_heartbeat(self) -> Heartbeat:
-        """Make a heartbeat that reports the current state of the term.
-
-        A large answer of the store that is still arriving counts as contact with it.
-        """
-        age_s = monotonic_s() - max(
-            self.writer.confirmed_s,
-            self.claim_log.last_store_success_s,
-            self.store.last_bulk_s,
-        )
+        """Make a heartbeat that reports the current state of the term."""
+        age_s = self._store_age_s()
         return Heartbeat(
             self.number,
             self.name,
@@ -241,6 +237,18 @@
             count_waiting_jobs(self.cell),
             self.recovery.loaded_bytes,
             self.recovery.recovered_records,
+            age_s > ISOLATION_TIMEOUT_S and not self.peers.reaches_majority(),
+        )
+
+    def _store_age_s(self) -> float:
+        """Return the time since the store last answered, in seconds.
+
+        A large answer that is still arriving counts as contact with it.
+        """
+        return monotonic_s() - max(
+            self.writer.confirmed_s,
+            self.claim_log.last_store_success_s,
+            self.store.last_bulk_s,
         )
 
     def handle_message(
--- a/packages/kernel/bulrushspur_kernel/http_server.py
+++ b/packages/kernel/bulrushspur_kernel/http_server.py
@@ -52,6 +52,8 @@
     active_requests: int = 0
     handler_errors: int = 0
     closing: bool = False
+    # While it returns False, each connection is closed after its next response.
+    is_ready: t.Callable[[], bool] = lambda: True
 
     async def listen(self, host: str, port: int) -> None:
         """Start to listen on an address; raises OSError."""
@@ -81,9 +83,7 @@
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.bounds.head_bytes
         )
-        exchange = Exchange(
-            reader, writer, self.bounds, lambda: self.closing, connection
-        )
+        exchange = Exchange(reader, writer, self.bounds, self._is_closing, connection)
         try:
             await self._serve_requests(exchange)
         except (CallerDisconnectedError, ConnectionError):
@@ -175,6 +175,9 @@
             raise CallerDisconnectedError
         await self.send_refusal(exchange, refusal)
 
+    def _is_closing(self) -> bool:
+        return self.closing or not self.is_ready()
+
     def begin_close(self) -> None:
         """Announce in all further responses that the connection will be closed."""
         self.closing = True
--- a/packages/kernel/bulrushspur_kernel/messages.py
+++ b/packages/kernel/bulrushspur_kernel/messages.py
@@ -66,7 +66,9 @@
     ``store_age_ms`` is the time since the store last answered the leader, and
     ``waiting_jobs`` counts by queue the jobs of which no task has started, without
     repeating jobs. Before the leader serves, ``loaded_bytes`` and ``recovered_records``
-    show how far its recovery has come.
+    show how far its recovery has come. ``isolated`` means that the leader reaches
+    neither the store nor most other processes, so that another one has replaced it or
+    will do so.
     """
 
     term: int
@@ -77,6 +79,7 @@
     waiting_jobs: dict[str, int] = {}
     loaded_bytes: int = 0
     recovered_records: int = 0
+    isolated: bool = False
 
 
 class AdviceRequest(_Message, tag=6):
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -229,7 +229,8 @@
         step = task.step
         adopted = cell.adopted_usage.setdefault(step.job.account, Usage())
         adopted.add(step.spec.resources)
-        reconcile_dependents(step)
+        if not step.spec.gang:
+            reconcile_dependents(step)
         step.gang_run_number = max(step.gang_run_number, status.number)
         mark_job_running(cell, step.job)
         cell.log(
--- a/packages/scheduler/bulrushspur_scheduler/takeover.py
+++ b/packages/scheduler/bulrushspur_scheduler/takeover.py
@@ -100,7 +100,8 @@
 def reconcile_dependents(step: Step) -> None:
     """Allow the steps that depend on a step with a running task to start.
 
-    No earlier leader can have started them, since this task has not ended.
+    No earlier leader can have started them, since this task has not ended. The step
+    must not be a gang: one end represents all members, and others may be listed still.
     """
     for other in step.job.occurrences[step.key.occurrence].steps:
         if step.key.step not in other.spec.depends_on:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -164,3 +164,9 @@
         self.server.begin_close()
         answer = await self.exchange_bytes(b"GET /ok HTTP/1.1\r\nHost: a\r\n\r\n")
         self.assertIn(b"connection: close", answer.lower())
+
+    async def test_connections_close_after_a_response_while_not_ready(self):
+        self.server.is_ready = lambda: False
+        answer = await self.exchange_bytes(b"GET /ok HTTP/1.1\r\nHost: a\r\n\r\n")
+        self.assertIn(b"/ok 0", answer)
+        self.assertIn(b"connection: close", answer.lower())
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -38,14 +38,15 @@
     return cell
 
 
-def make_two_step_cell():
-    """Make a recovered cell with a job of two tasks, the second after the first."""
+def make_two_step_cell(count=1, gang=False):
+    """Make a recovered cell with a job of two steps, the second after the first."""
     cell = make_test_cell(0)
     for name in ("w0", "w1"):
         add_worker(cell, name, has_reported=False)
         cell.unobserved_workers.add(name)
     each = Resources(1000, 100)
-    steps = (StepSpec(1, each, 1.0), StepSpec(1, each, 1.0, depends_on=(0,)))
+    first = StepSpec(count, each, 1.0, gang=gang)
+    steps = (first, StepSpec(1, each, 1.0, depends_on=(0,)))
     stored = {"jj1": encode_job(make_test_job(steps=steps))}
     takeover.recover_jobs(cell, stored, 0.0, 0.0)
     cell.reconciled, cell.reconcile_by_s = False, 14.0
@@ -81,6 +82,15 @@
         plan(cell, 1.5)
         self.assertEqual([o.run.task.key.step for o in cell.start_orders], [1])
 
+    def test_step_that_waits_for_a_gang_waits_for_every_worker(self):
+        cell = make_two_step_cell(count=2, gang=True)
+        apply_worker_report(cell, "w0", 1.0, [(task_key(), 1)])
+        ended = [(1, task_key(), 1, "done")]
+        apply_worker_report(cell, "w0", 1.5, ended=ended)
+        takeover.reconcile(cell, 1.5)
+        plan(cell, 1.5)
+        self.assertEqual(cell.start_orders, [], "w1 reported the end to the last term")
+
     def test_step_whose_dependency_ended_unobserved_waits_for_every_worker(self):
         cell = make_two_step_cell()
         apply_worker_report(cell, "w0", 1.0, ended=[(1, task_key(), 1, "done")])
--- a/tests/test_takeover_processes.py
+++ b/tests/test_takeover_processes.py
@@ -14,6 +14,21 @@
 from tests.cluster import CONFIG, InProcessCluster, job_id
 
 
+def cut_off(node):
+    """Cut a leader off from the store, the workers and all other processes."""
+    process = node.process
+    for pool in (process.store.request_pool, process.store.poll_pool):
+        pool.address = "127.0.0.1:9"
+        pool.close_idle()
+    # The read that waits for a claim was sent before the cut.
+    process.claim_log.on_new_term = lambda: None
+    process.peer_server.on_message = lambda identity, message: None
+    for client in process.term.peers.clients.values():
+        client.on_message = lambda client, message: None
+        client.send_encoded = lambda data: False
+    process.term.worker_connections.close_all()
+
+
 class TakeoverTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.cluster = InProcessCluster()
@@ -60,6 +75,23 @@
         # The former leader is a gateway of the next one.
         await cluster.wait_job_state(job_id(1), "completed", node=leader)
 
+    async def test_isolated_leader_takes_no_callers(self):
+        cluster = self.cluster
+        leader = cluster.find_leader()
+        self.assertTrue(leader.process.is_ready())
+        cut_off(leader)
+        await cluster.wait_for(lambda: not leader.process.is_ready(), 1.5)
+        self.assertIsNotNone(leader.process.term)
+        others = [node for node in cluster.nodes.values() if node is not leader]
+        await cluster.wait_for(
+            lambda: all(
+                node.process.leader_client.term > leader.process.term.number
+                and node.process.is_ready()
+                for node in others
+            ),
+            5.0,
+        )
+
     async def test_all_killed_at_once_lose_no_accepted_job(self):
         cluster = self.cluster
         for number in range(6):
@@ -93,6 +125,9 @@
         self.assertEqual(await cluster.fetch_job_state(job_id(1)), "running")
         await cluster.wait_for(lambda: not cluster.oracle.running_on)
         self.assertEqual(await cluster.fetch_job_state(job_id(1)), "running")
+        # No other process could accept jobs, so the balancer keeps these two.
+        for node in cluster.nodes.values():
+            self.assertTrue(node.process.is_ready())
         cluster.store.faults.forced_status = 0
         await cluster.wait_job_state(job_id(1), "completed")
         self.assertEqual(await cluster.fetch_job_state(job_id(3)), 410)
