Restart tasks of a restarted worker only after the store has confirmed the term

A leader cut off from the store saw a worker restart and started its task again, which a later term had already seen end. Change: a task whose run disappeared without an end waits until a call to the store that was sent after that has shown no later term; the term asks the store at once. The test of test_reports expected the start without confirmation: it now demands that the run is released at once and that the start waits for the confirmation.

--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -207,7 +207,8 @@
         while True:
             await asyncio.sleep(CONFIRM_INTERVAL_S / 2)
             claim_log = self.claim_log
-            if monotonic_s() - self.writer.confirmed_s > CONFIRM_INTERVAL_S:
+            is_due = monotonic_s() - self.writer.confirmed_s > CONFIRM_INTERVAL_S
+            if is_due or self.cell.unconfirmed_losses:
                 try:
                     await claim_log.read()
                 except StoreUnavailableError:
--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -139,6 +139,11 @@
     # runs them, or at this time.
     reconcile_by_s: float = 0.0
     reconciled: bool = True
+    # Tasks whose run is not listed any more without an end, and when that was seen.
+    # They are unreconciled until the store confirms the term after that time.
+    unconfirmed_losses: list[tuple[float, Task]] = dataclasses.field(
+        default_factory=list
+    )
     # Ids of jobs whose progress has changed and is not stored yet.
     dirty_jobs: set[str] = dataclasses.field(default_factory=set)
     start_orders: list[StartOrder] = dataclasses.field(default_factory=list)
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -128,7 +128,7 @@
         if status is not None:
             _update_listed_run(cell, run, status, now_s)
         elif is_complete:
-            _handle_unlisted_run(cell, run, report.request_sent_s)
+            _handle_unlisted_run(cell, run, report.request_sent_s, now_s)
     for key in [key for key in worker.orphan_runs if key not in listed]:
         worker.remove_orphan(key)
     for status in listed.values():
@@ -189,11 +189,15 @@
     mark_job_running(cell, run.task.step.job)
 
 
-def _handle_unlisted_run(cell: Cell, run: Run, request_sent_s: float) -> None:
+def _handle_unlisted_run(
+    cell: Cell, run: Run, request_sent_s: float, now_s: float
+) -> None:
     """Handle a run that its worker no longer lists, or does not list yet.
 
     A report that was requested before the run was confirmed, ordered or its stop
-    acknowledged may be older than that event, and proves nothing.
+    acknowledged may be older than that event, and proves nothing. The worker may have
+    reported the end of the run to a later term before it restarted, so the task waits
+    until the store confirms that there was none.
     """
     if run.state is RunState.RUNNING and request_sent_s < run.confirmed_s:
         return
@@ -201,6 +205,8 @@
         if run.task.done:
             release_run(cell, run)
         else:
+            run.task.unreconciled = True
+            cell.unconfirmed_losses.append((now_s, run.task))
             mark_run_lost(cell, run, "not listed")
     elif run.state is RunState.UNCONFIRMED and request_sent_s >= run.ordered_s:
         stop_run(cell, run, "start unanswered")
--- a/packages/scheduler/bulrushspur_scheduler/takeover.py
+++ b/packages/scheduler/bulrushspur_scheduler/takeover.py
@@ -12,7 +12,7 @@
 
 from bulrushspur_scheduler.cell import Cell, FinishedJob
 from bulrushspur_scheduler.jobs import Job, Step, make_occurrence
-from bulrushspur_scheduler.progress import add_job
+from bulrushspur_scheduler.progress import add_job, requeue_step
 from bulrushspur_scheduler.records import (
     JOB_KEY_PREFIX,
     PROGRESS_KEY_PREFIX,
@@ -119,6 +119,7 @@
     Return whether that is the case. ``confirmed_s`` is the send time of the last store
     request that showed no later term, on the monotonic clock.
     """
+    _confirm_losses(cell, confirmed_s)
     if cell.reconciled:
         return True
     may_run_unobserved = bool(cell.unobserved_workers) or any(
@@ -142,3 +143,11 @@
     cell.log("settled", tasks=released_count, dark=len(cell.unobserved_workers))
     cell.unobserved_workers.clear()
     return True
+
+
+def _confirm_losses(cell: Cell, confirmed_s: float) -> None:
+    """Allow tasks to start again whose run was lost before ``confirmed_s``."""
+    while cell.unconfirmed_losses and cell.unconfirmed_losses[0][0] <= confirmed_s:
+        _, task = cell.unconfirmed_losses.pop(0)
+        task.unreconciled = False
+        requeue_step(cell, task.step)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -15,6 +15,9 @@
     17: "an order reached the next incarnation of its worker",
     22: "a leader without store access treated a lease as expired",
     81: "a leader without store access treated a lease as expired",
+    5130: "a step started after a takeover although the gang before it had ended",
+    5141: "a step started after a takeover although the gang before it had ended",
+    5636: "a leader without the store started a task of a restarted worker again",
     346: "a run was stopped because its step seemed not to be ready",
 }
 
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -7,6 +7,7 @@
 
 import unittest
 
+from bulrushspur_scheduler import takeover
 from bulrushspur_scheduler.jobs import RunState
 from bulrushspur_scheduler.leases import expire_leases, extend_lease
 from bulrushspur_scheduler.planning import plan
@@ -69,7 +70,13 @@
         (order,) = acknowledge_starts(self.cell, 0.2)
         apply_worker_report(self.cell, order.worker_id, 0.5, incarnation_start_ms=2)
         report_all_workers(self.cell, 0.5)
+        self.assertEqual(order.run.task.runs, [])
+        # The worker may have reported its end to a later term before it restarted.
+        takeover.reconcile(self.cell, 0.49)
         plan(self.cell, 0.5)
+        self.assertEqual(self.cell.start_orders, [])
+        takeover.reconcile(self.cell, 0.51)
+        plan(self.cell, 0.52)
         self.assertEqual(len(self.cell.start_orders), 1)
 
     def test_lease_expires_only_by_the_slowest_possible_clock(self):
