Lead until another process has claimed when a process stops

Change: heartbeats say that the leader's process stops; it leads until it reads the next claim (2.5 s at most), and gateways go on to send it requests. Claims after that are not put off. Recovery reads the entries of the workers while it fences; callers wait up to 2 s for a leader that recovers.

--- a/packages/daemon/bulrushspur_daemon/election.py
+++ b/packages/daemon/bulrushspur_daemon/election.py
@@ -73,7 +73,7 @@
             restarted=self.node_registry.has_restarted(claim_log.leader),
             disconnected=client.connection_broken_s > client.last_heartbeat_s,
             leader_store_age_s=client.store_age_s if has_heartbeat else 0.0,
-            resigned=has_heartbeat and client.resigned,
+            resigned=has_heartbeat and (client.resigned or client.leader_stopping),
             store_regained_age_s=monotonic_s() - self.store_regained_s,
             link_busy=is_receiving_bulk(claim_log.store, monotonic_s()),
             is_recovering=has_heartbeat and not client.serving,
@@ -169,6 +169,7 @@
                 return
             if (
                 monotonic_s() - began_s > SLOW_STORE_THRESHOLD_S
+                and not view.resigned
                 and view.heartbeat_age_s < LEADER_TIMEOUT_S
             ):
                 self.log.event(
--- a/packages/daemon/bulrushspur_daemon/leader_client.py
+++ b/packages/daemon/bulrushspur_daemon/leader_client.py
@@ -24,6 +24,8 @@
 
 ATTEMPT_TIMEOUT_S: t.Final = 0.9
 HEARTBEAT_TIMEOUT_S: t.Final = 0.7
+# A caller whose request waits for a recovery is served sooner than by coming back.
+MAX_RECOVERY_WAIT_S: t.Final = 2.0
 NOT_READY_RETRY_INTERVAL_S: t.Final = 0.05
 
 LeaderRequest = Submit | Query | Cancel
@@ -68,6 +70,8 @@
     resigned: bool = False
     # The leader has lost the store and most processes.
     leader_isolated: bool = False
+    # The leader leads until another process has claimed.
+    leader_stopping: bool = False
     # Counts by queue of the latest leader that served, and when they came.
     waiting_jobs: dict[str, int] = dataclasses.field(default_factory=dict)
     waiting_jobs_s: float = -1e9
@@ -101,6 +105,7 @@
         self.last_heartbeat_s = monotonic_s()
         self.store_age_s = heartbeat.store_age_ms / 1000
         self.leader_isolated = heartbeat.isolated
+        self.leader_stopping = heartbeat.stopping
         self._record_recovery_progress(heartbeat)
         if heartbeat.serving:
             self.waiting_jobs = heartbeat.waiting_jobs
@@ -147,6 +152,10 @@
             or self.heartbeat_age_s() < HEARTBEAT_TIMEOUT_S
         )
 
+    def is_recovering(self) -> bool:
+        """Return whether a leader sends heartbeats and does not serve yet."""
+        return not self.serving and self.heartbeat_age_s() < HEARTBEAT_TIMEOUT_S
+
     def heartbeat_age_s(self) -> float:
         """Return the age of the leader's latest heartbeat in seconds."""
         return monotonic_s() - self.last_heartbeat_s
@@ -180,7 +189,8 @@
         """Send a request until a leader replies; ``make_request`` gets its id.
 
         The request is given up after ``timeout_s``, or already after ``leader_wait_s``
-        if no leader is available and none can have received it.
+        if no leader is available and none can have received it. A leader that recovers
+        gets MAX_RECOVERY_WAIT_S.
 
         Raises LeaderUnavailableError.
         """
@@ -191,7 +201,10 @@
             if not self.is_available():
                 wait_s = remaining_s
                 if not in_doubt:
-                    wait_s = min(wait_s, began_s + leader_wait_s - monotonic_s())
+                    allowed_s = leader_wait_s
+                    if self.is_recovering():
+                        allowed_s = max(allowed_s, MAX_RECOVERY_WAIT_S)
+                    wait_s = min(wait_s, began_s + allowed_s - monotonic_s())
                 if wait_s <= 0 or not await self._wait_for_change(wait_s):
                     raise LeaderUnavailableError(in_doubt)
                 continue
--- a/packages/daemon/bulrushspur_daemon/lifecycle.py
+++ b/packages/daemon/bulrushspur_daemon/lifecycle.py
@@ -18,6 +18,8 @@
 from bulrushspur_kernel.settings import Settings, load_settings, split_address
 
 DRAIN_CHECK_INTERVAL_S: t.Final = 0.05
+# A slow store takes a second or more for a claim.
+HANDOVER_TIMEOUT_S: t.Final = 2.5
 
 
 async def run_process(settings: Settings, path: str) -> None:
@@ -120,21 +122,18 @@
 
 
 async def shut_down(process: Process) -> None:
-    """Resign if this process leads, then let open requests finish and close servers.
+    """Hand over if this process leads, let open requests finish and close servers.
 
     Callers' requests have ``drain_s`` seconds of the settings to finish.
     """
     process.stopping = True
     process.election.stopping = True
     process.log.event("stopping", urgent=True, leads=process.term is not None)
-    if process.term is not None:
-        term = process.term
-        term.peers.resign(term.number)
-        await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
-        term.stop("the process stops")
     callers_server = process.servers[0]
     callers_server.begin_close()
     deadline_s = monotonic_s() + process.settings.bounds.drain_s
+    if process.term is not None:
+        await process.term.hand_over(HANDOVER_TIMEOUT_S)
     while callers_server.connection_tasks and monotonic_s() < deadline_s:
         await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
     for server in process.servers:
--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -58,6 +58,7 @@
 TICK_INTERVAL_S: t.Final = 0.1
 HEARTBEAT_INTERVAL_S: t.Final = 0.15
 CONFIRM_INTERVAL_S: t.Final = 0.4
+HANDOVER_CHECK_INTERVAL_S: t.Final = 0.02
 # After this long without confirmation by the store, no run is started and no lease is
 # extended: a later term may have begun.
 AUTHORITY_TIMEOUT_S: t.Final = 10.0
@@ -92,6 +93,8 @@
     make_config_records: t.Callable[[], ConfigRecords] = lambda: ConfigRecords([])
     serving: bool = False
     ended: bool = False
+    # The process stops: another one is to claim, and this term ends once it has.
+    handing_over: bool = False
     tasks: set[asyncio.Task[t.Any]] = dataclasses.field(default_factory=set)
 
     def start(self) -> None:
@@ -239,8 +242,21 @@
             self.recovery.loaded_bytes,
             self.recovery.recovered_records,
             age_s > ISOLATION_TIMEOUT_S and not self.peers.reaches_majority(),
+            self.handing_over,
         )
 
+    async def hand_over(self, timeout_s: float) -> None:
+        """Lead until another process has claimed, for ``timeout_s`` at most."""
+        if self.peers.clients:
+            self.handing_over = True
+            self.peers.broadcast_heartbeat(self.make_heartbeat())
+            deadline_s = monotonic_s() + timeout_s
+            while not self.ended and monotonic_s() < deadline_s:
+                await asyncio.sleep(HANDOVER_CHECK_INTERVAL_S)
+        if not self.ended:
+            self.peers.resign(self.number)
+            self.stop("the process stops")
+
     def _store_age_s(self) -> float:
         """Return the time since the store last answered, in seconds.
 
--- a/packages/daemon/bulrushspur_daemon/term_recovery.py
+++ b/packages/daemon/bulrushspur_daemon/term_recovery.py
@@ -88,18 +88,23 @@
     async def _load(self) -> dict[str, bytes]:
         """Read the records of earlier terms, by key, and the entries of the workers.
 
-        The empty append comes first: it fences earlier terms, so that none of them can
-        change a record after it was read here.
+        The empty append comes before the read: it fences earlier terms, so that none of
+        them can change a record after it was read here. The entries of the workers are
+        read meanwhile, which saves time while the store is slow.
         """
         writer = WriterIdentity(WRITER_NAME, self.cell.fencing_token, 0)
         sent_s, sent_boot_s = monotonic_s(), boottime_s()
-        await self.store.append(JOBS_TOPIC, [], writer=writer)
-        self.recovered_records += 1
-        newest, _ = await self.store.read_newest(
-            JOBS_TOPIC, on_received=self._count_received
-        )
         self.worker_watch.next_offset = None
-        await self.worker_watch.poll(self._count_received)
+        entries = asyncio.ensure_future(self.worker_watch.poll(self._count_received))
+        try:
+            await self.store.append(JOBS_TOPIC, [], writer=writer)
+            self.recovered_records += 1
+            newest, _ = await self.store.read_newest(
+                JOBS_TOPIC, on_received=self._count_received
+            )
+            await entries
+        finally:
+            entries.cancel()
         self.writer.record_confirmation(sent_s, sent_boot_s)
         self.writer.sequence = 1
         return {row.key: row.value for row in newest.values() if row.value}
--- a/packages/kernel/bulrushspur_kernel/messages.py
+++ b/packages/kernel/bulrushspur_kernel/messages.py
@@ -68,7 +68,8 @@
     repeating jobs. Before the leader serves, ``loaded_bytes`` and ``recovered_records``
     show how far its recovery has come. ``isolated`` means that the leader reaches
     neither the store nor most other processes, so that another one has replaced it or
-    will do so.
+    will do so. ``stopping`` means that its process stops: it leads until another one
+    has claimed.
     """
 
     term: int
@@ -80,6 +81,7 @@
     loaded_bytes: int = 0
     recovered_records: int = 0
     isolated: bool = False
+    stopping: bool = False
 
 
 class AdviceRequest(_Message, tag=6):
@@ -105,7 +107,7 @@
 
 
 class Resign(_Message, tag=8):
-    """Announce that the leader of a term stops on purpose."""
+    """Announce that the term of a leader has ended."""
 
     term: int
 
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -65,6 +65,7 @@
     connection_broken_s: float = -1.0
     store_age_s: float = 4.0
     resigned: bool = False
+    leader_stopping: bool = False
     serving: bool = True
     stalled_s: float = 0.0
 
