Give the advice service one call a lane, and send late calls to another lane

Cause: calls for placement advice were bound to a VM when they were made, up to 24 to each, and counted as lost 1 s after their expected end. Change: calls wait in one queue of the leader by priority, a lane gets the next one when it is free, short calls use any free lane. A reply later than usual (moving mean and deviation of the delay) sends the call to a second lane, the first reply counts; a failed call goes to another lane at once; a lane that lost or failed one is paused for 0.25 s to 2 s. Lanes that miss heartbeats for 0.6 s are out (1 s before). Not measured yet.

--- a/packages/daemon/bulrushspur_daemon/advice_caller.py
+++ b/packages/daemon/bulrushspur_daemon/advice_caller.py
@@ -53,7 +53,7 @@
             step_key = StepKey(message.job, message.occurrence, message.step)
             try:
                 approved, valid_s = await self.adapter.request_advice(
-                    pool, step_key, message.workers
+                    pool, step_key, message.workers, message.timeout_ms / 1000
                 )
                 reply = AdviceReply(message.request_id, approved, round(valid_s * 1000))
             except AdviceUnavailableError as exc:
--- a/packages/daemon/bulrushspur_daemon/term_peers.py
+++ b/packages/daemon/bulrushspur_daemon/term_peers.py
@@ -21,9 +21,8 @@
     encode_message,
 )
 
-PEER_TIMEOUT_S: t.Final = 1.0
 # Other processes answer each heartbeat.
-REACHABLE_TIMEOUT_S: t.Final = 0.6
+PEER_TIMEOUT_S: t.Final = 0.6
 
 
 @dataclasses.dataclass
@@ -87,12 +86,7 @@
 
     def reaches_majority(self) -> bool:
         """Return whether most processes, this one included, have answered lately."""
-        now_s = monotonic_s()
-        reachable = 1 + sum(
-            now_s - client.last_message_s < REACHABLE_TIMEOUT_S
-            for client in self.clients.values()
-        )
-        return reachable * 2 > len(self.clients) + 1
+        return len(self.lane_names()) * 2 > len(self.clients) + 1
 
     def send_to(self, name: str, message: AdviceRequest) -> bool:
         """Send to one process; return whether the message was queued for it."""
--- a/packages/kernel/bulrushspur_kernel/adapter.py
+++ b/packages/kernel/bulrushspur_kernel/adapter.py
@@ -104,10 +104,10 @@
 
     make_store: t.Callable[[str], Store]
     make_worker_client: t.Callable[["WorkerEntry"], WorkerClient]
-    # Returns the approved workers with their tickets, and for how many seconds the
-    # tickets are valid; raises AdviceUnavailableError.
+    # Takes a timeout in seconds. Returns the approved workers with their tickets, and
+    # for how many seconds the tickets are valid; raises AdviceUnavailableError.
     request_advice: t.Callable[
-        [t.Any, "StepKey", t.Sequence[str]],
+        [t.Any, "StepKey", t.Sequence[str], float],
         t.Awaitable[tuple[list[tuple[str, str]], float]],
     ]
     # Returns the ids of all incarnations; raises IncarnationsUnavailableError.
--- a/packages/kernel/bulrushspur_kernel/messages.py
+++ b/packages/kernel/bulrushspur_kernel/messages.py
@@ -85,13 +85,17 @@
 
 
 class AdviceRequest(_Message, tag=6):
-    """Ask an entry process to call the advice service for a step of a job."""
+    """Ask an entry process to call the advice service for a step of a job.
+
+    The leader counts the call as lost after ``timeout_ms``.
+    """
 
     request_id: int
     job: str
     occurrence: int
     step: int
     workers: list[str]
+    timeout_ms: int = 4000
 
 
 class AdviceReply(_Message, tag=7):
--- a/packages/scheduler/bulrushspur_scheduler/lanes.py
+++ b/packages/scheduler/bulrushspur_scheduler/lanes.py
@@ -1,67 +1,243 @@
-"""Choose the VM that makes a call of the placement advice service.
+"""Choose which VM makes a call of the placement advice service, and when.
 
-The service handles one call at a time from each calling VM, so every VM is a lane. Long
-calls are limited to a part of the lanes, so that short calls do not wait behind them.
+The service handles one call at a time from each calling VM, so every VM is a lane.
+Calls wait in one queue and go to a lane only when it is free: a lane that dies or is
+cut off holds up one call at most. A call without a reply after the usual time is sent
+to another lane, too, and the first reply counts. Long calls use only a part of the
+lanes.
+
+The load that this answers is short calls of urgent steps beside long ones, while VMs
+stop, restart or are cut off. Points in time are seconds on the monotonic clock.
 """
 
 import dataclasses
 import math
 import typing as t
 
+from bulrushspur_scheduler.cell import AdviceCall
+
 MIN_LONG_CALL_S: t.Final = 0.25
 LONG_CALL_LANE_SHARE: t.Final = 0.5
-# A lane that becomes free within this time counts as free.
-LANE_FREE_TOLERANCE_S: t.Final = 0.05
-# A lane with so many calls takes no more.
-MAX_QUEUED_CALLS: t.Final = 24
-
-
-@dataclasses.dataclass(slots=True)
+# An attempt without a reply this long after its expected end counts as lost.
+ATTEMPT_TIMEOUT_MARGIN_S: t.Final = 1.0
+MAX_ATTEMPTS: t.Final = 3
+# A call is sent to another lane when its reply is later than the mean and this many
+# mean deviations, within the limits.
+LATE_DEVIATIONS: t.Final = 4.0
+MIN_LATE_MARGIN_S: t.Final = 0.05
+MAX_LATE_S: t.Final = 0.6
+# A lane that lost or failed an attempt is left alone for this long, twice as long
+# after each further one, while other lanes can make calls.
+MIN_PAUSE_S: t.Final = 0.25
+MAX_PAUSE_S: t.Final = 2.0
+MEAN_GAIN: t.Final = 1 / 8
+DEVIATION_GAIN: t.Final = 1 / 4
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class QueuedCall:
+    """A call that has no reply yet; those with the lowest order are sent first."""
+
+    call: AdviceCall
+    order: tuple[int, int]
+    attempt_count: int = 0
+    live_attempts: int = 0
+    is_queued: bool = False
+    is_answered: bool = False
+
+
+@dataclasses.dataclass(slots=True, eq=False)
 class Lane:
-    """A VM that can call the service, and until when its calls keep it busy."""
+    """A VM that can call the service, and the attempt that it is making."""
 
     name: str
-    busy_until_s: float = 0.0
-    queued_calls: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LaneGroups:
-    """The lanes for long calls, and those for short calls only."""
-
-    long_call_lanes: list[Lane]
-    short_call_lanes: list[Lane]
-
-
-def split_lanes(lanes: list[Lane]) -> LaneGroups:
-    """Divide the lanes by the calls that they make."""
-    ordered = sorted(lanes, key=lambda lane: lane.name)
-    split = math.ceil(len(ordered) * LONG_CALL_LANE_SHARE)
-    return LaneGroups(ordered[:split], ordered[split:])
-
-
-def count_free_long_call_lanes(groups: LaneGroups, now_s: float) -> int:
-    """Return the number of lanes that can begin a long call now."""
-    return sum(
-        lane.busy_until_s <= now_s + LANE_FREE_TOLERANCE_S
-        for lane in groups.long_call_lanes
-    )
-
-
-def choose_lane(groups: LaneGroups, call_s: float, now_s: float) -> Lane | None:
-    """Return the lane that is free first for a call of ``call_s`` seconds, or None.
-
-    Long calls use only their part of the lanes, and short calls only the rest, unless
-    there is no rest. A lane with a full backlog takes no call.
-    """
-    allowed = (
-        groups.long_call_lanes
-        if call_s > MIN_LONG_CALL_S
-        else (groups.short_call_lanes or groups.long_call_lanes)
-    )
-    available = [lane for lane in allowed if lane.queued_calls < MAX_QUEUED_CALLS]
-    return min(
-        available,
-        key=lambda lane: (max(lane.busy_until_s, now_s), lane.queued_calls),
-        default=None,
-    )
+    makes_long_calls: bool = True
+    attempt: "Attempt | None" = None
+    pause_s: float = 0.0
+    paused_until_s: float = 0.0
+
+    def record_result(self, succeeded: bool, now_s: float) -> None:
+        """Pause the lane after a failure, and forget earlier ones after a success."""
+        if succeeded:
+            self.pause_s = self.paused_until_s = 0.0
+            return
+        self.pause_s = min(max(self.pause_s * 2, MIN_PAUSE_S), MAX_PAUSE_S)
+        self.paused_until_s = now_s + self.pause_s
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Attempt:
+    """A call that was sent to a lane; ``is_late`` if it was sent to another since."""
+
+    request_id: int
+    queued: QueuedCall
+    lane: Lane
+    sent_s: float
+    is_late: bool = False
+
+    @property
+    def due_s(self) -> float:
+        """Return when the reply is expected."""
+        return self.sent_s + self.queued.call.expected_call_s
+
+
+@dataclasses.dataclass
+class ReplyDelay:
+    """How much later than expected replies come, as moving mean and mean deviation."""
+
+    mean_s: float = 0.0
+    deviation_s: float = 0.05
+
+    def observe(self, late_s: float) -> None:
+        """Add the delay of one reply beyond its expected time."""
+        late_s = min(late_s, MAX_LATE_S)
+        self.deviation_s += DEVIATION_GAIN * (
+            abs(late_s - self.mean_s) - self.deviation_s
+        )
+        self.mean_s += MEAN_GAIN * (late_s - self.mean_s)
+
+    @property
+    def limit_s(self) -> float:
+        """Return the delay after which a call is sent to another lane."""
+        margin_s = max(LATE_DEVIATIONS * self.deviation_s, MIN_LATE_MARGIN_S)
+        return min(self.mean_s + margin_s, MAX_LATE_S)
+
+
+@dataclasses.dataclass
+class AdviceQueue:
+    """The calls that wait for a lane or a reply, and the lanes."""
+
+    next_request_id: int = 1
+    lanes: dict[str, Lane] = dataclasses.field(default_factory=dict)
+    available: list[Lane] = dataclasses.field(default_factory=list)
+    waiting: list[QueuedCall] = dataclasses.field(default_factory=list)
+    attempts: dict[int, Attempt] = dataclasses.field(default_factory=dict)
+    delay: ReplyDelay = dataclasses.field(default_factory=ReplyDelay)
+    call_count: int = 0
+
+    def set_available(self, names: t.Iterable[str]) -> None:
+        """Set the lanes that can make calls now; the others keep their attempt."""
+        ordered = sorted(names)
+        split = math.ceil(len(ordered) * LONG_CALL_LANE_SHARE)
+        self.available = []
+        for index, name in enumerate(ordered):
+            lane = self.lanes.setdefault(name, Lane(name))
+            lane.makes_long_calls = index < split
+            self.available.append(lane)
+
+    def add(self, call: AdviceCall) -> None:
+        """Queue a call behind those of its priority."""
+        self.call_count += 1
+        self._enqueue(QueuedCall(call, (call.priority, self.call_count)))
+
+    def _enqueue(self, queued: QueuedCall) -> None:
+        queued.is_queued = True
+        self.waiting.append(queued)
+
+    def count_free_long_call_lanes(self) -> int:
+        """Return how many long calls can be sent now beside those that wait."""
+        free = sum(
+            lane.makes_long_calls and lane.attempt is None for lane in self.available
+        )
+        waiting = sum(is_long(queued.call) for queued in self.waiting)
+        return max(free - waiting, 0)
+
+    def take_sendable(self, now_s: float) -> list[Attempt]:
+        """Assign waiting calls to free lanes; return the attempts to send.
+
+        Short calls prefer the lanes that make no long ones.
+        """
+        if not self.waiting:
+            return []
+        usable = [lane for lane in self.available if lane.paused_until_s <= now_s]
+        free = [lane for lane in usable or self.available if lane.attempt is None]
+        self.waiting.sort(key=lambda queued: queued.order)
+        kept: list[QueuedCall] = []
+        rv: list[Attempt] = []
+        for queued in self.waiting:
+            lane = _choose_lane(free, queued.call)
+            if lane is None:
+                kept.append(queued)
+                continue
+            free.remove(lane)
+            rv.append(self._begin_attempt(queued, lane, now_s))
+        self.waiting = kept
+        return rv
+
+    def _begin_attempt(self, queued: QueuedCall, lane: Lane, now_s: float) -> Attempt:
+        attempt = Attempt(self.next_request_id, queued, lane, now_s)
+        self.next_request_id += 1
+        queued.is_queued = False
+        queued.attempt_count += 1
+        queued.live_attempts += 1
+        lane.attempt = attempt
+        self.attempts[attempt.request_id] = attempt
+        return attempt
+
+    def handle_reply(
+        self, request_id: int, succeeded: bool, now_s: float
+    ) -> AdviceCall | None:
+        """End an attempt; return its call if this decides it, None otherwise.
+
+        The first reply that succeeded decides a call, or the last one that failed.
+        """
+        attempt = self.attempts.get(request_id)
+        if attempt is None:
+            return None
+        if succeeded:
+            self.delay.observe(now_s - attempt.due_s)
+        return self._end_attempt(attempt, succeeded, now_s)
+
+    def _end_attempt(
+        self, attempt: Attempt, succeeded: bool, now_s: float
+    ) -> AdviceCall | None:
+        queued = attempt.queued
+        del self.attempts[attempt.request_id]
+        queued.live_attempts -= 1
+        attempt.lane.attempt = None
+        attempt.lane.record_result(succeeded, now_s)
+        if queued.is_answered:
+            return None
+        if not succeeded:
+            self._queue_again(queued)
+            if queued.live_attempts or queued.is_queued:
+                return None
+        queued.is_answered = True
+        if queued.is_queued:
+            queued.is_queued = False
+            self.waiting.remove(queued)
+        return queued.call
+
+    def check_late(self, now_s: float) -> list[AdviceCall]:
+        """Queue the calls again whose replies are late; return those that are lost."""
+        lost: list[AdviceCall] = []
+        for attempt in list(self.attempts.values()):
+            if now_s > attempt.due_s + ATTEMPT_TIMEOUT_MARGIN_S:
+                call = self._end_attempt(attempt, False, now_s)
+                if call is not None:
+                    lost.append(call)
+            elif now_s > attempt.due_s + self.delay.limit_s and not attempt.is_late:
+                attempt.is_late = True
+                self._queue_again(attempt.queued)
+        return lost
+
+    def _queue_again(self, queued: QueuedCall) -> None:
+        if queued.is_answered or queued.is_queued:
+            return
+        if queued.attempt_count < MAX_ATTEMPTS:
+            self._enqueue(queued)
+
+    def late_s(self, attempt: Attempt) -> float:
+        """Return when the reply to an attempt counts as late."""
+        return attempt.due_s + self.delay.limit_s
+
+
+def is_long(call: AdviceCall) -> bool:
+    """Return whether a call is expected to take long."""
+    return call.expected_call_s > MIN_LONG_CALL_S
+
+
+def _choose_lane(free: list[Lane], call: AdviceCall) -> Lane | None:
+    if is_long(call):
+        return next((lane for lane in free if lane.makes_long_calls), None)
+    return min(free, key=lambda lane: lane.makes_long_calls, default=None)
--- a/tests/load_simulation.py
+++ b/tests/load_simulation.py
@@ -17,12 +17,7 @@
 from bulrushspur_scheduler.eviction import evict_runs
 from bulrushspur_scheduler.headroom import observe_urgent_cpu
 from bulrushspur_scheduler.jobs import Job, JobSpec, RunOutcome, RunState, StepSpec
-from bulrushspur_scheduler.lanes import (
-    Lane,
-    choose_lane,
-    count_free_long_call_lanes,
-    split_lanes,
-)
+from bulrushspur_scheduler.lanes import AdviceQueue
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import add_job
 from bulrushspur_scheduler.reports import (
@@ -82,8 +77,9 @@
         self.actual_run_times_s = {}
         self.submissions = {}
         self.job_ids_by_queue = collections.defaultdict(list)
-        self.pending_advice_calls = []
-        self.lanes = split_lanes([Lane(f"n{index:02}") for index in range(lanes)])
+        self.pending_attempts = []
+        self.advice_queue = AdviceQueue()
+        self.advice_queue.set_available(f"n{index:02}" for index in range(lanes))
         self.run_started_s = {}
         self.unreported_ends = collections.defaultdict(list)
         self.last_report_s = {}
@@ -146,7 +142,7 @@
         self.report_workers()
         self.answer_advice_calls()
         evict_runs(self.cell, self.now_s)
-        free_lanes = count_free_long_call_lanes(self.lanes, self.now_s)
+        free_lanes = self.advice_queue.count_free_long_call_lanes()
         self.cell.free_long_call_lanes = free_lanes
         plan(self.cell, self.now_s)
         self.cell.events.clear()
@@ -156,16 +152,8 @@
             self.start_run(order.run)
         calls, self.cell.advice_calls = self.cell.advice_calls, []
         for call in calls:
-            self.pending_advice_calls.append((self.reserve_lane(call), call))
-
-    def reserve_lane(self, call):
-        """Queue a call on the lane that is free first; return when the call ends.
-
-        A lane makes one call at a time.
-        """
-        lane = choose_lane(self.lanes, call.expected_call_s, self.now_s)
-        lane.busy_until_s = max(lane.busy_until_s, self.now_s) + call.expected_call_s
-        return lane.busy_until_s
+            self.advice_queue.add(call)
+        self.pending_attempts += self.advice_queue.take_sendable(self.now_s)
 
     def start_run(self, run):
         handle_start_result(self.cell, run, StartResult.STARTED, self.now_s)
@@ -245,25 +233,23 @@
 
     def answer_advice_calls(self):
         pending = []
-        for due_s, call in self.pending_advice_calls:
-            if due_s > self.now_s:
-                pending.append((due_s, call))
+        for attempt in self.pending_attempts:
+            if attempt.due_s > self.now_s:
+                pending.append(attempt)
                 continue
-            kind = self.submissions[call.step.job][1]
-            name = f"{call.step.job}.{call.step.step}"
-            approved = [
-                (worker_id, "t")
-                for worker_id in call.worker_ids
-                if crc32(f"{name}{worker_id}".encode()) % 100
-                < kind.approved_share * 100
-            ]
-            policy = kind.queue.advice
-            advice.apply_advice(
-                self.cell,
-                call.step,
-                call.worker_ids,
-                approved,
-                policy.ticket_valid_s,
-                self.now_s,
-            )
-        self.pending_advice_calls = pending
+            self.answer_attempt(attempt)
+        self.pending_attempts = pending
+
+    def answer_attempt(self, attempt):
+        call = self.advice_queue.handle_reply(attempt.request_id, True, self.now_s)
+        kind = self.submissions[call.step.job][1]
+        name = f"{call.step.job}.{call.step.step}"
+        approved = [
+            (worker_id, "t")
+            for worker_id in call.worker_ids
+            if crc32(f"{name}{worker_id}".encode()) % 100 < kind.approved_share * 100
+        ]
+        valid_s = kind.queue.advice.ticket_valid_s
+        advice.apply_advice(
+            self.cell, call.step, call.worker_ids, approved, valid_s, self.now_s
+        )
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -13,7 +13,6 @@
 from bulrushspur_scheduler.advice import apply_advice
 from bulrushspur_scheduler.cell import AdviceCall
 from bulrushspur_scheduler.jobs import StepKey
-from bulrushspur_scheduler.lanes import Lane, choose_lane, split_lanes
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.resources import Resources
 from tests.cell_fixtures import (
@@ -139,16 +138,6 @@
             {order.run.task.key.job for order in cell.start_orders}, {"short"}
         )
 
-    def test_long_calls_use_only_a_part_of_the_lanes(self):
-        lanes = [Lane(f"n{index}") for index in range(4)]
-        used = set()
-        for _ in range(8):
-            lane = choose_lane(split_lanes(lanes), 0.5, 1.0)
-            lane.busy_until_s = max(lane.busy_until_s, 1.0) + 0.5
-            used.add(lane.name)
-        self.assertEqual(used, {"n0", "n1"})
-        self.assertIn(choose_lane(split_lanes(lanes), 0.02, 1.0).name, {"n2", "n3"})
-
 
 class DispatcherTest(unittest.IsolatedAsyncioTestCase):
     def make_dispatcher(self, term, sent):
@@ -172,6 +161,6 @@
             dispatcher.dispatch()
         earlier, later = sent
         dispatcher.handle_reply(AdviceReply(earlier.request_id, [("w0", "t")], 1000))
-        self.assertEqual(len(dispatcher.in_flight), 1)
+        self.assertEqual(len(dispatcher.queue.attempts), 1)
         dispatcher.handle_reply(AdviceReply(later.request_id, [("w0", "t")], 1000))
-        self.assertEqual(len(dispatcher.in_flight), 0)
+        self.assertEqual(len(dispatcher.queue.attempts), 0)
