Keep no room in the pool for urgent work

Hypothesis: the room kept in the whole pool for urgent work serves nobody, since urgent steps go first anyway and tasks end all the time. Change: removed, with its settings in the code.

--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -119,9 +119,6 @@
     # ended since, but not of those that were lost.
     adopted_usage: dict[str, Usage] = dataclasses.field(default_factory=dict)
     # CPU in use by jobs of priority 0.
-    urgent_cpu_by_service: dict[str, UrgentCpu] = dataclasses.field(
-        default_factory=dict
-    )
     urgent_cpu_by_account: dict[str, UrgentCpu] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/scheduler/bulrushspur_scheduler/headroom.py
+++ b/packages/scheduler/bulrushspur_scheduler/headroom.py
@@ -1,9 +1,8 @@
-"""Keep CPU free for urgent work, in a service's pool and under an account's cap.
+"""Keep CPU free for urgent work under the cap of a client account.
 
-Work of lower priority runs for long, so urgent jobs that come in a burst find no room
-for as long as it runs. The load that this answers is a pool, or an account at its cap,
-that long tasks could fill. The urgent CPU (that of jobs of priority 0) in use goes in,
-and so much of it as is usual is kept free.
+The load that this answers is an account whose long tasks could fill its cap: urgent
+jobs that come in a burst would wait for as long as these run. The urgent CPU (that of
+jobs of priority 0) in use goes in, and so much of it as is usual is kept free.
 """
 
 import dataclasses
@@ -16,9 +15,6 @@
 
 # Weight of one observation; the first ones count alike.
 SMOOTHING_FACTOR: t.Final = 0.02
-# CPU kept in a pool: its mean urgent use times the factor, limited to a share of it.
-POOL_FACTOR: t.Final = 1.25
-MAX_POOL_SHARE: t.Final = 0.25
 # CPU kept under a cap: the mean urgent use of the account and so many of its standard
 # deviations, limited to a share of the cap. An account has few urgent jobs at a time.
 ACCOUNT_DEVIATIONS: t.Final = 1.0
@@ -47,27 +43,14 @@
     """Count CPU that a run takes, or frees if it is negative, if its job is urgent."""
     if job.priority:
         return
-    for by_name, name in (
-        (cell.urgent_cpu_by_service, job.service),
-        (cell.urgent_cpu_by_account, job.account),
-    ):
-        by_name.setdefault(name, UrgentCpu()).in_use_milli += cpu_milli
+    urgent = cell.urgent_cpu_by_account.setdefault(job.account, UrgentCpu())
+    urgent.in_use_milli += cpu_milli
 
 
 def observe_urgent_cpu(cell: "Cell") -> None:
     """Observe the urgent CPU in use; call it at a constant interval."""
-    for by_name in (cell.urgent_cpu_by_service, cell.urgent_cpu_by_account):
-        for urgent in by_name.values():
-            urgent.observe()
-
-
-def pool_headroom_milli(cell: "Cell", service: str, capacity_milli: int) -> float:
-    """Return the CPU to keep free in a pool for urgent work beyond that in use."""
-    urgent = cell.urgent_cpu_by_service.get(service)
-    if urgent is None:
-        return 0.0
-    wanted = min(urgent.mean_milli * POOL_FACTOR, capacity_milli * MAX_POOL_SHARE)
-    return max(wanted - urgent.in_use_milli, 0.0)
+    for urgent in cell.urgent_cpu_by_account.values():
+        urgent.observe()
 
 
 def leaves_account_headroom(cell: "Cell", account: str, cpu_milli: int) -> bool:
--- a/packages/scheduler/bulrushspur_scheduler/placement.py
+++ b/packages/scheduler/bulrushspur_scheduler/placement.py
@@ -14,7 +14,6 @@
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.config import Account
 from bulrushspur_scheduler.estimates import predict_step_duration
-from bulrushspur_scheduler.headroom import pool_headroom_milli
 from bulrushspur_scheduler.jobs import Step, Task
 from bulrushspur_scheduler.resources import Resources, Usage, count_fitting_tasks
 from bulrushspur_scheduler.workers import Worker, is_schedulable
@@ -28,11 +27,10 @@
 
 @dataclasses.dataclass
 class Pool:
-    """The schedulable workers of a service, and the CPU left for lower priorities."""
+    """The schedulable workers of a service."""
 
     workers: list[Worker]
     made_s: float = 0.0
-    lower_priority_cpu_milli: int = 0
     by_id: dict[str, Worker] = dataclasses.field(default_factory=dict)
     # Every waiting step will end past its deadline, too late to be useful.
     all_past_deadline: bool = False
@@ -51,12 +49,7 @@
         for worker in cell.workers.values()
         if worker.entry.service == service and is_schedulable(worker, now_s)
     ]
-    free = sum(max(worker.free.cpu_milli, 0) for worker in workers)
-    total = sum(worker.entry.capacity.cpu_milli for worker in workers)
-    headroom = pool_headroom_milli(cell, service, total)
-    pool = Pool(
-        workers, now_s, int(free - headroom), {worker.id: worker for worker in workers}
-    )
+    pool = Pool(workers, now_s, {worker.id: worker for worker in workers})
     cell.recent_pools[service] = pool
     return pool
 
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -3,8 +3,8 @@
 Reads the waiting steps and the schedulable workers of a cell; adds start orders, stop
 orders and advice calls to the cell, which the daemon sends. Steps are visited in order
 of rank. A gang starts as a whole or not at all; a gang that does not fit reserves
-workers and may preempt. Starts stay within the caps of client accounts and leave CPU
-headroom for urgent work.
+workers and may preempt. Starts stay within the caps of client accounts and leave room
+for urgent work there.
 """
 
 import math
@@ -95,7 +95,7 @@
     if step.spec.gang:
         started = _plan_gang(cell, step, startable, workers, pool, now_s)
     else:
-        started = _plan_tasks(cell, step, startable, workers, pool, now_s)
+        started = _plan_tasks(cell, step, startable, workers, now_s)
     if started or not ticketed:
         return started
     queue = cell.queue_of(step.job)
@@ -106,7 +106,7 @@
         advice.request_advice_for_reservation(
             cell, step, queue, pool, reservation, now_s
         )
-    elif _is_within_limits(cell, step, pool, 1):
+    elif _is_within_limits(cell, step, 1):
         advice.refresh_advice(cell, step, queue, pool, now_s)
     if step.spec.gang and pool.ticketed_gangs < MAX_TICKETED_GANGS:
         pool.ticketed_gangs += 1
@@ -114,7 +114,7 @@
     return False
 
 
-def _is_within_account_limits(cell: Cell, step: Step, count: int) -> bool:
+def _is_within_limits(cell: Cell, step: Step, count: int) -> bool:
     """Return whether the account's cap and urgent headroom allow ``count`` tasks."""
     each, job = step.spec.resources, step.job
     if free_slots_of_account(cell, job.account, each) < count:
@@ -124,47 +124,28 @@
     )
 
 
-def _is_within_limits(cell: Cell, step: Step, pool: Pool, count: int) -> bool:
-    """Return whether the account's limits and the pool's headroom allow the tasks."""
-    each = step.spec.resources
-    if not _is_within_account_limits(cell, step, count):
-        return False
-    if step.job.priority == 0:
-        return True
-    return each.cpu_milli * count <= pool.lower_priority_cpu_milli
-
-
 def _plan_tasks(
     cell: Cell,
     step: Step,
     startable: list[Task],
     workers: list[Worker],
-    pool: Pool,
     now_s: float,
 ) -> bool:
     """Start single tasks while they fit; return whether all were started."""
-    if not _is_within_limits(cell, step, pool, 1):
+    if not _is_within_limits(cell, step, 1):
         return False
     choose_worker = make_worker_chooser(step, workers)
     for task in startable:
-        if not _is_within_limits(cell, step, pool, 1):
+        if not _is_within_limits(cell, step, 1):
             return False
         worker = choose_worker(task)
         if worker is None:
             return False
-        _start_task(cell, task, worker, task.last_run_number + 1, pool, now_s)
+        start_run(cell, task, worker, task.last_run_number + 1, now_s)
     cell.waiting_steps.pop(step.key, None)
     return True
 
 
-def _start_task(
-    cell: Cell, task: Task, worker: Worker, run_number: int, pool: Pool, now_s: float
-) -> None:
-    start_run(cell, task, worker, run_number, now_s)
-    if task.step.job.priority > 0:
-        pool.lower_priority_cpu_milli -= task.step.spec.resources.cpu_milli
-
-
 def _plan_gang(
     cell: Cell,
     step: Step,
@@ -175,12 +156,10 @@
 ) -> bool:
     """Start all members of a gang, or reserve workers and preempt for it."""
     if len(startable) < len(step.tasks):
-        return _plan_missing_members(cell, step, startable, workers, pool, now_s)
-    if not _is_within_account_limits(cell, step, len(startable)):
+        return _plan_missing_members(cell, step, startable, workers, now_s)
+    if not _is_within_limits(cell, step, len(startable)):
         return False
-    chosen = None
-    if _is_within_limits(cell, step, pool, len(startable)):
-        chosen = choose_gang_workers(step, startable, workers)
+    chosen = choose_gang_workers(step, startable, workers)
     if chosen is None:
         # Gangs past their deadline must not hold back steps that are still useful.
         if pool.renews_reservations and (
@@ -193,7 +172,7 @@
     checkpoint = _find_gang_checkpoint(step)
     for task, worker in chosen:
         task.checkpoint = checkpoint
-        _start_task(cell, task, worker, step.gang_run_number, pool, now_s)
+        start_run(cell, task, worker, step.gang_run_number, now_s)
     cell.waiting_steps.pop(step.key, None)
     release_reservation(cell, step.key)
     return True
@@ -218,7 +197,6 @@
     step: Step,
     startable: list[Task],
     workers: list[Worker],
-    pool: Pool,
     now_s: float,
 ) -> bool:
     """Start the missing members of a partial gang, or stop its runs.
@@ -243,7 +221,7 @@
         if in_join_window and same_number
         else None
     )
-    if chosen is None or not _is_within_limits(cell, step, pool, len(startable)):
+    if chosen is None or not _is_within_limits(cell, step, len(startable)):
         if not in_join_window or not same_number:
             stop_step(cell, step, "gang incomplete")
         return False
@@ -252,6 +230,6 @@
         if task.last_run_number >= step.gang_run_number:
             stop_step(cell, step, "gang member was refused")
             return False
-        _start_task(cell, task, worker, step.gang_run_number, pool, now_s)
+        start_run(cell, task, worker, step.gang_run_number, now_s)
     cell.waiting_steps.pop(step.key, None)
     return True
