Replace a leader soon that is lost just after the store has come back

A claim that had failed during the outage set a flag that began the grace of a process that was cut off (1 s) anew at its next claim, at all 29 processes. Change: the claim log records when the store answered again; the grace counts from there, and not against the silence of a leader that was heard since. A claim that a slow store did not answer in time is no loss of the store. Tests: a stale failure begins no new grace (fails without it).

--- a/packages/daemon/bulrushspur_daemon/claim_log.py
+++ b/packages/daemon/bulrushspur_daemon/claim_log.py
@@ -53,6 +53,7 @@
     last_store_success_boottime_s: float = -1e9
     store_latency_s: float = 0.0
     store_unavailable: bool = False
+    store_regained_s: float = -1e9
     on_new_term: t.Callable[[], None] = lambda: None
     # Gets records that are no claims: earlier versions kept node records here.
     on_other_record: t.Callable[[StoredRecord], None] = lambda record: None
@@ -65,18 +66,19 @@
             except StoreTruncatedError as exc:
                 self.handle_truncation(exc.oldest_offset)
             except StoreUnavailableError as exc:
-                if not self.store_unavailable:
-                    self.store_unavailable = True
-                    self.log.event("cell_log_lost", urgent=True, reason=str(exc))
+                self.mark_unavailable(str(exc))
                 await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def _follow_once(self) -> None:
         if self.next_offset is None:
             await self.load()
         await self.read(LONG_POLL_TIMEOUT_S)
-        if self.store_unavailable:
-            self.store_unavailable = False
-            self.log.event("cell_log_regained", urgent=True)
+
+    def mark_unavailable(self, reason: str) -> None:
+        """Record that a call failed; the next one that succeeds clears it."""
+        if not self.store_unavailable:
+            self.store_unavailable = True
+            self.log.event("cell_log_lost", urgent=True, reason=reason)
 
     def handle_truncation(self, oldest_offset: int) -> None:
         """Prepare to load the newest records again, as the store dropped unread ones.
@@ -119,6 +121,10 @@
         self.next_offset = max(self.next_offset or 0, end)
 
     def _record_store_success(self, sent_s: float, sent_boot_s: float) -> None:
+        if self.store_unavailable:
+            self.store_unavailable = False
+            self.store_regained_s = monotonic_s()
+            self.log.event("cell_log_regained", urgent=True)
         self.last_store_success_s = max(self.last_store_success_s, sent_s)
         self.last_store_success_boottime_s = max(
             self.last_store_success_boottime_s, sent_boot_s
--- a/packages/daemon/bulrushspur_daemon/election.py
+++ b/packages/daemon/bulrushspur_daemon/election.py
@@ -54,8 +54,6 @@
     is_leader: t.Callable[[], bool]
     stopping: bool = False
     leader_lost_since_s: float | None = None
-    store_failed: bool = False
-    store_regained_s: float = -1e9
     backoff_s: float = MIN_BACKOFF_S
     claim_ids: set[str] = dataclasses.field(default_factory=set)
     term_watch: TermWatch = dataclasses.field(default_factory=TermWatch)
@@ -74,7 +72,8 @@
             disconnected=client.connection_broken_s > client.last_heartbeat_s,
             leader_store_age_s=client.store_age_s if has_heartbeat else 0.0,
             resigned=has_heartbeat and (client.resigned or client.leader_stopping),
-            store_regained_age_s=monotonic_s() - self.store_regained_s,
+            store_regained_age_s=monotonic_s() - claim_log.store_regained_s,
+            heard_since_regained=client.last_heartbeat_s > claim_log.store_regained_s,
             link_busy=is_receiving_bulk(claim_log.store, monotonic_s()),
             is_recovering=has_heartbeat and not client.serving,
             recovery_stalled_s=client.recovery_stalled_s(),
@@ -155,15 +154,11 @@
         )
 
     async def _claim(self) -> None:
+        began_s = monotonic_s()
         try:
             # Claim only if the store answers now and no other process has claimed since
             # the last read.
-            began_s = monotonic_s()
-            was_unavailable = self.claim_log.store_unavailable
             await self.claim_log.read()
-            if self.store_failed or was_unavailable:
-                self.store_failed = False
-                self.store_regained_s = monotonic_s()
             view = self.make_leader_view()
             if not is_leader_lost(view):
                 return
@@ -192,7 +187,9 @@
         except StoreTruncatedError as exc:
             self.claim_log.handle_truncation(exc.oldest_offset)
         except StoreUnavailableError as exc:
-            self.store_failed = True
+            # A slow store may have answered the read and not the claim.
+            if self.claim_log.last_store_success_s < began_s:
+                self.claim_log.mark_unavailable(str(exc))
             self.log.event("claim_failed", reason=str(exc))
             await asyncio.sleep(self.backoff_s)
             self.backoff_s = min(self.backoff_s * 2, MAX_BACKOFF_S)
--- a/packages/daemon/bulrushspur_daemon/process.py
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -195,7 +195,7 @@
 
     def _is_store_lost(self) -> bool:
         """Return whether the latest calls of the store failed, or are long ago."""
-        if self.claim_log.store_unavailable or self.election.store_failed:
+        if self.claim_log.store_unavailable:
             return True
         store_age_s = monotonic_s() - self.claim_log.last_store_success_s
         return store_age_s >= MAX_FRESH_STORE_AGE_S
--- a/packages/scheduler/bulrushspur_scheduler/leadership.py
+++ b/packages/scheduler/bulrushspur_scheduler/leadership.py
@@ -54,6 +54,7 @@
     - ``registered_age_s``: the time since this process registered.
     - ``unstable_terms``: how many terms in succession ended before they were stable.
     - ``store_regained_age_s``: the time since the store answered this process again.
+    - ``heard_since_regained``: the leader has sent a heartbeat since then.
     - ``link_busy``: a large answer is arriving here and delays all other messages.
     """
 
@@ -67,6 +68,7 @@
     leader_store_age_s: float
     resigned: bool
     store_regained_age_s: float = 1e9
+    heard_since_regained: bool = False
     link_busy: bool = False
     is_recovering: bool = False
     recovery_stalled_s: float = 0.0
@@ -125,8 +127,8 @@
         return True
     if view.store_regained_age_s < REJOIN_GRACE_S:
         # A process that was cut off soon receives heartbeats again if the leader is
-        # alive.
-        return False
+        # alive, and a leader that lost the store as well soon regains it.
+        return view.heard_since_regained and _is_leader_silent(view)
     if view.link_busy:
         heartbeat_gap_s = (
             view.heartbeat_age_s if view.has_heartbeat else view.claim_age_s
@@ -142,11 +144,14 @@
             view.claim_age_s > grace_s * timeout_factor(view.unstable_terms)
             and view.registered_age_s > REGISTRATION_GRACE_S
         )
+    return _is_leader_silent(view) or _is_leader_slow(view)
+
+
+def _is_leader_silent(view: LeaderView) -> bool:
+    """Return whether the heartbeats of a leader that was heard have stopped."""
     if view.disconnected and view.heartbeat_age_s > DISCONNECTED_LEADER_TIMEOUT_S:
         return True
-    if view.heartbeat_age_s > LEADER_TIMEOUT_S:
-        return True
-    return _is_leader_slow(view)
+    return view.heartbeat_age_s > LEADER_TIMEOUT_S
 
 
 def _is_leader_slow(view: LeaderView) -> bool:
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -10,6 +10,7 @@
 
 from bulrushspur_daemon.election import Election
 from bulrushspur_kernel.membership_records import LeaderRecord
+from bulrushspur_kernel.store import StoreUnavailableError
 from tests.test_config_watch import NullEventLog
 
 
@@ -23,6 +24,8 @@
     """A claim log with one leader, which claimed long ago."""
 
     store_unavailable: bool = False
+    store_regained_s: float = -1e9
+    last_store_success_s: float = -1e9
     term: int = 1
     term_seen_s: float = -1e9
     term_preexisting: bool = False
@@ -35,8 +38,17 @@
         default_factory=lambda: LeaderRecord("other", "c", "b")
     )
 
+    fails: bool = False
+
+    def mark_unavailable(self, reason):
+        self.store_unavailable = True
+
     async def read(self):
-        pass
+        if self.fails:
+            raise StoreUnavailableError("no answer")
+        if self.store_unavailable:
+            self.store_unavailable = False
+            self.store_regained_s = time.monotonic()
 
     async def claim(self, record):
         self.claims += 1
@@ -69,8 +81,10 @@
     serving: bool = True
     stalled_s: float = 0.0
 
+    heartbeat_age: float = 0.1
+
     def heartbeat_age_s(self):
-        return 0.1
+        return self.heartbeat_age
 
     def recovery_stalled_s(self):
         return self.stalled_s
@@ -93,7 +107,30 @@
         claim_log, election = self.make_election(store_unavailable=True)
         await election._claim()
         self.assertEqual(claim_log.claims, 0)
-        self.assertLess(time.monotonic() - election.store_regained_s, 1.0)
+        self.assertLess(time.monotonic() - claim_log.store_regained_s, 1.0)
+
+    async def test_leader_lost_after_the_store_was_regained_is_replaced_at_once(self):
+        claim_log, election = self.make_election(store_unavailable=False)
+        now_s = time.monotonic()
+        claim_log.store_regained_s = now_s - 0.95
+        client = election.leader_client
+        client.last_heartbeat_s, client.heartbeat_age = now_s - 0.72, 0.72
+        await election._claim()
+        self.assertEqual(claim_log.claims, 1)
+
+    async def test_old_failure_of_the_store_begins_no_new_grace(self):
+        claim_log, election = self.make_election(store_unavailable=False)
+        claim_log.fails = True
+        await election._claim()
+        claim_log.fails = False
+        # The claim log has followed the topic since, and heard the leader.
+        await claim_log.read()
+        now_s = time.monotonic()
+        claim_log.store_regained_s = now_s - 2.0
+        client = election.leader_client
+        client.last_heartbeat_s, client.heartbeat_age = now_s - 0.75, 0.75
+        await election._claim()
+        self.assertEqual(claim_log.claims, 1)
 
     async def test_process_with_the_store_claims_from_a_leader_without_it(self):
         claim_log, election = self.make_election(store_unavailable=False)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -87,6 +87,13 @@
         self.assertTrue(self.is_lost(heartbeat_age_s=5.0, store_regained_age_s=1.5))
         self.assertTrue(self.is_lost(restarted=True, store_regained_age_s=0.3))
 
+    def test_leader_that_was_heard_after_the_store_came_back_may_be_lost(self):
+        regained = {"store_regained_age_s": 0.9, "heard_since_regained": True}
+        self.assertTrue(self.is_lost(heartbeat_age_s=0.75, **regained))
+        self.assertFalse(self.is_lost(heartbeat_age_s=0.1, **regained))
+        # The leader has lost the store as well, and is about to regain it.
+        self.assertFalse(self.is_lost(leader_store_age_s=4.0, **regained))
+
     def test_recovery_that_advances_is_not_lost_for_the_age_of_its_store_contact(self):
         recovering = {
             "is_recovering": True,
