Repeat a start order that got no answer

Change: a start is idempotent by its run number, so it is sent once more after the usual latency of starts (moving mean and deviation); 200 is conclusive, a refusal of the second order is not. Tests with lost answers and orders carried out late: no task is started twice, fail without the repetition.

--- a/packages/daemon/bulrushspur_daemon/plan_loop.py
+++ b/packages/daemon/bulrushspur_daemon/plan_loop.py
@@ -70,7 +70,7 @@
 
     def flush(self) -> None:
         """Send what the cell holds to be sent, stored or logged."""
-        self.worker_connections.send_orders()
+        self.worker_connections.orders.send_all()
         self.advice_dispatcher.dispatch()
         self.writer.request_write()
         self._write_events()
--- a/packages/daemon/bulrushspur_daemon/worker_connections.py
+++ b/packages/daemon/bulrushspur_daemon/worker_connections.py
@@ -1,11 +1,10 @@
-"""Send orders to workers, renew their leases and apply their reports.
+"""Connect to workers, renew their leases and apply their reports.
 
-The start and stop orders that the planner left in the cell go in; reports of workers
-and results of orders are applied to the cell. Leases are extended only while this
-leader has authority, and by a poll only if the worker has reported recently: an
-extended lease delays the restart of the worker's tasks elsewhere. Run ends are
-acknowledged to a worker only after they are stored: the worker reports an end until it
-is acknowledged, and the next term needs the report of an end that is not stored.
+The workers of a term go in; their reports are applied to the cell. Leases are extended
+only while this leader has authority, and by a poll only if the worker has reported
+recently: an extended lease delays the restart of the worker's tasks elsewhere. Run ends
+are acknowledged to a worker only after they are stored: the worker reports an end until
+it is acknowledged, and the next term needs the report of an end that is not stored.
 """
 
 import asyncio
@@ -14,6 +13,11 @@
 
 from bulrushspur_daemon.clock import monotonic_s
 from bulrushspur_daemon.record_writer import RecordWriter
+from bulrushspur_daemon.worker_orders import (
+    MAX_CONCURRENT_ORDERS,
+    OrderTarget,
+    WorkerOrders,
+)
 from bulrushspur_kernel.adapter import (
     Adapter,
     IncarnationMismatchError,
@@ -23,25 +27,17 @@
 )
 from bulrushspur_kernel.logs import EventLog
 from bulrushspur_kernel.metrics import Metrics
-from bulrushspur_scheduler.cell import Cell, StartOrder, StopOrder
+from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.leases import extend_lease, mark_worker_lost
-from bulrushspur_scheduler.reports import (
-    StartResult,
-    apply_report,
-    handle_start_result,
-    handle_stop_result,
-)
+from bulrushspur_scheduler.reports import apply_report
 from bulrushspur_scheduler.workers import Worker
 
-START_LEASE_S: t.Final = 2.0
 BUSY_LONG_POLL_TIMEOUT_MS: t.Final = 400
 IDLE_LONG_POLL_TIMEOUT_MS: t.Final = 700
 RETRY_INTERVAL_S: t.Final = 0.1
-STOP_RETRY_INTERVAL_S: t.Final = 0.3
 # Poll again after this time even if the store has not answered: a poll renews the
 # lease, which otherwise could expire.
 MAX_STORE_WAIT_S: t.Final = 0.4
-MAX_CONCURRENT_ORDERS: t.Final = 3
 SILENCE_LOG_THRESHOLD_S: t.Final = 1.0
 REPORT_TIMEOUT_S: t.Final = 1.2
 
@@ -78,7 +74,16 @@
     request_plan: t.Callable[[], None]
     has_authority: t.Callable[[], bool]
     by_worker_id: dict[str, WorkerConnection] = dataclasses.field(default_factory=dict)
-    order_tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
+    orders: WorkerOrders = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.orders = WorkerOrders(
+            self.cell,
+            self.metrics,
+            self.request_plan,
+            self.has_authority,
+            self._find_order_target,
+        )
 
     def open(self, worker: Worker) -> None:
         """Connect to a worker and begin to poll it."""
@@ -103,8 +108,7 @@
         """Close all connections and cancel all orders in flight."""
         for worker_id in list(self.by_worker_id):
             self.close(worker_id)
-        for task in list(self.order_tasks):
-            task.cancel()
+        self.orders.cancel_all()
 
     async def _poll_loop(self, connection: WorkerConnection) -> None:
         while True:
@@ -218,65 +222,8 @@
                 reason=reason,
             )
 
-    def send_orders(self) -> None:
-        """Send all start and stop orders that the planner has left in the cell."""
-        starts, self.cell.start_orders = self.cell.start_orders, []
-        stops, self.cell.stop_orders = self.cell.stop_orders, []
-        for start in starts:
-            self._spawn(self._send_start(start))
-        for stop in stops:
-            self._spawn(self._send_stop(stop))
-
-    def _spawn(self, sending: t.Coroutine[t.Any, t.Any, None]) -> None:
-        task = asyncio.create_task(sending)
-        self.order_tasks.add(task)
-        task.add_done_callback(self.order_tasks.discard)
-
-    async def _send_start(self, order: StartOrder) -> None:
-        connection = self.by_worker_id.get(order.worker_id)
+    def _find_order_target(self, worker_id: str) -> OrderTarget | None:
+        connection = self.by_worker_id.get(worker_id)
         if connection is None:
-            handle_start_result(
-                self.cell, order.run, StartResult.INCARNATION_MISMATCH, monotonic_s()
-            )
-            return
-        worker, run = connection.worker, order.run
-        async with connection.order_slots:
-            # Nothing is awaited between this check and the sending, so that both
-            # conditions still hold when the order is sent.
-            if run not in run.task.runs or not self.has_authority():
-                handle_start_result(
-                    self.cell, run, StartResult.ORDER_EXPIRED, monotonic_s()
-                )
-                return
-            sent_s = monotonic_s()
-            lease_until_ms = extend_lease(self.cell, worker, sent_s, START_LEASE_S)
-            result, clock_ms = await connection.client.start_run(
-                run.task.key,
-                run.number,
-                order.payload,
-                lease_until_ms,
-                self.cell.fencing_token,
-                order.checkpoint,
-                order.ticket,
-            )
-        now_s = monotonic_s()
-        self.metrics.record_duration("start_order", now_s - sent_s)
-        if clock_ms is not None:
-            worker.clock.record_reading(clock_ms, now_s)
-        handle_start_result(self.cell, run, result, now_s)
-        if result is not StartResult.STARTED:
-            self.request_plan()
-
-    async def _send_stop(self, order: StopOrder) -> None:
-        connection = self.by_worker_id.get(order.worker_id)
-        acknowledged = False
-        if connection is not None:
-            async with connection.order_slots:
-                acknowledged = await connection.client.stop_run(
-                    order.key, order.number, self.cell.fencing_token
-                )
-        if not acknowledged:
-            await asyncio.sleep(STOP_RETRY_INTERVAL_S)
-        handle_stop_result(self.cell, order, acknowledged, monotonic_s())
-        if not acknowledged:
-            self.request_plan()
+            return None
+        return OrderTarget(connection.worker, connection.client, connection.order_slots)
--- /dev/null
+++ b/packages/daemon/bulrushspur_daemon/worker_orders.py
@@ -0,0 +1,154 @@
+"""Send the planner's start and stop orders to workers, and apply the results.
+
+An order without an answer may have been carried out, or may be carried out later. A
+start is therefore repeated: it is idempotent, because a worker starts each run number
+of a task once. Only if the repeated order gets no answer either does the planner have
+to find out by reports and a stop what became of it.
+"""
+
+import asyncio
+import dataclasses
+import typing as t
+
+from bulrushspur_daemon.clock import monotonic_s
+from bulrushspur_kernel.adapter import WorkerClient
+from bulrushspur_kernel.metrics import Metrics
+from bulrushspur_scheduler.cell import Cell, StartOrder, StopOrder
+from bulrushspur_scheduler.jobs import RunState
+from bulrushspur_scheduler.latency import LatencyEstimate
+from bulrushspur_scheduler.leases import extend_lease
+from bulrushspur_scheduler.reports import (
+    StartResult,
+    handle_start_result,
+    handle_stop_result,
+)
+from bulrushspur_scheduler.workers import Worker
+
+START_LEASE_S: t.Final = 2.0
+START_TIMEOUT_S: t.Final = 0.35
+STOP_RETRY_INTERVAL_S: t.Final = 0.3
+MAX_CONCURRENT_ORDERS: t.Final = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderTarget:
+    """A worker, and how orders reach it."""
+
+    worker: Worker
+    client: WorkerClient
+    slots: asyncio.Semaphore
+
+
+@dataclasses.dataclass
+class WorkerOrders:
+    """The orders in flight of a term; ``find_target`` returns None for a lost worker.
+
+    ``latency`` is that of the answers to starts.
+    """
+
+    cell: Cell
+    metrics: Metrics
+    request_plan: t.Callable[[], None]
+    has_authority: t.Callable[[], bool]
+    find_target: t.Callable[[str], OrderTarget | None]
+    latency: LatencyEstimate = dataclasses.field(
+        default_factory=lambda: LatencyEstimate(START_TIMEOUT_S)
+    )
+    tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
+
+    def send_all(self) -> None:
+        """Send all start and stop orders that the planner has left in the cell."""
+        starts, self.cell.start_orders = self.cell.start_orders, []
+        stops, self.cell.stop_orders = self.cell.stop_orders, []
+        for start in starts:
+            self._spawn(self._send_start(start))
+        for stop in stops:
+            self._spawn(self._send_stop(stop))
+
+    def cancel_all(self) -> None:
+        """Cancel all orders in flight; they may still be carried out."""
+        for task in list(self.tasks):
+            task.cancel()
+
+    def _spawn(self, sending: t.Coroutine[t.Any, t.Any, None]) -> None:
+        task = asyncio.create_task(sending)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _send_start(self, order: StartOrder) -> None:
+        target = self.find_target(order.worker_id)
+        if target is None:
+            result = StartResult.INCARNATION_MISMATCH
+        else:
+            incarnation_start_ms = target.worker.incarnation_start_ms
+            async with target.slots:
+                result = await self._order_start(target, order, self.latency.late_s)
+                if result is StartResult.UNANSWERED:
+                    result = await self._repeat_start(
+                        target, order, incarnation_start_ms
+                    )
+        handle_start_result(self.cell, order.run, result, monotonic_s())
+        if result is not StartResult.STARTED:
+            self.request_plan()
+
+    async def _order_start(
+        self, target: OrderTarget, order: StartOrder, timeout_s: float
+    ) -> StartResult:
+        # Nothing is awaited between this check and the sending, so that both conditions
+        # still hold when the order is sent.
+        if order.run not in order.run.task.runs or not self.has_authority():
+            return StartResult.ORDER_EXPIRED
+        worker, sent_s = target.worker, monotonic_s()
+        lease_until_ms = extend_lease(self.cell, worker, sent_s, START_LEASE_S)
+        result, clock_ms = await target.client.start_run(
+            order.run.task.key,
+            order.run.number,
+            order.payload,
+            lease_until_ms,
+            self.cell.fencing_token,
+            order.checkpoint,
+            order.ticket,
+            timeout_s,
+        )
+        now_s = monotonic_s()
+        self.metrics.record_duration("start_order", now_s - sent_s)
+        if result is not StartResult.UNANSWERED:
+            self.latency.observe(now_s - sent_s)
+        if clock_ms is not None:
+            worker.clock.record_reading(clock_ms, now_s)
+        return result
+
+    async def _repeat_start(
+        self, target: OrderTarget, order: StartOrder, incarnation_start_ms: int
+    ) -> StartResult:
+        """Repeat a start that got no answer; only that it started is conclusive.
+
+        A refusal says nothing of the first order, which may be carried out later. A
+        worker that has restarted since would start the run a second time.
+        """
+        run, worker = order.run, target.worker
+        if run.state is RunState.RUNNING:
+            return StartResult.STARTED
+        if run not in run.task.runs or run.state is not RunState.STARTING:
+            return StartResult.UNANSWERED
+        if worker.incarnation_start_ms != incarnation_start_ms:
+            return StartResult.UNANSWERED
+        self.metrics.count("start_repeated")
+        result = await self._order_start(target, order, START_TIMEOUT_S)
+        if result in (StartResult.STARTED, StartResult.FENCED):
+            return result
+        return StartResult.UNANSWERED
+
+    async def _send_stop(self, order: StopOrder) -> None:
+        target = self.find_target(order.worker_id)
+        acknowledged = False
+        if target is not None:
+            async with target.slots:
+                acknowledged = await target.client.stop_run(
+                    order.key, order.number, self.cell.fencing_token
+                )
+        if not acknowledged:
+            await asyncio.sleep(STOP_RETRY_INTERVAL_S)
+        handle_stop_result(self.cell, order, acknowledged, monotonic_s())
+        if not acknowledged:
+            self.request_plan()
--- a/packages/kernel/bulrushspur_kernel/adapter.py
+++ b/packages/kernel/bulrushspur_kernel/adapter.py
@@ -55,6 +55,7 @@
         term: int,
         checkpoint: str,
         ticket: str,
+        timeout_s: float,
     ) -> tuple["StartResult", int | None]:
         """Start a run; return the result and the worker's clock in ms if known."""
         ...
--- a/packages/scheduler/bulrushspur_scheduler/lanes.py
+++ b/packages/scheduler/bulrushspur_scheduler/lanes.py
@@ -15,23 +15,19 @@
 import typing as t
 
 from bulrushspur_scheduler.cell import AdviceCall
+from bulrushspur_scheduler.latency import LatencyEstimate
 
 MIN_LONG_CALL_S: t.Final = 0.25
 LONG_CALL_LANE_SHARE: t.Final = 0.5
 # An attempt without a reply this long after its expected end counts as lost.
 ATTEMPT_TIMEOUT_MARGIN_S: t.Final = 1.0
 MAX_ATTEMPTS: t.Final = 3
-# A call is sent to another lane when its reply is later than the mean and this many
-# mean deviations, within the limits.
-LATE_DEVIATIONS: t.Final = 4.0
-MIN_LATE_MARGIN_S: t.Final = 0.05
+# A call is sent to another lane at the latest this long after its expected end.
 MAX_LATE_S: t.Final = 0.6
 # A lane that lost or failed an attempt is left alone for this long, twice as long
 # after each further one, while other lanes can make calls.
 MIN_PAUSE_S: t.Final = 0.25
 MAX_PAUSE_S: t.Final = 2.0
-MEAN_GAIN: t.Final = 1 / 8
-DEVIATION_GAIN: t.Final = 1 / 4
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -81,28 +77,6 @@
         return self.sent_s + self.queued.call.expected_call_s
 
 
-@dataclasses.dataclass
-class ReplyDelay:
-    """How much later than expected replies come, as moving mean and mean deviation."""
-
-    mean_s: float = 0.0
-    deviation_s: float = 0.05
-
-    def observe(self, late_s: float) -> None:
-        """Add the delay of one reply beyond its expected time."""
-        late_s = min(late_s, MAX_LATE_S)
-        self.deviation_s += DEVIATION_GAIN * (
-            abs(late_s - self.mean_s) - self.deviation_s
-        )
-        self.mean_s += MEAN_GAIN * (late_s - self.mean_s)
-
-    @property
-    def limit_s(self) -> float:
-        """Return the delay after which a call is sent to another lane."""
-        margin_s = max(LATE_DEVIATIONS * self.deviation_s, MIN_LATE_MARGIN_S)
-        return min(self.mean_s + margin_s, MAX_LATE_S)
-
-
 @dataclasses.dataclass
 class AdviceQueue:
     """The calls that wait for a lane or a reply, and the lanes."""
@@ -112,7 +86,10 @@
     available: list[Lane] = dataclasses.field(default_factory=list)
     waiting: list[QueuedCall] = dataclasses.field(default_factory=list)
     attempts: dict[int, Attempt] = dataclasses.field(default_factory=dict)
-    delay: ReplyDelay = dataclasses.field(default_factory=ReplyDelay)
+    # How much later than expected replies come.
+    delay: LatencyEstimate = dataclasses.field(
+        default_factory=lambda: LatencyEstimate(MAX_LATE_S)
+    )
     call_count: int = 0
 
     def set_available(self, names: t.Iterable[str]) -> None:
@@ -216,7 +193,7 @@
                 call = self._end_attempt(attempt, False, now_s)
                 if call is not None:
                     lost.append(call)
-            elif now_s > attempt.due_s + self.delay.limit_s and not attempt.is_late:
+            elif now_s > attempt.due_s + self.delay.late_s and not attempt.is_late:
                 attempt.is_late = True
                 self._queue_again(attempt.queued)
         return lost
@@ -229,7 +206,7 @@
 
     def late_s(self, attempt: Attempt) -> float:
         """Return when the reply to an attempt counts as late."""
-        return attempt.due_s + self.delay.limit_s
+        return attempt.due_s + self.delay.late_s
 
 
 def is_long(call: AdviceCall) -> bool:
--- a/tests/test_worker_connections.py
+++ b/tests/test_worker_connections.py
@@ -5,6 +5,7 @@
 the task would never be started elsewhere.
 """
 
+import statistics
 import time
 import unittest
 
@@ -40,3 +41,35 @@
         self.assertLess(time.monotonic() - began_s, lease_s + run_time_s + TOLERANCE_S)
         self.assertEqual(len(cluster.oracle.starts), 2)
         self.assertEqual(cluster.oracle.violations, [])
+
+
+class UnansweredOrderTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.cluster = InProcessCluster()
+        self.addAsyncCleanup(self.cluster.stop)
+        await self.cluster.start(nodes=1, workers=4)
+
+    async def play(self, jobs):
+        """Submit short jobs one by one; return how long each took."""
+        cluster, took_s = self.cluster, []
+        for number in range(jobs):
+            began_s = time.monotonic()
+            await cluster.submit(job_id(number), count=4, run_time_ms=50)
+            await cluster.wait_job_state(job_id(number), "completed", wait_s=15.0)
+            took_s.append(time.monotonic() - began_s)
+        self.assertEqual(cluster.oracle.violations, [])
+        return took_s
+
+    async def test_start_whose_answer_was_lost_is_repeated(self):
+        for worker in self.cluster.workers:
+            worker.faults.lost_answer_share = 0.1
+        took_s = await self.play(20)
+        self.assertEqual(len(self.cluster.oracle.starts), 80)
+        self.assertLess(statistics.median(took_s), 0.6)
+
+    async def test_start_that_is_carried_out_late_runs_once(self):
+        for worker in self.cluster.workers:
+            worker.faults.late_execution_share = 0.15
+        took_s = await self.play(20)
+        self.assertEqual(len(self.cluster.oracle.starts), 80)
+        self.assertLess(statistics.quantiles(took_s, n=10)[7], 0.9)
