--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -241,10 +241,17 @@
             count_waiting_jobs(self.cell),
             self.recovery.loaded_bytes,
             self.recovery.recovered_records,
-            age_s > ISOLATION_TIMEOUT_S and not self.peers.reaches_majority(),
+            self._is_isolated(age_s),
             self.handing_over,
         )
 
+    def _is_isolated(self, store_age_s: float) -> bool:
+        """Return whether the store and most other processes are out of reach."""
+        is_store_lost = (
+            self.claim_log.store_unavailable or store_age_s > ISOLATION_TIMEOUT_S
+        )
+        return is_store_lost and not self.peers.reaches_majority()
+
     async def hand_over(self, timeout_s: float) -> None:
         """Lead until another process has claimed, for ``timeout_s`` at most."""
         if self.peers.clients:
