--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -17,6 +17,7 @@
 from bulrushspur_daemon.liveness_watch import LivenessWatch
 from bulrushspur_daemon.plan_loop import PlanLoop
 from bulrushspur_daemon.record_writer import RecordWriter
+from bulrushspur_daemon.term_heartbeats import TermHeartbeats
 from bulrushspur_daemon.term_peers import TermPeers
 from bulrushspur_daemon.term_recovery import TermRecovery
 from bulrushspur_daemon.worker_connections import WorkerConnections
@@ -30,7 +31,6 @@
     Cancel,
     ConfigRecords,
     ConfigRequest,
-    Heartbeat,
     Message,
     Outcome,
     Query,
@@ -49,22 +49,17 @@
 from bulrushspur_scheduler.headroom import observe_urgent_cpu
 from bulrushspur_scheduler.leases import expire_leases, list_expired_workers
 from bulrushspur_scheduler.progress import (
-    count_waiting_jobs,
     purge_finished_jobs,
     set_objective,
     start_all_due_occurrences,
 )
 
 TICK_INTERVAL_S: t.Final = 0.1
-HEARTBEAT_INTERVAL_S: t.Final = 0.15
 CONFIRM_INTERVAL_S: t.Final = 0.4
 HANDOVER_CHECK_INTERVAL_S: t.Final = 0.02
 # After this long without confirmation by the store, no run is started and no lease is
 # extended: a later term may have begun.
 AUTHORITY_TIMEOUT_S: t.Final = 10.0
-# A leader that reaches few processes is isolated after this time without the store. The
-# time is above two intervals of confirmation.
-ISOLATION_TIMEOUT_S: t.Final = 1.0
 
 
 @dataclasses.dataclass
@@ -87,20 +82,19 @@
     worker_records: WorkerRecords = dataclasses.field(init=False)
     worker_watch: WorkerWatch = dataclasses.field(init=False)
     recovery: TermRecovery = dataclasses.field(init=False)
+    heartbeats: TermHeartbeats = dataclasses.field(init=False)
     liveness_watch: LivenessWatch = dataclasses.field(init=False)
     plan_loop: PlanLoop = dataclasses.field(init=False)
     request_handler: LeaderRequestHandler = dataclasses.field(init=False)
     make_config_records: t.Callable[[], ConfigRecords] = lambda: ConfigRecords([])
     serving: bool = False
     ended: bool = False
-    # The process stops: another one is to claim, and this term ends once it has.
-    handing_over: bool = False
     tasks: set[asyncio.Task[t.Any]] = dataclasses.field(default_factory=set)
 
     def start(self) -> None:
         """Start sending heartbeats, and recover and serve in the background."""
         self.log.event("term_start", urgent=True, term=self.number)
-        self._spawn(self._heartbeat_loop())
+        self._spawn(self.heartbeats.run())
         self._spawn(self._run())
 
     def _spawn(self, coroutine: t.Coroutine[t.Any, t.Any, None]) -> None:
@@ -224,39 +218,11 @@
                     claim_log.last_store_success_boottime_s,
                 )
 
-    async def _heartbeat_loop(self) -> None:
-        while True:
-            self.peers.broadcast_heartbeat(self.make_heartbeat())
-            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
-
-    def make_heartbeat(self) -> Heartbeat:
-        """Make a heartbeat that reports the current state of the term."""
-        age_s = self._store_age_s()
-        return Heartbeat(
-            self.number,
-            self.name,
-            self.serving,
-            self.cell.config.version,
-            round(max(age_s, 0.0) * 1000),
-            count_waiting_jobs(self.cell),
-            self.recovery.loaded_bytes,
-            self.recovery.recovered_records,
-            self._is_isolated(age_s),
-            self.handing_over,
-        )
-
-    def _is_isolated(self, store_age_s: float) -> bool:
-        """Return whether the store and most other processes are out of reach."""
-        is_store_lost = (
-            self.claim_log.store_unavailable or store_age_s > ISOLATION_TIMEOUT_S
-        )
-        return is_store_lost and not self.peers.reaches_majority()
-
     async def hand_over(self, timeout_s: float) -> None:
         """Lead until another process has claimed, for ``timeout_s`` at most."""
         if self.peers.clients:
-            self.handing_over = True
-            self.peers.broadcast_heartbeat(self.make_heartbeat())
+            self.heartbeats.stopping = True
+            self.heartbeats.send()
             deadline_s = monotonic_s() + timeout_s
             while not self.ended and monotonic_s() < deadline_s:
                 await asyncio.sleep(HANDOVER_CHECK_INTERVAL_S)
@@ -264,17 +230,6 @@
             self.peers.resign(self.number)
             self.stop("the process stops")
 
-    def _store_age_s(self) -> float:
-        """Return the time since the store last answered, in seconds.
-
-        A large answer that is still arriving counts as contact with it.
-        """
-        return monotonic_s() - max(
-            self.writer.confirmed_s,
-            self.claim_log.last_store_success_s,
-            self.store.last_bulk_s,
-        )
-
     def handle_message(
         self, message: Message, reply: t.Callable[[Message], t.Any]
     ) -> None:
@@ -358,6 +313,9 @@
         log,
         AUTHORITY_TIMEOUT_S,
     )
+    term.heartbeats = TermHeartbeats(
+        name, cell, store, claim_log, writer, peers, term.recovery, lambda: term.serving
+    )
     term.liveness_watch = LivenessWatch(
         adapter, incarnations_pool, cell, log, metrics, term.request_plan
     )
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -52,7 +52,9 @@
             lines += make_job_lines(f"j{index}", 100.0 + index, **waits_s)
         rows = collect_jobs(parse_lines(lines))
         usual = usual_stages(rows.values())
-        return [find_cause(job, usual) for name, job in rows.items() if name != "usual"]
+        return [
+            find_cause(rows[name], usual) for name in sorted(rows) if name != "usual"
+        ]
 
     def test_each_wait_is_the_cause_of_its_job(self):
         causes = self.find_causes(
