--- a/packages/daemon/bulrushspur_daemon/advice_dispatcher.py
+++ b/packages/daemon/bulrushspur_daemon/advice_dispatcher.py
@@ -55,6 +55,9 @@
     def dispatch(self) -> None:
         """Queue the calls that were added to the cell, and send those that can go."""
         calls, self.cell.advice_calls = self.cell.advice_calls, []
+        self.queue.drop_unwanted(
+            lambda call: self.cell.find_step(call.step) is not None
+        )
         for call in calls:
             self.queue.add(call)
         self._send_waiting()
--- a/packages/scheduler/bulrushspur_scheduler/lanes.py
+++ b/packages/scheduler/bulrushspur_scheduler/lanes.py
@@ -111,6 +111,12 @@
         queued.is_queued = True
         self.waiting.append(queued)
 
+    def drop_unwanted(self, is_wanted: t.Callable[[AdviceCall], bool]) -> None:
+        """Drop the waiting calls whose step has ended or was cancelled."""
+        for queued in self.waiting:
+            queued.is_queued = is_wanted(queued.call)
+        self.waiting = [queued for queued in self.waiting if queued.is_queued]
+
     def count_free_long_call_lanes(self) -> int:
         """Return how many long calls can be sent now beside those that wait."""
         free = sum(
--- a/tests/test_lanes.py
+++ b/tests/test_lanes.py
@@ -120,6 +120,18 @@
         self.assertLess(now_s - 1.0, allowed_s)
         self.assertEqual(queue.take_sendable(now_s), [])
 
+    def test_calls_of_cancelled_jobs_take_no_lane(self):
+        queue = make_queue(("n0",))
+        for name in ("j0", "cancelled", "j2"):
+            queue.add(make_call(name))
+        queue.drop_unwanted(lambda call: call.step.job != "cancelled")
+        sent = []
+        for _ in range(3):
+            for attempt in queue.take_sendable(1.0):
+                sent.append(attempt.queued.call.step.job)
+                queue.handle_reply(attempt.request_id, True, 1.0)
+        self.assertEqual(sent, ["j0", "j2"])
+
     def test_lanes_that_are_usually_slow_are_waited_for(self):
         queue = make_queue(("n0", "n1"))
         now_s = 1.0
