Ask the store at once when a lease has expired

Change: the term asks the store as soon as a lease has expired by its own clock and not by the last confirmation.

--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -47,7 +47,11 @@
 from bulrushspur_scheduler.config import CellConfig
 from bulrushspur_scheduler.eviction import evict_runs
 from bulrushspur_scheduler.headroom import observe_urgent_cpu
-from bulrushspur_scheduler.leases import expire_leases, list_expired_workers
+from bulrushspur_scheduler.leases import (
+    awaits_confirmation,
+    expire_leases,
+    list_expired_workers,
+)
 from bulrushspur_scheduler.progress import (
     purge_finished_jobs,
     set_objective,
@@ -204,8 +208,9 @@
         while True:
             await asyncio.sleep(CONFIRM_INTERVAL_S / 2)
             claim_log = self.claim_log
-            is_due = monotonic_s() - self.writer.confirmed_s > CONFIRM_INTERVAL_S
-            if is_due or self.cell.unconfirmed_losses:
+            now_s, confirmed_s = monotonic_s(), self.writer.confirmed_s
+            is_due = now_s - confirmed_s > CONFIRM_INTERVAL_S
+            if is_due or awaits_confirmation(self.cell, confirmed_s, now_s):
                 try:
                     await claim_log.read()
                 except StoreUnavailableError:
--- a/packages/scheduler/bulrushspur_scheduler/leases.py
+++ b/packages/scheduler/bulrushspur_scheduler/leases.py
@@ -71,6 +71,19 @@
             mark_worker_lost(cell, worker, "lease over")
 
 
+def awaits_confirmation(cell: Cell, confirmed_s: float, now_s: float) -> bool:
+    """Return whether a confirmation by the store would release runs now.
+
+    Leases expired, or runs disappeared, since the last one at ``confirmed_s``.
+    """
+    return bool(cell.unconfirmed_losses) or any(
+        worker.runs
+        and worker.is_lease_expired(now_s)
+        and not worker.is_lease_expired(confirmed_s)
+        for worker in cell.workers.values()
+    )
+
+
 def list_expired_workers(cell: Cell, confirmed_s: float, now_s: float) -> list[Worker]:
     """List the unlisted workers on which nothing can run any more."""
     return [
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,13 +1,24 @@
-"""Test when a worker that is no longer listed may be removed.
+"""Test when a worker that is no longer listed may be removed, and leases judged.
 
-One that is removed too early may still run tasks that nobody counts.
+One that is removed too early may still run tasks that nobody counts. Leases are judged
+at the last confirmation by the store, so an old one delays the restart of their runs.
 """
 
 import unittest
 
-from bulrushspur_scheduler.leases import UNLISTED_GRACE_S, list_expired_workers
+from bulrushspur_scheduler import takeover
+from bulrushspur_scheduler.leases import (
+    UNLISTED_GRACE_S,
+    awaits_confirmation,
+    list_expired_workers,
+)
 from bulrushspur_scheduler.planning import plan
-from tests.cell_fixtures import acknowledge_starts, add_test_job, make_test_cell
+from tests.cell_fixtures import (
+    acknowledge_starts,
+    add_test_job,
+    apply_worker_report,
+    make_test_cell,
+)
 
 LONG_AFTER_S = 100.0
 
@@ -50,5 +61,28 @@
         self.assertEqual(self.expired(), [])
 
 
+class AwaitsConfirmationTest(unittest.TestCase):
+    def test_lease_that_expired_since_the_last_confirmation_asks_for_one(self):
+        cell = make_test_cell(1)
+        add_test_job(cell)
+        plan(cell, 0.1)
+        acknowledge_starts(cell, 0.1)
+        cell.workers["w0"].lease_until_ms = 4000
+        self.assertFalse(awaits_confirmation(cell, 1.0, 4.0))
+        self.assertTrue(awaits_confirmation(cell, 1.0, 5.0))
+        # The confirmed time is late enough: the runs are released by the next tick.
+        self.assertFalse(awaits_confirmation(cell, 4.9, 5.0))
+
+    def test_run_that_disappeared_asks_for_one(self):
+        cell = make_test_cell(1)
+        add_test_job(cell)
+        plan(cell, 0.1)
+        acknowledge_starts(cell, 0.1)
+        apply_worker_report(cell, "w0", 0.5, incarnation_start_ms=2)
+        self.assertTrue(awaits_confirmation(cell, 0.4, 0.5))
+        takeover.reconcile(cell, 0.6)
+        self.assertFalse(awaits_confirmation(cell, 0.6, 0.7))
+
+
 if __name__ == "__main__":
     unittest.main()
