--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -5,11 +5,15 @@
 slots, and steps compete for the lanes that may make long calls.
 """
 
+import dataclasses
 import unittest
 
 from bulrushspur_daemon.advice_dispatcher import AdviceDispatcher
+from bulrushspur_kernel.adapter import AdviceUnavailableError
+from bulrushspur_kernel.http_client import HttpResponse
 from bulrushspur_kernel.messages import AdviceReply
 from bulrushspur_kernel.metrics import Metrics
+from bulrushspur_platform.advice import request_advice
 from bulrushspur_scheduler.advice import apply_advice
 from bulrushspur_scheduler.cell import AdviceCall
 from bulrushspur_scheduler.jobs import StepKey
@@ -164,3 +168,27 @@
         self.assertEqual(len(dispatcher.queue.attempts), 1)
         dispatcher.handle_reply(AdviceReply(later.request_id, [("w0", "t")], 1000))
         self.assertEqual(len(dispatcher.queue.attempts), 0)
+
+
+@dataclasses.dataclass
+class FakePool:
+    """A pool of connections to a service that gives one answer."""
+
+    body: bytes
+
+    async def request(self, method, path, body, timeout_s):
+        return HttpResponse(200, {}, self.body)
+
+
+class AdviceReplyTest(unittest.IsolatedAsyncioTestCase):
+    async def test_reply_that_cannot_be_read_counts_as_no_answer(self):
+        for body in (b"", b"{", b"[]", b'{"good":[["w0"]]}', b'{"good":"w0"}'):
+            pool = FakePool(body)
+            with self.subTest(body=body), self.assertRaises(AdviceUnavailableError):
+                await request_advice(pool, StepKey("j1", 0, 0), ["w0"], 1.0)
+
+    async def test_reply_names_workers_and_tickets(self):
+        pool = FakePool(b'{"good":[["w0","t"]],"valid_ms":2500}')
+        approved, valid_s = await request_advice(pool, StepKey("j1", 0, 0), ["w0"], 1.0)
+        self.assertEqual([tuple(row) for row in approved], [("w0", "t")])
+        self.assertEqual(valid_s, 2.5)
