Let other lanes make long calls while the usual ones are paused

Cause, from reading: long calls used the first half of the lanes by name, also while all of these were paused after failures. Change: the half is taken of the lanes that are not paused; test_lanes, fails without.

--- a/packages/daemon/bulrushspur_daemon/advice_dispatcher.py
+++ b/packages/daemon/bulrushspur_daemon/advice_dispatcher.py
@@ -69,7 +69,7 @@
         them.
         """
         self._refresh_lanes()
-        free_count = self.queue.count_free_long_call_lanes()
+        free_count = self.queue.count_free_long_call_lanes(monotonic_s())
         self.cell.free_long_call_lanes = free_count
 
     def _refresh_lanes(self) -> None:
--- a/packages/scheduler/bulrushspur_scheduler/lanes.py
+++ b/packages/scheduler/bulrushspur_scheduler/lanes.py
@@ -94,13 +94,18 @@
 
     def set_available(self, names: t.Iterable[str]) -> None:
         """Set the lanes that can make calls now; the others keep their attempt."""
-        ordered = sorted(names)
-        split = math.ceil(len(ordered) * LONG_CALL_LANE_SHARE)
-        self.available = []
-        for index, name in enumerate(ordered):
-            lane = self.lanes.setdefault(name, Lane(name))
+        self.available = [
+            self.lanes.setdefault(name, Lane(name)) for name in sorted(names)
+        ]
+
+    def _usable_lanes(self, now_s: float) -> list[Lane]:
+        """Return the lanes that are not paused, or all; a part makes long calls."""
+        usable = [lane for lane in self.available if lane.paused_until_s <= now_s]
+        usable = usable or self.available
+        split = math.ceil(len(usable) * LONG_CALL_LANE_SHARE)
+        for index, lane in enumerate(usable):
             lane.makes_long_calls = index < split
-            self.available.append(lane)
+        return usable
 
     def add(self, call: AdviceCall) -> None:
         """Queue a call behind those of its priority."""
@@ -117,10 +122,11 @@
             queued.is_queued = is_wanted(queued.call)
         self.waiting = [queued for queued in self.waiting if queued.is_queued]
 
-    def count_free_long_call_lanes(self) -> int:
+    def count_free_long_call_lanes(self, now_s: float) -> int:
         """Return how many long calls can be sent now beside those that wait."""
         free = sum(
-            lane.makes_long_calls and lane.attempt is None for lane in self.available
+            lane.makes_long_calls and lane.attempt is None
+            for lane in self._usable_lanes(now_s)
         )
         waiting = sum(is_long(queued.call) for queued in self.waiting)
         return max(free - waiting, 0)
@@ -132,8 +138,7 @@
         """
         if not self.waiting:
             return []
-        usable = [lane for lane in self.available if lane.paused_until_s <= now_s]
-        free = [lane for lane in usable or self.available if lane.attempt is None]
+        free = [lane for lane in self._usable_lanes(now_s) if lane.attempt is None]
         self.waiting.sort(key=lambda queued: queued.order)
         kept: list[QueuedCall] = []
         rv: list[Attempt] = []
--- a/tests/load_simulation.py
+++ b/tests/load_simulation.py
@@ -142,7 +142,7 @@
         self.report_workers()
         self.answer_advice_calls()
         evict_runs(self.cell, self.now_s)
-        free_lanes = self.advice_queue.count_free_long_call_lanes()
+        free_lanes = self.advice_queue.count_free_long_call_lanes(self.now_s)
         self.cell.free_long_call_lanes = free_lanes
         plan(self.cell, self.now_s)
         self.cell.events.clear()
--- a/tests/test_lanes.py
+++ b/tests/test_lanes.py
@@ -58,6 +58,23 @@
         (attempt,) = queue.take_sendable(1.0)
         self.assertIn(attempt.lane.name, {"n2", "n3"})
 
+    def test_long_calls_go_to_other_lanes_while_the_usual_ones_fail(self):
+        queue = make_queue()
+        now_s, lanes = 1.0, []
+        for index in range(4):
+            queue.add(make_call(f"j{index}", LONG_CALL_S))
+            (attempt,) = queue.take_sendable(now_s)
+            lanes.append(attempt.lane.name)
+            fails = attempt.lane.name in ("n0", "n1")
+            queue.handle_reply(attempt.request_id, not fails, now_s)
+            for again in queue.take_sendable(now_s):
+                lanes.append(again.lane.name)
+                fails = again.lane.name in ("n0", "n1")
+                queue.handle_reply(again.request_id, not fails, now_s)
+            now_s += 0.01
+        self.assertIn("n2", lanes)
+        self.assertEqual(lanes[-1], "n2")
+
     def test_short_calls_use_all_lanes_that_are_free(self):
         queue = make_queue()
         for index in range(6):
