Name the point in time at which a reply is late

late_s of the advice queue was a point in time beside a duration of the same name, and the sum stood twice. No change of behaviour (test_lanes, test_advice, test_election pass).

--- a/packages/daemon/bulrushspur_daemon/advice_dispatcher.py
+++ b/packages/daemon/bulrushspur_daemon/advice_dispatcher.py
@@ -91,7 +91,7 @@
     def _watch(self, attempt: Attempt) -> None:
         loop, now_s = asyncio.get_running_loop(), monotonic_s()
         for due_s in (
-            self.queue.late_s(attempt),
+            self.queue.late_at_s(attempt),
             attempt.due_s + ATTEMPT_TIMEOUT_MARGIN_S,
         ):
             loop.call_later(due_s - now_s + TIMER_SLACK_S, self._check_late)
--- a/packages/scheduler/bulrushspur_scheduler/lanes.py
+++ b/packages/scheduler/bulrushspur_scheduler/lanes.py
@@ -204,7 +204,7 @@
                 call = self._end_attempt(attempt, False, now_s)
                 if call is not None:
                     lost.append(call)
-            elif now_s > attempt.due_s + self.delay.late_s and not attempt.is_late:
+            elif now_s > self.late_at_s(attempt) and not attempt.is_late:
                 attempt.is_late = True
                 self._queue_again(attempt.queued)
         return lost
@@ -215,7 +215,7 @@
         if queued.attempt_count < MAX_ATTEMPTS:
             self._enqueue(queued)
 
-    def late_s(self, attempt: Attempt) -> float:
+    def late_at_s(self, attempt: Attempt) -> float:
         """Return when the reply to an attempt counts as late."""
         return attempt.due_s + self.delay.late_s
 
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -81,10 +81,10 @@
     serving: bool = True
     stalled_s: float = 0.0
 
-    heartbeat_age: float = 0.1
+    silence_s: float = 0.1
 
     def heartbeat_age_s(self):
-        return self.heartbeat_age
+        return self.silence_s
 
     def recovery_stalled_s(self):
         return self.stalled_s
@@ -114,7 +114,7 @@
         now_s = time.monotonic()
         claim_log.store_regained_s = now_s - 0.95
         client = election.leader_client
-        client.last_heartbeat_s, client.heartbeat_age = now_s - 0.72, 0.72
+        client.last_heartbeat_s, client.silence_s = now_s - 0.72, 0.72
         await election._claim()
         self.assertEqual(claim_log.claims, 1)
 
@@ -128,7 +128,7 @@
         now_s = time.monotonic()
         claim_log.store_regained_s = now_s - 2.0
         client = election.leader_client
-        client.last_heartbeat_s, client.heartbeat_age = now_s - 0.75, 0.75
+        client.last_heartbeat_s, client.silence_s = now_s - 0.75, 0.75
         await election._claim()
         self.assertEqual(claim_log.claims, 1)
 
