Log and measure why a job waits that has nothing running

Change: waiting.py finds the first reason that keeps a step from starting, with the slots left on listed, schedulable, ticketed and unreserved workers.

--- a/packages/daemon/bulrushspur_daemon/introspection.py
+++ b/packages/daemon/bulrushspur_daemon/introspection.py
@@ -9,8 +9,23 @@
 import typing as t
 
 from bulrushspur_daemon.clock import monotonic_s
-from bulrushspur_scheduler.jobs import Job, Step
-from bulrushspur_scheduler.placement import free_slots_of_account, needs_advice
+from bulrushspur_scheduler.jobs import Step
+from bulrushspur_scheduler.waiting import WaitReason, find_wait_reason
+
+_WAIT_TEXTS: t.Final = {
+    WaitReason.EARLIER_STEPS: "earlier steps",
+    WaitReason.UNRECONCILED: "workers that the last leader may have started it on",
+    WaitReason.RUNNING: "its tasks, which run",
+    WaitReason.UNOBSERVED_USAGE: "what its client account may run on silent workers",
+    WaitReason.ACCOUNT_CAP: "the cap of its client account",
+    WaitReason.ACCOUNT_HEADROOM: "room for urgent work of its client account",
+    WaitReason.ADVICE: "advice on workers",
+    WaitReason.ROOM: "room on workers that may run it",
+    WaitReason.EXCLUDED_WORKERS: "workers that are silent or quarantined",
+    WaitReason.TICKETS: "tickets for workers that may run it",
+    WaitReason.RESERVATION: "workers that are reserved for others",
+    WaitReason.NOT_TRIED: "the planner to try it",
+}
 
 
 def dump_process(process: t.Any) -> dict[str, t.Any]:
@@ -94,24 +109,5 @@
         "tasks": len(step.tasks),
         "done": step.done_count,
         "running": sum(bool(task.runs) for task in step.tasks),
-        "waits_for": _waiting_reason(cell, step.job, step),
+        "waits_for": _WAIT_TEXTS[find_wait_reason(cell, step, monotonic_s())],
     }
-
-
-def _waiting_reason(cell: t.Any, job: Job, step: Step) -> str:
-    """Return the first reason that applies.
-
-    The cap of the account counts as reached if it allows not even one more task. The
-    last reason covers all others, such as reservations and CPU kept for urgent work.
-    """
-    if not step.ready:
-        return "earlier steps"
-    if any(task.unreconciled for task in step.tasks):
-        return "workers that the last leader may have started it on"
-    if not step.startable_tasks():
-        return "its tasks, which run"
-    if free_slots_of_account(cell, job.account, step.spec.resources) < 1:
-        return "the cap of its client account"
-    if needs_advice(cell, step) and not step.evaluated_workers:
-        return "advice on workers"
-    return "room on workers that may run it"
--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -57,8 +57,10 @@
     set_objective,
     start_all_due_occurrences,
 )
+from bulrushspur_scheduler.waiting import WaitMonitor
 
 TICK_INTERVAL_S: t.Final = 0.1
+WAIT_REPORT_INTERVAL_S: t.Final = 1.0
 CONFIRM_INTERVAL_S: t.Final = 0.4
 HANDOVER_CHECK_INTERVAL_S: t.Final = 0.02
 # After this long without confirmation by the store, no run is started and no lease is
@@ -91,6 +93,7 @@
     plan_loop: PlanLoop = dataclasses.field(init=False)
     request_handler: LeaderRequestHandler = dataclasses.field(init=False)
     make_config_records: t.Callable[[], ConfigRecords] = lambda: ConfigRecords([])
+    wait_monitor: WaitMonitor = dataclasses.field(default_factory=WaitMonitor)
     serving: bool = False
     ended: bool = False
     tasks: set[asyncio.Task[t.Any]] = dataclasses.field(default_factory=set)
@@ -149,6 +152,7 @@
         self._spawn(self.liveness_watch.run())
         self._spawn(self.plan_loop.run())
         self._spawn(self._tick_loop())
+        self._spawn(self._report_waits_loop())
         self._spawn(self._confirm_loop())
 
     async def _recover(self) -> None:
@@ -194,6 +198,11 @@
                 cell.dirty_jobs.add(job_id)
             self.request_plan()
 
+    async def _report_waits_loop(self) -> None:
+        while True:
+            await asyncio.sleep(WAIT_REPORT_INTERVAL_S)
+            self.wait_monitor.report(self.cell, monotonic_s())
+
     def _remove_expired_workers(self, now_s: float) -> None:
         """Remove unlisted workers on which nothing can run any more."""
         confirmed_s = self.writer.confirmed_s
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -173,6 +173,8 @@
     evaluated_workers: set[str] = dataclasses.field(default_factory=set)
     tickets: dict[str, tuple[str, float]] = dataclasses.field(default_factory=dict)
     in_flight_advice_calls: int = 0
+    # When a planning pass tried to start it last, on the monotonic clock.
+    tried_s: float = -1e9
     # No advice call is made before this time.
     advice_retry_at_s: float = 0.0
     # Durations of the tasks that have ended: number and sum of logarithms.
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -81,6 +81,7 @@
 
     Returns True for a step that waits for its first advice: it was not tried yet.
     """
+    step.tried_s = now_s
     ticketed = needs_advice(cell, step)
     if ticketed and not step.evaluated_workers:
         queue = cell.queue_of(step.job)
