--- a/tests/test_leader_client.py
+++ b/tests/test_leader_client.py
@@ -1,16 +1,20 @@
-"""Test what a gateway tells callers of the jobs that wait, across a change of leaders.
+"""Test what a gateway tells callers across changes of leaders and its own restarts.
 
 A leader that recovers has counted no jobs yet. Its count must not be passed on as zero,
-and neither must that of a gateway that has heard of no leader.
+and neither must that of a gateway that has heard of no leader. A leader's connection to
+the address of a gateway outlives the gateway's process, so late replies reach the next.
 """
 
+import asyncio
 import unittest
+from unittest import mock
 
 from bulrushspur_daemon.gateway import MAX_COUNT_AGE_S, Gateway
 from bulrushspur_daemon.leader_client import LeaderClient
 from bulrushspur_kernel.messages import Heartbeat
 from bulrushspur_kernel.metrics import Metrics
 from tests.cell_fixtures import QUEUES
+from tests.cluster import InProcessCluster, job_id
 from tests.test_config_watch import NullEventLog
 
 
@@ -50,5 +54,59 @@
         self.assertLess(client.recovery_stalled_s(), 1.0)
 
 
+class RestartedGatewayTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.cluster = InProcessCluster()
+        self.addAsyncCleanup(self.cluster.stop)
+        await self.cluster.start(nodes=2, workers=2)
+
+    def find_gateway(self):
+        leader = self.cluster.find_leader()
+        (node,) = (node for node in self.cluster.nodes.values() if node is not leader)
+        return node
+
+    async def restart(self, node):
+        """Start a process anew at the same addresses."""
+        settings = node.process.settings
+        await self.cluster.kill(node)
+        ports = [
+            int(address.rsplit(":", 1)[1])
+            for address in (
+                settings.callers_address,
+                settings.ready_address,
+                settings.peers_address,
+                settings.operators_address,
+            )
+        ]
+        with mock.patch("tests.cluster.find_free_port", side_effect=ports):
+            return await self.cluster.add_node(settings.name)
+
+    async def test_reply_to_the_last_incarnation_answers_no_other_request(self):
+        cluster = self.cluster
+        gateway = self.find_gateway()
+        cluster.store.append_delay_s = 0.6
+        pending = asyncio.create_task(cluster.submit(job_id(1), node=gateway))
+        await asyncio.sleep(0.1)
+        node = await self.restart(gateway)
+        await cluster.wait_for(
+            lambda: (
+                node.process.leader_client.is_available()
+                and node.process.gateway.has_config
+            ),
+            2.0,
+        )
+        submission = asyncio.create_task(
+            cluster.submit(job_id(2), node=node, wait_s=2.0)
+        )
+        jobs = cluster.find_leader().process.term.cell.jobs
+        await cluster.wait_for(lambda: job_id(1) in jobs)
+        cluster.store.faults.forced_status = 503
+        answer = await submission
+        await pending
+        self.assertNotIn(job_id(2), jobs)
+        self.assertIsNotNone(answer)
+        self.assertNotEqual(answer.status, 200)
+
+
 if __name__ == "__main__":
     unittest.main()
