Number the requests of each incarnation of a gateway apart

Seen by callers: 200 for a job that was not stored. Cause: an entry process numbered its requests from 1. The leader's socket reconnects to the address of a process that has restarted, and a reply to its last incarnation answers the request of the new one that has the same number. Class: an identifier that begins anew where late answers can still come. Evidence: test_reply_to_the_last_incarnation_answers_no_other_request, red before; a trace of it shows the reply with id 1 of job 1 taken for job 2, 0.6 s before job 2 was stored. Fix: ids start at a random 48-bit number in each incarnation. The late reply then finds no request, as the trace shows.

--- a/packages/daemon/bulrushspur_daemon/leader_client.py
+++ b/packages/daemon/bulrushspur_daemon/leader_client.py
@@ -8,6 +8,7 @@
 import asyncio
 import dataclasses
 import itertools
+import os
 import typing as t
 
 from bulrushspur_daemon.clock import monotonic_s
@@ -27,10 +28,19 @@
 # A caller whose request waits for a recovery is served sooner than by coming back.
 MAX_RECOVERY_WAIT_S: t.Final = 2.0
 NOT_READY_RETRY_INTERVAL_S: t.Final = 0.05
+REQUEST_ID_START_BYTES: t.Final = 6
 
 LeaderRequest = Submit | Query | Cancel
 
 
+def _make_request_ids() -> t.Iterator[int]:
+    """Make ids that no other incarnation of this process uses.
+
+    A leader's reply to an earlier incarnation may reach this one.
+    """
+    return itertools.count(int.from_bytes(os.urandom(REQUEST_ID_START_BYTES)))
+
+
 class LeaderUnavailableError(Exception):
     """Signal that no leader answered; ``in_doubt`` if one may have done the request."""
 
@@ -79,9 +89,7 @@
         default_factory=dict
     )
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
-    request_ids: t.Iterator[int] = dataclasses.field(
-        default_factory=lambda: itertools.count(1)
-    )
+    request_ids: t.Iterator[int] = dataclasses.field(default_factory=_make_request_ids)
     on_config_version: t.Callable[[int], None] = lambda version: None
 
     def handle_heartbeat(
