Show that a reply to a refused submission ends the calls of the next one

Seen by callers: an accepted job has nothing running, for as long as the leader leads. The same id was refused shortly before (the store was away), and its call for advice was still under way. Its reply is counted for the accepted job, whose calls in flight become -1, so that no call is made any more: its tickets expire, and it stands still.

--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -14,16 +14,19 @@
 from bulrushspur_kernel.messages import AdviceReply
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_platform.advice import request_advice
-from bulrushspur_scheduler.advice import apply_advice
+from bulrushspur_scheduler.advice import apply_advice, prefetch_advice
 from bulrushspur_scheduler.cell import AdviceCall
-from bulrushspur_scheduler.jobs import StepKey
+from bulrushspur_scheduler.jobs import StepKey, make_occurrence
+from bulrushspur_scheduler.placement import find_recent_pool
 from bulrushspur_scheduler.planning import plan
+from bulrushspur_scheduler.progress import add_job
 from bulrushspur_scheduler.resources import Resources
 from tests.cell_fixtures import (
     acknowledge_starts,
     add_test_job,
     add_worker,
     make_test_cell,
+    make_test_job,
     report_all_workers,
 )
 from tests.test_config_watch import NullEventLog
@@ -33,9 +36,14 @@
     """Approve some workers in reply to the only advice call; return the call."""
     (call,) = cell.advice_calls
     cell.advice_calls.clear()
+    reply_to(cell, call, approved, now_s, valid_s)
+    return call
+
+
+def reply_to(cell, call, approved, now_s, valid_s=2.5):
+    """Approve some workers in reply to a call."""
     tickets = [(name, "t") for name in call.worker_ids if name in approved]
     apply_advice(cell, call.step, call.worker_ids, tickets, valid_s, now_s)
-    return call
 
 
 class AdviceTest(unittest.TestCase):
@@ -97,6 +105,29 @@
         (call,) = cell.advice_calls
         self.assertEqual({worker_id[:4] for worker_id in call.worker_ids}, {"idle"})
 
+    def test_replies_to_a_refused_submission_stop_no_calls_for_the_next_one(self):
+        cell = make_test_cell(2)
+        pool = find_recent_pool(cell, "svc", 0.1)
+        for _ in range(2):
+            job = make_test_job(queue="advised", now_s=0.1)
+            make_occurrence(job, 0)
+            cell.uncommitted_jobs[job.id] = job
+            prefetch_advice(cell, job, pool)
+        calls, cell.advice_calls = cell.advice_calls, []
+        del cell.uncommitted_jobs[job.id]
+        add_job(cell, job, 0.1, 0.1)
+        for call in calls:
+            reply_to(cell, call, {"w0"}, 0.2)
+        # The tickets expire while there is no room.
+        cell.workers["w0"].free.cpu_milli = 0
+        for now_s in (0.3, 3.0):
+            report_all_workers(cell, now_s)
+            plan(cell, now_s)
+        cell.workers["w0"].free.cpu_milli = 16_000
+        report_all_workers(cell, 3.1)
+        plan(cell, 3.1)
+        self.assertEqual(len(cell.advice_calls), 1)
+
     def test_wide_step_is_split_into_parallel_calls(self):
         cell = make_test_cell(100)
         spec = {"count": 30, "gang": True, "resources": Resources(8000, 10)}
