Count a reply of the advice service only for the step that made the call

Cause: calls in flight were a number, and replies were matched by the id of the step. A submission that is refused and sent again makes a new step with the id of the last one, whose replies were counted for it. Class: an identifier that is used again where late answers can still come, as with the requests of a restarted gateway. Fix: a step holds its calls in flight, compared by identity. A reply to another call is ignored, and the number cannot become wrong; waiting calls of a refused submission are not sent.

--- a/packages/daemon/bulrushspur_daemon/advice_dispatcher.py
+++ b/packages/daemon/bulrushspur_daemon/advice_dispatcher.py
@@ -55,13 +55,16 @@
     def dispatch(self) -> None:
         """Queue the calls that were added to the cell, and send those that can go."""
         calls, self.cell.advice_calls = self.cell.advice_calls, []
-        self.queue.drop_unwanted(
-            lambda call: self.cell.find_step(call.step) is not None
-        )
+        self.queue.drop_unwanted(self._is_wanted)
         for call in calls:
             self.queue.add(call)
         self._send_waiting()
 
+    def _is_wanted(self, call: AdviceCall) -> bool:
+        """Return whether the step that made the call still waits for its reply."""
+        step = self.cell.find_step(call.step)
+        return step is not None and call in step.in_flight_advice_calls
+
     def update_free_long_call_lanes(self) -> None:
         """Set the number of long calls that the planner may request now.
 
@@ -130,8 +133,7 @@
         approved: list[tuple[str, str]] | None,
         valid_s: float,
     ) -> None:
-        now_s = monotonic_s()
-        apply_advice(self.cell, call.step, call.worker_ids, approved, valid_s, now_s)
+        apply_advice(self.cell, call, approved, valid_s, monotonic_s())
         self.request_plan()
 
 
--- a/packages/scheduler/bulrushspur_scheduler/advice.py
+++ b/packages/scheduler/bulrushspur_scheduler/advice.py
@@ -12,7 +12,7 @@
 
 from bulrushspur_scheduler.cell import AdviceCall, Cell
 from bulrushspur_scheduler.config import Queue
-from bulrushspur_scheduler.jobs import Job, Step, StepKey
+from bulrushspur_scheduler.jobs import Job, Step
 from bulrushspur_scheduler.lanes import MIN_LONG_CALL_S
 from bulrushspur_scheduler.placement import (
     Pool,
@@ -191,10 +191,9 @@
             if not cell.free_long_call_lanes:
                 return
             cell.free_long_call_lanes -= 1
-        step.in_flight_advice_calls += 1
-        cell.advice_calls.append(
-            AdviceCall(step.key, worker_ids, call_s, queue.priority)
-        )
+        call = AdviceCall(step.key, worker_ids, call_s, queue.priority)
+        step.in_flight_advice_calls.add(call)
+        cell.advice_calls.append(call)
 
 
 def prefetch_advice(cell: Cell, job: Job, pool: Pool) -> None:
@@ -209,22 +208,22 @@
 
 def apply_advice(
     cell: Cell,
-    key: StepKey,
-    worker_ids: t.Sequence[str],
+    call: AdviceCall,
     approved: t.Sequence[tuple[str, str]] | None,
     valid_s: float,
     now_s: float,
 ) -> None:
-    """Record a reply of the service on the workers that the call named.
+    """Record a reply of the service, unless another job has the call's id by now.
 
     ``approved`` has pairs of worker id and ticket, valid for ``valid_s`` seconds from
     now; None means that the call failed. The step then waits ``ADVICE_RETRY_DELAY_S``
     before its next call.
     """
+    key, worker_ids = call.step, call.worker_ids
     step = cell.find_step(key)
-    if step is None:
+    if step is None or call not in step.in_flight_advice_calls:
         return
-    step.in_flight_advice_calls -= 1
+    step.in_flight_advice_calls.remove(call)
     if approved is None:
         step.advice_retry_at_s = now_s + ADVICE_RETRY_DELAY_S
         cell.log("advice_failed", key.job, step=key.step, named=len(worker_ids))
--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -63,9 +63,12 @@
     run: Run | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class AdviceCall:
-    """A call to the placement advice service about workers for a step."""
+    """A call to the placement advice service about workers for a step.
+
+    Calls are compared by identity: another job with the same id may make a like call.
+    """
 
     step: StepKey
     worker_ids: tuple[str, ...]
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -172,7 +172,8 @@
     approved_workers: dict[str, None] = dataclasses.field(default_factory=dict)
     evaluated_workers: set[str] = dataclasses.field(default_factory=set)
     tickets: dict[str, tuple[str, float]] = dataclasses.field(default_factory=dict)
-    in_flight_advice_calls: int = 0
+    # Calls of this step that have no reply yet.
+    in_flight_advice_calls: set[t.Any] = dataclasses.field(default_factory=set)
     # When a planning pass tried to start it last, on the monotonic clock.
     tried_s: float = -1e9
     # No advice call is made before this time.
--- a/packages/scheduler/bulrushspur_scheduler/waiting.py
+++ b/packages/scheduler/bulrushspur_scheduler/waiting.py
@@ -189,7 +189,7 @@
         slots_unreserved=slots.unreserved,
         evaluated=len(step.evaluated_workers),
         approved=len(step.approved_workers),
-        in_flight=step.in_flight_advice_calls,
+        in_flight=len(step.in_flight_advice_calls),
         account=step.job.account,
         used_milli=cell.usage_of(step.job.account).cpu_milli,
         unobserved_milli=unobserved.cpu_milli if unobserved else 0,
--- a/tests/load_simulation.py
+++ b/tests/load_simulation.py
@@ -250,6 +250,4 @@
             if crc32(f"{name}{worker_id}".encode()) % 100 < kind.approved_share * 100
         ]
         valid_s = kind.queue.advice.ticket_valid_s
-        advice.apply_advice(
-            self.cell, call.step, call.worker_ids, approved, valid_s, self.now_s
-        )
+        advice.apply_advice(self.cell, call, approved, valid_s, self.now_s)
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -43,7 +43,7 @@
 def reply_to(cell, call, approved, now_s, valid_s=2.5):
     """Approve some workers in reply to a call."""
     tickets = [(name, "t") for name in call.worker_ids if name in approved]
-    apply_advice(cell, call.step, call.worker_ids, tickets, valid_s, now_s)
+    apply_advice(cell, call, tickets, valid_s, now_s)
 
 
 class AdviceTest(unittest.TestCase):
@@ -141,7 +141,7 @@
         calls, cell.advice_calls = cell.advice_calls, []
         for call in calls[:-1]:
             tickets = [(name, "t") for name in call.worker_ids]
-            apply_advice(cell, call.step, call.worker_ids, tickets, 2.5, 0.6)
+            apply_advice(cell, call, tickets, 2.5, 0.6)
         plan(cell, 0.6)
         self.assertEqual(len(cell.start_orders), 30)
 
