Check in the fuzzer that no job stands still in a calm cell

A gang that needs over half of its account's cap is left out. fuzz.series is a mode of its own, with its own draws: takeovers in series, two accounts, bursts, workers that are gone for good or replaced, with and without the platform's list.

--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -12,7 +12,7 @@
 import typing as t
 
 from bulrushspur_scheduler import takeover
-from bulrushspur_scheduler.cell import StartOrder, StopOrder, make_cell
+from bulrushspur_scheduler.cell import Cell, StartOrder, StopOrder, make_cell
 from bulrushspur_scheduler.config import Account, CellConfig, Queue, make_config
 from bulrushspur_scheduler.eviction import evict_runs
 from bulrushspur_scheduler.jobs import Job, JobSpec, JobState, TaskKey
@@ -32,8 +32,9 @@
     handle_stop_result,
 )
 from bulrushspur_scheduler.resources import Resources
-from bulrushspur_scheduler.workers import WorkerEntry, make_worker
+from bulrushspur_scheduler.workers import Worker, WorkerEntry, make_worker
 from fuzz.leaders import SimLeader, SimStore
+from fuzz.standing import CHECK_INTERVAL_S, StandingCheck
 from fuzz.workers import Oracle, SimWorker
 
 AUTHORITY_TIMEOUT_S: t.Final = 6.0
@@ -56,12 +57,16 @@
 class Simulation:
     """The simulated cell; it starts with four workers and a leader of term 1."""
 
+    config = CONFIG
+
     def __init__(self, seed: int, slow_loading: bool = False) -> None:
         self.rng = random.Random(seed)
         # Apart from the other draws, so that they are the same with and without.
         self.load_rng = random.Random(seed) if slow_loading else None
         self.now_s = 100.0
         self.oracle = Oracle()
+        self.standing_check = StandingCheck()
+        self.account_by_job: dict[str, str] = {}
         self.workers: dict[str, SimWorker] = {}
         self.store = SimStore()
         self.leaders: list[SimLeader] = []
@@ -74,6 +79,7 @@
         for index in range(4):
             self.add_worker(f"w{index}")
         self.take_over(False)
+        self._check_standing()
 
     def add_trace(self, event: str) -> None:
         """Append a line with the simulated time to the trace."""
@@ -93,6 +99,16 @@
             action()
         self.now_s = until_s
 
+    def _check_standing(self) -> None:
+        self.standing_check.check(self)
+        self.schedule(CHECK_INTERVAL_S, self._check_standing)
+
+    def _record_fault(self, event: str, duration_s: float) -> None:
+        """Count a fault that starts now, and add it to the trace."""
+        self.add_trace(f"fault: {event}")
+        self.fault_count += 1
+        self.standing_check.disturb(self.now_s + duration_s)
+
     # Faults and callers' requests.
 
     def add_worker(self, name: str) -> None:
@@ -103,8 +119,7 @@
 
     def restart_worker(self, name: str) -> None:
         """Crash a worker and start its next incarnation under the same id."""
-        self.add_trace(f"fault: {name} restarts")
-        self.fault_count += 1
+        self._record_fault(f"{name} restarts", RESTART_DOWNTIME_S)
         self.workers[name].advance(self.now_s)
         self.workers[name].crash()
         self.add_worker(name)
@@ -112,14 +127,14 @@
 
     def isolate_worker(self, name: str, duration_s: float) -> None:
         """Make a worker unreachable for all leaders."""
-        self.add_trace(f"fault: {name} is unreachable for {duration_s:.1f} s")
-        self.fault_count += 1
+        self._record_fault(f"{name} is unreachable for {duration_s:.1f} s", duration_s)
         self.workers[name].unreachable_until_s = self.now_s + duration_s
 
     def make_store_unavailable(self, duration_s: float) -> None:
         """Make the store unavailable for all leaders."""
-        self.add_trace(f"fault: the store is unavailable for {duration_s:.1f} s")
-        self.fault_count += 1
+        self._record_fault(
+            f"the store is unavailable for {duration_s:.1f} s", duration_s
+        )
         self.store.unavailable_until_s = self.now_s + duration_s
 
     def draw_load_s(self) -> float:
@@ -138,6 +153,7 @@
             return
         self.newest_term += 1
         self.fault_count += 1
+        self.standing_check.disturb(self.now_s + load_s)
         names = sorted(self.workers)
         for old in self.leaders:
             if not old_leader_survives:
@@ -147,13 +163,14 @@
                 half = self.rng.sample(names, len(names) // 2)
                 old.unreachable_workers = set(half)
                 self.schedule(8.0, lambda old=old: self._end_term(old))
+                self.standing_check.disturb(self.now_s + 8.0)
         self.leaders = [leader for leader in self.leaders if not leader.ended][-1:]
         reached_by_old_leader = set(names) - set().union(
             *(leader.unreachable_workers for leader in self.leaders)
         )
         leader = SimLeader(
             self.newest_term,
-            make_cell(CONFIG, fencing_token=self.newest_term),
+            make_cell(self.config, fencing_token=self.newest_term),
             self.now_s,
         )
         if self.leaders:
@@ -177,8 +194,19 @@
         if leader.ended:
             return
         cell = leader.cell
-        names = sorted(self.workers)
         takeover.recover_jobs(cell, stored, self.now_s, self.now_s)
+        names = self._load_workers(cell)
+        cell.reconciled = not cell.jobs
+        cell.reconcile_by_s = (
+            self.now_s + AUTHORITY_TIMEOUT_S + cell.timing_limits.lease_s * 1.05
+        )
+        for name in names:
+            self._renew_lease(leader, name)
+        self._tick(leader)
+
+    def _load_workers(self, cell: Cell) -> list[str]:
+        """Add the workers to the cell of a new leader; return their ids."""
+        names = sorted(self.workers)
         for name in names:
             entry = WorkerEntry(
                 name, "svc", "", "z", Resources(WORKER_CPU_MILLI, 99_999)
@@ -187,30 +215,26 @@
             if name in self.store.worker_ids:
                 cell.unobserved_workers.add(name)
         self.store.worker_ids |= set(names)
-        cell.reconciled = not cell.jobs
-        cell.reconcile_by_s = (
-            self.now_s + AUTHORITY_TIMEOUT_S + cell.timing_limits.lease_s * 1.05
-        )
-        for name in names:
-            self._renew_lease(leader, name)
-        self._tick(leader)
+        return names
 
     def _end_term(self, leader: SimLeader) -> None:
         leader.ended = True
+        self.standing_check.disturb(self.now_s)
         if leader in self.leaders:
             self.leaders.remove(leader)
 
-    def submit(self, spec: JobSpec, queue: str) -> None:
+    def submit(self, spec: JobSpec, queue: str, account: str = "team") -> None:
         """Submit a job to the newest leader.
 
         It is refused while the store is unavailable or the leader loads.
         """
         leader = self.leaders[-1]
         self.oracle.jobs[spec.id] = spec
+        self.account_by_job[spec.id] = account
         if self.now_s < self.store.unavailable_until_s or leader.loading:
             self.oracle.refused_jobs.add(spec.id)
             return
-        job = Job(spec, queue, "svc", "team", self.now_s, self.now_s)
+        job = Job(spec, queue, "svc", account, self.now_s, self.now_s)
         self.store.records[JOB_KEY_PREFIX + spec.id] = encode_job(job)
         self.add_trace(f"{spec.id} is accepted in {queue}: {spec.steps}")
         add_job(leader.cell, job, self.now_s, self.now_s)
@@ -277,13 +301,18 @@
         self.schedule(TICK_INTERVAL_S, lambda: self._tick(leader))
 
     def _check_account_cap(self) -> None:
-        used_milli = sum(
-            run.cpu_milli
-            for worker in self.workers.values()
-            for run in worker.runs.values()
-        )
-        if used_milli > ACCOUNT_CAP_CPU_MILLI * 1.1 + 4_000:
-            self.oracle.record_violation(f"the account has {used_milli} mCPU running")
+        used_by_account: dict[str, int] = {}
+        for worker in self.workers.values():
+            for run in worker.runs.values():
+                account = self.account_by_job[run.key.job]
+                used_milli = used_by_account.get(account, 0) + run.cpu_milli
+                used_by_account[account] = used_milli
+        for account, used_milli in used_by_account.items():
+            cap_milli = self.config.account_by_name[account].cap.cpu_milli
+            if used_milli > cap_milli * 1.1 + 4_000:
+                self.oracle.record_violation(
+                    f"account {account} has {used_milli} mCPU running"
+                )
 
     def _send_orders(self, leader: SimLeader) -> None:
         cell = leader.cell
@@ -309,6 +338,9 @@
         key: TaskKey = run.task.key
         number = run.number
         late = self.rng.random() < 0.05
+        delay_s = self.rng.uniform(1, 5) if late else self._delay_s()
+        if late:
+            self.standing_check.disturb_job(key.job, self.now_s + delay_s)
         sent_to = self.workers[order.worker_id]
 
         def arrive() -> None:
@@ -324,7 +356,7 @@
                     self._delay_s(), lambda: self._handle_start(leader, run, result)
                 )
 
-        self.schedule(self.rng.uniform(1, 5) if late else self._delay_s(), arrive)
+        self.schedule(delay_s, arrive)
         self.schedule(
             0.6, lambda: self._handle_start(leader, run, StartResult.UNANSWERED, True)
         )
@@ -358,13 +390,20 @@
         self.schedule(self._delay_s(), arrive)
         self.schedule(0.6, time_out)
 
+    def _may_extend_lease(self, leader: SimLeader, worker: Worker) -> bool:
+        return (
+            worker.clock.is_known and bool(worker.runs) and self.has_authority(leader)
+        )
+
     def _renew_lease(self, leader: SimLeader, name: str) -> None:
         if leader.ended or leader.cell.superseded:
             return
         cell = leader.cell
-        worker = cell.workers[name]
+        worker = cell.workers.get(name)
+        if worker is None:
+            return
         until_ms = None
-        if worker.clock.is_known and worker.runs and self.has_authority(leader):
+        if self._may_extend_lease(leader, worker):
             until_ms = extend_lease(
                 cell, worker, self.now_s, cell.timing_limits.lease_s
             )
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -7,6 +7,7 @@
 import unittest
 
 from fuzz.run import run_history
+from fuzz.series import run_series_history
 
 SEEDS = range(1, 41)
 # Seeds that violated a guarantee once, with the cause.
@@ -21,6 +22,14 @@
     346: "a run was stopped because its step seemed not to be ready",
 }
 
+# Histories of takeovers in series.
+SERIES_SEEDS = (*range(3, 6), *range(7, 15), *range(17, 24), 25, *range(27, 30))
+# Seeds in which a job stands still, or worse, by the cause.
+WORKER_GONE_SEEDS = (2, 6, 24, 26)
+YOUNG_WORKER_GONE_SEEDS = (30, 88, 131)
+UNPLACED_STEPS_SEEDS = (66, 93, 124)
+LOST_RUNS_SEEDS = (105,)
+
 
 class FuzzTest(unittest.TestCase):
     def test_histories_violate_no_guarantee(self):
@@ -29,3 +38,29 @@
                 with self.subTest(seed=seed, slow_loading=slow_loading):
                     simulation, _ = run_history(seed, slow_loading)
                     self.assertEqual(simulation.oracle.violations, [])
+
+
+class SeriesFuzzTest(unittest.TestCase):
+    def assert_no_violations(self, seeds):
+        for seed in seeds:
+            with self.subTest(seed=seed):
+                simulation = run_series_history(seed)
+                self.assertEqual(simulation.oracle.violations, [])
+
+    def test_takeovers_in_series_violate_no_guarantee(self):
+        self.assert_no_violations(SERIES_SEEDS)
+
+    def test_no_job_waits_for_a_worker_that_is_gone(self):
+        self.assert_no_violations(WORKER_GONE_SEEDS)
+
+    def test_no_job_waits_for_a_worker_that_ended_soon_after_its_start(self):
+        self.assert_no_violations(YOUNG_WORKER_GONE_SEEDS)
+
+    def test_no_job_waits_behind_many_steps_of_another_account(self):
+        self.assert_no_violations(UNPLACED_STEPS_SEEDS)
+
+    def test_no_job_waits_for_the_lease_of_a_worker_that_is_gone(self):
+        self.assert_no_violations(LOST_RUNS_SEEDS)
+
+    def test_leader_without_the_store_restarts_no_task_of_an_unlisted_worker(self):
+        self.assert_no_violations((16,))
