--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -77,6 +77,29 @@
         self.assertEqual(expire_unlisted_workers(cell, {"w1"}, 3.0, NOW_UNIX_S), [])
         self.assertEqual(expire_unlisted_workers(cell, set(), 3.0, NOW_UNIX_S), [])
 
+    def test_leader_without_the_store_restarts_nothing_of_an_unlisted_worker(self):
+        cell, order = make_cell_with_unresponsive_worker()
+        expire_unlisted_workers(
+            cell, set(cell.workers) - {order.worker_id}, 3.0, NOW_UNIX_S
+        )
+        takeover.reconcile(cell, confirmed_s=2.9)
+        plan(cell, 3.0)
+        self.assertEqual(cell.start_orders, [], "a later term may have started it")
+        takeover.reconcile(cell, confirmed_s=3.1)
+        plan(cell, 3.1)
+        self.assertEqual(len(cell.start_orders), 1)
+
+    def test_new_workers_that_are_not_listed_yet_make_no_list_incomplete(self):
+        cell, order = make_cell_with_unresponsive_worker()
+        start_ms = int((NOW_UNIX_S - 1.0) * 1000)
+        add_worker(cell, "new", now_s=3.0, has_reported=False)
+        apply_worker_report(cell, "new", 3.0, incarnation_start_ms=start_ms)
+        listed_ids = set(cell.workers) - {order.worker_id, "new"}
+        self.assertEqual(
+            expire_unlisted_workers(cell, listed_ids, 3.0, NOW_UNIX_S),
+            [order.worker_id],
+        )
+
     def test_term_reconciles_once_a_recorded_worker_is_unlisted(self):
         cell = make_test_cell(0)
         add_worker(cell, "w0")
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -61,6 +61,17 @@
             self.assertEqual(step.done_count, sum(task.done for task in tasks))
             self.assertEqual(step.tasks[-1].failed_run_numbers, {1, 130})
 
+    def test_end_of_a_gang_is_stored_for_all_its_members(self):
+        cell = make_test_cell(0)
+        each = Resources(1000, 100)
+        steps = (StepSpec(3, each, gang=True), StepSpec(1, each, depends_on=(0,)))
+        job = add_test_job(cell, steps=steps)
+        mark_task_done(cell, job.occurrences[0].steps[0].tasks[1], 1.0)
+        decoded = decode_job("j1", encode_job(job), 0.0, 0.0)
+        make_occurrence(decoded, 0)
+        self.assertIsNone(apply_progress(decoded, encode_progress(cell, "j1")))
+        self.assertTrue(decoded.occurrences[0].steps[0].done)
+
     def test_final_state_is_decoded_as_finished_job(self):
         cell = make_test_cell(0)
         job = add_test_job(cell)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -143,6 +143,46 @@
         self.assertEqual((cell.start_orders, cell.stop_orders), ([], []))
         self.assertEqual(len(cell.workers["w1"].runs), 1)
 
+    def test_gang_whose_adopted_run_was_lost_starts_again_as_a_whole(self):
+        cell = make_two_step_cell(count=2, gang=True)
+        apply_worker_report(cell, "w0", 1.0, [(task_key(), 1)])
+        takeover.reconcile(cell, 1.0)
+        plan(cell, 1.0)
+        self.assertEqual(cell.start_orders, [], "the other member may run on w1")
+        apply_worker_report(cell, "w0", 1.5)
+        apply_worker_report(cell, "w1", 1.5)
+        takeover.reconcile(cell, 1.6)
+        plan(cell, 1.6)
+        self.assertEqual(len(cell.start_orders), 2)
+
+    def test_lost_run_waits_for_the_store_though_all_workers_have_reported(self):
+        cell = make_recovered_cell()
+        apply_worker_report(cell, "w0", 1.0, [(task_key(), 1)])
+        apply_worker_report(cell, "w0", 1.5)
+        apply_worker_report(cell, "w1", 1.5)
+        takeover.reconcile(cell, 1.4)
+        plan(cell, 1.5)
+        self.assertEqual(cell.start_orders, [], "a later term may have started it")
+        takeover.reconcile(cell, 1.6)
+        plan(cell, 1.6)
+        self.assertEqual(len(cell.start_orders), 1)
+
+    def test_lost_run_is_started_again_after_its_step_was_planned(self):
+        cell = make_test_cell(1, cpu_milli=2000)
+        add_test_job(cell, count=3)
+        plan(cell, 0.1)
+        first, second = acknowledge_starts(cell, 0.1)
+        listed = [second.run.key]
+        ended = [(1, second.run.task.key, second.run.number, "done")]
+        apply_worker_report(cell, "w0", 0.5, listed)
+        plan(cell, 0.5)
+        (third,) = acknowledge_starts(cell, 0.5)
+        self.assertIsNot(third.run.task, first.run.task, "its loss is not confirmed")
+        apply_worker_report(cell, "w0", 0.9, [third.run.key], ended)
+        takeover.reconcile(cell, 0.9)
+        plan(cell, 0.9)
+        self.assertEqual([o.run.task for o in cell.start_orders], [first.run.task])
+
     def test_leader_cut_off_from_the_store_expires_no_leases(self):
         cell = make_test_cell(2)
         add_test_job(cell, now_s=1.0)
--- a/tests/test_term_recovery.py
+++ b/tests/test_term_recovery.py
@@ -14,6 +14,7 @@
 from bulrushspur_daemon.record_writer import RecordWriter
 from bulrushspur_daemon.term_recovery import TermRecovery
 from bulrushspur_daemon.worker_records import WorkerRecords
+from bulrushspur_daemon.worker_watch import apply_entry
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_kernel.store import StoredRecord, StoreUnavailableError
 from bulrushspur_scheduler.cell import make_cell
@@ -28,6 +29,7 @@
     encode_workers,
 )
 from bulrushspur_scheduler.resources import Resources
+from bulrushspur_scheduler.workers import WorkerEntry, make_worker
 from tests.cluster import job_id
 from tests.test_config_watch import NullEventLog
 
@@ -120,6 +122,53 @@
         self.assertEqual(recovery.cell.unobserved_workers, {"w1"})
         self.assertFalse(recovery.cell.reconciled)
 
+    def record_workers(self, *entries):
+        """Return the stored list of workers that a term has connected to."""
+        recovery = self.make_recovery(SlowStore({}))
+        for entry in entries:
+            recovery.worker_records.add(make_worker(entry, 0.0))
+        return recovery.writer.pending_records[WORKERS_KEY]
+
+    async def test_worker_that_only_the_store_names_counts_with_its_capacity(self):
+        entry = WorkerEntry("w1", "svc", "a:1", "z", Resources(2000, 500, 1))
+        records = {WORKERS_KEY: self.record_workers(entry)}
+        recovery = self.make_recovery(SlowStore(records))
+        await recovery.run()
+        self.assertEqual(recovery.cell.workers["w1"].entry.capacity, entry.capacity)
+
+    async def test_worker_whose_machine_has_a_newer_one_is_not_waited_for(self):
+        entry = WorkerEntry(
+            "w1",
+            "svc",
+            "a:1",
+            "z",
+            Resources(2000),
+            machine="m1",
+            incarnation_start_ms=5,
+        )
+        newer = dataclasses.replace(entry, id="w2", incarnation_start_ms=9)
+        records = make_job_records(1, 2)
+        records[WORKERS_KEY] = self.record_workers(entry)
+        for is_registered_first in (False, True):
+            with self.subTest(is_registered_first=is_registered_first):
+                recovery = self.make_recovery(SlowStore(records))
+                cell = recovery.cell
+                if is_registered_first:
+                    apply_entry(cell, newer, 0.0, lambda worker: None)
+                    cell.workers["w2"].has_reported = True
+                await recovery.run()
+                if not is_registered_first:
+                    apply_entry(cell, newer, 0.0, lambda worker: None)
+                self.assertEqual(cell.unobserved_workers, set())
+
+    async def test_wait_for_silent_workers_begins_when_the_term_does(self):
+        recovery = self.make_recovery(SlowStore(make_job_records(1, 2)))
+        began_s = time.monotonic()
+        await recovery.run()
+        lease_s = recovery.cell.timing_limits.lease_s
+        waits_s = recovery.cell.reconcile_by_s - began_s
+        self.assertLess(waits_s, 10.0 + lease_s * 1.05 + 0.02)
+
     async def test_unreadable_records_are_skipped(self):
         records = make_job_records(1, 2)
         records[PROGRESS_KEY_PREFIX + job_id(7)] = b"\xc1"
