Restart lost tasks only once the store has confirmed the term since

Seen by callers: a task could run twice. Cause: a leader without the store restarted the tasks of a worker that the platform no longer listed, or that was replaced, though a later term had been told their ends and had started them. And a run lost before all workers had reported was released by the last report, unconfirmed. Class: acting on evidence that is newer than the own authority.

--- a/packages/daemon/bulrushspur_daemon/liveness_watch.py
+++ b/packages/daemon/bulrushspur_daemon/liveness_watch.py
@@ -57,5 +57,8 @@
         if self.list_unavailable:
             self.log.event("lives_regained", urgent=True)
         self.list_unavailable = False
-        if expire_unlisted_workers(self.cell, incarnations, requested_s, unix_s()):
+        lost = expire_unlisted_workers(
+            self.cell, incarnations, requested_s, unix_s(), monotonic_s()
+        )
+        if lost:
             self.request_plan()
--- a/packages/daemon/bulrushspur_daemon/worker_connections.py
+++ b/packages/daemon/bulrushspur_daemon/worker_connections.py
@@ -123,7 +123,10 @@
                 return
             except IncarnationMismatchError:
                 mark_worker_lost(
-                    self.cell, connection.worker, "another incarnation answered"
+                    self.cell,
+                    connection.worker,
+                    "another incarnation answered",
+                    monotonic_s(),
                 )
                 connection.worker.has_reported = False
                 connection.worker.lease_until_ms = 0
--- a/packages/daemon/bulrushspur_daemon/worker_watch.py
+++ b/packages/daemon/bulrushspur_daemon/worker_watch.py
@@ -123,7 +123,7 @@
     """Add a worker to the cell, or update it from its entry."""
     worker = cell.workers.get(entry.id)
     if worker is None:
-        _expire_previous_incarnations(cell, entry)
+        _expire_previous_incarnations(cell, entry, now_s)
         worker = cell.workers[entry.id] = make_worker(entry, now_s)
         cell.log(
             "worker_new",
@@ -150,7 +150,7 @@
     worker.entry = entry
 
 
-def _expire_previous_incarnations(cell: Cell, entry: WorkerEntry) -> None:
+def _expire_previous_incarnations(cell: Cell, entry: WorkerEntry, now_s: float) -> None:
     """Mark earlier incarnations on the same machine as lost, with their runs."""
     for other in cell.workers.values():
         same_machine = entry.machine and other.entry.machine == entry.machine
@@ -159,6 +159,6 @@
             and other.id != entry.id
             and entry.incarnation_start_ms > other.incarnation_start_ms > 0
         ):
-            mark_worker_lost(cell, other, "newer incarnation on its machine")
+            mark_worker_lost(cell, other, "newer incarnation on its machine", now_s)
             other.lease_until_ms = 0
             other.listed = False
--- a/packages/scheduler/bulrushspur_scheduler/leases.py
+++ b/packages/scheduler/bulrushspur_scheduler/leases.py
@@ -48,11 +48,21 @@
     requeue_step(cell, task.step)
 
 
-def mark_worker_lost(cell: Cell, worker: Worker, reason: str) -> None:
-    """Declare all runs lost on a worker whose lease or incarnation has ended."""
+def mark_worker_lost(
+    cell: Cell, worker: Worker, reason: str, seen_s: float | None = None
+) -> None:
+    """Declare all runs lost on a worker whose lease or incarnation has ended.
+
+    ``seen_s`` is when its end was seen, unless the store has shown since that there is
+    no later term. Before its end the worker may have reported to a later term, so the
+    tasks wait until the store confirms that there was none.
+    """
     if worker.runs or worker.orphan_runs:
         cell.log("worker_lost", worker=worker.id, reason=reason, runs=len(worker.runs))
     for run in list(worker.runs.values()):
+        if seen_s is not None and not run.task.done:
+            run.task.unreconciled = True
+            cell.unconfirmed_losses.append((seen_s, run.task))
         mark_run_lost(cell, run, reason)
     for key in list(worker.orphan_runs):
         worker.remove_orphan(key)
--- a/packages/scheduler/bulrushspur_scheduler/liveness.py
+++ b/packages/scheduler/bulrushspur_scheduler/liveness.py
@@ -31,12 +31,17 @@
 
 
 def expire_unlisted_workers(
-    cell: Cell, listed_ids: t.Container[str], requested_s: float, unix_s: float
+    cell: Cell,
+    listed_ids: t.Container[str],
+    requested_s: float,
+    unix_s: float,
+    received_s: float = 0.0,
 ) -> list[str]:
     """Declare suspected workers lost that are not listed; return their ids.
 
     ``listed_ids`` are the incarnations that the platform lists, and ``requested_s`` is
-    when the list was requested, on the monotonic clock. A list that lacks too many of
+    when the list was requested, on the monotonic clock; ``received_s`` is when it was
+    received, if that is later. A list that lacks too many of
     the responding workers is ignored, and so is the absence of an incarnation whose
     start is unknown or too recent.
     """
@@ -63,7 +68,12 @@
             silent_ms=round(min(requested_s - worker.last_report_s, 1e6) * 1000),
             runs=len(worker.runs),
         )
-        mark_worker_lost(cell, worker, "incarnation not listed by the platform")
+        mark_worker_lost(
+            cell,
+            worker,
+            "incarnation not listed by the platform",
+            max(requested_s, received_s),
+        )
         worker.lease_until_ms = 0
         worker.has_reported = False
         worker.listed = False
--- a/packages/scheduler/bulrushspur_scheduler/takeover.py
+++ b/packages/scheduler/bulrushspur_scheduler/takeover.py
@@ -132,10 +132,11 @@
         return False
     cell.reconciled = True
     released_count = 0
+    unconfirmed = {task.key for _, task in cell.unconfirmed_losses}
     for job in cell.jobs.values():
         for step in job.steps():
             for task in step.tasks:
-                if task.unreconciled:
+                if task.unreconciled and task.key not in unconfirmed:
                     task.unreconciled = False
                     released_count += 1
             if step.ready and not step.done:
