Judge the platform's list of workers by those that it can list already

Seen by callers: jobs stand still after a takeover, until the longest lease that a worker may have that is gone for good, up to 17 s. Cause: the list is not believed if it lacks a tenth of the workers that answer; those that started in the last 10 s may not be listed yet, and counted as lacking. Fix: only workers old enough to be listed say whether the list is complete.

--- a/packages/scheduler/bulrushspur_scheduler/liveness.py
+++ b/packages/scheduler/bulrushspur_scheduler/liveness.py
@@ -47,10 +47,14 @@
     """
     suspected = find_suspected_workers(cell, requested_s)
     suspected_ids = {worker.id for worker in suspected}
+    # Later incarnations may not be listed yet.
+    max_start_ms = (unix_s - MIN_INCARNATION_AGE_S) * 1000
     responding_ids = [
         worker.id
         for worker in cell.workers.values()
-        if worker.has_reported and worker.id not in suspected_ids
+        if worker.has_reported
+        and worker.id not in suspected_ids
+        and worker.incarnation_start_ms < max_start_ms
     ]
     listed_count = sum(worker_id in listed_ids for worker_id in responding_ids)
     if not listed_count or listed_count < MIN_LISTED_SHARE * len(responding_ids):
@@ -59,7 +63,7 @@
         worker
         for worker in suspected
         if worker.id not in listed_ids
-        and 0 < worker.incarnation_start_ms < (unix_s - MIN_INCARNATION_AGE_S) * 1000
+        and 0 < worker.incarnation_start_ms < max_start_ms
     ]
     for worker in lost:
         cell.log(
