Count the wait for silent workers from when the store fenced earlier terms

Seen by callers: recovered jobs wait longer for a silent worker the longer a leader loads. Cause: the wait for the authority and the leases of earlier terms began at the end of the load, which may take seconds. No call that the store received after the fencing append confirmed an earlier term, so the wait can begin there. Evidence: test_wait_for_silent_workers_begins_when_the_term_does, red before.

--- a/packages/daemon/bulrushspur_daemon/term_recovery.py
+++ b/packages/daemon/bulrushspur_daemon/term_recovery.py
@@ -40,6 +40,8 @@
     authority_timeout_s: float
     loaded_bytes: int = 0
     recovered_records: int = 0
+    # When the store had fenced earlier terms; on the monotonic clock.
+    fenced_s: float = 0.0
 
     async def run(self) -> None:
         """Rebuild the cell, retrying until the store answers.
@@ -60,9 +62,10 @@
         }
         cell.reconciled = not cell.jobs
         # By then earlier terms have lost their authority, and the leases that they
-        # granted have expired; the 5 % allow for worker clocks that run slow.
+        # granted have expired; the 5 % allow for worker clocks that run slow. No call
+        # that the store received after it fenced them has confirmed their authority.
         cell.reconcile_by_s = (
-            now_s + self.authority_timeout_s + cell.timing_limits.lease_s * 1.05
+            self.fenced_s + self.authority_timeout_s + cell.timing_limits.lease_s * 1.05
         )
         self.log.event(
             "term_serving",
@@ -98,6 +101,7 @@
         entries = asyncio.ensure_future(self.worker_watch.poll(self._count_received))
         try:
             await self.store.append(JOBS_TOPIC, [], writer=writer)
+            self.fenced_s = monotonic_s()
             self.recovered_records += 1
             newest, _ = await self.store.read_newest(
                 JOBS_TOPIC, on_received=self._count_received
