Record machine and capacity of the workers that may have runs

Seen by callers: after a takeover all jobs of an account stand still while one worker is dark, though the account runs nothing. Cause: a worker that only the stored list names had no capacity. Its unknown size let the unreconciled tasks of each account count up to its whole cap (unobserved_usage), until the longest lease had expired. And it was waited for though its machine had started another worker since: only its id was stored. Evidence: two tests of test_term_recovery, red before. Fix: the record has machine and capacity; records without them still decode.

--- a/fuzz/series.py
+++ b/fuzz/series.py
@@ -16,8 +16,9 @@
 from bulrushspur_scheduler.jobs import JobSpec, StepSpec
 from bulrushspur_scheduler.leases import list_expired_workers
 from bulrushspur_scheduler.liveness import expire_unlisted_workers
+from bulrushspur_scheduler.records import make_recorded_entry, make_worker_record
 from bulrushspur_scheduler.resources import Resources
-from bulrushspur_scheduler.workers import Worker, WorkerEntry, make_worker
+from bulrushspur_scheduler.workers import Worker, WorkerEntry, make_worker, replaces
 from fuzz.jobs import make_random_spec
 from fuzz.leaders import SimLeader
 from fuzz.simulation import WORKER_CPU_MILLI, Simulation
@@ -53,6 +54,8 @@
 
     def __init__(self, seed: int, has_incarnation_list: bool) -> None:
         self.entries: dict[str, WorkerEntry] = {}
+        # Also those that are not registered any more.
+        self.past_entries: dict[str, WorkerEntry] = {}
         self.has_incarnation_list = has_incarnation_list
         super().__init__(seed)
         for index in range(len(self.workers), WORKER_COUNT):
@@ -62,7 +65,7 @@
         """Start an incarnation of a worker, and register it."""
         super().add_worker(name)
         start_ms = int(self.now_s * 1000) + 1
-        self.entries[name] = WorkerEntry(
+        self.entries[name] = self.past_entries[name] = WorkerEntry(
             name,
             "svc",
             "",
@@ -125,12 +128,13 @@
         for name, entry in sorted(self.entries.items()):
             cell.workers[name] = make_worker(entry, self.now_s)
         for name in sorted(self.store.worker_ids - set(self.entries)):
-            start_ms = int(self.workers[name].started_s * 1000) + 1
-            entry = WorkerEntry(
-                name, "", "", "", Resources(), incarnation_start_ms=start_ms
-            )
-            cell.workers[name] = make_worker(entry, self.now_s)
-            cell.workers[name].listed = False
+            entry = make_recorded_entry(make_worker_record(self.past_entries[name]))
+            worker = make_worker(entry, self.now_s)
+            if any(replaces(other, worker) for other in self.entries.values()):
+                self.store.worker_ids.discard(name)
+                continue
+            cell.workers[name] = worker
+            worker.listed = False
         cell.unobserved_workers = set(self.store.worker_ids)
         self.store.worker_ids |= set(self.entries)
         return sorted(cell.workers)
--- a/packages/daemon/bulrushspur_daemon/worker_records.py
+++ b/packages/daemon/bulrushspur_daemon/worker_records.py
@@ -14,11 +14,10 @@
     WorkerRecord,
     decode_workers,
     encode_workers,
+    make_recorded_entry,
+    make_worker_record,
 )
-from bulrushspur_scheduler.resources import Resources
-from bulrushspur_scheduler.workers import Worker, WorkerEntry, make_worker
-
-_NO_RESOURCES = Resources()
+from bulrushspur_scheduler.workers import Worker, make_worker, replaces
 
 
 @dataclasses.dataclass
@@ -37,10 +36,7 @@
         if worker.id in self.by_id:
             self.open_connection(worker)
             return
-        entry = worker.entry
-        self.by_id[worker.id] = WorkerRecord(
-            worker.id, entry.address, entry.incarnation_start_ms
-        )
+        self.by_id[worker.id] = make_worker_record(worker.entry)
         self._queue()
         self.spawn(self._open_when_durable(worker))
 
@@ -52,21 +48,22 @@
     def recover(self, data: bytes, now_s: float) -> None:
         """Add the workers on which earlier terms may have left runs.
 
+        A worker whose machine has started another one since has ended.
+
         Raises msgspec.DecodeError.
         """
         for record in decode_workers(data):
             self.by_id[record.id] = record
             worker = self.cell.workers.get(record.id)
             if worker is None:
-                entry = WorkerEntry(
-                    record.id,
-                    "",
-                    record.address,
-                    "",
-                    _NO_RESOURCES,
-                    incarnation_start_ms=record.incarnation_start_ms,
-                )
-                worker = self.cell.workers[record.id] = make_worker(entry, now_s)
+                worker = make_worker(make_recorded_entry(record), now_s)
+                if any(
+                    replaces(other.entry, worker)
+                    for other in self.cell.workers.values()
+                ):
+                    del self.by_id[record.id]
+                    continue
+                self.cell.workers[record.id] = worker
                 worker.listed = False
                 self.open_connection(worker)
         # The list queued while the workers' entries were loaded lacks these records.
--- a/packages/daemon/bulrushspur_daemon/worker_watch.py
+++ b/packages/daemon/bulrushspur_daemon/worker_watch.py
@@ -21,7 +21,7 @@
 )
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.leases import mark_worker_lost
-from bulrushspur_scheduler.workers import Worker, WorkerEntry, make_worker
+from bulrushspur_scheduler.workers import Worker, WorkerEntry, make_worker, replaces
 
 POLL_INTERVAL_S: t.Final = 0.4
 RETRY_INTERVAL_S: t.Final = 0.3
@@ -153,12 +153,7 @@
 def _expire_previous_incarnations(cell: Cell, entry: WorkerEntry, now_s: float) -> None:
     """Mark earlier incarnations on the same machine as lost, with their runs."""
     for other in cell.workers.values():
-        same_machine = entry.machine and other.entry.machine == entry.machine
-        if (
-            same_machine
-            and other.id != entry.id
-            and entry.incarnation_start_ms > other.incarnation_start_ms > 0
-        ):
+        if replaces(entry, other):
             mark_worker_lost(cell, other, "newer incarnation on its machine", now_s)
             other.lease_until_ms = 0
             other.listed = False
--- a/packages/scheduler/bulrushspur_scheduler/records.py
+++ b/packages/scheduler/bulrushspur_scheduler/records.py
@@ -19,6 +19,7 @@
     make_occurrence,
 )
 from bulrushspur_scheduler.resources import Resources
+from bulrushspur_scheduler.workers import WorkerEntry
 
 JOB_KEY_PREFIX: t.Final = "j"
 PROGRESS_KEY_PREFIX: t.Final = "s"
@@ -82,11 +83,18 @@
 
 
 class WorkerRecord(msgspec.Struct, array_like=True):
-    """A worker on which runs may be in progress."""
+    """A worker on which runs may be in progress.
+
+    Records of earlier versions have no further fields; amounts of 0 are unknown.
+    """
 
     id: str
     address: str
     incarnation_start_ms: int
+    machine: str = ""
+    cpu_milli: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
 
 
 # Fields of StepSpec in the order of their bits.
@@ -272,6 +280,33 @@
     return FinishedJob(state, record.account, record.queue, 0.0)
 
 
+def make_worker_record(entry: WorkerEntry) -> WorkerRecord:
+    """Make the record of a worker."""
+    capacity = entry.capacity
+    return WorkerRecord(
+        entry.id,
+        entry.address,
+        entry.incarnation_start_ms,
+        entry.machine,
+        capacity.cpu_milli,
+        capacity.memory_mb,
+        capacity.gpus,
+    )
+
+
+def make_recorded_entry(record: WorkerRecord) -> WorkerEntry:
+    """Make the entry of a worker of which only the record is known."""
+    return WorkerEntry(
+        record.id,
+        "",
+        record.address,
+        "",
+        Resources(record.cpu_milli, record.memory_mb, record.gpus),
+        machine=record.machine,
+        incarnation_start_ms=record.incarnation_start_ms,
+    )
+
+
 def encode_workers(rows: list[WorkerRecord]) -> bytes:
     """Encode the list of workers on which runs may be in progress."""
     return _encode(rows)
--- a/packages/scheduler/bulrushspur_scheduler/workers.py
+++ b/packages/scheduler/bulrushspur_scheduler/workers.py
@@ -159,6 +159,19 @@
     )
 
 
+def replaces(entry: WorkerEntry, other: Worker) -> bool:
+    """Return whether an incarnation started on the machine of another one after it.
+
+    Then the other one has ended.
+    """
+    return (
+        bool(entry.machine)
+        and other.entry.machine == entry.machine
+        and other.id != entry.id
+        and entry.incarnation_start_ms > other.incarnation_start_ms > 0
+    )
+
+
 def is_schedulable(worker: Worker, now_s: float) -> bool:
     """Return whether new runs may be started on a worker."""
     return (
