Show that decisions of one step hold back others without end

A reservation keeps idle room from narrow steps, and a stream of small tasks moves the reservation of a gang along. Quarantine and probation keep steps from sound workers.

--- a/tests/cell_fixtures.py
+++ b/tests/cell_fixtures.py
@@ -1,8 +1,10 @@
 """Make cells with workers and jobs, to test the decisions without processes."""
 
+from bulrushspur_scheduler.advice import apply_advice
 from bulrushspur_scheduler.cell import make_cell
 from bulrushspur_scheduler.config import Account, AdvicePolicy, Queue, make_config
 from bulrushspur_scheduler.jobs import Job, JobSpec, RunOutcome, StepSpec, TaskKey
+from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import add_job
 from bulrushspur_scheduler.reports import (
     RunEnd,
@@ -36,8 +38,9 @@
 
 def add_worker(cell, name, cpu_milli=16_000, now_s=0.0, has_reported=True, **fields):
     labels = fields.pop("labels", ("a", "r1"))
+    service = fields.pop("service", "svc")
     entry = WorkerEntry(
-        name, "svc", "1.1.1.1:1", "z", Resources(cpu_milli, 32_768), labels, **fields
+        name, service, "1.1.1.1:1", "z", Resources(cpu_milli, 32_768), labels, **fields
     )
     worker = cell.workers[name] = make_worker(entry, now_s)
     if has_reported:
@@ -84,8 +87,17 @@
     return Job(JobSpec(job_id, "p", steps), queue, "svc", "team", now_s, now_s)
 
 
-def add_test_job(cell, job_id="j1", queue="heavy", now_s=0.0, **fields):
+def add_test_job(
+    cell,
+    job_id="j1",
+    queue="heavy",
+    now_s=0.0,
+    account="team",
+    service="svc",
+    **fields,
+):
     job = make_test_job(job_id, queue, now_s, **fields)
+    job.account, job.service = account, service
     add_job(cell, job, now_s, now_s)
     return job
 
@@ -109,3 +121,38 @@
             run.key for run in worker.runs.values() if run.state.value != "starting"
         ]
         apply_worker_report(cell, name, now_s, running)
+
+
+def play(cell, from_s, to_s, run_time_s, submit=None, approved_ids=()):
+    """Plan each 50 ms and let runs end; return when each job started its first run.
+
+    ``run_time_s`` and ``submit`` are functions: the run time of a job by its id, and
+    submissions at a point in time. The advice service approves ``approved_ids``.
+    """
+    started_s = {}
+    for tick in range(round((to_s - from_s) * 20)):
+        now_s = from_s + tick * 0.05
+        if submit is not None:
+            submit(now_s)
+        for name, worker in cell.workers.items():
+            report_due_ends(cell, name, worker, now_s, run_time_s)
+        for call in cell.advice_calls:
+            approved = [(id_, "t") for id_ in call.worker_ids if id_ in approved_ids]
+            apply_advice(cell, call, approved, 2.0, now_s)
+        cell.advice_calls.clear()
+        plan(cell, now_s)
+        for order in acknowledge_starts(cell, now_s):
+            started_s.setdefault(order.run.task.key.job, now_s)
+    return started_s
+
+
+def report_due_ends(cell, name, worker, now_s, run_time_s):
+    """Apply a report of a worker in which the runs that are due have ended as done."""
+    runs = list(worker.runs.values())
+    due = [
+        run for run in runs if now_s >= run.confirmed_s + run_time_s(run.task.key.job)
+    ]
+    running = [run.key for run in runs if run not in due]
+    first = worker.applied_end_sequence + 1
+    ends = [(first + index, *run.key, "done") for index, run in enumerate(due)]
+    apply_worker_report(cell, name, now_s, running, ends)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -5,17 +5,20 @@
 still makes checkpoints, or failures on all workers could cause.
 """
 
+import math
 import unittest
 
 from bulrushspur_scheduler.eviction import evict_runs
 from bulrushspur_scheduler.health import record_failure, record_success
 from bulrushspur_scheduler.planning import plan
+from bulrushspur_scheduler.resources import Resources
 from bulrushspur_scheduler.workers import is_schedulable
 from tests.cell_fixtures import (
     acknowledge_starts,
     add_test_job,
     apply_worker_report,
     make_test_cell,
+    play,
     report_all_workers,
 )
 
@@ -143,3 +146,60 @@
         ]
         self.assertLessEqual(len(quarantined), 2)
         self.assertIsNotNone(order)
+
+    def quarantine_again(self, cell, names, times):
+        """Let workers fail after each of their quarantines; return when the last began.
+
+        Each failure after a quarantine happens on probation.
+        """
+        now_s = 0.1
+        for _ in range(times):
+            for name in names:
+                record_failure(cell, cell.workers[name], None, now_s)
+                record_failure(cell, cell.workers[name], None, now_s)
+            began_s = now_s
+            now_s = max(cell.workers[name].quarantined_until_s for name in names)
+        return began_s
+
+    def test_step_does_not_wait_long_for_quarantined_workers_that_are_sound_again(self):
+        for gang in (False, True):
+            with self.subTest(gang=gang):
+                cell = make_test_cell(4)
+                began_s = self.quarantine_again(cell, ("w0", "w1"), 4)
+                add_test_job(
+                    cell, "j1", "advised", began_s, count=2, gang=gang, estimate_s=20.0
+                )
+                started_s = play(
+                    cell,
+                    began_s,
+                    began_s + 25.0,
+                    lambda job_id: 1.0,
+                    approved_ids=("w0", "w1"),
+                )
+                self.assertLess(started_s.get("j1", math.inf) - began_s, 3.0)
+
+    def test_gang_does_not_wait_for_the_long_run_of_a_worker_on_probation(self):
+        cell = make_test_cell(4)
+        self.quarantine_again(cell, ("w0", "w1"), 1)
+        now_s = cell.workers["w1"].quarantined_until_s + 0.1
+        for name in ("w0", "w1"):
+            add_test_job(cell, f"long{name}", "bulk", now_s, estimate_s=30.0)
+        for name in ("w2", "w3"):
+            cell.workers[name].draining = True
+        play(cell, now_s, now_s + 0.1, lambda job_id: 30.0)
+        for name in ("w2", "w3"):
+            cell.workers[name].draining = False
+        now_s += 0.1
+        add_test_job(
+            cell,
+            "wide",
+            "heavy",
+            now_s,
+            count=4,
+            gang=True,
+            max_per_worker=1,
+            estimate_s=20.0,
+            resources=Resources(4000, 10),
+        )
+        started_s = play(cell, now_s, now_s + 35.0, lambda job_id: 30.0)
+        self.assertLess(started_s.get("wide", math.inf) - now_s, 3.0)
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -5,6 +5,8 @@
 stay reserved for a gang that no longer waits.
 """
 
+import itertools
+import math
 import unittest
 from unittest import mock
 
@@ -22,6 +24,7 @@
     add_test_job,
     add_worker,
     make_test_cell,
+    play,
     report_all_workers,
 )
 
@@ -86,3 +89,87 @@
         plan(cell, 0.51)
         self.assertEqual(len(cell.start_orders), 4)
         self.assertEqual(reserved_keys(cell), set())
+
+
+def make_cell_with_reserving_gang():
+    """Make a cell with one core of each worker in use, and a gang that needs all."""
+    cell = make_test_cell(8)
+    resources = Resources(1000, 10)
+    add_test_job(
+        cell,
+        "long",
+        "bulk",
+        count=8,
+        max_per_worker=1,
+        estimate_s=9.0,
+        resources=resources,
+    )
+    plan(cell, 0.1)
+    acknowledge_starts(cell, 0.1)
+    add_test_job(
+        cell,
+        "wide",
+        "small",
+        0.1,
+        count=8,
+        gang=True,
+        estimate_s=40.0,
+        resources=Resources(16_000, 10),
+    )
+    return cell
+
+
+class HeldRoomTest(unittest.TestCase):
+    def test_idle_room_is_kept_from_a_task_for_a_short_time_only(self):
+        cell = make_cell_with_reserving_gang()
+        play(cell, 0.2, 1.0, lambda job_id: 60.0)
+        add_test_job(cell, "single", "bulk", 1.0, estimate_s=14.0)
+        started_s = play(cell, 1.0, 15.0, lambda job_id: 60.0)
+        self.assertLess(started_s.get("single", math.inf), 1.0 + 1.7)
+
+    def test_idle_room_is_kept_from_a_narrow_gang_for_a_short_time_only(self):
+        cell = make_cell_with_reserving_gang()
+        play(cell, 0.2, 1.0, lambda job_id: 60.0)
+        add_test_job(cell, "narrow", "bulk", 1.0, count=2, gang=True, estimate_s=14.0)
+        started_s = play(cell, 1.0, 15.0, lambda job_id: 60.0)
+        self.assertLess(started_s.get("narrow", math.inf), 1.0 + 1.7)
+
+    def test_idle_room_is_kept_from_advised_steps_for_a_short_time_only(self):
+        cell = make_cell_with_reserving_gang()
+        play(cell, 0.2, 1.0, lambda job_id: 60.0)
+        add_test_job(cell, "single", "advised", 1.0, estimate_s=14.0)
+        approved_ids = {"w0", "w1"}
+        started_s = play(
+            cell, 1.0, 15.0, lambda job_id: 60.0, approved_ids=approved_ids
+        )
+        self.assertLess(started_s.get("single", math.inf), 1.0 + 2.0)
+
+    def test_wide_gang_and_a_steady_stream_of_small_jobs_both_start(self):
+        cell = make_test_cell(8)
+        numbers = itertools.count()
+        submitted_s = {}
+
+        def submit(now_s):
+            job_id = f"small{next(numbers)}"
+            submitted_s[job_id] = now_s
+            add_test_job(cell, job_id, "bulk", now_s, estimate_s=0.8)
+
+        def run_time_s(job_id):
+            return 0.8
+
+        started_s = play(cell, 0.1, 2.0, run_time_s, submit)
+        add_test_job(
+            cell,
+            "wide",
+            "heavy",
+            2.0,
+            count=8,
+            gang=True,
+            resources=Resources(16_000, 10),
+        )
+        started_s |= play(cell, 2.0, 12.0, run_time_s, submit)
+        self.assertLess(started_s.get("wide", math.inf), 7.0)
+        longest_wait_s = max(
+            started_s.get(job_id, 12.0) - at_s for job_id, at_s in submitted_s.items()
+        )
+        self.assertLess(longest_wait_s, 3.0)
