Try each waiting step within a bounded time, whatever stands before it

Cause: a planning pass ended for all after 60 steps that it could not place, also where only the limits of one account kept them back, or where they were of another service. Class: a bounded resource that goes in order of rank to those that cannot use it. Fix: the bound counts per service, and only steps for which workers were searched; what a pass learns of an account's limits it remembers. Steps behind the bound are tried in rotation by this and later passes.

--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -136,6 +136,8 @@
     # By account.
     token_buckets: dict[str, TokenBucket] = dataclasses.field(default_factory=dict)
     waiting_steps: dict[StepKey, Step] = dataclasses.field(default_factory=dict)
+    # Steps that planning tries in rotation, by service; the last one goes next.
+    rotations: dict[str, list[Step]] = dataclasses.field(default_factory=dict)
     reservations: dict[StepKey, t.Any] = dataclasses.field(default_factory=dict)
     reservations_made_s: float = -1e9
     # Workers that may run tasks of earlier terms and have not reported to this term.
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -190,6 +190,12 @@
         """Return whether all tasks have succeeded."""
         return self.done_count >= len(self.tasks)
 
+    @property
+    def is_partial_gang(self) -> bool:
+        """Return whether this is a gang with runs."""
+        # Before the first start or adoption of a run the number is 0.
+        return self.gang_run_number > 0 and any(task.runs for task in self.tasks)
+
     def startable_tasks(self) -> list[Task]:
         """List the tasks that may be started now."""
         return [
--- a/packages/scheduler/bulrushspur_scheduler/placement.py
+++ b/packages/scheduler/bulrushspur_scheduler/placement.py
@@ -38,6 +38,15 @@
     ticketed_gangs: int = 0
     # Number of workers that are reserved for gangs.
     reserved_count: int = 0
+    # Number of steps that this planning pass could not place, and of those that the
+    # limits of their account keep back.
+    unplaced_steps: int = 0
+    kept_back_steps: int = 0
+    # What the limits of an account do not allow in this planning pass: the account,
+    # whether the work is urgent, and the size of a task with the number of tasks.
+    refused_starts: set[tuple[str, bool, tuple[int, int, int, int]]] = (
+        dataclasses.field(default_factory=set)
+    )
     # This planning pass makes the reservations anew.
     renews_reservations: bool = True
 
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -30,12 +30,17 @@
     renew_reservations,
     reserve,
 )
+from bulrushspur_scheduler.rotation import max_rotated_steps, may_fit, measure_room
 from bulrushspur_scheduler.runs import start_run, stop_step
 from bulrushspur_scheduler.unobserved_usage import count_unobserved_usage
 from bulrushspur_scheduler.workers import Worker
 
-# A pass ends once more steps than this could not be placed.
+# A pass tries further steps of a service only in rotation once more steps than this
+# could not be placed, although the limits of their account allow it.
 MAX_UNPLACED_STEPS: t.Final = 60
+# The same for steps that the limits of their account keep back, which cost little. So
+# many are also taken from the rotation at most.
+MAX_CHECKED_STEPS: t.Final = 2000
 # Tickets are kept valid for this many waiting gangs, the first in order of rank.
 MAX_TICKETED_GANGS: t.Final = 8
 # Missing members may join a gang during this share of gang_start_timeout_s, counted
@@ -52,26 +57,97 @@
         bool(steps) and rank(cell, steps[0], now_s)[0] == Tier.PAST_DEADLINE
     )
     pools: dict[str, Pool] = {}
+    unreached: dict[str, list[Step]] = {}
     renews_reservations = renew_reservations(cell, now_s)
     cell.unobserved_usage = count_unobserved_usage(cell)
-    unplaced_steps = 0
     for step in steps:
-        startable = step.startable_tasks()
-        if not startable:
-            # Tasks that are not reconciled may become startable, so their step stays.
-            if not any(task.unreconciled for task in step.tasks):
-                cell.waiting_steps.pop(step.key, None)
-            continue
         service = step.job.service
         pool = pools.get(service)
         if pool is None:
             pool = pools[service] = make_pool(cell, service, now_s)
             pool.all_past_deadline = all_past_deadline
             pool.renews_reservations = renews_reservations
-        if not _plan_step(cell, step, startable, pool, now_s):
-            unplaced_steps += 1
-            if unplaced_steps > MAX_UNPLACED_STEPS:
-                return
+            unreached[service] = []
+        if (
+            pool.unplaced_steps > MAX_UNPLACED_STEPS
+            or pool.kept_back_steps > MAX_CHECKED_STEPS
+        ):
+            unreached[service].append(step)
+        else:
+            _visit_step(cell, step, pool, now_s)
+    for service, pool in pools.items():
+        if unreached[service]:
+            _plan_in_rotation(cell, service, unreached[service], pool, now_s)
+
+
+def _plan_in_rotation(
+    cell: Cell, service: str, unreached: list[Step], pool: Pool, now_s: float
+) -> None:
+    """Try steps that were not reached in order of rank, each of them in its turn.
+
+    These steps start only where they fit now: they reserve and preempt nothing.
+    """
+    queue = cell.rotations.get(service)
+    if not queue:
+        queue = cell.rotations[service] = unreached[::-1]
+    pool.renews_reservations = False
+    room = measure_room(pool)
+    remaining = max_rotated_steps(pool)
+    for _ in range(min(len(queue), MAX_CHECKED_STEPS)):
+        if not remaining:
+            return
+        step = queue.pop()
+        if cell.waiting_steps.get(step.key) is step and may_fit(step, room):
+            remaining -= _visit_step(cell, step, pool, now_s)
+
+
+def _visit_step(cell: Cell, step: Step, pool: Pool, now_s: float) -> bool:
+    """Plan a step unless its account's limits keep it back; return whether they don't.
+
+    Drops a step without startable tasks from those that wait.
+    """
+    if _is_kept_back(cell, step, pool):
+        pool.kept_back_steps += 1
+        if pool.kept_back_steps <= MAX_UNPLACED_STEPS:
+            _keep_advice(cell, step, pool, now_s)
+        return False
+    startable = step.startable_tasks()
+    if not startable:
+        # Tasks that are not reconciled may become startable, so their step stays.
+        if not any(task.unreconciled for task in step.tasks):
+            cell.waiting_steps.pop(step.key, None)
+    elif not _plan_step(cell, step, startable, pool, now_s):
+        pool.unplaced_steps += 1
+    return True
+
+
+def _is_kept_back(cell: Cell, step: Step, pool: Pool) -> bool:
+    """Return whether the limits of its account allow no start of a step in this pass.
+
+    Usage only grows in a pass, so what the limits do not allow once stays so.
+    """
+    spec, job = step.spec, step.job
+    each = spec.resources
+    count = len(step.tasks) if spec.gang else 1
+    size = (each.cpu_milli, each.memory_mb, each.gpus, count)
+    start = (job.account, job.priority == 0, size)
+    if start not in pool.refused_starts:
+        if _is_within_limits(cell, step, count):
+            return False
+        pool.refused_starts.add(start)
+    # A gang with runs has to be completed or stopped.
+    return not step.is_partial_gang
+
+
+def _keep_advice(cell: Cell, step: Step, pool: Pool, now_s: float) -> None:
+    """Keep the advice of a step that its account's limits keep back."""
+    queue = cell.queue_of(step.job)
+    if queue is None or queue.advice is None:
+        return
+    if not step.evaluated_workers:
+        _request_first_advice(cell, step, pool, now_s)
+    elif step.spec.gang:
+        _request_further_advice(cell, step, pool, now_s)
 
 
 def _plan_step(
@@ -84,24 +160,34 @@
     step.tried_s = now_s
     ticketed = needs_advice(cell, step)
     if ticketed and not step.evaluated_workers:
-        queue = cell.queue_of(step.job)
-        if (
-            queue is not None
-            and not step.in_flight_advice_calls
-            and now_s >= step.advice_retry_at_s
-        ):
-            advice.request_initial_advice(cell, step, queue, pool)
+        _request_first_advice(cell, step, pool, now_s)
         return True
     workers = eligible_workers(cell, step, pool, now_s, ticketed)
     if step.spec.gang:
         started = _plan_gang(cell, step, startable, workers, pool, now_s)
     else:
         started = _plan_tasks(cell, step, startable, workers, now_s)
-    if started or not ticketed:
-        return started
+    if ticketed and not started:
+        _request_further_advice(cell, step, pool, now_s)
+    return started
+
+
+def _request_first_advice(cell: Cell, step: Step, pool: Pool, now_s: float) -> None:
+    """Request advice for a step that has none, unless calls are in flight."""
+    queue = cell.queue_of(step.job)
+    if (
+        queue is not None
+        and not step.in_flight_advice_calls
+        and now_s >= step.advice_retry_at_s
+    ):
+        advice.request_initial_advice(cell, step, queue, pool)
+
+
+def _request_further_advice(cell: Cell, step: Step, pool: Pool, now_s: float) -> None:
+    """Renew tickets of a step that did not start, or evaluate further workers."""
     queue = cell.queue_of(step.job)
     if queue is None:
-        return False
+        return
     reservation = cell.reservations.get(step.key)
     if reservation is not None:
         advice.request_advice_for_reservation(
@@ -112,7 +198,6 @@
     if step.spec.gang and pool.ticketed_gangs < MAX_TICKETED_GANGS:
         pool.ticketed_gangs += 1
         advice.renew_tickets(cell, step, queue, pool, now_s)
-    return False
 
 
 def _is_within_limits(cell: Cell, step: Step, count: int) -> bool:
--- a/packages/scheduler/bulrushspur_scheduler/ranking.py
+++ b/packages/scheduler/bulrushspur_scheduler/ranking.py
@@ -72,11 +72,12 @@
 def rank(cell: Cell, step: Step, now_s: float) -> tuple[int, int, float, str]:
     """Return the sort key of a waiting step."""
     job = step.job
-    if step.spec.gang and any(task.runs for task in step.tasks):
+    if step.spec.gang and step.is_partial_gang:
         # Members that have started wait for the others only for a short time.
         return (Tier.PARTIAL_GANG, job.priority, 0.0, job.id)
-    tier = tier_of(job, cached_remaining_s(cell, step, now_s), now_s, step)
-    return (tier, job.priority, latest_start_s(cell, step, now_s), job.id)
+    work_s = cached_remaining_s(cell, step, now_s)
+    tier = tier_of(job, work_s, now_s, step)
+    return (tier, job.priority, job.accepted_s + job.objective_s - work_s, job.id)
 
 
 def latest_start_s(cell: Cell, step: Step, now_s: float) -> float:
