Hold idle room for a gang for a short time only, and let it drain meanwhile

Seen by callers: a task waits beside 120 free cores for as long as long tasks run past their expected ends, since a wide gang has reserved all workers. Cause: reserved workers were kept from work that ends later for as long as the gang waited, and each short task that was let in moved the expected end, so that a stream of them kept a wide gang waiting for good. Fix: time is divided into hold periods while much of the service is idle: what was held back in one may start in the next, up to a little over half of the service's CPU. Within a period the time by which other work has to end does not move later. The limits of accounts move to a module of their own.

--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -140,6 +140,8 @@
     rotations: dict[str, list[Step]] = dataclasses.field(default_factory=dict)
     reservations: dict[StepKey, t.Any] = dataclasses.field(default_factory=dict)
     reservations_made_s: float = -1e9
+    # Start of the present hold period, by service.
+    hold_periods_s: dict[str, float] = dataclasses.field(default_factory=dict)
     # Workers that may run tasks of earlier terms and have not reported to this term.
     unobserved_workers: set[str] = dataclasses.field(default_factory=set)
     # After a takeover, recovered tasks start again only once it is known that no worker
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+import math
 import typing as t
 
 from bulrushspur_scheduler.resources import Resources
@@ -181,6 +182,12 @@
     # Durations of the tasks that have ended: number and sum of logarithms.
     duration_count: int = 0
     log_duration_sum: float = 0.0
+    # Since when reservations of gangs may keep it from workers; infinite if they don't.
+    held_since_s: float = math.inf
+    # Work that ends by this time may start on the workers reserved for this gang, and
+    # the start of the hold period that this holds for.
+    reserved_until_s: float = 0.0
+    reserved_period_s: float = -1e9
     # Cache of the critical path from this step on, and when it was computed.
     cached_remaining_s: float = 0.0
     remaining_cached_at_s: float = -1e9
--- a/packages/scheduler/bulrushspur_scheduler/placement.py
+++ b/packages/scheduler/bulrushspur_scheduler/placement.py
@@ -3,8 +3,8 @@
 Takes a step and the schedulable workers of its service; returns the workers to start
 its tasks on, and changes nothing. A worker must have enough free resources, the
 required label and, where the queue needs advice, a valid ticket. It must not run tasks
-that would interfere. A worker that is reserved for another gang takes only urgent steps
-and steps expected to end before the reservation is ready.
+that would interfere. A worker that is reserved for another gang takes only urgent
+steps, those expected to end before the reservation is ready, and those held back long.
 """
 
 import dataclasses
@@ -38,6 +38,10 @@
     ticketed_gangs: int = 0
     # Number of workers that are reserved for gangs.
     reserved_count: int = 0
+    # Steps held since before this time may start on reserved workers, as long as this
+    # much CPU is left for it.
+    hold_period_s: float = -1e9
+    unheld_cpu_milli: float = 0.0
     # Number of steps that this planning pass could not place, and of those that the
     # limits of their account keep back.
     unplaced_steps: int = 0
@@ -89,10 +93,11 @@
     """List the workers of a pool that may run tasks of a step.
 
     Free slots are not checked. Workers reserved for a gang are open to that gang, to
-    urgent steps and to steps expected to end before the reservation is ready.
+    urgent steps, to steps expected to end before the reservation is ready, and to steps
+    that reservations have held back for long enough.
     """
     spec = step.spec
-    urgent = step.job.priority == 0
+    takes_reserved = step.job.priority == 0 or is_released(step, pool)
     ends_s = now_s + predict_step_duration(cell, step)[0]
     workers: t.Iterable[Worker] = pool.workers
     if ticketed:
@@ -105,13 +110,18 @@
         and spec.accepts_labels(worker.entry.labels)
         and (
             worker.reserved_for in (None, step.key)
-            or urgent
+            or takes_reserved
             or ends_s <= worker.reserved_until_s
         )
         and not interferes(step, worker)
     ]
 
 
+def is_released(step: Step, pool: Pool) -> bool:
+    """Return whether reservations must not hold back a step any longer."""
+    return step.held_since_s < pool.hold_period_s and pool.unheld_cpu_milli > 0
+
+
 def interferes(step: Step, worker: Worker) -> bool:
     """Return whether a step and the runs of a worker would interfere.
 
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -12,13 +12,12 @@
 
 from bulrushspur_scheduler import advice
 from bulrushspur_scheduler.cell import Cell
-from bulrushspur_scheduler.headroom import leaves_account_headroom
 from bulrushspur_scheduler.jobs import RunState, Step, Task
+from bulrushspur_scheduler.limits import is_kept_back, is_within_limits
 from bulrushspur_scheduler.placement import (
     Pool,
     choose_gang_workers,
     eligible_workers,
-    free_slots_of_account,
     make_pool,
     make_worker_chooser,
     needs_advice,
@@ -26,7 +25,10 @@
 from bulrushspur_scheduler.preemption import preempt
 from bulrushspur_scheduler.ranking import Tier, rank
 from bulrushspur_scheduler.reservations import (
+    count_unheld_tasks,
+    record_hold,
     release_reservation,
+    renew_hold_period,
     renew_reservations,
     reserve,
 )
@@ -38,8 +40,8 @@
 # A pass tries further steps of a service only in rotation once more steps than this
 # could not be placed, although the limits of their account allow it.
 MAX_UNPLACED_STEPS: t.Final = 60
-# The same for steps that the limits of their account keep back, which cost little. So
-# many are also taken from the rotation at most.
+# The same for steps that the limits of their account keep back, which cost little. Also
+# the limit of what a pass takes from the rotation.
 MAX_CHECKED_STEPS: t.Final = 2000
 # Tickets are kept valid for this many waiting gangs, the first in order of rank.
 MAX_TICKETED_GANGS: t.Final = 8
@@ -67,10 +69,10 @@
             pool = pools[service] = make_pool(cell, service, now_s)
             pool.all_past_deadline = all_past_deadline
             pool.renews_reservations = renews_reservations
+            renew_hold_period(cell, service, pool, now_s)
             unreached[service] = []
-        if (
-            pool.unplaced_steps > MAX_UNPLACED_STEPS
-            or pool.kept_back_steps > MAX_CHECKED_STEPS
+        if pool.unplaced_steps > MAX_UNPLACED_STEPS or (
+            pool.kept_back_steps > MAX_CHECKED_STEPS
         ):
             unreached[service].append(step)
         else:
@@ -106,7 +108,7 @@
 
     Drops a step without startable tasks from those that wait.
     """
-    if _is_kept_back(cell, step, pool):
+    if is_kept_back(cell, step, pool):
         pool.kept_back_steps += 1
         if pool.kept_back_steps <= MAX_UNPLACED_STEPS:
             _keep_advice(cell, step, pool, now_s)
@@ -116,29 +118,14 @@
         # Tasks that are not reconciled may become startable, so their step stays.
         if not any(task.unreconciled for task in step.tasks):
             cell.waiting_steps.pop(step.key, None)
-    elif not _plan_step(cell, step, startable, pool, now_s):
-        pool.unplaced_steps += 1
+    else:
+        order_count = len(cell.start_orders)
+        pool.unplaced_steps += not _plan_step(cell, step, startable, pool, now_s)
+        started_count = len(cell.start_orders) - order_count
+        record_hold(cell, step, pool, started_count, now_s)
     return True
 
 
-def _is_kept_back(cell: Cell, step: Step, pool: Pool) -> bool:
-    """Return whether the limits of its account allow no start of a step in this pass.
-
-    Usage only grows in a pass, so what the limits do not allow once stays so.
-    """
-    spec, job = step.spec, step.job
-    each = spec.resources
-    count = len(step.tasks) if spec.gang else 1
-    size = (each.cpu_milli, each.memory_mb, each.gpus, count)
-    start = (job.account, job.priority == 0, size)
-    if start not in pool.refused_starts:
-        if _is_within_limits(cell, step, count):
-            return False
-        pool.refused_starts.add(start)
-    # A gang with runs has to be completed or stopped.
-    return not step.is_partial_gang
-
-
 def _keep_advice(cell: Cell, step: Step, pool: Pool, now_s: float) -> None:
     """Keep the advice of a step that its account's limits keep back."""
     queue = cell.queue_of(step.job)
@@ -166,7 +153,8 @@
     if step.spec.gang:
         started = _plan_gang(cell, step, startable, workers, pool, now_s)
     else:
-        started = _plan_tasks(cell, step, startable, workers, now_s)
+        max_count = count_unheld_tasks(step, pool)
+        started = _plan_tasks(cell, step, startable, workers, max_count, now_s)
     if ticketed and not started:
         _request_further_advice(cell, step, pool, now_s)
     return started
@@ -193,41 +181,34 @@
         advice.request_advice_for_reservation(
             cell, step, queue, pool, reservation, now_s
         )
-    elif _is_within_limits(cell, step, 1):
+    elif is_within_limits(cell, step, 1):
         advice.refresh_advice(cell, step, queue, pool, now_s)
     if step.spec.gang and pool.ticketed_gangs < MAX_TICKETED_GANGS:
         pool.ticketed_gangs += 1
         advice.renew_tickets(cell, step, queue, pool, now_s)
 
 
-def _is_within_limits(cell: Cell, step: Step, count: int) -> bool:
-    """Return whether the account's cap and urgent headroom allow ``count`` tasks."""
-    each, job = step.spec.resources, step.job
-    if free_slots_of_account(cell, job.account, each) < count:
-        return False
-    return job.priority == 0 or leaves_account_headroom(
-        cell, job.account, each.cpu_milli * count
-    )
-
-
 def _plan_tasks(
     cell: Cell,
     step: Step,
     startable: list[Task],
     workers: list[Worker],
+    max_count: int,
     now_s: float,
 ) -> bool:
     """Start single tasks while they fit; return whether all were started."""
-    if not _is_within_limits(cell, step, 1):
+    if not is_within_limits(cell, step, 1):
         return False
     choose_worker = make_worker_chooser(step, workers)
-    for task in startable:
-        if not _is_within_limits(cell, step, 1):
+    for task in startable[:max_count]:
+        if not is_within_limits(cell, step, 1):
             return False
         worker = choose_worker(task)
         if worker is None:
             return False
         start_run(cell, task, worker, task.last_run_number + 1, now_s)
+    if len(startable) > max_count:
+        return False
     cell.waiting_steps.pop(step.key, None)
     return True
 
@@ -243,7 +224,7 @@
     """Start all members of a gang, or reserve workers and preempt for it."""
     if len(startable) < len(step.tasks):
         return _plan_missing_members(cell, step, startable, workers, now_s)
-    if not _is_within_limits(cell, step, len(startable)):
+    if not is_within_limits(cell, step, len(startable)):
         return False
     chosen = choose_gang_workers(step, startable, workers)
     if chosen is None:
@@ -307,7 +288,7 @@
         if in_join_window and same_number
         else None
     )
-    if chosen is None or not _is_within_limits(cell, step, len(startable)):
+    if chosen is None or not is_within_limits(cell, step, len(startable)):
         if not in_join_window or not same_number:
             stop_step(cell, step, "gang incomplete")
         return False
--- a/packages/scheduler/bulrushspur_scheduler/reservations.py
+++ b/packages/scheduler/bulrushspur_scheduler/reservations.py
@@ -5,17 +5,24 @@
 of the pool. Urgent work may still start on reserved workers, and so may work that is
 expected to end before the gang can start.
 
+Reserved workers that are idle are held for a short time only while much of the pool is
+idle. Time is divided into hold periods. A step that was held back in one of them may
+start on any worker in the next one, so that reservations let waiting work in at once
+and then leave its runs time to end. Within a period the time by which other work has to
+end does not move later, or a stream of short tasks would keep a gang waiting for good.
+
 Reservations are made anew at an interval and not by each planning pass: with many gangs
 waiting on a large pool they would take most of the processor time.
 """
 
 import dataclasses
+import math
 import typing as t
 
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.estimates import predict_step_duration
 from bulrushspur_scheduler.jobs import Run, RunState, Step, StepKey
-from bulrushspur_scheduler.placement import Pool, needs_advice
+from bulrushspur_scheduler.placement import NO_LIMIT, Pool, is_released, needs_advice
 from bulrushspur_scheduler.resources import Resources, Usage, count_fitting_tasks
 from bulrushspur_scheduler.workers import Worker
 
@@ -28,6 +35,10 @@
 # Expected time from a stop order to the end of the run.
 EXPECTED_STOP_S: t.Final = 0.3
 RESERVATION_INTERVAL_S: t.Final = 0.1
+# A step is held back for one hold period at most while less than the given share of the
+# CPU of its service is in use.
+HOLD_PERIOD_S: t.Final = 1.5
+MIN_USED_SHARE: t.Final = 0.55
 # Expected ends of runs are not older than this.
 MAX_EXPECTED_ENDS_AGE_S: t.Final = 0.25
 
@@ -59,6 +70,45 @@
     return True
 
 
+def renew_hold_period(cell: Cell, service: str, pool: Pool, now_s: float) -> None:
+    """Start a new hold period when it is due, and set the limits of a pool for it."""
+    began_s = cell.hold_periods_s.get(service, -1e9)
+    if now_s - began_s >= HOLD_PERIOD_S:
+        began_s = cell.hold_periods_s[service] = now_s
+    pool.hold_period_s = began_s
+    capacity_milli = free_milli = 0
+    for worker in cell.workers.values():
+        if worker.listed and worker.entry.service == service:
+            capacity_milli += worker.entry.capacity.cpu_milli
+            free_milli += worker.free.cpu_milli
+    pool.unheld_cpu_milli = free_milli - (1 - MIN_USED_SHARE) * capacity_milli
+
+
+def count_unheld_tasks(step: Step, pool: Pool) -> int:
+    """Return how many tasks of a step one pass may start; few after a hold."""
+    if not is_released(step, pool):
+        return NO_LIMIT
+    cpu_milli = max(step.spec.resources.cpu_milli, 1)
+    return max(int(pool.unheld_cpu_milli) // cpu_milli, 1)
+
+
+def record_hold(
+    cell: Cell, step: Step, pool: Pool, started_count: int, now_s: float
+) -> None:
+    """Record whether reservations may have held back a step that was just planned."""
+    if started_count:
+        if is_released(step, pool):
+            cpu_milli = step.spec.resources.cpu_milli
+            pool.unheld_cpu_milli -= started_count * cpu_milli
+        step.held_since_s = math.inf
+    if (
+        step.held_since_s > now_s
+        and step.key in cell.waiting_steps
+        and any(key != step.key for key in cell.reservations)
+    ):
+        step.held_since_s = now_s
+
+
 def release_reservation(cell: Cell, key: StepKey) -> None:
     """Remove the reservation of a step, if it has one."""
     reservation = cell.reservations.pop(key, None)
@@ -112,13 +162,23 @@
     if pool.reserved_count and pool.reserved_count + len(chosen) > max_reserved:
         return False
     pool.reserved_count += len(chosen)
+    until_s = _limit_reservation(cell, step, ready_s)
     for worker in chosen.values():
         worker.reserved_for = step.key
-        worker.reserved_until_s = ready_s
+        worker.reserved_until_s = until_s
     cell.reservations[step.key] = Reservation(list(chosen.values()), ready_s)
     return True
 
 
+def _limit_reservation(cell: Cell, step: Step, ready_s: float) -> float:
+    """Return by when other work has to end on reserved workers."""
+    period_s = cell.hold_periods_s.get(step.job.service, -1e9)
+    if step.reserved_period_s == period_s:
+        ready_s = min(ready_s, step.reserved_until_s)
+    step.reserved_period_s, step.reserved_until_s = period_s, ready_s
+    return ready_s
+
+
 def _list_candidates(cell: Cell, step: Step, pool: Pool) -> list[Worker]:
     """List the workers that may run a gang and are not reserved for another one."""
     workers: t.Iterable[Worker] = pool.workers
