Keep no headroom for urgent work while half of the account's cap is free

Evidence: test_headroom_holds_back_nothing_while_half_of_the_cap_is_free, red before. Fix: headroom is kept once half of the cap is in use.

--- a/packages/scheduler/bulrushspur_scheduler/headroom.py
+++ b/packages/scheduler/bulrushspur_scheduler/headroom.py
@@ -56,8 +56,8 @@
 def leaves_account_headroom(cell: "Cell", account: str, cpu_milli: int) -> bool:
     """Return whether ``cpu_milli`` more of lower priority leave room under the cap.
 
-    They do if the account runs nothing else of lower priority: its widest gangs may
-    need all of the cap.
+    They do if the account uses less than half of its cap, or runs nothing else of lower
+    priority: its widest gangs may need all of the cap.
     """
     config = cell.account_of(account)
     urgent = cell.urgent_cpu_by_account.get(account)
@@ -67,9 +67,9 @@
     unobserved = cell.unobserved_usage.get(account)
     if unobserved is not None:
         used += unobserved.cpu_milli
-    if used <= urgent.in_use_milli:
-        return True
     cap = config.cap.cpu_milli
+    if used <= urgent.in_use_milli or 2 * used < cap:
+        return True
     wanted = urgent.mean_milli + ACCOUNT_DEVIATIONS * math.sqrt(urgent.variance)
     wanted = min(wanted, cap * MAX_CAP_SHARE)
     headroom = max(wanted - urgent.in_use_milli, 0.0)
