Let a wide gang claim its account while under half of its cap is in use

Seen by callers: a gang that fits under the cap of its account waits for good, since smaller tasks of the account that keep coming leave it no room there at any one moment. Evidence: test_small_tasks_of_an_account_do_not_starve_its_wide_gang, red before.

--- a/packages/scheduler/bulrushspur_scheduler/placement.py
+++ b/packages/scheduler/bulrushspur_scheduler/placement.py
@@ -51,6 +51,8 @@
     refused_starts: set[tuple[str, bool, tuple[int, int, int, int]]] = (
         dataclasses.field(default_factory=set)
     )
+    # Accounts that a gang has claimed in this planning pass.
+    claimed_accounts: set[str] = dataclasses.field(default_factory=set)
     # This planning pass makes the reservations anew.
     renews_reservations: bool = True
 
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -13,7 +13,12 @@
 from bulrushspur_scheduler import advice
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.jobs import RunState, Step, Task
-from bulrushspur_scheduler.limits import is_kept_back, is_within_limits
+from bulrushspur_scheduler.limits import (
+    claim_account,
+    is_kept_back,
+    is_within_limits,
+    waits_for_claim,
+)
 from bulrushspur_scheduler.placement import (
     Pool,
     choose_gang_workers,
@@ -108,7 +113,10 @@
 
     Drops a step without startable tasks from those that wait.
     """
-    if is_kept_back(cell, step, pool):
+    is_refused = is_kept_back(cell, step, pool)
+    if is_refused and not pool.all_past_deadline:
+        claim_account(cell, step, pool, now_s)
+    if is_refused or waits_for_claim(step, pool, now_s):
         pool.kept_back_steps += 1
         if pool.kept_back_steps <= MAX_UNPLACED_STEPS:
             _keep_advice(cell, step, pool, now_s)
