Use doubted workers for steps that find no other while the service is idle

A step whose approved or labelled workers were in quarantine, or on probation with a run, stood still for up to 20 s or for as long as that run lasted, after the cause was gone. After 1.5 s it may now start there, as long as little of the service is in use. Placement still prefers other workers.

--- a/packages/scheduler/bulrushspur_scheduler/health.py
+++ b/packages/scheduler/bulrushspur_scheduler/health.py
@@ -3,7 +3,8 @@
 The input is the outcomes and elapsed times of runs. The result is the failure score,
 speed and quarantine of each worker, and the runs that should be restarted on other
 workers. After its quarantine a worker is on probation: until a run succeeds, it gets
-new work only while nothing runs on it.
+new work only while nothing runs on it. A step that finds no other worker for long does
+not wait for the end of either while much of the service is idle.
 
 A failure counts in full only if the task has not failed on other workers. A worker is
 not judged late as a whole by a step that may itself be slow, which is a step with runs
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -184,6 +184,8 @@
     log_duration_sum: float = 0.0
     # Since when reservations of gangs may keep it from workers; infinite if they don't.
     held_since_s: float = math.inf
+    # Since when no worker was found for its startable tasks; infinite if one was.
+    unplaced_since_s: float = math.inf
     # Work that ends by this time may start on the workers reserved for this gang, and
     # the start of the hold period that this holds for.
     reserved_until_s: float = 0.0
--- a/packages/scheduler/bulrushspur_scheduler/placement.py
+++ b/packages/scheduler/bulrushspur_scheduler/placement.py
@@ -7,6 +7,7 @@
 steps, those expected to end before the reservation is ready, and those held back long.
 """
 
+import contextlib
 import dataclasses
 import heapq
 import typing as t
@@ -16,11 +17,13 @@
 from bulrushspur_scheduler.estimates import predict_step_duration
 from bulrushspur_scheduler.jobs import Step, Task
 from bulrushspur_scheduler.resources import Resources, Usage, count_fitting_tasks
-from bulrushspur_scheduler.workers import Worker, is_schedulable
+from bulrushspur_scheduler.workers import Worker, is_available, is_doubted
 
 # Tickets that expire sooner are not used for a start.
 MIN_TICKET_VALIDITY_S: t.Final = 0.08
 MAX_RECENT_POOL_AGE_S: t.Final = 0.1
+# A step waits so long for other workers than those in quarantine and on probation.
+MAX_DOUBT_WAIT_S: t.Final = 1.5
 # Number of tasks that fit where there is no cap.
 NO_LIMIT: t.Final = 1_000_000
 
@@ -32,6 +35,8 @@
     workers: list[Worker]
     made_s: float = 0.0
     by_id: dict[str, Worker] = dataclasses.field(default_factory=dict)
+    # With the workers that are in quarantine or on probation, if there are any.
+    available_workers: list[Worker] | None = None
     # Every waiting step will end past its deadline, too late to be useful.
     all_past_deadline: bool = False
     # Number of gangs whose tickets were kept valid in this planning pass.
@@ -59,16 +64,44 @@
 
 def make_pool(cell: Cell, service: str, now_s: float) -> Pool:
     """Make the pool of a service for one planning pass."""
-    workers = [
+    available = [
         worker
         for worker in cell.workers.values()
-        if worker.entry.service == service and is_schedulable(worker, now_s)
+        if worker.entry.service == service and is_available(worker, now_s)
     ]
+    workers = [worker for worker in available if not is_doubted(worker, now_s)]
     pool = Pool(workers, now_s, {worker.id: worker for worker in workers})
+    if len(workers) < len(available):
+        pool.available_workers = available
     cell.recent_pools[service] = pool
     return pool
 
 
+@contextlib.contextmanager
+def include_doubted_workers(pool: Pool) -> t.Iterator[None]:
+    """Add the workers in quarantine and on probation to a pool for one step."""
+    if pool.available_workers is None:
+        yield
+        return
+    workers, by_id = pool.workers, pool.by_id
+    pool.workers = pool.available_workers
+    pool.by_id = {worker.id: worker for worker in pool.workers}
+    try:
+        yield
+    finally:
+        pool.workers, pool.by_id = workers, by_id
+
+
+def waits_in_vain(step: Step, pool: Pool, now_s: float) -> bool:
+    """Return whether a step has long found no worker although much of the pool is idle.
+
+    It may then start on workers in quarantine and on probation.
+    """
+    return (
+        now_s - step.unplaced_since_s > MAX_DOUBT_WAIT_S and pool.unheld_cpu_milli > 0
+    )
+
+
 def find_recent_pool(cell: Cell, service: str, now_s: float) -> Pool:
     """Return a pool of a service that is recent enough to ask for advice by."""
     pool: Pool | None = cell.recent_pools.get(service)
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -7,6 +7,7 @@
 for urgent work there.
 """
 
+import contextlib
 import math
 import typing as t
 
@@ -23,9 +24,11 @@
     Pool,
     choose_gang_workers,
     eligible_workers,
+    include_doubted_workers,
     make_pool,
     make_worker_chooser,
     needs_advice,
+    waits_in_vain,
 )
 from bulrushspur_scheduler.preemption import preempt
 from bulrushspur_scheduler.ranking import Tier, rank
@@ -128,9 +131,18 @@
             cell.waiting_steps.pop(step.key, None)
     else:
         order_count = len(cell.start_orders)
-        pool.unplaced_steps += not _plan_step(cell, step, startable, pool, now_s)
+        with (
+            include_doubted_workers(pool)
+            if waits_in_vain(step, pool, now_s)
+            else contextlib.nullcontext()
+        ):
+            placed = _plan_step(cell, step, startable, pool, now_s)
+        pool.unplaced_steps += not placed
         started_count = len(cell.start_orders) - order_count
         record_hold(cell, step, pool, started_count, now_s)
+        step.unplaced_since_s = (
+            math.inf if started_count else min(step.unplaced_since_s, now_s)
+        )
     return True
 
 
--- a/packages/scheduler/bulrushspur_scheduler/workers.py
+++ b/packages/scheduler/bulrushspur_scheduler/workers.py
@@ -174,13 +174,23 @@
 
 def is_schedulable(worker: Worker, now_s: float) -> bool:
     """Return whether new runs may be started on a worker."""
+    return is_available(worker, now_s) and not is_doubted(worker, now_s)
+
+
+def is_available(worker: Worker, now_s: float) -> bool:
+    """Return whether a worker could run new work, leaving its health aside."""
     return (
         worker.has_reported
         and worker.listed
         and not worker.draining
-        and worker.quarantined_until_s <= now_s
         and now_s - worker.last_report_s < MAX_REPORT_AGE_S
         and worker.last_unanswered_order_s <= worker.last_report_s
-        and not (worker.on_probation and worker.runs)
         and not (worker.orphan_runs and worker.has_unsized_orphan)
     )
+
+
+def is_doubted(worker: Worker, now_s: float) -> bool:
+    """Return whether a worker is in quarantine, or has its one run on probation."""
+    return worker.quarantined_until_s > now_s or (
+        worker.on_probation and bool(worker.runs)
+    )
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -178,6 +178,30 @@
                 )
                 self.assertLess(started_s.get("j1", math.inf) - began_s, 3.0)
 
+    def test_quarantined_worker_gets_no_work_that_others_can_run(self):
+        cell = make_test_cell(4)
+        began_s = self.quarantine_again(cell, ("w0",), 4)
+        job_ids = []
+
+        def submit(now_s):
+            job_ids.append(f"j{len(job_ids)}")
+            add_test_job(cell, job_ids[-1], "bulk", now_s)
+
+        started_s = play(cell, began_s, began_s + 10.0, lambda job_id: 1.0, submit)
+        self.assertEqual(len(started_s), len(job_ids))
+        self.assertEqual(cell.workers["w0"].runs, {})
+        self.assertEqual(cell.workers["w0"].applied_end_sequence, 0)
+
+    def test_busy_service_does_not_use_its_quarantined_worker(self):
+        cell = make_test_cell(4)
+        began_s = self.quarantine_again(cell, ("w0",), 4)
+        resources = Resources(16_000, 10)
+        for index in range(8):
+            add_test_job(cell, f"j{index}", "bulk", began_s, resources=resources)
+        started_s = play(cell, began_s, began_s + 10.0, lambda job_id: 60.0)
+        self.assertEqual(len(started_s), 3)
+        self.assertEqual(cell.workers["w0"].runs, {})
+
     def test_gang_does_not_wait_for_the_long_run_of_a_worker_on_probation(self):
         cell = make_test_cell(4)
         self.quarantine_again(cell, ("w0", "w1"), 1)
