--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -2,9 +2,9 @@
 
 Reads the waiting steps and the schedulable workers of a cell; adds start orders, stop
 orders and advice calls to the cell, which the daemon sends. Steps are visited in order
-of rank. A gang starts as a whole or not at all; a gang that does not fit reserves
-workers and may preempt. Starts stay within the caps of client accounts and leave room
-for urgent work there.
+of rank, and those that a pass does not reach are tried in rotation, so that each one is
+tried within a bounded time. Starts stay within the caps of client accounts and leave
+room for urgent work there.
 """
 
 import contextlib
@@ -13,7 +13,8 @@
 
 from bulrushspur_scheduler import advice
 from bulrushspur_scheduler.cell import Cell
-from bulrushspur_scheduler.jobs import RunState, Step, Task
+from bulrushspur_scheduler.gangs import plan_gang
+from bulrushspur_scheduler.jobs import Step, Task
 from bulrushspur_scheduler.limits import (
     claim_account,
     is_kept_back,
@@ -22,7 +23,6 @@
 )
 from bulrushspur_scheduler.placement import (
     Pool,
-    choose_gang_workers,
     eligible_workers,
     include_doubted_workers,
     make_pool,
@@ -30,18 +30,15 @@
     needs_advice,
     waits_in_vain,
 )
-from bulrushspur_scheduler.preemption import preempt
 from bulrushspur_scheduler.ranking import Tier, rank
 from bulrushspur_scheduler.reservations import (
     count_unheld_tasks,
     record_hold,
-    release_reservation,
     renew_hold_period,
     renew_reservations,
-    reserve,
 )
 from bulrushspur_scheduler.rotation import max_rotated_steps, may_fit, measure_room
-from bulrushspur_scheduler.runs import start_run, stop_step
+from bulrushspur_scheduler.runs import start_run
 from bulrushspur_scheduler.unobserved_usage import count_unobserved_usage
 from bulrushspur_scheduler.workers import Worker
 
@@ -53,9 +50,6 @@
 MAX_CHECKED_STEPS: t.Final = 2000
 # Tickets are kept valid for this many waiting gangs, the first in order of rank.
 MAX_TICKETED_GANGS: t.Final = 8
-# Missing members may join a gang during this share of gang_start_timeout_s, counted
-# from its first start order.
-GANG_JOIN_WINDOW_SHARE: t.Final = 0.5
 
 
 def plan(cell: Cell, now_s: float) -> None:
@@ -171,7 +165,7 @@
         return True
     workers = eligible_workers(cell, step, pool, now_s, ticketed)
     if step.spec.gang:
-        started = _plan_gang(cell, step, startable, workers, pool, now_s)
+        started = plan_gang(cell, step, startable, workers, pool, now_s)
     else:
         max_count = count_unheld_tasks(step, pool)
         started = _plan_tasks(cell, step, startable, workers, max_count, now_s)
@@ -231,92 +225,3 @@
         return False
     cell.waiting_steps.pop(step.key, None)
     return True
-
-
-def _plan_gang(
-    cell: Cell,
-    step: Step,
-    startable: list[Task],
-    workers: list[Worker],
-    pool: Pool,
-    now_s: float,
-) -> bool:
-    """Start all members of a gang, or reserve workers and preempt for it."""
-    if len(startable) < len(step.tasks):
-        return _plan_missing_members(cell, step, startable, workers, now_s)
-    if not is_within_limits(cell, step, len(startable)):
-        return False
-    chosen = choose_gang_workers(step, startable, workers)
-    if chosen is None:
-        # Gangs past their deadline must not hold back steps that are still useful.
-        if pool.renews_reservations and (
-            pool.all_past_deadline or rank(cell, step, now_s)[0] != Tier.PAST_DEADLINE
-        ):
-            reserve(cell, step, pool, now_s)
-            _preempt_if_reserved_too_late(cell, step, pool, now_s)
-        return False
-    step.gang_run_number = max(task.last_run_number for task in step.tasks) + 1
-    checkpoint = _find_gang_checkpoint(step)
-    for task, worker in chosen:
-        task.checkpoint = checkpoint
-        start_run(cell, task, worker, step.gang_run_number, now_s)
-    cell.waiting_steps.pop(step.key, None)
-    release_reservation(cell, step.key)
-    return True
-
-
-def _preempt_if_reserved_too_late(
-    cell: Cell, step: Step, pool: Pool, now_s: float
-) -> None:
-    """Preempt runs for a gang whose reserved workers become free too late."""
-    reservation = cell.reservations.get(step.key)
-    ready_s = reservation.ready_s if reservation else math.inf
-    preempt(cell, step, pool, ready_s, now_s)
-
-
-def _find_gang_checkpoint(step: Step) -> str:
-    """Return one checkpoint for all members: any member's is valid for all."""
-    return next((task.checkpoint for task in step.tasks if task.checkpoint), "")
-
-
-def _plan_missing_members(
-    cell: Cell,
-    step: Step,
-    startable: list[Task],
-    workers: list[Worker],
-    now_s: float,
-) -> bool:
-    """Start the missing members of a partial gang, or stop its runs.
-
-    Missing members join only within the join window and only if all runs have the run
-    number of the gang. Otherwise the runs are stopped, and the gang can start again as
-    a whole.
-    """
-    runs = [run for task in step.tasks for run in task.runs]
-    if any(run.state is RunState.STOPPING for run in runs):
-        return False
-    if not runs or any(task.unreconciled for task in step.tasks):
-        return False
-    first_ordered_s = min(run.ordered_s for run in runs)
-    in_join_window = (
-        now_s - first_ordered_s
-        < cell.timing_limits.gang_start_timeout_s * GANG_JOIN_WINDOW_SHARE
-    )
-    same_number = all(run.number == step.gang_run_number for run in runs)
-    chosen = (
-        choose_gang_workers(step, startable, workers)
-        if in_join_window and same_number
-        else None
-    )
-    if chosen is None or not is_within_limits(cell, step, len(startable)):
-        if not in_join_window or not same_number:
-            stop_step(cell, step, "gang incomplete")
-        return False
-    for task, worker in chosen:
-        # A task uses a run number at most once, so this member can't join any more.
-        if task.last_run_number >= step.gang_run_number:
-            stop_step(cell, step, "gang member was refused")
-            return False
-        start_run(cell, task, worker, step.gang_run_number, now_s)
-    cell.waiting_steps.pop(step.key, None)
-    return True
