--- a/packages/daemon/bulrushspur_daemon/leader_requests.py
+++ b/packages/daemon/bulrushspur_daemon/leader_requests.py
@@ -19,7 +19,7 @@
 from bulrushspur_scheduler import admission, advice, ranking
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.jobs import FINAL_STATES, JobState, make_occurrence
-from bulrushspur_scheduler.placement import find_recent_pool
+from bulrushspur_scheduler.pools import find_recent_pool
 from bulrushspur_scheduler.progress import add_job, finish_job, set_objective
 from bulrushspur_scheduler.records import decode_job
 
--- a/packages/scheduler/bulrushspur_scheduler/advice.py
+++ b/packages/scheduler/bulrushspur_scheduler/advice.py
@@ -14,12 +14,8 @@
 from bulrushspur_scheduler.config import Queue
 from bulrushspur_scheduler.jobs import Job, Step
 from bulrushspur_scheduler.lanes import MIN_LONG_CALL_S
-from bulrushspur_scheduler.placement import (
-    Pool,
-    eligible_workers,
-    free_slots_on,
-    has_ticket,
-)
+from bulrushspur_scheduler.placement import eligible_workers, free_slots_on, has_ticket
+from bulrushspur_scheduler.pools import Pool
 from bulrushspur_scheduler.workers import Worker
 
 # Longer lists of workers are split into calls that run in parallel on several lanes.
--- a/packages/scheduler/bulrushspur_scheduler/gangs.py
+++ b/packages/scheduler/bulrushspur_scheduler/gangs.py
@@ -11,7 +11,8 @@
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.jobs import RunState, Step, Task
 from bulrushspur_scheduler.limits import is_within_limits
-from bulrushspur_scheduler.placement import Pool, choose_gang_workers
+from bulrushspur_scheduler.placement import choose_gang_workers
+from bulrushspur_scheduler.pools import Pool
 from bulrushspur_scheduler.preemption import preempt
 from bulrushspur_scheduler.ranking import Tier, rank
 from bulrushspur_scheduler.reservations import release_reservation, reserve
--- a/packages/scheduler/bulrushspur_scheduler/limits.py
+++ b/packages/scheduler/bulrushspur_scheduler/limits.py
@@ -16,11 +16,8 @@
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.headroom import leaves_account_headroom
 from bulrushspur_scheduler.jobs import Step
-from bulrushspur_scheduler.placement import (
-    Pool,
-    free_slots_of_account,
-    free_slots_under_cap,
-)
+from bulrushspur_scheduler.placement import free_slots_of_account, free_slots_under_cap
+from bulrushspur_scheduler.pools import Pool
 from bulrushspur_scheduler.resources import Usage
 
 # A gang may claim its account for so long in each interval since it became ready.
--- a/packages/scheduler/bulrushspur_scheduler/placement.py
+++ b/packages/scheduler/bulrushspur_scheduler/placement.py
@@ -7,8 +7,6 @@
 steps, those expected to end before the reservation is ready, and those held back long.
 """
 
-import contextlib
-import dataclasses
 import heapq
 import typing as t
 
@@ -16,100 +14,16 @@
 from bulrushspur_scheduler.config import Account
 from bulrushspur_scheduler.estimates import predict_step_duration
 from bulrushspur_scheduler.jobs import Step, Task
+from bulrushspur_scheduler.pools import Pool, is_released
 from bulrushspur_scheduler.resources import Resources, Usage, count_fitting_tasks
-from bulrushspur_scheduler.workers import Worker, is_available, is_doubted
+from bulrushspur_scheduler.workers import Worker
 
 # Tickets that expire sooner are not used for a start.
 MIN_TICKET_VALIDITY_S: t.Final = 0.08
-MAX_RECENT_POOL_AGE_S: t.Final = 0.1
-# A step waits so long for other workers than those in quarantine and on probation.
-MAX_DOUBT_WAIT_S: t.Final = 1.5
 # Number of tasks that fit where there is no cap.
 NO_LIMIT: t.Final = 1_000_000
 
 
-@dataclasses.dataclass
-class Pool:
-    """The schedulable workers of a service."""
-
-    workers: list[Worker]
-    made_s: float = 0.0
-    by_id: dict[str, Worker] = dataclasses.field(default_factory=dict)
-    # With the workers that are in quarantine or on probation, if there are any.
-    available_workers: list[Worker] | None = None
-    # Every waiting step will end past its deadline, too late to be useful.
-    all_past_deadline: bool = False
-    # Number of gangs whose tickets were kept valid in this planning pass.
-    ticketed_gangs: int = 0
-    # Number of workers that are reserved for gangs.
-    reserved_count: int = 0
-    # Steps held since before this time may start on reserved workers, as long as this
-    # much CPU is left for it.
-    hold_period_s: float = -1e9
-    unheld_cpu_milli: float = 0.0
-    # Number of steps that this planning pass could not place, and of those that the
-    # limits of their account keep back.
-    unplaced_steps: int = 0
-    kept_back_steps: int = 0
-    # What the limits of an account do not allow in this planning pass: the account,
-    # whether the work is urgent, and the size of a task with the number of tasks.
-    refused_starts: set[tuple[str, bool, tuple[int, int, int, int]]] = (
-        dataclasses.field(default_factory=set)
-    )
-    # Accounts that a gang has claimed in this planning pass.
-    claimed_accounts: set[str] = dataclasses.field(default_factory=set)
-    # This planning pass makes the reservations anew.
-    renews_reservations: bool = True
-
-
-def make_pool(cell: Cell, service: str, now_s: float) -> Pool:
-    """Make the pool of a service for one planning pass."""
-    available = [
-        worker
-        for worker in cell.workers.values()
-        if worker.entry.service == service and is_available(worker, now_s)
-    ]
-    workers = [worker for worker in available if not is_doubted(worker, now_s)]
-    pool = Pool(workers, now_s, {worker.id: worker for worker in workers})
-    if len(workers) < len(available):
-        pool.available_workers = available
-    cell.recent_pools[service] = pool
-    return pool
-
-
-@contextlib.contextmanager
-def include_doubted_workers(pool: Pool) -> t.Iterator[None]:
-    """Add the workers in quarantine and on probation to a pool for one step."""
-    if pool.available_workers is None:
-        yield
-        return
-    workers, by_id = pool.workers, pool.by_id
-    pool.workers = pool.available_workers
-    pool.by_id = {worker.id: worker for worker in pool.workers}
-    try:
-        yield
-    finally:
-        pool.workers, pool.by_id = workers, by_id
-
-
-def waits_in_vain(step: Step, pool: Pool, now_s: float) -> bool:
-    """Return whether a step has long found no worker although much of the pool is idle.
-
-    It may then start on workers in quarantine and on probation.
-    """
-    return (
-        now_s - step.unplaced_since_s > MAX_DOUBT_WAIT_S and pool.unheld_cpu_milli > 0
-    )
-
-
-def find_recent_pool(cell: Cell, service: str, now_s: float) -> Pool:
-    """Return a pool of a service that is recent enough to ask for advice by."""
-    pool: Pool | None = cell.recent_pools.get(service)
-    if pool is not None and now_s - pool.made_s < MAX_RECENT_POOL_AGE_S:
-        return pool
-    return make_pool(cell, service, now_s)
-
-
 def needs_advice(cell: Cell, step: Step) -> bool:
     """Return whether starts of a step need a ticket of the advice service."""
     queue = cell.queue_of(step.job)
@@ -152,11 +66,6 @@
     ]
 
 
-def is_released(step: Step, pool: Pool) -> bool:
-    """Return whether reservations must not hold back a step any longer."""
-    return step.held_since_s < pool.hold_period_s and pool.unheld_cpu_milli > 0
-
-
 def interferes(step: Step, worker: Worker) -> bool:
     """Return whether a step and the runs of a worker would interfere.
 
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -22,12 +22,14 @@
     waits_for_claim,
 )
 from bulrushspur_scheduler.placement import (
-    Pool,
     eligible_workers,
-    include_doubted_workers,
-    make_pool,
     make_worker_chooser,
     needs_advice,
+)
+from bulrushspur_scheduler.pools import (
+    Pool,
+    include_doubted_workers,
+    make_pool,
     waits_in_vain,
 )
 from bulrushspur_scheduler.ranking import Tier, rank
--- /dev/null
+++ b/packages/scheduler/bulrushspur_scheduler/pools.py
@@ -0,0 +1,106 @@
+"""Hold the workers that a planning pass may use, by service, and what it notes of them.
+
+The input is the workers of a cell; the result is a pool with those that may get new
+work. Workers in quarantine or on probation are added only for steps that long found no
+other.
+"""
+
+import contextlib
+import dataclasses
+import typing as t
+
+from bulrushspur_scheduler.cell import Cell
+from bulrushspur_scheduler.jobs import Step
+from bulrushspur_scheduler.workers import Worker, is_available, is_doubted
+
+MAX_RECENT_POOL_AGE_S: t.Final = 0.1
+# A step waits so long for other workers than those in quarantine and on probation.
+MAX_DOUBT_WAIT_S: t.Final = 1.5
+
+
+@dataclasses.dataclass
+class Pool:
+    """The schedulable workers of a service."""
+
+    workers: list[Worker]
+    made_s: float = 0.0
+    by_id: dict[str, Worker] = dataclasses.field(default_factory=dict)
+    # With the workers that are in quarantine or on probation, if there are any.
+    available_workers: list[Worker] | None = None
+    available_by_id: dict[str, Worker] = dataclasses.field(default_factory=dict)
+    # Every waiting step will end past its deadline, too late to be useful.
+    all_past_deadline: bool = False
+    # Number of gangs whose tickets were kept valid in this planning pass.
+    ticketed_gangs: int = 0
+    # Number of workers that are reserved for gangs.
+    reserved_count: int = 0
+    # Steps held since before this time may start on reserved workers, as long as this
+    # much CPU is left for it.
+    hold_period_s: float = -1e9
+    unheld_cpu_milli: float = 0.0
+    # Number of steps that this planning pass could not place, and of those that the
+    # limits of their account keep back.
+    unplaced_steps: int = 0
+    kept_back_steps: int = 0
+    # What the limits of an account do not allow in this planning pass: the account,
+    # whether the work is urgent, and the size of a task with the number of tasks.
+    refused_starts: set[tuple[str, bool, tuple[int, int, int, int]]] = (
+        dataclasses.field(default_factory=set)
+    )
+    # Accounts that a gang has claimed in this planning pass.
+    claimed_accounts: set[str] = dataclasses.field(default_factory=set)
+    # This planning pass makes the reservations anew.
+    renews_reservations: bool = True
+
+
+def make_pool(cell: Cell, service: str, now_s: float) -> Pool:
+    """Make the pool of a service for one planning pass."""
+    available = [
+        worker
+        for worker in cell.workers.values()
+        if worker.entry.service == service and is_available(worker, now_s)
+    ]
+    workers = [worker for worker in available if not is_doubted(worker, now_s)]
+    pool = Pool(workers, now_s, {worker.id: worker for worker in workers})
+    if len(workers) < len(available):
+        pool.available_workers = available
+        pool.available_by_id = {worker.id: worker for worker in available}
+    cell.recent_pools[service] = pool
+    return pool
+
+
+@contextlib.contextmanager
+def include_doubted_workers(pool: Pool) -> t.Iterator[None]:
+    """Add the workers in quarantine and on probation to a pool for one step."""
+    if pool.available_workers is None:
+        yield
+        return
+    workers, by_id = pool.workers, pool.by_id
+    pool.workers, pool.by_id = pool.available_workers, pool.available_by_id
+    try:
+        yield
+    finally:
+        pool.workers, pool.by_id = workers, by_id
+
+
+def waits_in_vain(step: Step, pool: Pool, now_s: float) -> bool:
+    """Return whether a step has long found no worker although much of the pool is idle.
+
+    It may then start on workers in quarantine and on probation.
+    """
+    return (
+        now_s - step.unplaced_since_s > MAX_DOUBT_WAIT_S and pool.unheld_cpu_milli > 0
+    )
+
+
+def find_recent_pool(cell: Cell, service: str, now_s: float) -> Pool:
+    """Return a pool of a service that is recent enough to ask for advice by."""
+    pool: Pool | None = cell.recent_pools.get(service)
+    if pool is not None and now_s - pool.made_s < MAX_RECENT_POOL_AGE_S:
+        return pool
+    return make_pool(cell, service, now_s)
+
+
+def is_released(step: Step, pool: Pool) -> bool:
+    """Return whether reservations must not hold back a step any longer."""
+    return step.held_since_s < pool.hold_period_s and pool.unheld_cpu_milli > 0
--- a/packages/scheduler/bulrushspur_scheduler/preemption.py
+++ b/packages/scheduler/bulrushspur_scheduler/preemption.py
@@ -12,7 +12,8 @@
 
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.jobs import Run, RunState, Step
-from bulrushspur_scheduler.placement import Pool, needs_advice
+from bulrushspur_scheduler.placement import needs_advice
+from bulrushspur_scheduler.pools import Pool
 from bulrushspur_scheduler.ranking import cached_remaining_s, latest_start_s
 from bulrushspur_scheduler.resources import Usage, count_fitting_tasks
 from bulrushspur_scheduler.runs import stop_run
--- a/packages/scheduler/bulrushspur_scheduler/rotation.py
+++ b/packages/scheduler/bulrushspur_scheduler/rotation.py
@@ -7,7 +7,7 @@
 import typing as t
 
 from bulrushspur_scheduler.jobs import Step
-from bulrushspur_scheduler.placement import Pool
+from bulrushspur_scheduler.pools import Pool
 
 # A pass tries so many steps in rotation that it looks at about as many workers, within
 # limits for the number of steps.
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -7,8 +7,8 @@
 import math
 import unittest
 
-from bulrushspur_scheduler.placement import make_pool
 from bulrushspur_scheduler.planning import plan
+from bulrushspur_scheduler.pools import make_pool
 from bulrushspur_scheduler.preemption import preempt
 from bulrushspur_scheduler.resources import Resources
 from bulrushspur_scheduler.runs import stop_run
