--- a/packages/scheduler/bulrushspur_scheduler/reservations.py
+++ b/packages/scheduler/bulrushspur_scheduler/reservations.py
@@ -8,8 +8,9 @@
 Reserved workers that are idle are held for a short time only while much of the pool is
 idle. Time is divided into hold periods. A step that was held back in one of them may
 start on any worker in the next one, so that reservations let waiting work in at once
-and then leave its runs time to end. Within a period the time by which other work has to
-end does not move later, or a stream of short tasks would keep a gang waiting for good.
+and then leave its runs time to end. Within such a period the time by which other work
+has to end does not move later, or a stream of short tasks would keep a gang waiting for
+good.
 
 Reservations are made anew at an interval and not by each planning pass: with many gangs
 waiting on a large pool they would take most of the processor time.
@@ -163,7 +164,7 @@
     if pool.reserved_count and pool.reserved_count + len(chosen) > max_reserved:
         return False
     pool.reserved_count += len(chosen)
-    until_s = _limit_reservation(cell, step, ready_s)
+    until_s = _limit_reservation(step, pool, ready_s)
     for worker in chosen.values():
         worker.reserved_for = step.key
         worker.reserved_until_s = until_s
@@ -171,12 +172,11 @@
     return True
 
 
-def _limit_reservation(cell: Cell, step: Step, ready_s: float) -> float:
+def _limit_reservation(step: Step, pool: Pool, ready_s: float) -> float:
     """Return by when other work has to end on reserved workers."""
-    period_s = cell.hold_periods_s.get(step.job.service, -1e9)
-    if step.reserved_period_s == period_s:
+    if step.reserved_period_s == pool.hold_period_s and pool.unheld_cpu_milli > 0:
         ready_s = min(ready_s, step.reserved_until_s)
-    step.reserved_period_s, step.reserved_until_s = period_s, ready_s
+    step.reserved_period_s, step.reserved_until_s = pool.hold_period_s, ready_s
     return ready_s
 
 
--- a/packages/scheduler/bulrushspur_scheduler/rotation.py
+++ b/packages/scheduler/bulrushspur_scheduler/rotation.py
@@ -10,7 +10,7 @@
 from bulrushspur_scheduler.pools import Pool
 
 # A pass tries so many steps in rotation that it looks at about as many workers, within
-# limits for the number of steps.
+# limits for the number of steps. In a busy service it tries the least number.
 MAX_WORKER_CHECKS: t.Final = 4000
 MIN_ROTATED_STEPS: t.Final = 15
 MAX_ROTATED_STEPS: t.Final = 200
@@ -25,6 +25,8 @@
 
 def max_rotated_steps(pool: Pool) -> int:
     """Return how many steps a pass tries in rotation; more on a smaller pool."""
+    if pool.unheld_cpu_milli <= 0:
+        return MIN_ROTATED_STEPS
     count = MAX_WORKER_CHECKS // max(len(pool.workers), 1)
     return min(max(count, MIN_ROTATED_STEPS), MAX_ROTATED_STEPS)
 
