--- a/packages/scheduler/bulrushspur_scheduler/waiting.py
+++ b/packages/scheduler/bulrushspur_scheduler/waiting.py
@@ -14,13 +14,13 @@
 from bulrushspur_scheduler.headroom import leaves_account_headroom
 from bulrushspur_scheduler.jobs import Job, Step, StepKey
 from bulrushspur_scheduler.placement import (
-    Pool,
     eligible_workers,
     free_slots_of_account,
     free_slots_on,
     free_slots_under_cap,
     needs_advice,
 )
+from bulrushspur_scheduler.pools import Pool
 from bulrushspur_scheduler.workers import Worker, is_schedulable
 
 # A step whose job has had nothing running for longer is reported.
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -17,8 +17,8 @@
 from bulrushspur_scheduler.advice import apply_advice, prefetch_advice
 from bulrushspur_scheduler.cell import AdviceCall
 from bulrushspur_scheduler.jobs import StepKey, make_occurrence
-from bulrushspur_scheduler.placement import find_recent_pool
 from bulrushspur_scheduler.planning import plan
+from bulrushspur_scheduler.pools import find_recent_pool
 from bulrushspur_scheduler.progress import add_job
 from bulrushspur_scheduler.resources import Resources
 from tests.cell_fixtures import (
