--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -2,24 +2,32 @@
 
 The tests guard against starts without a valid ticket, calls about workers that cannot
 help, and short calls that wait behind long ones. Tickets expire while steps wait for
-slots, and steps compete for the lanes that may make long calls.
+slots, and steps compete for the lanes that may make long calls. Submissions are
+rejected and repeated, and terms end, while calls are in flight.
 """
 
+import asyncio
 import dataclasses
 import unittest
 
 from bulrushspur_daemon.advice_dispatcher import AdviceDispatcher
+from bulrushspur_daemon.clock import monotonic_s
+from bulrushspur_daemon.leader_requests import LeaderRequestHandler
+from bulrushspur_daemon.record_writer import NotStoredError
+from bulrushspur_daemon.term import make_term
+from bulrushspur_daemon.term_peers import TermPeers
 from bulrushspur_kernel.adapter import AdviceUnavailableError
 from bulrushspur_kernel.http_client import HttpResponse
-from bulrushspur_kernel.messages import AdviceReply
+from bulrushspur_kernel.messages import AdviceReply, Outcome, Submit
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_platform.advice import request_advice
 from bulrushspur_scheduler.advice import apply_advice, prefetch_advice
-from bulrushspur_scheduler.cell import AdviceCall
+from bulrushspur_scheduler.cell import AdviceCall, TimingLimits
 from bulrushspur_scheduler.jobs import StepKey, make_occurrence
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.pools import find_recent_pool
 from bulrushspur_scheduler.progress import add_job
+from bulrushspur_scheduler.records import encode_job
 from bulrushspur_scheduler.resources import Resources
 from tests.cell_fixtures import (
     acknowledge_starts,
@@ -174,8 +182,19 @@
         )
 
 
+class FailingWriter:
+    """A writer that stores no job while ``fails`` is set."""
+
+    failing_since_s = 0.0
+    fails = True
+
+    async def store_job(self, job_id, record):
+        if self.fails:
+            raise NotStoredError
+
+
 class DispatcherTest(unittest.IsolatedAsyncioTestCase):
-    def make_dispatcher(self, term, sent):
+    def make_dispatcher(self, term, sent, lanes=("n1",)):
         cell = make_test_cell(1)
         cell.fencing_token = term
 
@@ -184,7 +203,7 @@
             return True
 
         return AdviceDispatcher(
-            cell, NullEventLog(), Metrics(), send, lambda: ["n1"], lambda: None
+            cell, NullEventLog(), Metrics(), send, lambda: [*lanes], lambda: None
         )
 
     async def test_late_reply_to_an_earlier_term_finds_no_call(self):
@@ -200,6 +219,59 @@
         dispatcher.handle_reply(AdviceReply(later.request_id, [("w0", "t")], 1000))
         self.assertEqual(len(dispatcher.queue.attempts), 0)
 
+    async def test_reply_to_a_rejected_submission_is_not_counted_for_the_next(self):
+        sent, now_s = [], monotonic_s()
+        dispatcher = self.make_dispatcher(5, sent, ["n1", "n2", "n3", "n4"])
+        cell, writer = dispatcher.cell, FailingWriter()
+        report_all_workers(cell, now_s)
+        handler = LeaderRequestHandler(
+            cell, writer, dispatcher, asyncio.ensure_future, int, int
+        )
+        record = encode_job(make_test_job(queue="advised", now_s=now_s))
+        submit = Submit(1, "j1", "advised", "team", record)
+        self.assertEqual(
+            (await handler.answer(submit)).outcome, Outcome.STORE_UNAVAILABLE
+        )
+        writer.fails = False
+        self.assertEqual((await handler.answer(submit)).outcome, Outcome.OK)
+        for request in sent:
+            dispatcher.handle_reply(AdviceReply(request.request_id, [], 2500))
+        (step,) = cell.jobs["j1"].steps()
+        self.assertEqual(step.in_flight_advice_calls, set())
+        # A step makes no call while its count is not 0, and its tickets expire.
+        add_worker(cell, "w1", now_s=now_s + 5.0)
+        dispatcher.update_free_long_call_lanes()
+        plan(cell, now_s + 5.0)
+        self.assertEqual([c.worker_ids for c in cell.advice_calls], [("w1",)])
+
+    async def test_ended_term_makes_no_more_calls(self):
+        requests = []
+        peers = TermPeers(None, "n1", b"", None, NullEventLog(), print, requests.append)
+        limits = TimingLimits()
+        term = make_term(
+            5,
+            "n1",
+            None,
+            None,
+            None,
+            None,
+            limits,
+            peers,
+            NullEventLog(),
+            Metrics(),
+            lambda reason: None,
+        )
+        add_test_job(term.cell, "j1")
+        for _ in range(3):
+            call = AdviceCall(StepKey("j1", 0, 0), ("w0",), 0.1, 0)
+            term.cell.advice_calls.append(call)
+        term.advice_dispatcher.dispatch()
+        term.stop("test")
+        self.assertEqual(len(requests), 1)
+        reply = AdviceReply(requests[0].request_id, [], 1000)
+        term.advice_dispatcher.handle_reply(reply)
+        self.assertEqual(len(requests), 1)
+
 
 @dataclasses.dataclass
 class FakePool:
