Ask about workers with room before those with free CPU only

Seen by callers: a step waits for as long as the workers with the most free CPU have no memory, beside others with room for it. Cause: candidates for advice were cut off by their free CPU. Where the first 24 had no free memory or GPU, a step asked about none. Fix: workers with room for a task come first.

--- a/packages/scheduler/bulrushspur_scheduler/advice.py
+++ b/packages/scheduler/bulrushspur_scheduler/advice.py
@@ -16,6 +16,7 @@
 from bulrushspur_scheduler.lanes import MIN_LONG_CALL_S
 from bulrushspur_scheduler.placement import eligible_workers, free_slots_on, has_ticket
 from bulrushspur_scheduler.pools import Pool
+from bulrushspur_scheduler.resources import count_fitting_tasks
 from bulrushspur_scheduler.workers import Worker
 
 # Longer lists of workers are split into calls that run in parallel on several lanes.
@@ -43,9 +44,10 @@
 
 
 def _choose_candidates(cell: Cell, step: Step, pool: Pool) -> list[Worker]:
-    """Choose suitable workers not evaluated yet, those with the most free CPU first.
+    """Choose suitable workers not evaluated yet.
 
-    Their number makes up for the share that the service usually does not approve.
+    Those with room for a task come first, then those with the most free CPU. Their
+    number makes up for the share that the service usually does not approve.
     """
     spec = step.spec
     candidates = [
@@ -55,7 +57,12 @@
         and worker.entry.capacity.can_fit(spec.resources)
         and spec.accepts_labels(worker.entry.labels)
     ]
-    candidates.sort(key=lambda worker: -worker.free.cpu_milli)
+    candidates.sort(
+        key=lambda worker: (
+            not count_fitting_tasks(worker.free, spec.resources),
+            -worker.free.cpu_milli,
+        )
+    )
     if not candidates:
         return candidates
     max_cpu_milli = max(worker.entry.capacity.cpu_milli for worker in candidates)
