Request advice last for steps that the limits of their account keep back

Cause: gangs beyond the cap of their account renewed their tickets all the time, before others in order of rank, and long calls go out only while a lane is free: no lane was left to gangs that could start. Class, as before: a bounded resource that goes in order of rank to those that cannot use it. Fix: a planning pass asks for the advice of steps that their account's limits keep back after all others; a gang counts as a whole there.

--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -76,7 +76,7 @@
             renew_hold_period(cell, service, pool, now_s)
             unreached[service] = []
         if pool.unplaced_steps > MAX_UNPLACED_STEPS or (
-            pool.kept_back_steps > MAX_CHECKED_STEPS
+            len(pool.kept_back_steps) > MAX_CHECKED_STEPS
         ):
             unreached[service].append(step)
         else:
@@ -84,6 +84,8 @@
     for service, pool in pools.items():
         if unreached[service]:
             _plan_in_rotation(cell, service, unreached[service], pool, now_s)
+        for step in pool.kept_back_steps[:MAX_UNPLACED_STEPS]:
+            _keep_advice(cell, step, pool, now_s)
 
 
 def _plan_in_rotation(
@@ -116,9 +118,7 @@
     if is_refused and not pool.all_past_deadline:
         claim_account(cell, step, pool, now_s)
     if is_refused or waits_for_claim(step, pool, now_s):
-        pool.kept_back_steps += 1
-        if pool.kept_back_steps <= MAX_UNPLACED_STEPS:
-            _keep_advice(cell, step, pool, now_s)
+        pool.kept_back_steps.append(step)
         return False
     startable = step.startable_tasks()
     if not startable:
@@ -143,7 +143,10 @@
 
 
 def _keep_advice(cell: Cell, step: Step, pool: Pool, now_s: float) -> None:
-    """Keep the advice of a step that its account's limits keep back."""
+    """Keep the advice of a step that its account's limits keep back.
+
+    This comes last in a pass: steps that can start need the lanes of the service.
+    """
     queue = cell.queue_of(step.job)
     if queue is None or queue.advice is None:
         return
@@ -197,7 +200,7 @@
         advice.request_advice_for_reservation(
             cell, step, queue, pool, reservation, now_s
         )
-    elif is_within_limits(cell, step, 1):
+    elif is_within_limits(cell, step, len(step.tasks) if step.spec.gang else 1):
         advice.refresh_advice(cell, step, queue, pool, now_s)
     if step.spec.gang and pool.ticketed_gangs < MAX_TICKETED_GANGS:
         pool.ticketed_gangs += 1
--- a/packages/scheduler/bulrushspur_scheduler/pools.py
+++ b/packages/scheduler/bulrushspur_scheduler/pools.py
@@ -39,10 +39,10 @@
     # much CPU is left for it.
     hold_period_s: float = -1e9
     unheld_cpu_milli: float = 0.0
-    # Number of steps that this planning pass could not place, and of those that the
-    # limits of their account keep back.
+    # Number of steps that this planning pass could not place.
     unplaced_steps: int = 0
-    kept_back_steps: int = 0
+    # Steps that the limits of their account keep back.
+    kept_back_steps: list[Step] = dataclasses.field(default_factory=list)
     # What the limits of an account do not allow in this planning pass: the account,
     # whether the work is urgent, and the size of a task with the number of tasks.
     refused_starts: set[tuple[str, bool, tuple[int, int, int, int]]] = (
