Ask about other workers once a reservation is put off

Seen by callers: a wide gang waits beside an idle pool. Cause: a gang whose reserved workers were held for longer than expected, or used by urgent tasks, asked about no others while they seemed nearly free. Evidence: two tests of test_advice_waits.ReservationTest, red before (5 to 9 s). Fix: a reservation that is ready later than the first one was to be counts as distant.

--- a/packages/scheduler/bulrushspur_scheduler/advice.py
+++ b/packages/scheduler/bulrushspur_scheduler/advice.py
@@ -109,24 +109,24 @@
 ) -> None:
     """Renew tickets for reserved workers, to arrive when the reservation is ready.
 
-    For a distant reservation, request advice on other workers that have enough free
-    slots now.
+    For a reservation that is distant or was put off, request advice on other workers
+    that have enough free slots now.
     """
     assert queue.advice is not None
     if step.in_flight_advice_calls or now_s < step.advice_retry_at_s:
         return
     call_s = queue.advice.expected_call_s(len(reservation.workers))
-    if reservation.ready_s > now_s + call_s + ADVICE_LEAD_S:
-        if reservation.ready_s > now_s + DISTANT_RESERVATION_FACTOR * call_s:
-            _request_advice_elsewhere(cell, step, queue, pool)
-        return
-    needed_s = max(reservation.ready_s, now_s)
-    unticketed = [
-        worker
-        for worker in reservation.workers
-        if not has_ticket(step, worker, needed_s)
-    ]
-    _request_advice(cell, step, queue, unticketed)
+    if reservation.ready_s <= now_s + call_s + ADVICE_LEAD_S:
+        needed_s = max(reservation.ready_s, now_s)
+        unticketed = [
+            worker
+            for worker in reservation.workers
+            if not has_ticket(step, worker, needed_s)
+        ]
+        _request_advice(cell, step, queue, unticketed)
+    was_put_off = step.first_reserved_for_s < now_s < reservation.ready_s
+    if was_put_off or reservation.ready_s > now_s + DISTANT_RESERVATION_FACTOR * call_s:
+        _request_advice_elsewhere(cell, step, queue, pool)
 
 
 def renew_tickets(
--- a/packages/scheduler/bulrushspur_scheduler/gangs.py
+++ b/packages/scheduler/bulrushspur_scheduler/gangs.py
@@ -52,6 +52,7 @@
         task.checkpoint = checkpoint
         start_run(cell, task, worker, step.gang_run_number, now_s)
     cell.waiting_steps.pop(step.key, None)
+    step.first_reserved_for_s = math.inf
     release_reservation(cell, step.key)
     return True
 
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -179,6 +179,9 @@
     tried_s: float = -1e9
     # No advice call is made before this time.
     advice_retry_at_s: float = 0.0
+    # When the first reservation of a waiting gang was to be ready; later ones may be
+    # ready later.
+    first_reserved_for_s: float = math.inf
     # Durations of the tasks that have ended: number and sum of logarithms.
     duration_count: int = 0
     log_duration_sum: float = 0.0
--- a/packages/scheduler/bulrushspur_scheduler/reservations.py
+++ b/packages/scheduler/bulrushspur_scheduler/reservations.py
@@ -169,6 +169,7 @@
         worker.reserved_for = step.key
         worker.reserved_until_s = until_s
     cell.reservations[step.key] = Reservation(list(chosen.values()), ready_s)
+    step.first_reserved_for_s = min(step.first_reserved_for_s, ready_s)
     return True
 
 
