Drop the advice calls of a term that has ended

Seen by callers: first advice comes late just after a takeover. Cause: the calls of an ended term that waited went on to the lane of its own process, one after the other, beside those of the next leader. Evidence: test_ended_term_makes_no_more_calls, red before.

--- a/packages/daemon/bulrushspur_daemon/advice_dispatcher.py
+++ b/packages/daemon/bulrushspur_daemon/advice_dispatcher.py
@@ -52,6 +52,10 @@
     def __post_init__(self) -> None:
         self.queue.next_request_id = self.cell.fencing_token * REQUEST_IDS_PER_TERM + 1
 
+    def stop(self) -> None:
+        """Drop all calls, so that the lanes are free for the next term."""
+        self.queue = AdviceQueue()
+
     def dispatch(self) -> None:
         """Queue the calls that were added to the cell, and send those that can go."""
         calls, self.cell.advice_calls = self.cell.advice_calls, []
--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -139,6 +139,7 @@
                 task.cancel()
         self.writer.stop()
         self.worker_connections.close_all()
+        self.advice_dispatcher.stop()
         self.peers.close()
         self.request_handler.stop()
         self.on_end(reason)
