Make fewer and longer advice calls where tickets would expire in turn

Seen by callers: a gang on 110 workers, or one past its deadline beside a stream of new gangs, never starts while few lanes are free. Cause: with one long lane the tickets came in five calls, and the first had expired before the last came. A gang past its deadline found no free lanes in turn.

--- a/packages/scheduler/bulrushspur_scheduler/advice.py
+++ b/packages/scheduler/bulrushspur_scheduler/advice.py
@@ -11,7 +11,7 @@
 import typing as t
 
 from bulrushspur_scheduler.cell import AdviceCall, Cell
-from bulrushspur_scheduler.config import Queue
+from bulrushspur_scheduler.config import AdvicePolicy, Queue
 from bulrushspur_scheduler.jobs import Job, Step
 from bulrushspur_scheduler.lanes import MIN_LONG_CALL_S
 from bulrushspur_scheduler.placement import eligible_workers, free_slots_on, has_ticket
@@ -21,6 +21,8 @@
 
 # Longer lists of workers are split into calls that run in parallel on several lanes.
 MAX_WORKERS_PER_CALL: t.Final = 24
+# The service takes no more workers in a call.
+MAX_WORKERS_PER_LONG_CALL: t.Final = 100
 # At the usual approval rate, the approved workers hold this many times the step.
 CANDIDATE_FACTOR: t.Final = 2.0
 GANG_CANDIDATE_FACTOR: t.Final = 3.0
@@ -186,7 +188,7 @@
     Tickets of a call that had to queue would be old on arrival.
     """
     assert queue.advice is not None
-    call_count = math.ceil(len(workers) / MAX_WORKERS_PER_CALL)
+    call_count = _count_calls(cell, queue.advice, len(workers))
     for index in range(call_count):
         worker_ids = tuple(worker.id for worker in workers[index::call_count])
         call_s = queue.advice.expected_call_s(len(worker_ids))
@@ -199,6 +201,21 @@
         cell.advice_calls.append(call)
 
 
+def _count_calls(cell: Cell, policy: AdvicePolicy, worker_count: int) -> int:
+    """Return into how many calls to split a list of workers.
+
+    They are fewer and longer if, in turn on the free lanes, the first tickets would
+    expire before the last are there.
+    """
+    rv = math.ceil(worker_count / MAX_WORKERS_PER_CALL)
+    call_s = policy.expected_call_s(MAX_WORKERS_PER_CALL)
+    lanes = cell.free_long_call_lanes
+    if call_s > MIN_LONG_CALL_S and rv * call_s > lanes * policy.ticket_valid_s:
+        min_count = math.ceil(worker_count / MAX_WORKERS_PER_LONG_CALL)
+        rv = max(min(rv, lanes), min_count)
+    return rv
+
+
 def prefetch_advice(cell: Cell, job: Job, pool: Pool) -> None:
     """Request advice for the first steps of a job while its record is being stored."""
     queue = cell.queue_of(job)
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -23,6 +23,7 @@
 from bulrushspur_platform.advice import request_advice
 from bulrushspur_scheduler.advice import apply_advice, prefetch_advice
 from bulrushspur_scheduler.cell import AdviceCall, TimingLimits
+from bulrushspur_scheduler.config import AdvicePolicy, make_config
 from bulrushspur_scheduler.jobs import StepKey, make_occurrence
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.pools import find_recent_pool
@@ -30,6 +31,7 @@
 from bulrushspur_scheduler.records import encode_job
 from bulrushspur_scheduler.resources import Resources
 from tests.cell_fixtures import (
+    QUEUES,
     acknowledge_starts,
     add_test_job,
     add_worker,
@@ -165,6 +167,18 @@
         plan(cell, 0.7)
         self.assertEqual([call.step.job for call in cell.advice_calls], ["j2"])
 
+    def test_short_calls_stay_short_while_no_lane_makes_long_ones(self):
+        quick = AdvicePolicy(0.14, 0.002, 2.5)
+        queue = dataclasses.replace(QUEUES[0], advice=quick)
+        cell = make_test_cell(100)
+        cell.config = make_config(1, (queue,), accounts=cell.config.accounts)
+        cell.free_long_call_lanes = 0
+        fields = {"count": 30, "gang": True, "resources": Resources(8000, 10)}
+        add_test_job(cell, queue="small", now_s=0.1, **fields)
+        plan(cell, 0.1)
+        self.assertGreater(len(cell.advice_calls), 2)
+        self.assertTrue(all(len(call.worker_ids) <= 24 for call in cell.advice_calls))
+
     def test_short_gang_is_backfilled_before_a_reservation_is_ready(self):
         cell = make_test_cell(2)
         busy = {"count": 2, "max_per_worker": 1, "estimate_s": 9.0}
