--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -49,7 +49,7 @@
 MAX_UNPLACED_STEPS: t.Final = 60
 # The same for steps that the limits of their account keep back, which cost little. Also
 # the limit of what a pass takes from the rotation.
-MAX_CHECKED_STEPS: t.Final = 2000
+MAX_CHECKED_STEPS: t.Final = 1500
 # Tickets are kept valid for this many waiting gangs, the first in order of rank.
 MAX_TICKETED_GANGS: t.Final = 8
 
--- a/packages/scheduler/bulrushspur_scheduler/ranking.py
+++ b/packages/scheduler/bulrushspur_scheduler/ranking.py
@@ -61,7 +61,7 @@
 def tier_of(job: Job, work_s: float, now_s: float, step: Step) -> Tier:
     """Return the tier of a step with ``work_s`` seconds of work from now on."""
     end_s = now_s + work_s
-    origin_s = step.ready_s if job.is_repeating else job.accepted_s
+    origin_s = step.ready_s if job.spec.repeat_count > 0 else job.accepted_s
     if end_s > origin_s + DEADLINE_FACTOR * job.objective_s:
         return Tier.PAST_DEADLINE
     if now_s + OVERRUN_FACTOR * work_s > origin_s + job.objective_s:
@@ -75,9 +75,13 @@
     if step.spec.gang and step.is_partial_gang:
         # Members that have started wait for the others only for a short time.
         return (Tier.PARTIAL_GANG, job.priority, 0.0, job.id)
-    work_s = cached_remaining_s(cell, step, now_s)
+    # Called for each waiting step in each pass, so it avoids further calls.
+    if now_s - step.remaining_cached_at_s > REMAINING_CACHE_S:
+        cached_remaining_s(cell, step, now_s)
+    work_s = step.cached_remaining_s
     tier = tier_of(job, work_s, now_s, step)
-    return (tier, job.priority, job.accepted_s + job.objective_s - work_s, job.id)
+    start_by_s = job.accepted_s + job.objective_s - work_s
+    return (tier, job.priority, start_by_s, job.spec.id)
 
 
 def latest_start_s(cell: Cell, step: Step, now_s: float) -> float:
