--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -17,6 +17,11 @@
 from bulrushspur_scheduler.eviction import evict_runs
 from bulrushspur_scheduler.jobs import Job, JobSpec, JobState, TaskKey
 from bulrushspur_scheduler.leases import expire_leases, extend_lease
+from bulrushspur_scheduler.order_results import (
+    StartResult,
+    handle_start_result,
+    handle_stop_result,
+)
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import add_job, finish_job
 from bulrushspur_scheduler.records import (
@@ -25,12 +30,7 @@
     encode_job,
     encode_progress,
 )
-from bulrushspur_scheduler.reports import (
-    StartResult,
-    apply_report,
-    handle_start_result,
-    handle_stop_result,
-)
+from bulrushspur_scheduler.reports import apply_report
 from bulrushspur_scheduler.resources import Resources
 from bulrushspur_scheduler.workers import Worker, WorkerEntry, make_worker
 from fuzz.leaders import SimLeader, SimStore
--- a/fuzz/workers.py
+++ b/fuzz/workers.py
@@ -13,7 +13,8 @@
 import typing as t
 
 from bulrushspur_scheduler.jobs import RunOutcome, TaskKey
-from bulrushspur_scheduler.reports import RunEnd, RunStatus, StartResult, WorkerReport
+from bulrushspur_scheduler.order_results import StartResult
+from bulrushspur_scheduler.reports import RunEnd, RunStatus, WorkerReport
 
 GANG_TIMEOUT_S: t.Final = 3.0
 
--- a/packages/daemon/bulrushspur_daemon/operator_interface.py
+++ b/packages/daemon/bulrushspur_daemon/operator_interface.py
@@ -40,7 +40,7 @@
         lines.append(f"bulrushspur_jobs_active {len(cell.jobs)}")
         lines.append(f"bulrushspur_steps_waiting {len(cell.waiting_steps)}")
         lines.append(f"bulrushspur_workers {len(cell.workers)}")
-        for reason, wait_s in process.term.wait_monitor.oldest_s.items():
+        for reason, wait_s in process.term.upkeep.wait_monitor.oldest_s.items():
             name = f"bulrushspur_oldest_wait_{reason.value}_s"
             lines.append(f"{name} {wait_s:.1f}")
     lines.append(f"bulrushspur_leads {int(process.term is not None)}")
--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -12,7 +12,7 @@
 
 from bulrushspur_daemon.advice_dispatcher import AdviceDispatcher
 from bulrushspur_daemon.claim_log import ClaimLog
-from bulrushspur_daemon.clock import boottime_s, monotonic_s, unix_s
+from bulrushspur_daemon.clock import boottime_s, monotonic_s
 from bulrushspur_daemon.leader_requests import LeaderRequest, LeaderRequestHandler
 from bulrushspur_daemon.liveness_watch import LivenessWatch
 from bulrushspur_daemon.plan_loop import PlanLoop
@@ -20,6 +20,7 @@
 from bulrushspur_daemon.term_heartbeats import TermHeartbeats
 from bulrushspur_daemon.term_peers import TermPeers
 from bulrushspur_daemon.term_recovery import TermRecovery
+from bulrushspur_daemon.term_upkeep import TermUpkeep
 from bulrushspur_daemon.worker_connections import WorkerConnections
 from bulrushspur_daemon.worker_records import WorkerRecords
 from bulrushspur_daemon.worker_watch import WorkerWatch
@@ -45,22 +46,9 @@
 )
 from bulrushspur_scheduler.cell import Cell, TimingLimits, make_cell
 from bulrushspur_scheduler.config import CellConfig
-from bulrushspur_scheduler.eviction import evict_runs
-from bulrushspur_scheduler.headroom import observe_urgent_cpu
-from bulrushspur_scheduler.leases import (
-    awaits_confirmation,
-    expire_leases,
-    list_expired_workers,
-)
-from bulrushspur_scheduler.progress import (
-    purge_finished_jobs,
-    set_objective,
-    start_all_due_occurrences,
-)
-from bulrushspur_scheduler.waiting import WaitMonitor
+from bulrushspur_scheduler.leases import awaits_confirmation
+from bulrushspur_scheduler.progress import set_objective
 
-TICK_INTERVAL_S: t.Final = 0.1
-WAIT_REPORT_INTERVAL_S: t.Final = 1.0
 CONFIRM_INTERVAL_S: t.Final = 0.4
 HANDOVER_CHECK_INTERVAL_S: t.Final = 0.02
 # After this long without confirmation by the store, no run is started and no lease is
@@ -93,7 +81,7 @@
     plan_loop: PlanLoop = dataclasses.field(init=False)
     request_handler: LeaderRequestHandler = dataclasses.field(init=False)
     make_config_records: t.Callable[[], ConfigRecords] = lambda: ConfigRecords([])
-    wait_monitor: WaitMonitor = dataclasses.field(default_factory=WaitMonitor)
+    upkeep: TermUpkeep = dataclasses.field(init=False)
     serving: bool = False
     ended: bool = False
     tasks: set[asyncio.Task[t.Any]] = dataclasses.field(default_factory=set)
@@ -152,8 +140,8 @@
         self._spawn(self.worker_watch.run())
         self._spawn(self.liveness_watch.run())
         self._spawn(self.plan_loop.run())
-        self._spawn(self._tick_loop())
-        self._spawn(self._report_waits_loop())
+        self._spawn(self.upkeep.run())
+        self._spawn(self.upkeep.report_waits())
         self._spawn(self._confirm_loop())
 
     async def _recover(self) -> None:
@@ -185,34 +173,6 @@
             set_objective(self.cell, job)
         self.request_plan()
 
-    async def _tick_loop(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_INTERVAL_S)
-            now_s = monotonic_s()
-            cell = self.cell
-            expire_leases(cell, self.writer.confirmed_s)
-            start_all_due_occurrences(cell, now_s, unix_s())
-            evict_runs(cell, now_s)
-            observe_urgent_cpu(cell)
-            self._remove_expired_workers(now_s)
-            for job_id in purge_finished_jobs(cell, now_s):
-                cell.dirty_jobs.add(job_id)
-            self.request_plan()
-
-    async def _report_waits_loop(self) -> None:
-        while True:
-            await asyncio.sleep(WAIT_REPORT_INTERVAL_S)
-            self.wait_monitor.report(self.cell, monotonic_s())
-
-    def _remove_expired_workers(self, now_s: float) -> None:
-        """Remove unlisted workers on which nothing can run any more."""
-        confirmed_s = self.writer.confirmed_s
-        for worker in list_expired_workers(self.cell, confirmed_s, now_s):
-            del self.cell.workers[worker.id]
-            self.worker_connections.close(worker.id)
-            self.worker_records.remove(worker.id)
-            self.cell.log("worker_gone", worker=worker.id)
-
     async def _confirm_loop(self) -> None:
         """Read the claim log to confirm the term while nothing is written."""
         while True:
@@ -334,6 +294,9 @@
     term.liveness_watch = LivenessWatch(
         adapter, incarnations_pool, cell, log, metrics, term.request_plan
     )
+    term.upkeep = TermUpkeep(
+        cell, writer, term.worker_connections, term.worker_records, term.request_plan
+    )
     term.plan_loop = PlanLoop(
         cell,
         writer,
--- a/packages/daemon/bulrushspur_daemon/worker_orders.py
+++ b/packages/daemon/bulrushspur_daemon/worker_orders.py
@@ -17,7 +17,7 @@
 from bulrushspur_scheduler.jobs import RunState
 from bulrushspur_scheduler.latency import LatencyEstimate
 from bulrushspur_scheduler.leases import extend_lease
-from bulrushspur_scheduler.reports import (
+from bulrushspur_scheduler.order_results import (
     StartResult,
     handle_start_result,
     handle_stop_result,
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -1,14 +1,13 @@
-"""Apply worker reports, and the results of start and stop orders, to the cell.
+"""Apply worker reports to the cell.
 
-The input is a worker's lists of running and ended runs, or its answer to one order.
-The result is the new state of runs, tasks and the worker, and stop orders for runs that
-are not needed. A run is released only on proof that it is not running: its end was
-reported, its start was refused, or it is missing from a report that was requested after
+The input is a worker's lists of running and ended runs. The result is the new state of
+runs, tasks and the worker, and stop orders for runs that are not needed. A run is
+released only on proof that it is not running: its end was reported, its start was
+refused (``order_results.py``), or it is missing from a report that was requested after
 its start was confirmed or its stop acknowledged. Each reported end is applied once.
 """
 
 import dataclasses
-import enum
 import typing as t
 
 from bulrushspur_scheduler import health
@@ -40,21 +39,6 @@
 PREVIOUS_TERM_LEASE_MARGIN_S: t.Final = 0.5
 
 
-class StartResult(enum.Enum):
-    """Result of a start order."""
-
-    STARTED = "started"
-    FENCED = "fenced"
-    STALE_RUN = "old_run"
-    ORDER_EXPIRED = "late"
-    NO_CAPACITY = "no_room"
-    BAD_TICKET = "bad_ticket"
-    UNHEALTHY = "unhealthy"
-    INCARNATION_MISMATCH = "other_life"
-    INVALID = "invalid"
-    UNANSWERED = "unanswered"
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunStatus:
     """A run that a worker reports as running; ``load`` is approximate."""
@@ -173,14 +157,14 @@
     if checkpointing and status.checkpoint and status.checkpoint != run.checkpoint:
         run.checkpoint = status.checkpoint
         run.last_progress_s = now_s
-    _mark_run_running(cell, run, now_s)
+    mark_run_running(cell, run, now_s)
     if run.task.done and run.state is RunState.RUNNING:
         return
     if run.task.step.job.id not in cell.jobs:
         stop_run(cell, run, "job ended")
 
 
-def _mark_run_running(cell: Cell, run: Run, now_s: float) -> None:
+def mark_run_running(cell: Cell, run: Run, now_s: float) -> None:
     """Record that a worker has begun a run, by its report or its answer."""
     if run.state in (RunState.STARTING, RunState.UNCONFIRMED):
         run.state = RunState.RUNNING
@@ -306,69 +290,3 @@
     """Stop the remaining members of a gang run after one member has ended."""
     if any(run.number == number for task in step.tasks for run in task.runs):
         stop_step(cell, step, "gang broken")
-
-
-def handle_start_result(
-    cell: Cell, run: Run, result: StartResult, now_s: float
-) -> None:
-    """Apply the result of a start order.
-
-    An unanswered order may have been carried out, so its run stays allocated until a
-    report shows whether it runs. A refused run is released at once, unless the order
-    was fenced: that shows that a later term exists, so this term ends.
-    """
-    worker = cell.workers.get(run.worker_id)
-    if run not in run.task.runs or worker is None:
-        return
-    cell.counters[f"start_{result.value}"] += 1
-    if result is StartResult.STARTED:
-        _mark_run_running(cell, run, now_s)
-        return
-    cell.log(
-        "start_refused",
-        run.task.key.job,
-        run=run.number,
-        worker=run.worker_id,
-        reason=result.value,
-    )
-    if result is StartResult.UNANSWERED:
-        if run.state is RunState.STARTING:
-            run.state = RunState.UNCONFIRMED
-        worker.last_unanswered_order_s = now_s
-        return
-    _handle_refused_start(cell, worker, run, result, now_s)
-
-
-def _handle_refused_start(
-    cell: Cell, worker: Worker, run: Run, result: StartResult, now_s: float
-) -> None:
-    step = run.task.step
-    if result is StartResult.FENCED:
-        cell.superseded = True
-        return
-    if result is StartResult.BAD_TICKET:
-        step.tickets.pop(worker.id, None)
-    if result in (StartResult.UNHEALTHY, StartResult.INVALID):
-        run.task.failed_worker_ids.add(worker.id)
-        health.record_failure(cell, worker, run, now_s)
-    if result is StartResult.INCARNATION_MISMATCH:
-        worker.has_reported = False
-    mark_run_lost(cell, run, f"refused: {result.value}")
-    if step.spec.gang and result in (StartResult.STALE_RUN, StartResult.INVALID):
-        stop_step(cell, step, "gang member was refused")
-
-
-def handle_stop_result(
-    cell: Cell, order: StopOrder, answered: bool, now_s: float
-) -> None:
-    """Record that a stop was acknowledged, or order it again if it was not answered.
-
-    Stops of orphan runs (``order.run`` is None) are repeated by each report instead.
-    """
-    run = order.run
-    if run is None or run not in run.task.runs:
-        return
-    if answered:
-        run.stop_acknowledged_s = now_s
-    else:
-        cell.stop_orders.append(order)
--- a/tests/cell_fixtures.py
+++ b/tests/cell_fixtures.py
@@ -4,16 +4,10 @@
 from bulrushspur_scheduler.cell import make_cell
 from bulrushspur_scheduler.config import Account, AdvicePolicy, Queue, make_config
 from bulrushspur_scheduler.jobs import Job, JobSpec, RunOutcome, StepSpec, TaskKey
+from bulrushspur_scheduler.order_results import StartResult, handle_start_result
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import add_job
-from bulrushspur_scheduler.reports import (
-    RunEnd,
-    RunStatus,
-    StartResult,
-    WorkerReport,
-    apply_report,
-    handle_start_result,
-)
+from bulrushspur_scheduler.reports import RunEnd, RunStatus, WorkerReport, apply_report
 from bulrushspur_scheduler.resources import Resources
 from bulrushspur_scheduler.workers import WorkerEntry, make_worker
 
--- a/tests/load_simulation.py
+++ b/tests/load_simulation.py
@@ -18,16 +18,10 @@
 from bulrushspur_scheduler.headroom import observe_urgent_cpu
 from bulrushspur_scheduler.jobs import Job, JobSpec, RunOutcome, RunState, StepSpec
 from bulrushspur_scheduler.lanes import AdviceQueue
+from bulrushspur_scheduler.order_results import StartResult, handle_start_result
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import add_job
-from bulrushspur_scheduler.reports import (
-    RunEnd,
-    RunStatus,
-    StartResult,
-    WorkerReport,
-    apply_report,
-    handle_start_result,
-)
+from bulrushspur_scheduler.reports import RunEnd, RunStatus, WorkerReport, apply_report
 from bulrushspur_scheduler.resources import Resources
 from bulrushspur_scheduler.workers import WorkerEntry, make_worker
 
--- a/tests/test_advice_waits.py
+++ b/tests/test_advice_waits.py
@@ -14,9 +14,9 @@
 from bulrushspur_scheduler.eviction import evict_runs
 from bulrushspur_scheduler.lanes import AdviceQueue
 from bulrushspur_scheduler.leases import mark_run_lost
+from bulrushspur_scheduler.order_results import StartResult, handle_start_result
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import add_job, mark_task_done
-from bulrushspur_scheduler.reports import StartResult, handle_start_result
 from bulrushspur_scheduler.resources import Resources
 from bulrushspur_scheduler.runs import release_run, start_run
 from tests.cell_fixtures import (
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -10,12 +10,12 @@
 from bulrushspur_scheduler import takeover
 from bulrushspur_scheduler.jobs import RunState
 from bulrushspur_scheduler.leases import expire_leases, extend_lease
-from bulrushspur_scheduler.planning import plan
-from bulrushspur_scheduler.reports import (
+from bulrushspur_scheduler.order_results import (
     StartResult,
     handle_start_result,
     handle_stop_result,
 )
+from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.resources import Resources
 from tests.cell_fixtures import (
     acknowledge_starts,
