Renew tickets of gangs without room only on the lanes that others leave

Seen by callers: a gang waits for advice beside idle workers, for over 12 s. Eight such gangs keep one long lane busy, wide ones four. Evidence: test_gangs_that_wait_for_room_leave_lanes_to_a_gang_that_fits, red before on all of its eight cases (3.8 to over 12 s).

--- a/packages/scheduler/bulrushspur_scheduler/advice.py
+++ b/packages/scheduler/bulrushspur_scheduler/advice.py
@@ -101,6 +101,17 @@
         _request_advice(cell, step, queue, candidates)
 
 
+def fits_now(cell: Cell, step: Step, pool: Pool, now_s: float) -> bool:
+    """Return whether approved workers have room for all waiting tasks of a gang."""
+    eligible = eligible_workers(cell, step, pool, now_s, ticketed=False)
+    free_slots = sum(
+        free_slots_on(step, worker)
+        for worker in eligible
+        if worker.id in step.approved_workers
+    )
+    return free_slots >= len(step.startable_tasks())
+
+
 def request_advice_for_reservation(
     cell: Cell,
     step: Step,
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -84,8 +84,19 @@
     for service, pool in pools.items():
         if unreached[service]:
             _plan_in_rotation(cell, service, unreached[service], pool, now_s)
+        _renew_tickets_of_roomless_gangs(cell, pool, now_s)
         for step in pool.kept_back_steps[:MAX_UNPLACED_STEPS]:
             _keep_advice(cell, step, pool, now_s)
+        _renew_tickets_of_roomless_gangs(cell, pool, now_s)
+
+
+def _renew_tickets_of_roomless_gangs(cell: Cell, pool: Pool, now_s: float) -> None:
+    """Keep tickets valid for gangs that wait for room, once others got their lanes."""
+    gangs, pool.roomless_gangs = pool.roomless_gangs, []
+    for step in gangs:
+        queue = cell.queue_of(step.job)
+        if queue is not None and step.key in cell.waiting_steps:
+            advice.renew_tickets(cell, step, queue, pool, now_s)
 
 
 def _plan_in_rotation(
@@ -204,7 +215,10 @@
         advice.refresh_advice(cell, step, queue, pool, now_s)
     if step.spec.gang and pool.ticketed_gangs < MAX_TICKETED_GANGS:
         pool.ticketed_gangs += 1
-        advice.renew_tickets(cell, step, queue, pool, now_s)
+        if advice.fits_now(cell, step, pool, now_s):
+            advice.renew_tickets(cell, step, queue, pool, now_s)
+        else:
+            pool.roomless_gangs.append(step)
 
 
 def _plan_tasks(
--- a/packages/scheduler/bulrushspur_scheduler/pools.py
+++ b/packages/scheduler/bulrushspur_scheduler/pools.py
@@ -33,6 +33,8 @@
     all_past_deadline: bool = False
     # Number of gangs whose tickets were kept valid in this planning pass.
     ticketed_gangs: int = 0
+    # Those of them for which there is no room now.
+    roomless_gangs: list[Step] = dataclasses.field(default_factory=list)
     # Number of workers that are reserved for gangs.
     reserved_count: int = 0
     # Steps held since before this time may start on reserved workers, as long as this
--- a/tests/test_advice_waits.py
+++ b/tests/test_advice_waits.py
@@ -219,6 +219,35 @@
                 wait_s = self.measure_wait_behind(8, 10, 2, age_s)
                 self.assertLess(wait_s, MAX_WAIT_S)
 
+    def test_gangs_that_wait_for_room_leave_lanes_to_a_gang_that_fits(self):
+        for lanes, width, gangs in ((2, 8, 12), (2, 24, 12), (4, 24, 12), (8, 60, 12)):
+            for count in (width, width + 1):
+                with self.subTest(lanes=lanes, width=width, count=count):
+                    wait_s = self.measure_wait_behind_roomless(
+                        lanes, width, gangs, count
+                    )
+                    self.assertLess(wait_s, MAX_WAIT_S)
+
+    def measure_wait_behind_roomless(self, lanes, width, gangs, count):
+        """Add gangs for labelled workers, of which three are in use, then another."""
+        play = AdvicePlay(make_test_cell(40), lanes)
+        for index in range(width):
+            add_worker(play.cell, f"b{index}", labels=("b", "r1"))
+            play.incarnations[f"b{index}"] = 1
+        play.occupy(["b0", "b1", "b2"], Resources(9000, 100))
+        fields = {"gang": True, "resources": Resources(9000, 100), "age_s": 90.0}
+        for index in range(gangs):
+            play.add(
+                f"roomless{index}",
+                count=count,
+                required_label="b",
+                estimate_s=10.0,
+                **fields,
+            )
+        play.play(4.0)
+        play.add("fits", count=8, estimate_s=11.0, **fields)
+        return play.measure_wait("fits")
+
     def test_past_deadline_gang_gets_a_lane_beside_a_stream_of_new_gangs(self):
         for rate in (4, 6, 7):
             with self.subTest(rate=rate):
