Skip steps in the rotation whose label has no room

Seen by callers: a small job waits behind many steps that can start nowhere, for over 3 s. Cause: a pass tries only 15 steps in rotation on a large pool or in a busy service. Steps that find no room on the workers with their label counted, although other workers have it. Evidence: test_each_of_many_waiting_steps_is_tried_within_a_second with 300 workers and test_each_of_many_waiting_steps_is_tried_in_a_busy_service, red before. Fix: room is measured by label, so that such steps are skipped at no cost.

--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -39,7 +39,7 @@
     renew_hold_period,
     renew_reservations,
 )
-from bulrushspur_scheduler.rotation import max_rotated_steps, may_fit, measure_room
+from bulrushspur_scheduler.rotation import max_rotated_steps, may_fit, measure_rooms
 from bulrushspur_scheduler.runs import start_run
 from bulrushspur_scheduler.unobserved_usage import count_unobserved_usage
 from bulrushspur_scheduler.workers import Worker
@@ -110,13 +110,13 @@
     if not queue:
         queue = cell.rotations[service] = unreached[::-1]
     pool.renews_reservations = False
-    room = measure_room(pool)
+    rooms = measure_rooms(pool)
     remaining = max_rotated_steps(pool)
     for _ in range(min(len(queue), MAX_CHECKED_STEPS)):
         if not remaining:
             return
         step = queue.pop()
-        if cell.waiting_steps.get(step.key) is step and may_fit(step, room):
+        if cell.waiting_steps.get(step.key) is step and may_fit(step, rooms):
             remaining -= _visit_step(cell, step, pool, now_s)
 
 
--- a/packages/scheduler/bulrushspur_scheduler/rotation.py
+++ b/packages/scheduler/bulrushspur_scheduler/rotation.py
@@ -23,6 +23,9 @@
     total_cpu_milli: int
 
 
+_NO_ROOM: t.Final = Room(0, 0)
+
+
 def max_rotated_steps(pool: Pool) -> int:
     """Return how many steps a pass tries in rotation; more on a smaller pool."""
     if pool.unheld_cpu_milli <= 0:
@@ -31,15 +34,26 @@
     return min(max(count, MIN_ROTATED_STEPS), MAX_ROTATED_STEPS)
 
 
-def measure_room(pool: Pool) -> Room:
-    """Return the free CPU of a pool, also on workers in quarantine and on probation."""
-    workers = pool.workers + pool.doubted_workers
-    free_milli = [max(worker.free.cpu_milli, 0) for worker in workers]
-    return Room(max(free_milli, default=0), sum(free_milli))
-
-
-def may_fit(step: Step, room: Room) -> bool:
-    """Return whether a step may fit by its CPU; a gang has to fit as a whole."""
-    cpu_milli = step.spec.resources.cpu_milli
-    count = len(step.tasks) if step.spec.gang else 1
+def measure_rooms(pool: Pool) -> dict[str, Room]:
+    """Return the free CPU of a pool by label; that of all workers has an empty label.
+
+    Workers in quarantine and on probation count, too.
+    """
+    rv: dict[str, Room] = {}
+    for worker in pool.workers + pool.doubted_workers:
+        free_milli = max(worker.free.cpu_milli, 0)
+        for label in {"", *worker.entry.labels}:
+            room = rv.get(label, _NO_ROOM)
+            rv[label] = Room(
+                max(room.max_cpu_milli, free_milli), room.total_cpu_milli + free_milli
+            )
+    return rv
+
+
+def may_fit(step: Step, rooms: dict[str, Room]) -> bool:
+    """Return whether a step may fit by its CPU and its label; a gang as a whole."""
+    spec = step.spec
+    room = rooms.get(spec.required_label, _NO_ROOM)
+    cpu_milli = spec.resources.cpu_milli
+    count = len(step.tasks) if spec.gang else 1
     return cpu_milli <= room.max_cpu_milli and cpu_milli * count <= room.total_cpu_milli
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -88,7 +88,19 @@
         self.assertIn("small", play(cell, 0.5, 1.5, run_long))
 
     def test_each_of_many_waiting_steps_is_tried_within_a_second(self):
-        cell = make_two_account_cell(cap_cpu_milli=0)
+        for workers in (8, 300):
+            with self.subTest(workers=workers):
+                self.check_job_behind_many_starts(workers, 0)
+
+    def test_each_of_many_waiting_steps_is_tried_in_a_busy_service(self):
+        self.check_job_behind_many_starts(8, 7)
+
+    def check_job_behind_many_starts(self, workers, in_use):
+        cell = make_two_account_cell(workers, cap_cpu_milli=0)
+        fields = {"count": in_use, "resources": Resources(13_000, 10)}
+        if in_use:
+            add_test_job(cell, "first", "bulk", 0.0, **fields)
+            play(cell, 0.1, 0.2, run_long)
         add_worker(cell, "labelled", labels=("b",))
         for index in range(1500):
             add_waiting_job(
