--- a/packages/scheduler/bulrushspur_scheduler/advice.py
+++ b/packages/scheduler/bulrushspur_scheduler/advice.py
@@ -42,6 +42,11 @@
 
 def request_initial_advice(cell: Cell, step: Step, queue: Queue, pool: Pool) -> None:
     """Request advice on many workers for a step that has none yet."""
+    assert queue.advice is not None
+    is_long = queue.advice.expected_call_s(1) > MIN_LONG_CALL_S
+    if is_long and not cell.free_long_call_lanes:
+        # Choosing workers for a call that can't be made would cost too much.
+        return
     _request_advice(cell, step, queue, _choose_candidates(cell, step, pool))
 
 
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -9,6 +9,7 @@
 import asyncio
 import dataclasses
 import unittest
+from unittest import mock
 
 from bulrushspur_daemon.advice_dispatcher import AdviceDispatcher
 from bulrushspur_daemon.clock import monotonic_s
@@ -21,6 +22,7 @@
 from bulrushspur_kernel.messages import AdviceReply, Outcome, Submit
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_platform.advice import request_advice
+from bulrushspur_scheduler import advice
 from bulrushspur_scheduler.advice import apply_advice, prefetch_advice
 from bulrushspur_scheduler.cell import AdviceCall, TimingLimits
 from bulrushspur_scheduler.config import AdvicePolicy, make_config
@@ -167,6 +169,18 @@
         plan(cell, 0.7)
         self.assertEqual([call.step.job for call in cell.advice_calls], ["j2"])
 
+    def test_steps_without_a_free_lane_cost_no_choice_of_workers(self):
+        cell = make_test_cell(8)
+        cell.free_long_call_lanes = 1
+        for index in range(20):
+            add_test_job(cell, f"j{index}", "advised")
+        with mock.patch.object(
+            advice, "_choose_candidates", wraps=advice._choose_candidates
+        ) as choose:
+            plan(cell, 0.1)
+        self.assertEqual(len(cell.advice_calls), 1)
+        self.assertEqual(choose.call_count, 1)
+
     def test_short_calls_stay_short_while_no_lane_makes_long_ones(self):
         quick = AdvicePolicy(0.14, 0.002, 2.5)
         queue = dataclasses.replace(QUEUES[0], advice=quick)
