Keep the stored capacity of a worker an upper bound

Could exceed a cap: after a takeover, what an account may run on a silent worker that only the store names is limited by its recorded capacity, which was that of its first entry. A worker that grew since has more. Evidence: test_worker_that_grew_after_it_was_recorded_counts_in_full and test_record_of_an_earlier_version_gets_what_the_entry_shows, red before. Fix: a changed capacity is recorded, the most of all; recovery completes old records.

--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -277,7 +277,13 @@
         lambda: term.ended,
     )
     term.worker_watch = WorkerWatch(
-        store, adapter, cell, log, term.worker_records.add, term.request_plan
+        store,
+        adapter,
+        cell,
+        log,
+        term.worker_records.add,
+        term.request_plan,
+        term.worker_records.update,
     )
     term.recovery = TermRecovery(
         store,
--- a/packages/daemon/bulrushspur_daemon/worker_records.py
+++ b/packages/daemon/bulrushspur_daemon/worker_records.py
@@ -16,6 +16,7 @@
     encode_workers,
     make_recorded_entry,
     make_worker_record,
+    merge_worker_records,
 )
 from bulrushspur_scheduler.workers import Worker, make_worker, replaces
 
@@ -40,6 +41,18 @@
         self._queue()
         self.spawn(self._open_when_durable(worker))
 
+    def update(self, worker: Worker) -> None:
+        """Store the new capacity of a recorded worker.
+
+        The most that it ever had is kept: its runs may be older than a change.
+        """
+        record = self.by_id.get(worker.id)
+        if record is not None:
+            merged = merge_worker_records(record, make_worker_record(worker.entry))
+            if merged != record:
+                self.by_id[worker.id] = merged
+                self._queue()
+
     def remove(self, worker_id: str) -> None:
         """Remove a worker on which nothing can run any more."""
         if self.by_id.pop(worker_id, None) is not None:
@@ -55,7 +68,9 @@
         for record in decode_workers(data):
             self.by_id[record.id] = record
             worker = self.cell.workers.get(record.id)
-            if worker is None:
+            if worker is not None:
+                self.update(worker)
+            else:
                 worker = make_worker(make_recorded_entry(record), now_s)
                 if any(
                     replaces(other.entry, worker)
--- a/packages/daemon/bulrushspur_daemon/worker_watch.py
+++ b/packages/daemon/bulrushspur_daemon/worker_watch.py
@@ -39,6 +39,7 @@
     log: EventLog
     on_new_worker: t.Callable[[Worker], None]
     on_change: t.Callable[[], None]
+    on_new_capacity: t.Callable[[Worker], None] = lambda worker: None
     next_offset: int | None = None
     store_unavailable: bool = False
     grace_until_s: float = 0.0
@@ -96,7 +97,9 @@
                 self.log.event("worker_entry_unreadable", worker=record.key)
             return
         self.missing_since_s.pop(record.key, None)
-        apply_entry(self.cell, entry, monotonic_s(), self.on_new_worker)
+        apply_entry(
+            self.cell, entry, monotonic_s(), self.on_new_worker, self.on_new_capacity
+        )
 
     def _unlist_missing(self) -> None:
         """Unlist workers whose entries were not registered again."""
@@ -119,6 +122,7 @@
     entry: WorkerEntry,
     now_s: float,
     on_new_worker: t.Callable[[Worker], None],
+    on_new_capacity: t.Callable[[Worker], None] = lambda worker: None,
 ) -> None:
     """Add a worker to the cell, or update it from its entry."""
     worker = cell.workers.get(entry.id)
@@ -148,6 +152,8 @@
         worker.free.memory_mb += new.memory_mb - old.memory_mb
         worker.free.gpus += new.gpus - old.gpus
     worker.entry = entry
+    if changed:
+        on_new_capacity(worker)
 
 
 def _expire_previous_incarnations(cell: Cell, entry: WorkerEntry, now_s: float) -> None:
--- a/packages/scheduler/bulrushspur_scheduler/records.py
+++ b/packages/scheduler/bulrushspur_scheduler/records.py
@@ -294,6 +294,19 @@
     )
 
 
+def merge_worker_records(old: WorkerRecord, new: WorkerRecord) -> WorkerRecord:
+    """Return the newer record of a worker, with the most capacity of both."""
+    return WorkerRecord(
+        new.id,
+        new.address,
+        new.incarnation_start_ms,
+        new.machine,
+        max(old.cpu_milli, new.cpu_milli),
+        max(old.memory_mb, new.memory_mb),
+        max(old.gpus, new.gpus),
+    )
+
+
 def make_recorded_entry(record: WorkerRecord) -> WorkerEntry:
     """Make the entry of a worker of which only the record is known."""
     return WorkerEntry(
--- a/tests/test_term_recovery.py
+++ b/tests/test_term_recovery.py
@@ -27,6 +27,7 @@
     WorkerRecord,
     encode_job,
     encode_workers,
+    make_worker_record,
 )
 from bulrushspur_scheduler.resources import Resources
 from bulrushspur_scheduler.workers import WorkerEntry, make_worker
@@ -136,6 +137,30 @@
         await recovery.run()
         self.assertEqual(recovery.cell.workers["w1"].entry.capacity, entry.capacity)
 
+    async def test_worker_that_grew_after_it_was_recorded_counts_in_full(self):
+        entry = WorkerEntry("w1", "svc", "a:1", "z", Resources(2000, 500, 1))
+        grown = dataclasses.replace(entry, capacity=Resources(8000, 500, 1))
+        recovery = self.make_recovery(SlowStore({}))
+        records = recovery.worker_records
+        for row in (entry, grown, entry):
+            apply_entry(recovery.cell, row, 0.0, records.add, records.update)
+        stored = {WORKERS_KEY: recovery.writer.pending_records[WORKERS_KEY]}
+        recovery = self.make_recovery(SlowStore(stored))
+        await recovery.run()
+        capacity = recovery.cell.workers["w1"].entry.capacity
+        self.assertEqual(capacity, grown.capacity)
+
+    async def test_record_of_an_earlier_version_gets_what_the_entry_shows(self):
+        entry = WorkerEntry(
+            "w1", "svc", "a:1", "z", Resources(2000, 500, 1), machine="m1"
+        )
+        stored = {WORKERS_KEY: encode_workers([WorkerRecord("w1", "a:1", 0)])}
+        recovery = self.make_recovery(SlowStore(stored))
+        apply_entry(recovery.cell, entry, 0.0, recovery.worker_records.add)
+        await recovery.run()
+        (record,) = recovery.worker_records.by_id.values()
+        self.assertEqual(record, make_worker_record(entry))
+
     async def test_worker_whose_machine_has_a_newer_one_is_not_waited_for(self):
         entry = WorkerEntry(
             "w1",
