--- a/packages/scheduler/bulrushspur_scheduler/rotation.py
+++ b/packages/scheduler/bulrushspur_scheduler/rotation.py
@@ -17,13 +17,15 @@
 
 
 class Room(t.NamedTuple):
-    """The most free CPU of a worker, and that of all; in thousandths of a core."""
+    """The most that is free on a worker, and the free CPU of all."""
 
     max_cpu_milli: int
+    max_memory_mb: int
+    max_gpus: int
     total_cpu_milli: int
 
 
-_NO_ROOM: t.Final = Room(0, 0)
+_NO_ROOM: t.Final = Room(0, 0, 0, 0)
 
 
 def max_rotated_steps(pool: Pool) -> int:
@@ -35,25 +37,33 @@
 
 
 def measure_rooms(pool: Pool) -> dict[str, Room]:
-    """Return the free CPU of a pool by label; that of all workers has an empty label.
+    """Return the room in a pool by label; that of all workers has an empty label.
 
     Workers in quarantine and on probation count, too.
     """
     rv: dict[str, Room] = {}
     for worker in pool.workers + pool.doubted_workers:
-        free_milli = max(worker.free.cpu_milli, 0)
+        free = worker.free
+        cpu_milli = max(free.cpu_milli, 0)
         for label in {"", *worker.entry.labels}:
             room = rv.get(label, _NO_ROOM)
             rv[label] = Room(
-                max(room.max_cpu_milli, free_milli), room.total_cpu_milli + free_milli
+                max(room.max_cpu_milli, cpu_milli),
+                max(room.max_memory_mb, free.memory_mb),
+                max(room.max_gpus, free.gpus),
+                room.total_cpu_milli + cpu_milli,
             )
     return rv
 
 
 def may_fit(step: Step, rooms: dict[str, Room]) -> bool:
-    """Return whether a step may fit by its CPU and its label; a gang as a whole."""
+    """Return whether a step may fit on workers with its label; a gang as a whole."""
     spec = step.spec
-    room = rooms.get(spec.required_label, _NO_ROOM)
-    cpu_milli = spec.resources.cpu_milli
+    room, each = rooms.get(spec.required_label, _NO_ROOM), spec.resources
     count = len(step.tasks) if spec.gang else 1
-    return cpu_milli <= room.max_cpu_milli and cpu_milli * count <= room.total_cpu_milli
+    return (
+        each.cpu_milli <= room.max_cpu_milli
+        and each.memory_mb <= room.max_memory_mb
+        and each.gpus <= room.max_gpus
+        and each.cpu_milli * count <= room.total_cpu_milli
+    )
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -95,6 +95,15 @@
     def test_each_of_many_waiting_steps_is_tried_in_a_busy_service(self):
         self.check_job_behind_many_starts(8, 7)
 
+    def test_steps_without_free_memory_or_gpus_hold_back_no_others(self):
+        for resources in (Resources(100, 40_000), Resources(100, 10, 1)):
+            with self.subTest(resources=resources):
+                cell = make_two_account_cell(300, cap_cpu_milli=0)
+                for index in range(1500):
+                    add_waiting_job(cell, index, resources=resources)
+                add_small_job_behind(cell)
+                self.assertIn("small", play(cell, 0.5, 1.5, run_long))
+
     def check_job_behind_many_starts(self, workers, in_use):
         cell = make_two_account_cell(workers, cap_cpu_milli=0)
         fields = {"count": in_use, "resources": Resources(13_000, 10)}
