Let waits for a claim and for a doubted worker run at the same time

Cause: the 1.5 s after which a step may use a doubted worker began only once a claim had let it go, after up to 1.5 s; with a call for tickets the step stood for 3.3 s. Evidence: test_waits_for_a_claim_and_for_a_doubted_worker_do_not_add_up, red before.

--- a/packages/scheduler/bulrushspur_scheduler/limits.py
+++ b/packages/scheduler/bulrushspur_scheduler/limits.py
@@ -85,4 +85,6 @@
     if step.is_partial_gang or step.held_since_s < pool.hold_period_s:
         return False
     step.held_since_s = min(step.held_since_s, now_s)
+    # Waits for a claim and for sound workers do not add up.
+    step.unplaced_since_s = min(step.unplaced_since_s, now_s)
     return True
--- a/tests/test_advice_waits.py
+++ b/tests/test_advice_waits.py
@@ -401,6 +401,28 @@
         self.assertLess(play.measure_wait("gang"), MAX_WAIT_S)
 
 
+class HeldStepTest(unittest.TestCase):
+    def test_waits_for_a_claim_and_for_a_doubted_worker_do_not_add_up(self):
+        for index in range(8):
+            with self.subTest(index=index):
+                wait_s = self.measure_wait_behind_claim(0.1 + 0.2 * index)
+                self.assertLess(wait_s, MAX_WAIT_S)
+
+    def measure_wait_behind_claim(self, age_s):
+        """Add a step for a quarantined worker while a gang claims its account."""
+        accounts = (Account("team", ("k",), 20.0, Resources(20_000)),)
+        play = AdvicePlay(make_test_cell(10, accounts=accounts))
+        worker = add_worker(play.cell, "labelled", labels=("b",))
+        play.incarnations["labelled"] = 1
+        play.occupy(["w0"], Resources(5000, 100))
+        play.play(0.3)
+        worker.quarantined_until_s, worker.on_probation = 60.0, True
+        play.add("wide", queue="heavy", gang=True, count=18)
+        play.play(age_s)
+        play.add("narrow", required_label="b", estimate_s=3.0)
+        return play.measure_wait("narrow")
+
+
 class LostCallsTest(unittest.TestCase):
     def test_gangs_start_soon_after_all_calls_were_lost(self):
         for lanes, gangs in ((1, 1), (2, 1), (8, 1), (8, 3)):
