--- a/packages/daemon/bulrushspur_daemon/advice_dispatcher.py
+++ b/packages/daemon/bulrushspur_daemon/advice_dispatcher.py
@@ -54,7 +54,7 @@
 
     def stop(self) -> None:
         """Drop all calls, so that the lanes are free for the next term."""
-        self.queue = AdviceQueue()
+        self.queue = AdviceQueue(self.queue.next_request_id)
 
     def dispatch(self) -> None:
         """Queue the calls that were added to the cell, and send those that can go."""
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -299,6 +299,8 @@
         reply = AdviceReply(requests[0].request_id, [], 1000)
         term.advice_dispatcher.handle_reply(reply)
         self.assertEqual(len(requests), 1)
+        next_id = term.advice_dispatcher.queue.next_request_id
+        self.assertGreater(next_id, requests[0].request_id)
 
 
 @dataclasses.dataclass
