Try a doubted worker with one step at a time

Evidence: test_waiting_jobs_do_not_all_fail_on_a_failing_worker: 10 starts before, at most 3 with this change. Fix: after a start on a doubted worker other steps leave it alone for 2 s, until a run succeeds there.

--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -30,6 +30,7 @@
     Pool,
     include_doubted_workers,
     make_pool,
+    record_trials,
     waits_in_vain,
 )
 from bulrushspur_scheduler.ranking import Tier, rank
@@ -145,7 +146,10 @@
         ):
             placed = _plan_step(cell, step, startable, pool, now_s)
         pool.unplaced_steps += not placed
-        started_count = len(cell.start_orders) - order_count
+        started = cell.start_orders[order_count:]
+        started_count = len(started)
+        if pool.doubted_workers and started:
+            record_trials(pool, {order.worker_id for order in started}, now_s)
         record_hold(cell, step, pool, started_count, now_s)
         step.unplaced_since_s = (
             math.inf if started_count else min(step.unplaced_since_s, now_s)
--- a/packages/scheduler/bulrushspur_scheduler/pools.py
+++ b/packages/scheduler/bulrushspur_scheduler/pools.py
@@ -16,7 +16,8 @@
 MAX_RECENT_POOL_AGE_S: t.Final = 0.1
 # A step waits so long for other workers than those in quarantine and on probation.
 MAX_DOUBT_WAIT_S: t.Final = 1.5
-# These get no work for so long after a fault, or a task would soon use up its attempts.
+# These get no work for so long after a fault, or a task would soon use up its attempts,
+# and none for so long after such a start, or many tasks would fail there at once.
 MIN_FAULT_AGE_S: t.Final = 2.0
 
 
@@ -68,7 +69,8 @@
     pool.doubted_workers = [
         worker
         for worker in available
-        if is_doubted(worker, now_s) and now_s - worker.last_fault_s > MIN_FAULT_AGE_S
+        if is_doubted(worker, now_s)
+        and now_s - max(worker.last_fault_s, worker.last_trial_s) > MIN_FAULT_AGE_S
     ]
     cell.recent_pools[service] = pool
     return pool
@@ -91,6 +93,16 @@
         pool.workers, pool.by_id = workers, by_id
 
 
+def record_trials(pool: Pool, started_ids: set[str], now_s: float) -> None:
+    """Record starts on doubted workers, which then get none from other steps."""
+    for worker in pool.doubted_workers:
+        if worker.id in started_ids:
+            worker.last_trial_s = now_s
+    pool.doubted_workers = [
+        worker for worker in pool.doubted_workers if worker.id not in started_ids
+    ]
+
+
 def waits_in_vain(step: Step, pool: Pool, now_s: float) -> bool:
     """Return whether a step has long found no worker although much of the pool is idle.
 
--- a/packages/scheduler/bulrushspur_scheduler/workers.py
+++ b/packages/scheduler/bulrushspur_scheduler/workers.py
@@ -99,6 +99,8 @@
     quarantined_until_s: float = 0.0
     # When a run failed here last, or runs were found overdue.
     last_fault_s: float = -1e9
+    # When a step that found no other worker started here last, although it was doubted.
+    last_trial_s: float = -1e9
     failure_score: float = 0.0
     quarantine_count: int = 0
     # Set by a quarantine; the worker then gets one run at a time until one succeeds.
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -223,6 +223,30 @@
         self.assertEqual(start_count, 1)
         self.assertIn("j1", cell.jobs)
 
+    def test_waiting_jobs_do_not_all_fail_on_a_failing_worker(self):
+        cell = make_test_cell(4)
+        began_s = self.quarantine_again(cell, ("w0",), 3)
+        now_s = began_s
+        for index in range(10):
+            add_test_job(cell, f"j{index}", "advised", now_s, estimate_s=20.0)
+            (step,) = cell.jobs[f"j{index}"].steps()
+            step.evaluated_workers = set(cell.workers)
+            step.approved_workers = {"w0": None}
+        start_count = 0
+        for tick in range(100):
+            now_s += 0.05
+            for job in cell.jobs.values():
+                for step in job.steps():
+                    step.tickets = {"w0": ("t", now_s + 1.0)}
+            ends = [
+                (tick * 100 + index, run.task.key, run.number, "failed")
+                for index, run in enumerate(cell.workers["w0"].runs.values(), 1)
+            ]
+            apply_worker_report(cell, "w0", now_s, ended=ends)
+            plan(cell, now_s)
+            start_count += len(acknowledge_starts(cell, now_s))
+        self.assertLessEqual(start_count, 3)
+
     def test_gang_does_not_wait_for_the_long_run_of_a_worker_on_probation(self):
         cell = make_test_cell(4)
         self.quarantine_again(cell, ("w0", "w1"), 1)
