Tell of waits for a claim, and count a check of limits as a try

Cause: step_waits called a step that waits for a claim of its account untried, and tried_age_ms of steps that their account's limits keep back grew without end. Change: a reason of its own (claim); no decision changes. Test: test_waiting.

--- a/packages/daemon/bulrushspur_daemon/introspection.py
+++ b/packages/daemon/bulrushspur_daemon/introspection.py
@@ -19,6 +19,7 @@
     WaitReason.UNOBSERVED_USAGE: "what its client account may run on silent workers",
     WaitReason.ACCOUNT_CAP: "the cap of its client account",
     WaitReason.ACCOUNT_HEADROOM: "room for urgent work of its client account",
+    WaitReason.CLAIM: "a gang of its client account that claims the cap",
     WaitReason.ADVICE: "advice on workers",
     WaitReason.ROOM: "room on workers that may run it",
     WaitReason.EXCLUDED_WORKERS: "workers that are silent or quarantined",
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -126,6 +126,7 @@
 
     Drops a step without startable tasks from those that wait.
     """
+    step.tried_s = now_s
     is_refused = is_kept_back(cell, step, pool)
     if is_refused and not pool.all_past_deadline:
         claim_account(cell, step, pool, now_s)
@@ -178,7 +179,6 @@
 
     Returns True for a step that waits for its first advice: it was not tried yet.
     """
-    step.tried_s = now_s
     ticketed = needs_advice(cell, step)
     if ticketed and not step.evaluated_workers:
         _request_first_advice(cell, step, pool, now_s)
--- a/packages/scheduler/bulrushspur_scheduler/waiting.py
+++ b/packages/scheduler/bulrushspur_scheduler/waiting.py
@@ -38,6 +38,7 @@
     UNOBSERVED_USAGE = "unobserved_usage"
     ACCOUNT_CAP = "account_cap"
     ACCOUNT_HEADROOM = "account_headroom"
+    CLAIM = "claim"
     ADVICE = "advice"
     ROOM = "room"
     EXCLUDED_WORKERS = "excluded_workers"
@@ -105,6 +106,8 @@
     limit = _find_account_limit(cell, step, wanted)
     if limit is not None:
         return limit
+    if _is_claimed(cell, step.job):
+        return WaitReason.CLAIM
     if needs_advice(cell, step) and not step.evaluated_workers:
         return WaitReason.ADVICE
     return _find_room_reason(count_slots(cell, step, now_s), wanted)
@@ -125,6 +128,16 @@
     return None
 
 
+def _is_claimed(cell: Cell, job: Job) -> bool:
+    """Return whether a gang had claimed the account in the last planning pass."""
+    pool: Pool | None = cell.recent_pools.get(job.service)
+    return (
+        bool(job.priority)
+        and pool is not None
+        and (job.account in pool.claimed_accounts)
+    )
+
+
 def _find_room_reason(slots: Slots, wanted: int) -> WaitReason:
     if slots.listed < wanted:
         return WaitReason.ROOM
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -72,6 +72,16 @@
         step = only_step(add_test_job(cell))
         self.assertEqual(find_wait_reason(cell, step, 0.2), WaitReason.NOT_TRIED)
 
+    def test_claim_of_the_account(self):
+        accounts = (Account("team", ("k",), 20.0, Resources(10_000)),)
+        cell = make_test_cell(2, accounts=accounts)
+        add_test_job(cell, "small", count=4)
+        plan(cell, 0.1)
+        acknowledge_starts(cell, 0.1)
+        add_test_job(cell, "wide", now_s=0.1, count=8, gang=True)
+        job = add_test_job(cell, "next", "bulk", 0.1)
+        self.assert_reason(cell, job, WaitReason.CLAIM)
+
     def test_running_step(self):
         cell = make_test_cell(2)
         job = add_test_job(cell)
