--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -30,8 +30,8 @@
     Pool,
     include_doubted_workers,
     make_pool,
+    may_use_doubted_workers,
     record_trials,
-    waits_in_vain,
 )
 from bulrushspur_scheduler.ranking import Tier, rank
 from bulrushspur_scheduler.reservations import (
@@ -85,15 +85,15 @@
     for service, pool in pools.items():
         if unreached[service]:
             _plan_in_rotation(cell, service, unreached[service], pool, now_s)
-        _renew_tickets_of_roomless_gangs(cell, pool, now_s)
+        _renew_tickets_without_room(cell, pool, now_s)
         for step in pool.kept_back_steps[:MAX_UNPLACED_STEPS]:
             _keep_advice(cell, step, pool, now_s)
-        _renew_tickets_of_roomless_gangs(cell, pool, now_s)
+        _renew_tickets_without_room(cell, pool, now_s)
 
 
-def _renew_tickets_of_roomless_gangs(cell: Cell, pool: Pool, now_s: float) -> None:
+def _renew_tickets_without_room(cell: Cell, pool: Pool, now_s: float) -> None:
     """Keep tickets valid for gangs that wait for room, once others got their lanes."""
-    gangs, pool.roomless_gangs = pool.roomless_gangs, []
+    gangs, pool.gangs_without_room = pool.gangs_without_room, []
     for step in gangs:
         queue = cell.queue_of(step.job)
         if queue is not None and step.key in cell.waiting_steps:
@@ -134,30 +134,33 @@
         pool.kept_back_steps.append(step)
         return False
     startable = step.startable_tasks()
-    if not startable:
+    if startable:
+        _try_step(cell, step, startable, pool, now_s)
+    elif not any(task.unreconciled for task in step.tasks):
         # Tasks that are not reconciled may become startable, so their step stays.
-        if not any(task.unreconciled for task in step.tasks):
-            cell.waiting_steps.pop(step.key, None)
-    else:
-        order_count = len(cell.start_orders)
-        with (
-            include_doubted_workers(pool, step)
-            if waits_in_vain(step, pool, now_s)
-            else contextlib.nullcontext()
-        ):
-            placed = _plan_step(cell, step, startable, pool, now_s)
-        pool.unplaced_steps += not placed
-        started = cell.start_orders[order_count:]
-        started_count = len(started)
-        if pool.doubted_workers and started:
-            record_trials(pool, {order.worker_id for order in started}, now_s)
-        record_hold(cell, step, pool, started_count, now_s)
-        step.unplaced_since_s = (
-            math.inf if started_count else min(step.unplaced_since_s, now_s)
-        )
+        cell.waiting_steps.pop(step.key, None)
     return True
 
 
+def _try_step(
+    cell: Cell, step: Step, startable: list[Task], pool: Pool, now_s: float
+) -> None:
+    """Plan a step, and record what came of it."""
+    order_count = len(cell.start_orders)
+    with (
+        include_doubted_workers(pool, step)
+        if may_use_doubted_workers(step, pool, now_s)
+        else contextlib.nullcontext()
+    ):
+        placed = _plan_step(cell, step, startable, pool, now_s)
+    pool.unplaced_steps += not placed
+    started = cell.start_orders[order_count:]
+    if pool.doubted_workers and started:
+        record_trials(pool, {order.worker_id for order in started}, now_s)
+    record_hold(cell, step, pool, len(started), now_s)
+    step.unplaced_since_s = math.inf if started else min(step.unplaced_since_s, now_s)
+
+
 def _keep_advice(cell: Cell, step: Step, pool: Pool, now_s: float) -> None:
     """Keep the advice of a step that its account's limits keep back.
 
@@ -222,7 +225,7 @@
         if advice.fits_now(cell, step, pool, now_s):
             advice.renew_tickets(cell, step, queue, pool, now_s)
         else:
-            pool.roomless_gangs.append(step)
+            pool.gangs_without_room.append(step)
 
 
 def _plan_tasks(
--- a/packages/scheduler/bulrushspur_scheduler/pools.py
+++ b/packages/scheduler/bulrushspur_scheduler/pools.py
@@ -35,7 +35,7 @@
     # Number of gangs whose tickets were kept valid in this planning pass.
     ticketed_gangs: int = 0
     # Those of them for which there is no room now.
-    roomless_gangs: list[Step] = dataclasses.field(default_factory=list)
+    gangs_without_room: list[Step] = dataclasses.field(default_factory=list)
     # Number of workers that are reserved for gangs.
     reserved_count: int = 0
     # Steps held since before this time may start on reserved workers, as long as this
@@ -103,10 +103,10 @@
     ]
 
 
-def waits_in_vain(step: Step, pool: Pool, now_s: float) -> bool:
-    """Return whether a step has long found no worker although much of the pool is idle.
+def may_use_doubted_workers(step: Step, pool: Pool, now_s: float) -> bool:
+    """Return whether a step may start on workers in quarantine and on probation.
 
-    It may then start on workers in quarantine and on probation.
+    It may once it has long found no other worker although much of the pool is idle.
     """
     return (
         now_s - step.unplaced_since_s > MAX_DOUBT_WAIT_S and pool.unheld_cpu_milli > 0
