--- a/tests/test_term_recovery.py
+++ b/tests/test_term_recovery.py
@@ -102,7 +102,7 @@
         return longest_s, seen
 
     async def test_progress_is_shown_and_the_loop_is_never_held_for_long(self):
-        recovery = self.make_recovery(SlowStore(make_job_records(2000, 20)))
+        recovery = self.make_recovery(SlowStore(make_job_records(2000, 60)))
         self.addCleanup(gc.unfreeze)
         self.addCleanup(gc.set_threshold, *gc.get_threshold())
         configure_garbage_collection()
