--- a/packages/scheduler/bulrushspur_scheduler/liveness.py
+++ b/packages/scheduler/bulrushspur_scheduler/liveness.py
@@ -41,9 +41,9 @@
 
     ``listed_ids`` are the incarnations that the platform lists, and ``requested_s`` is
     when the list was requested, on the monotonic clock; ``received_s`` is when it was
-    received, if that is later. A list that lacks too many of
-    the responding workers is ignored, and so is the absence of an incarnation whose
-    start is unknown or too recent.
+    received, if that is later. A list that lacks too many of the responding workers is
+    ignored, and so is the absence of an incarnation whose start is unknown or too
+    recent.
     """
     suspected = find_suspected_workers(cell, requested_s)
     suspected_ids = {worker.id for worker in suspected}
--- a/packages/scheduler/bulrushspur_scheduler/rotation.py
+++ b/packages/scheduler/bulrushspur_scheduler/rotation.py
@@ -1,7 +1,7 @@
 """Bound the work on steps that a planning pass tries outside the order of rank.
 
 The input is the pool of a service; the result is how many steps may be tried, and which
-of them can't fit anywhere, so that looking for a worker would be in vain.
+of them fit on no worker, so that none is searched for them.
 """
 
 import typing as t
