Tell which tasks ran on a worker that crashed, and each change of a capacity

Crashes are counted, nothing is decided by them. The end of an incarnation is marked by one function in place of three.

--- a/packages/daemon/bulrushspur_daemon/introspection.py
+++ b/packages/daemon/bulrushspur_daemon/introspection.py
@@ -110,5 +110,6 @@
         "tasks": len(step.tasks),
         "done": step.done_count,
         "running": sum(bool(task.runs) for task in step.tasks),
+        "most_crashes": max(task.crash_count for task in step.tasks),
         "waits_for": _WAIT_TEXTS[find_wait_reason(cell, step, monotonic_s())],
     }
--- a/packages/daemon/bulrushspur_daemon/worker_connections.py
+++ b/packages/daemon/bulrushspur_daemon/worker_connections.py
@@ -28,7 +28,7 @@
 from bulrushspur_kernel.logs import EventLog
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_scheduler.cell import Cell
-from bulrushspur_scheduler.leases import extend_lease, mark_worker_lost
+from bulrushspur_scheduler.leases import extend_lease, mark_incarnation_ended
 from bulrushspur_scheduler.reports import apply_report
 from bulrushspur_scheduler.workers import Worker
 
@@ -122,14 +122,13 @@
                 self.request_plan()
                 return
             except IncarnationMismatchError:
-                mark_worker_lost(
+                mark_incarnation_ended(
                     self.cell,
                     connection.worker,
                     "another incarnation answered",
                     monotonic_s(),
                 )
                 connection.worker.has_reported = False
-                connection.worker.lease_until_ms = 0
                 self.request_plan()
                 await asyncio.sleep(RETRY_INTERVAL_S * 4)
             except WorkerUnresponsiveError as exc:
--- a/packages/daemon/bulrushspur_daemon/worker_watch.py
+++ b/packages/daemon/bulrushspur_daemon/worker_watch.py
@@ -20,7 +20,7 @@
     StoreUnavailableError,
 )
 from bulrushspur_scheduler.cell import Cell
-from bulrushspur_scheduler.leases import mark_worker_lost
+from bulrushspur_scheduler.leases import mark_incarnation_ended
 from bulrushspur_scheduler.workers import Worker, WorkerEntry, make_worker, replaces
 
 POLL_INTERVAL_S: t.Final = 0.4
@@ -151,6 +151,17 @@
         worker.free.cpu_milli += new.cpu_milli - old.cpu_milli
         worker.free.memory_mb += new.memory_mb - old.memory_mb
         worker.free.gpus += new.gpus - old.gpus
+        cell.log(
+            "worker_capacity",
+            worker=entry.id,
+            cpu_milli=new.cpu_milli,
+            memory_mb=new.memory_mb,
+            gpus=new.gpus,
+            cpu_milli_before=old.cpu_milli,
+            memory_mb_before=old.memory_mb,
+            free_milli=worker.free.cpu_milli,
+            runs=len(worker.runs),
+        )
     worker.entry = entry
     if changed:
         on_new_capacity(worker)
@@ -160,6 +171,7 @@
     """Mark earlier incarnations on the same machine as lost, with their runs."""
     for other in cell.workers.values():
         if replaces(entry, other):
-            mark_worker_lost(cell, other, "newer incarnation on its machine", now_s)
-            other.lease_until_ms = 0
+            mark_incarnation_ended(
+                cell, other, "newer incarnation on its machine", now_s
+            )
             other.listed = False
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -147,6 +147,10 @@
     failed_worker_ids: set[str] = dataclasses.field(default_factory=set)
     overdue_stop_count: int = 0
     preemption_count: int = 0
+    # Crashes of workers on which it may have run, and those of them before it was seen
+    # to survive its start there.
+    crash_count: int = 0
+    early_crash_count: int = 0
     checkpoint: str = ""
     done: bool = False
     # Recovered after a takeover, and not known yet whether a worker runs it.
--- a/packages/scheduler/bulrushspur_scheduler/leases.py
+++ b/packages/scheduler/bulrushspur_scheduler/leases.py
@@ -9,6 +9,7 @@
 import typing as t
 
 from bulrushspur_scheduler.cell import Cell
+from bulrushspur_scheduler.crashes import record_crash
 from bulrushspur_scheduler.jobs import Run
 from bulrushspur_scheduler.progress import requeue_step
 from bulrushspur_scheduler.runs import release_run
@@ -44,6 +45,7 @@
         worker=run.worker_id,
         reason=reason,
         checkpoint=bool(task.checkpoint),
+        crashes=task.crash_count,
     )
     requeue_step(cell, task.step)
 
@@ -69,6 +71,17 @@
     cell.unobserved_workers.discard(worker.id)
 
 
+def mark_incarnation_ended(
+    cell: Cell, worker: Worker, reason: str, seen_s: float
+) -> None:
+    """Declare all runs lost on a worker whose incarnation was seen to have ended."""
+    if not worker.ended:
+        record_crash(cell, worker, reason, seen_s)
+    worker.ended = True
+    mark_worker_lost(cell, worker, reason, seen_s)
+    worker.lease_until_ms = 0
+
+
 def expire_leases(cell: Cell, confirmed_s: float) -> None:
     """Declare runs lost on workers that did not answer until their lease expired.
 
--- a/packages/scheduler/bulrushspur_scheduler/liveness.py
+++ b/packages/scheduler/bulrushspur_scheduler/liveness.py
@@ -10,7 +10,7 @@
 import typing as t
 
 from bulrushspur_scheduler.cell import Cell
-from bulrushspur_scheduler.leases import mark_worker_lost
+from bulrushspur_scheduler.leases import mark_incarnation_ended
 from bulrushspur_scheduler.workers import Worker
 
 SUSPECT_TIMEOUT_S: t.Final = 0.9
@@ -72,13 +72,12 @@
             silent_ms=round(min(requested_s - worker.last_report_s, 1e6) * 1000),
             runs=len(worker.runs),
         )
-        mark_worker_lost(
+        mark_incarnation_ended(
             cell,
             worker,
             "incarnation not listed by the platform",
             max(requested_s, received_s),
         )
-        worker.lease_until_ms = 0
         worker.has_reported = False
         worker.listed = False
         worker.unlisted_s = requested_s
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -12,6 +12,7 @@
 
 from bulrushspur_scheduler import health
 from bulrushspur_scheduler.cell import Cell, StopOrder
+from bulrushspur_scheduler.crashes import record_crash
 from bulrushspur_scheduler.jobs import (
     Run,
     RunOutcome,
@@ -90,7 +91,8 @@
         and worker.incarnation_start_ms
         and report.incarnation_start_ms != worker.incarnation_start_ms
     ):
-        handle_worker_restart(cell, worker, report)
+        handle_worker_restart(cell, worker, report, now_s)
+    worker.ended = False
     worker.incarnation_start_ms = (
         report.incarnation_start_ms or worker.incarnation_start_ms
     )
@@ -125,13 +127,17 @@
     worker.lease_until_ms = max(worker.lease_until_ms, report.clock_ms + lease_ms)
 
 
-def handle_worker_restart(cell: Cell, worker: Worker, report: WorkerReport) -> None:
+def handle_worker_restart(
+    cell: Cell, worker: Worker, report: WorkerReport, now_s: float
+) -> None:
     """Reset what is known of a worker whose process has restarted.
 
     Orders in transit may still reach the new incarnation: unanswered starts become
     unconfirmed, and stops are sent again. Which runs the new incarnation has is decided
     by its report, as for any other worker.
     """
+    if not worker.ended:
+        record_crash(cell, worker, "restarted under its id", now_s)
     for run in worker.runs.values():
         run.stop_acknowledged_s = 0.0
         if run.state is RunState.STOPPING:
--- a/packages/scheduler/bulrushspur_scheduler/workers.py
+++ b/packages/scheduler/bulrushspur_scheduler/workers.py
@@ -81,6 +81,8 @@
     unlisted_s: float = 0.0
     # Whether the present incarnation has reported to this term.
     has_reported: bool = False
+    # Whether the incarnation was seen to have ended.
+    ended: bool = False
     last_report_s: float = 0.0
     # Time of the last order that it did not answer.
     last_unanswered_order_s: float = -1.0
