Reproduce tasks that crash worker after worker, in tests that fail

Change: fuzz/deadly.py plays tasks that crash their workers, at once or after a while, beside sound ones, crashes of other causes, changes of the leader and outages of the store; the stand-in worker crashes under a run with the outcome crash and comes back as a new incarnation; the oracle counts the starts after three crashes.

--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -351,6 +351,8 @@
             if not self._reaches(leader, order.worker_id):
                 return
             result = worker.start(key, number, until_ms, leader.term, self.now_s)
+            if result is StartResult.STARTED:
+                self.on_started(leader, worker, run)
             if not late and self.rng.random() > 0.03:
                 self.schedule(
                     self._delay_s(), lambda: self._handle_start(leader, run, result)
@@ -361,6 +363,9 @@
             0.6, lambda: self._handle_start(leader, run, StartResult.UNANSWERED, True)
         )
 
+    def on_started(self, leader: SimLeader, worker: SimWorker, run: t.Any) -> None:
+        """React to a start that a worker has executed; it may be a repeated one."""
+
     def _handle_start(
         self, leader: SimLeader, run: t.Any, result: StartResult, timeout: bool = False
     ) -> None:
--- a/fuzz/workers.py
+++ b/fuzz/workers.py
@@ -75,6 +75,8 @@
     lease_expiry_count: int = 0
     unreachable_until_s: float = 0.0
     alive: bool = True
+    # Share of the runs that fail by themselves.
+    failure_share: float = 0.08
 
     def clock_ms(self, now_s: float) -> int:
         """Return the worker's clock in milliseconds; it runs 1.5 % slow."""
@@ -159,7 +161,8 @@
         spec = self._step_spec(key)
         self.highest_run_numbers[key] = number
         run_time_s = spec.estimate_s * self.rng.uniform(0.6, 1.6)
-        outcome = RunOutcome.FAILED if self.rng.random() < 0.08 else RunOutcome.DONE
+        fails = self.rng.random() < self.failure_share
+        outcome = RunOutcome.FAILED if fails else RunOutcome.DONE
         run = SimRun(key, number, spec.resources.cpu_milli, now_s + run_time_s, outcome)
         self.runs[key, number] = run
         if spec.gang:
--- a/standins/bulrushspur_standins/worker.py
+++ b/standins/bulrushspur_standins/worker.py
@@ -3,9 +3,11 @@
 Takes start orders, stop orders and lease renewals over HTTP. Answers with its clock;
 the answer to a renewal also lists the runs, and the ends not acknowledged yet. A run
 ends with the outcome of its work model, by a stop order, or when the worker's lease
-expires. Requests with a fencing token below the highest one seen are refused. Each
-start is checked: the worker's CPU is not overcommitted, no worker runs the task
-already, and no end of it with outcome done has been acknowledged.
+expires. A run with the outcome crash ends the incarnation without a word; the next one
+starts after ``down_s``. Requests with a fencing token below the highest one seen are
+refused. Each start is checked: the worker's CPU is not overcommitted, no worker runs
+the task already, no end of it with outcome done has been acknowledged, and a task that
+has crashed three workers starts twice more at most.
 """
 
 import asyncio
@@ -21,6 +23,10 @@
 from bulrushspur_standins.serving import Faults, StatusAndBody, json_answer, make_server
 
 CLOCK_START_MS: t.Final = 1000
+CRASH: t.Final = "crash"
+# A task under which so many workers have crashed may start so many times more.
+CRASHES_BEFORE_LIMIT: t.Final = 3
+MAX_FURTHER_STARTS: t.Final = 2
 
 
 @dataclasses.dataclass
@@ -45,6 +51,8 @@
     running_on: dict[str, str] = dataclasses.field(default_factory=dict)
     done_counts: dict[str, int] = dataclasses.field(default_factory=dict)
     starts: list[tuple[float, str, int, str]] = dataclasses.field(default_factory=list)
+    crash_counts: dict[str, int] = dataclasses.field(default_factory=dict)
+    further_starts: dict[str, int] = dataclasses.field(default_factory=dict)
     violations: list[str] = dataclasses.field(default_factory=list)
 
 
@@ -53,16 +61,23 @@
 
 
 def work_from_payload(task: str, payload: str) -> tuple[int, float, str]:
-    """Parse ``CPU_MILLI DURATION_MS OUTCOME``; other payloads run 1 CPU for 0.1 s."""
+    """Parse ``CPU_MILLI DURATION_MS OUTCOME``; other payloads run 1 CPU for 0.1 s.
+
+    The outcome ``crash:INDEX`` holds for the task of that index alone; the others are
+    done.
+    """
     parts = payload.split()
     if len(parts) != 3:
         parts = ["1000", "100", "done"]
-    return int(parts[0]), int(parts[1]) / 1000, parts[2]
+    outcome, _, index = parts[2].partition(":")
+    if index and not task.endswith(f".{index}"):
+        outcome = "done"
+    return int(parts[0]), int(parts[1]) / 1000, outcome
 
 
 @dataclasses.dataclass
 class WorkerStandin:
-    """Serve one incarnation of a worker.
+    """Serve a worker, one incarnation after the other.
 
     ``lease_until_ms`` is in terms of the worker's own clock, which starts at
     ``CLOCK_START_MS``; one lease covers all runs. ``unacknowledged_ends`` has rows of
@@ -92,27 +107,68 @@
     end_added: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     server: HttpServer | None = None
     tick_task: asyncio.Task[None] | None = None
+    restart_task: asyncio.Task[None] | None = None
     address: str = ""
     alive: bool = True
+    # After a crash the next incarnation starts, under a new id if ``renamed`` is set.
+    down_s: float = 0.5
+    renamed: bool = True
+    on_restart: t.Callable[["WorkerStandin", str], None] = lambda worker, old_id: None
+    machine: str = ""
+    incarnation_count: int = 1
 
     async def start(self) -> str:
         """Listen at a free port of 127.0.0.1 and return the address."""
-        self.server = make_server(self._handle, self.faults, self.rng)
-        await self.server.listen("127.0.0.1", 0)
+        self.machine = self.machine or self.id
+        await self._listen(0)
+        assert self.server is not None
         self.address = f"127.0.0.1:{self.server.port}"
-        self.tick_task = asyncio.create_task(self._tick_loop())
         return self.address
 
+    async def _listen(self, port: int) -> None:
+        self.server = make_server(self._handle, self.faults, self.rng)
+        await self.server.listen("127.0.0.1", port)
+        self.tick_task = asyncio.create_task(self._tick_loop())
+
     async def stop(self) -> None:
         """Simulate a crash: all runs end without a report."""
+        self._end_incarnation()
+        for task in (self.tick_task, self.restart_task):
+            if task is not None:
+                task.cancel()
+        if self.server is not None:
+            await self.server.close(0.0)
+
+    def _end_incarnation(self) -> None:
         self.alive = False
         for run in list(self.running.values()):
             self.oracle.running_on.pop(run.task, None)
         self.running.clear()
-        if self.tick_task is not None:
-            self.tick_task.cancel()
-        if self.server is not None:
-            await self.server.close(0.0)
+
+    def crash(self) -> None:
+        """Reset all connections, and start the next incarnation after ``down_s``."""
+        self._end_incarnation()
+        assert self.server is not None
+        assert self.server.server is not None
+        self.server.server.close()
+        for task in list(self.server.connection_tasks):
+            task.cancel()
+        self.restart_task = asyncio.create_task(self._restart(self.server.port))
+
+    async def _restart(self, port: int) -> None:
+        await asyncio.sleep(self.down_s)
+        old_id = self.id
+        self.incarnation_count += 1
+        if self.renamed:
+            self.id = f"{self.machine}-{self.incarnation_count}"
+        self.fence = self.lease_until_ms = self.last_end_sequence = 0
+        self.highest_run_numbers.clear()
+        self.unacknowledged_ends.clear()
+        self.started_s = time.monotonic()
+        self.incarnation_start_ms = int(time.time() * 1000)
+        self.alive = True
+        await self._listen(port)
+        self.on_restart(self, old_id)
 
     def encode_entry(self, state: str = "ready") -> bytes:
         """Encode the worker's entry for the store."""
@@ -131,6 +187,7 @@
                     "gpu": 0,
                 },
                 "labels": list(self.labels),
+                "machine": self.machine,
                 "clock_ms": self.clock_ms(),
                 "sequence": 1,
                 "born": self.incarnation_start_ms,
@@ -142,7 +199,7 @@
         return CLOCK_START_MS + int((time.monotonic() - self.started_s) * 1000)
 
     async def _tick_loop(self) -> None:
-        while True:
+        while self.alive:
             await asyncio.sleep(0.01)
             self._advance()
 
@@ -154,6 +211,11 @@
         lease_end_s = self.started_s + (self.lease_until_ms - CLOCK_START_MS) / 1000
         for run in list(self.running.values()):
             if run.end_s <= min(now_s, lease_end_s):
+                if run.outcome == CRASH:
+                    counts = self.oracle.crash_counts
+                    counts[run.task] = counts.get(run.task, 0) + 1
+                    self.crash()
+                    return
                 self._end_run(run, run.outcome)
         if now_s > lease_end_s:
             for run in list(self.running.values()):
@@ -170,6 +232,7 @@
         self.end_added = asyncio.Event()
 
     async def _handle(self, request: Request, body: bytes) -> StatusAndBody:
+        self._advance()
         if not self.alive:
             return json_answer(503)
         expected_id = request.headers.get("bulrushspur-expect-instance", self.id)
@@ -179,7 +242,6 @@
         if data.get("fence", 0) < self.fence:
             return self._refuse("fence")
         self.fence = max(self.fence, data.get("fence", 0))
-        self._advance()
         if request.path == "/-/run-start":
             return self._start_run(data)
         if request.path == "/-/run-stop":
@@ -218,6 +280,14 @@
             self.oracle.violations.append(
                 f"{task} run {number} starts while it runs on {other_worker}"
             )
+        if self.oracle.crash_counts.get(task, 0) >= CRASHES_BEFORE_LIMIT:
+            further_starts = self.oracle.further_starts.get(task, 0) + 1
+            self.oracle.further_starts[task] = further_starts
+            if further_starts > MAX_FURTHER_STARTS:
+                self.oracle.violations.append(
+                    f"{task} run {number} starts after {CRASHES_BEFORE_LIMIT} crashes "
+                    f"for the {further_starts}. time"
+                )
         if self.oracle.done_counts.get(task):
             self.oracle.violations.append(
                 f"{task} run {number} starts after an end with done was acknowledged"
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -132,9 +132,16 @@
         worker = WorkerStandin(name, oracle=self.oracle, **fields)
         await worker.start()
         self.workers.append(worker)
+        worker.on_restart = self.register_restarted
         self.store.put("keyed.servers", name, worker.encode_entry())
         return worker
 
+    def register_restarted(self, worker, old_id):
+        """Register the next incarnation of a worker in place of the last one."""
+        if old_id != worker.id:
+            self.store.put("keyed.servers", old_id, b"")
+        self.store.put("keyed.servers", worker.id, worker.encode_entry())
+
     async def add_node(self, name, **fields):
         path = os.path.join(self.folder, f"{name}-{time.monotonic_ns()}.log")
         fd = os.open(path, os.O_WRONLY | os.O_CREAT)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -6,6 +6,7 @@
 
 import unittest
 
+from fuzz.deadly import run_deadly_history
 from fuzz.run import run_history
 from fuzz.series import run_series_history
 
@@ -31,6 +32,10 @@
 LOST_RUNS_SEEDS = (105,)
 
 
+# Histories of tasks that crash their workers.
+DEADLY_SEEDS = range(1, 25)
+
+
 class FuzzTest(unittest.TestCase):
     def test_histories_violate_no_guarantee(self):
         for seed in sorted({*SEEDS, *REGRESSION_SEEDS}):
@@ -64,3 +69,11 @@
 
     def test_leader_without_the_store_restarts_no_task_of_an_unlisted_worker(self):
         self.assert_no_violations((16,))
+
+
+class DeadlyFuzzTest(unittest.TestCase):
+    def test_tasks_that_crash_workers_are_given_up_and_no_others(self):
+        for seed in DEADLY_SEEDS:
+            with self.subTest(seed=seed):
+                simulation = run_deadly_history(seed)
+                self.assertEqual(simulation.oracle.violations, [])
