Start a task under which workers crashed apart from other work

Cause: what ran on a crashed worker waits together, ranks alike and starts together again on the worker that fits best, the deadly task among it. Change: a task that was early in a crash, or in two crashes, starts on a worker where nothing else has just started, and nothing starts beside it until it has survived its start; after two early crashes, or three, it runs alone. A worker is held for it if none is fit. Few workers are isolated at a time, and machines whose worker crashed without a suspect come last. Gangs with suspects start whole, these on quiet workers.

--- a/fuzz/deadly.py
+++ b/fuzz/deadly.py
@@ -10,6 +10,7 @@
 under it, its job ends as failed, all other jobs complete, and none stands still.
 """
 
+import collections
 import dataclasses
 import random
 import typing as t
@@ -42,6 +43,9 @@
     def __init__(self, seed: int) -> None:
         self.deadly_tasks: dict[TaskKey, DeadlyTask] = {}
         self.started_runs: set[tuple[TaskKey, int]] = set()
+        self.down_until_s: dict[str, float] = {}
+        # Crashes by task that was on the worker by no fault of its own.
+        self.sound_crash_counts: collections.Counter[TaskKey] = collections.Counter()
         super().__init__(seed, has_incarnation_list=True)
 
     def add_worker(self, name: str, machine: str = "") -> None:
@@ -58,6 +62,12 @@
             self.deadly_tasks[key] = DeadlyTask(delay_s)
         self.submit(spec, queue)
 
+    def refuses_connections(self, name: str) -> bool:
+        """Return whether no process listens at a worker's address."""
+        if not self.workers[name].alive:
+            return True
+        return self.now_s < self.down_until_s.get(name, 0.0)
+
     def on_started(self, leader: SimLeader, worker: SimWorker, run: t.Any) -> None:
         """Check the start of a deadly task, and crash its worker after the delay."""
         key, number = run.task.key, run.number
@@ -77,6 +87,10 @@
             if self.workers.get(worker.id) is worker and (key, number) in worker.runs:
                 task.crash_count += 1
                 self.add_trace(f"{'.'.join(map(str, key))} crashes {worker.id}")
+                worker.advance(self.now_s)
+                self.sound_crash_counts.update(
+                    other for other, _ in worker.runs if other not in self.deadly_tasks
+                )
                 self.crash_worker(worker.id)
 
         self.schedule(task.delay_s, crash)
@@ -85,6 +99,7 @@
         """Crash a worker, which comes back under its id or under a new one."""
         if self.rng.random() < 0.3:
             self.restart_worker(name)
+            self.down_until_s[name] = self.workers[name].unreachable_until_s
             return
         self.kill_worker(name, self.rng.choice(RESTART_DELAYS_S))
 
--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -14,6 +14,7 @@
 from bulrushspur_scheduler import takeover
 from bulrushspur_scheduler.cell import Cell, StartOrder, StopOrder, make_cell
 from bulrushspur_scheduler.config import Account, CellConfig, Queue, make_config
+from bulrushspur_scheduler.crashes import clear_suspects
 from bulrushspur_scheduler.eviction import evict_runs
 from bulrushspur_scheduler.jobs import Job, JobSpec, JobState, TaskKey
 from bulrushspur_scheduler.leases import expire_leases, extend_lease
@@ -292,6 +293,7 @@
         cell = leader.cell
         expire_leases(cell, leader.authority_confirmed_s)
         evict_runs(cell, self.now_s)
+        clear_suspects(cell, self.now_s)
         takeover.reconcile(cell, leader.authority_confirmed_s)
         self._store_progress(leader)
         if self.has_authority(leader):
@@ -348,6 +350,9 @@
             worker = sent_to if late else self.workers[order.worker_id]
             if worker is not self.workers[order.worker_id]:
                 return
+            if self.refuses_connections(order.worker_id):
+                self._handle_start(leader, run, StartResult.NOT_SENT)
+                return
             if not self._reaches(leader, order.worker_id):
                 return
             result = worker.start(key, number, until_ms, leader.term, self.now_s)
@@ -363,6 +368,10 @@
             0.6, lambda: self._handle_start(leader, run, StartResult.UNANSWERED, True)
         )
 
+    def refuses_connections(self, name: str) -> bool:
+        """Return whether a worker is known at once not to get an order."""
+        return False
+
     def on_started(self, leader: SimLeader, worker: SimWorker, run: t.Any) -> None:
         """React to a start that a worker has executed; it may be a repeated one."""
 
--- a/packages/daemon/bulrushspur_daemon/introspection.py
+++ b/packages/daemon/bulrushspur_daemon/introspection.py
@@ -21,6 +21,7 @@
     WaitReason.ACCOUNT_HEADROOM: "room for urgent work of its client account",
     WaitReason.CLAIM: "a gang of its client account that claims the cap",
     WaitReason.ADVICE: "advice on workers",
+    WaitReason.ISOLATION: "a worker without other new work: workers crashed under it",
     WaitReason.ROOM: "room on workers that may run it",
     WaitReason.EXCLUDED_WORKERS: "workers that are silent or quarantined",
     WaitReason.TICKETS: "tickets for workers that may run it",
--- a/packages/daemon/bulrushspur_daemon/operator_interface.py
+++ b/packages/daemon/bulrushspur_daemon/operator_interface.py
@@ -6,7 +6,6 @@
 
 from bulrushspur_daemon.introspection import dump_process, explain_job
 from bulrushspur_kernel.http_exchange import Exchange, Request
-from bulrushspur_scheduler.crashes import list_crash_counts
 
 
 async def handle_operator_request(
@@ -41,7 +40,7 @@
         lines.append(f"bulrushspur_jobs_active {len(cell.jobs)}")
         lines.append(f"bulrushspur_steps_waiting {len(cell.waiting_steps)}")
         lines.append(f"bulrushspur_workers {len(cell.workers)}")
-        crash_counts = list_crash_counts(cell)
+        crash_counts = [task.crash_count for task in cell.suspects.values()]
         lines.append(f"bulrushspur_tasks_with_crashes {len(crash_counts)}")
         most_crashes = max(crash_counts, default=0)
         lines.append(f"bulrushspur_most_crashes_of_a_task {most_crashes}")
--- a/packages/scheduler/bulrushspur_scheduler/gangs.py
+++ b/packages/scheduler/bulrushspur_scheduler/gangs.py
@@ -9,6 +9,7 @@
 import typing as t
 
 from bulrushspur_scheduler.cell import Cell
+from bulrushspur_scheduler.isolation import choose_isolated_gang_workers
 from bulrushspur_scheduler.jobs import RunState, Step, Task
 from bulrushspur_scheduler.limits import is_within_limits
 from bulrushspur_scheduler.placement import choose_gang_workers
@@ -37,7 +38,10 @@
         return _plan_missing_members(cell, step, startable, workers, now_s)
     if not is_within_limits(cell, step, len(startable)):
         return False
-    chosen = choose_gang_workers(step, startable, workers)
+    if step.has_suspects:
+        chosen = choose_isolated_gang_workers(step, startable, workers, pool)
+    else:
+        chosen = choose_gang_workers(step, startable, workers)
     if chosen is None:
         # Gangs past their deadline must not hold back steps that are still useful.
         if pool.renews_reservations and (
--- /dev/null
+++ b/packages/scheduler/bulrushspur_scheduler/isolation.py
@@ -0,0 +1,147 @@
+"""Keep suspects of crashes apart from other work, on workers that take nothing else.
+
+The input is a step with tasks under which workers have crashed, and the workers that
+may run it. The result is starts on isolated workers. An isolated worker gets no other
+work until the run has survived its start or, for a task that must be alone, has ended.
+Where no worker is fit at once, one is held until it is. Few workers are isolated at a
+time: most suspects are sound and only ran beside a task that crashed its worker.
+
+A gang starts as a whole, so its suspects may share isolated workers.
+"""
+
+import typing as t
+
+from bulrushspur_scheduler.cell import Cell
+from bulrushspur_scheduler.crashes import (
+    Isolation,
+    is_quiet,
+    list_runs_of,
+    required_isolation,
+)
+from bulrushspur_scheduler.jobs import Step, Task
+from bulrushspur_scheduler.limits import is_within_limits
+from bulrushspur_scheduler.placement import assign_tasks, free_slots_on
+from bulrushspur_scheduler.pools import Pool
+from bulrushspur_scheduler.runs import start_run
+from bulrushspur_scheduler.workers import Worker
+
+# A share of the pool may be isolated; a larger one while much of the service is idle.
+MAX_ISOLATED_SHARE: t.Final = 0.125
+MAX_IDLE_ISOLATED_SHARE: t.Final = 0.5
+# A held worker is released unless its step renews the hold within this time.
+HOLD_S: t.Final = 1.0
+# Machines whose worker crashed by itself within this time are chosen last.
+UNRELIABLE_S: t.Final = 30.0
+
+
+def is_suspect(task: Task) -> bool:
+    """Return whether the next run of a task has to be kept apart."""
+    return required_isolation(task) is not Isolation.NONE
+
+
+def start_suspects(
+    cell: Cell,
+    step: Step,
+    suspects: list[Task],
+    workers: list[Worker],
+    pool: Pool,
+    now_s: float,
+) -> bool:
+    """Start suspects of a step on isolated workers; return whether all were started."""
+    for task in suspects:
+        if not is_within_limits(cell, step, 1):
+            return False
+        alone = required_isolation(task) is Isolation.ALONE
+        worker = _find_worker(cell, step, workers, alone, pool, now_s)
+        if worker is None:
+            return False
+        _isolate(worker, step, alone, pool)
+        cell.log(
+            "suspect_start",
+            step.job.id,
+            worker=worker.id,
+            alone=alone,
+            runs_beside=len(worker.runs),
+            crashes=task.crash_count,
+            early_crashes=task.early_crash_count,
+        )
+        start_run(cell, task, worker, task.last_run_number + 1, now_s)
+    return True
+
+
+def _find_worker(
+    cell: Cell,
+    step: Step,
+    workers: list[Worker],
+    alone: bool,
+    pool: Pool,
+    now_s: float,
+) -> Worker | None:
+    """Return a worker that is fit for a suspect now, or None and hold one for it."""
+    held = [
+        worker
+        for worker in workers
+        if worker.isolated_for == step.key and not list_runs_of(worker, step.key)
+    ]
+    candidates = held or [worker for worker in workers if worker.isolated_for is None]
+    candidates = [
+        worker
+        for worker in candidates
+        if (alone and worker.entry.capacity.can_fit(step.spec.resources))
+        or free_slots_on(step, worker)
+    ]
+    may_isolate = bool(held) or pool.isolated_count < _max_isolated(pool)
+    if not candidates or not may_isolate:
+        return None
+    worker = min(candidates, key=lambda worker: _rank(cell, worker, alone, now_s))
+    if free_slots_on(step, worker) and _is_fit(worker, alone):
+        return worker
+    _isolate(worker, step, alone, pool)
+    worker.held_until_s = now_s + HOLD_S
+    return None
+
+
+def _rank(
+    cell: Cell, worker: Worker, alone: bool, now_s: float
+) -> tuple[bool, bool, int]:
+    """Rank a worker for a suspect: reliable, fit at once and with little to lose."""
+    crashed_s = cell.unexplained_crashes_s.get(worker.entry.machine, -1e9)
+    is_unreliable = now_s - crashed_s < UNRELIABLE_S
+    return (is_unreliable, not _is_fit(worker, alone), len(worker.runs))
+
+
+def _is_fit(worker: Worker, alone: bool) -> bool:
+    return not worker.runs if alone else is_quiet(worker)
+
+
+def _max_isolated(pool: Pool) -> int:
+    is_idle = pool.unheld_cpu_milli > 0
+    share = MAX_IDLE_ISOLATED_SHARE if is_idle else MAX_ISOLATED_SHARE
+    return max(int(share * (len(pool.workers) + pool.isolated_count)), 1)
+
+
+def _isolate(worker: Worker, step: Step, alone: bool, pool: Pool) -> None:
+    if worker.isolated_for is None:
+        pool.isolated_count += 1
+    worker.isolated_for, worker.isolated_alone = step.key, alone
+
+
+def choose_isolated_gang_workers(
+    step: Step, tasks: list[Task], workers: list[Worker], pool: Pool
+) -> list[tuple[Task, Worker]] | None:
+    """Choose workers for a gang with suspects, and isolate those of the suspects.
+
+    Returns None if the gang does not fit now.
+    """
+    suspects = [task for task in tasks if is_suspect(task)]
+    others = [task for task in tasks if not is_suspect(task)]
+    quiet = [worker for worker in workers if is_quiet(worker)]
+    chosen = assign_tasks(step, suspects, quiet)
+    if chosen is None:
+        return None
+    rest = assign_tasks(step, others, workers, chosen)
+    if rest is None:
+        return None
+    for _, worker in chosen:
+        _isolate(worker, step, False, pool)
+    return chosen + rest
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -173,6 +173,8 @@
     ready_s: float = 0.0
     failed_run_numbers: set[int] = dataclasses.field(default_factory=set)
     gang_run_number: int = 0
+    # Workers have crashed under some of its tasks.
+    has_suspects: bool = False
     # In the order of their approval; the values are not used.
     approved_workers: dict[str, None] = dataclasses.field(default_factory=dict)
     evaluated_workers: set[str] = dataclasses.field(default_factory=set)
--- a/packages/scheduler/bulrushspur_scheduler/placement.py
+++ b/packages/scheduler/bulrushspur_scheduler/placement.py
@@ -7,6 +7,7 @@
 steps, those expected to end before the reservation is ready, and those held back long.
 """
 
+import collections
 import heapq
 import typing as t
 
@@ -57,6 +58,7 @@
         for worker in workers
         if (not ticketed or has_ticket(step, worker, now_s))
         and spec.accepts_labels(worker.entry.labels)
+        and worker.isolated_for in (None, step.key)
         and (
             worker.reserved_for in (None, step.key)
             or takes_reserved
@@ -211,22 +213,32 @@
         for worker in workers:
             racks.setdefault(worker.rack, []).append(worker)
         for rack in sorted(racks, key=lambda name: -_count_slots(step, racks[name])):
-            assignment = _assign_tasks(step, tasks, racks[rack])
+            assignment = assign_tasks(step, tasks, racks[rack])
             if assignment is not None:
                 return assignment
-    return _assign_tasks(step, tasks, workers)
+    return assign_tasks(step, tasks, workers)
 
 
 def _count_slots(step: Step, workers: list[Worker]) -> int:
     return sum(free_slots_on(step, worker) for worker in workers)
 
 
-def _assign_tasks(
-    step: Step, tasks: list[Task], workers: list[Worker]
+def assign_tasks(
+    step: Step,
+    tasks: list[Task],
+    workers: list[Worker],
+    assigned: t.Sequence[tuple[Task, Worker]] = (),
 ) -> list[tuple[Task, Worker]] | None:
-    """Assign all tasks: to reliable workers first, then by free slots and speed."""
-    candidates = [(free_slots_on(step, worker), worker) for worker in workers]
-    if sum(slots for slots, _ in candidates) < len(tasks):
+    """Assign all tasks: to reliable workers first, then by free slots and speed.
+
+    ``assigned`` are other tasks of the step that have slots already. Returns None if
+    not all fit.
+    """
+    taken = collections.Counter(worker.id for _, worker in assigned)
+    candidates = [
+        (free_slots_on(step, worker) - taken[worker.id], worker) for worker in workers
+    ]
+    if sum(max(slots, 0) for slots, _ in candidates) < len(tasks):
         return None
     candidates.sort(
         key=lambda row: (row[1].failure_score >= 1.0, -row[0], -row[1].speed)
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -14,6 +14,7 @@
 from bulrushspur_scheduler import advice
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.gangs import plan_gang
+from bulrushspur_scheduler.isolation import is_suspect, start_suspects
 from bulrushspur_scheduler.jobs import Step, Task
 from bulrushspur_scheduler.limits import (
     claim_account,
@@ -28,9 +29,9 @@
 )
 from bulrushspur_scheduler.pools import (
     Pool,
-    include_doubted_workers,
+    include_workers,
+    list_extra_workers,
     make_pool,
-    may_use_doubted_workers,
     record_trials,
 )
 from bulrushspur_scheduler.ranking import Tier, rank
@@ -147,13 +148,10 @@
 ) -> None:
     """Plan a step, and record what came of it."""
     order_count = len(cell.start_orders)
-    with (
-        include_doubted_workers(pool, step)
-        if may_use_doubted_workers(step, pool, now_s)
-        else contextlib.nullcontext()
-    ):
+    extra = list_extra_workers(step, pool, now_s)
+    with include_workers(pool, extra) if extra else contextlib.nullcontext():
         placed = _plan_step(cell, step, startable, pool, now_s)
-    pool.unplaced_steps += not placed
+    pool.unplaced_steps += not placed and not _waits_for_isolation(step)
     started = cell.start_orders[order_count:]
     if pool.doubted_workers and started:
         record_trials(pool, {order.worker_id for order in started}, now_s)
@@ -161,6 +159,11 @@
     step.unplaced_since_s = math.inf if started else min(step.unplaced_since_s, now_s)
 
 
+def _waits_for_isolation(step: Step) -> bool:
+    """Return whether only suspects of crashes are left to start."""
+    return step.has_suspects and all(map(is_suspect, step.startable_tasks()))
+
+
 def _keep_advice(cell: Cell, step: Step, pool: Pool, now_s: float) -> None:
     """Keep the advice of a step that its account's limits keep back.
 
@@ -191,7 +194,7 @@
         started = plan_gang(cell, step, startable, workers, pool, now_s)
     else:
         max_count = count_unheld_tasks(step, pool)
-        started = _plan_tasks(cell, step, startable, workers, max_count, now_s)
+        started = _plan_tasks(cell, step, startable, workers, max_count, pool, now_s)
     if ticketed and not started:
         _request_further_advice(cell, step, pool, now_s)
     return started
@@ -234,11 +237,35 @@
     startable: list[Task],
     workers: list[Worker],
     max_count: int,
+    pool: Pool,
     now_s: float,
 ) -> bool:
     """Start single tasks while they fit; return whether all were started."""
     if not is_within_limits(cell, step, 1):
         return False
+    if step.has_suspects:
+        suspects = [task for task in startable if is_suspect(task)]
+        others = [task for task in startable if not is_suspect(task)]
+        shared = [worker for worker in workers if worker.isolated_for is None]
+        others_started = _start_tasks(cell, step, others, shared, max_count, now_s)
+        suspects_started = start_suspects(cell, step, suspects, workers, pool, now_s)
+        if not (others_started and suspects_started):
+            return False
+    elif not _start_tasks(cell, step, startable, workers, max_count, now_s):
+        return False
+    cell.waiting_steps.pop(step.key, None)
+    return True
+
+
+def _start_tasks(
+    cell: Cell,
+    step: Step,
+    startable: list[Task],
+    workers: list[Worker],
+    max_count: int,
+    now_s: float,
+) -> bool:
+    """Start tasks on the workers that fit them best; return whether all were."""
     choose_worker = make_worker_chooser(step, workers)
     for task in startable[:max_count]:
         if not is_within_limits(cell, step, 1):
@@ -247,7 +274,4 @@
         if worker is None:
             return False
         start_run(cell, task, worker, task.last_run_number + 1, now_s)
-    if len(startable) > max_count:
-        return False
-    cell.waiting_steps.pop(step.key, None)
-    return True
+    return len(startable) <= max_count
--- a/packages/scheduler/bulrushspur_scheduler/pools.py
+++ b/packages/scheduler/bulrushspur_scheduler/pools.py
@@ -10,6 +10,7 @@
 import typing as t
 
 from bulrushspur_scheduler.cell import Cell
+from bulrushspur_scheduler.crashes import is_isolated
 from bulrushspur_scheduler.jobs import Step
 from bulrushspur_scheduler.workers import Worker, is_available, is_doubted
 
@@ -30,6 +31,9 @@
     by_id: dict[str, Worker] = dataclasses.field(default_factory=dict)
     # Workers in quarantine or on probation whose last fault was not just now.
     doubted_workers: list[Worker] = dataclasses.field(default_factory=list)
+    # Workers that take work of one step alone, a suspect of crashes.
+    isolated_workers: list[Worker] = dataclasses.field(default_factory=list)
+    isolated_count: int = 0
     # Every waiting step will end past its deadline, too late to be useful.
     all_past_deadline: bool = False
     # Number of gangs whose tickets were kept valid in this planning pass.
@@ -64,11 +68,14 @@
         for worker in cell.workers.values()
         if worker.entry.service == service and is_available(worker, now_s)
     ]
-    workers = [worker for worker in available if not is_doubted(worker, now_s)]
+    isolated = _renew_isolated_workers(available, now_s)
+    shared = [worker for worker in available if worker.isolated_for is None]
+    workers = [worker for worker in shared if not is_doubted(worker, now_s)]
     pool = Pool(workers, now_s, {worker.id: worker for worker in workers})
+    pool.isolated_workers, pool.isolated_count = isolated, len(isolated)
     pool.doubted_workers = [
         worker
-        for worker in available
+        for worker in shared
         if is_doubted(worker, now_s)
         and now_s - max(worker.last_fault_s, worker.last_trial_s) > MIN_FAULT_AGE_S
     ]
@@ -76,23 +83,44 @@
     return pool
 
 
-@contextlib.contextmanager
-def include_doubted_workers(pool: Pool, step: Step) -> t.Iterator[None]:
-    """Add the workers in quarantine and on probation to a pool for one step.
+def _renew_isolated_workers(workers: list[Worker], now_s: float) -> list[Worker]:
+    """List the workers that are still isolated, and release the others."""
+    rv = []
+    for worker in workers:
+        if is_isolated(worker, now_s):
+            rv.append(worker)
+        else:
+            worker.isolated_for = None
+    return rv
 
-    Those on which one of its tasks has failed stay out.
-    """
-    failed_ids = {id_ for task in step.tasks for id_ in task.failed_worker_ids}
-    doubted = [worker for worker in pool.doubted_workers if worker.id not in failed_ids]
+
+@contextlib.contextmanager
+def include_workers(pool: Pool, extra: list[Worker]) -> t.Iterator[None]:
+    """Add workers to a pool for one step."""
     workers, by_id = pool.workers, pool.by_id
-    pool.workers = workers + doubted
-    pool.by_id = by_id | {worker.id: worker for worker in doubted}
+    pool.workers = workers + extra
+    pool.by_id = by_id | {worker.id: worker for worker in extra}
     try:
         yield
     finally:
         pool.workers, pool.by_id = workers, by_id
 
 
+def list_extra_workers(step: Step, pool: Pool, now_s: float) -> list[Worker]:
+    """List the workers beside those of the pool on which a step may start.
+
+    These are workers held for it and, for a step that long found no other, those in
+    quarantine and on probation on which none of its tasks has failed.
+    """
+    rv = []
+    if pool.isolated_workers:
+        rv = [row for row in pool.isolated_workers if row.isolated_for == step.key]
+    if may_use_doubted_workers(step, pool, now_s):
+        failed_ids = {id_ for task in step.tasks for id_ in task.failed_worker_ids}
+        rv += [row for row in pool.doubted_workers if row.id not in failed_ids]
+    return rv
+
+
 def record_trials(pool: Pool, started_ids: set[str], now_s: float) -> None:
     """Record starts on doubted workers, which then get none from other steps."""
     for worker in pool.doubted_workers:
--- a/packages/scheduler/bulrushspur_scheduler/waiting.py
+++ b/packages/scheduler/bulrushspur_scheduler/waiting.py
@@ -12,6 +12,7 @@
 
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.headroom import leaves_account_headroom
+from bulrushspur_scheduler.isolation import is_suspect
 from bulrushspur_scheduler.jobs import Job, Step, StepKey
 from bulrushspur_scheduler.placement import (
     eligible_workers,
@@ -40,6 +41,7 @@
     ACCOUNT_HEADROOM = "account_headroom"
     CLAIM = "claim"
     ADVICE = "advice"
+    ISOLATION = "isolation"
     ROOM = "room"
     EXCLUDED_WORKERS = "excluded_workers"
     TICKETS = "tickets"
@@ -110,7 +112,10 @@
         return WaitReason.CLAIM
     if needs_advice(cell, step) and not step.evaluated_workers:
         return WaitReason.ADVICE
-    return _find_room_reason(count_slots(cell, step, now_s), wanted)
+    slots = count_slots(cell, step, now_s)
+    if slots.listed >= wanted and step.has_suspects and all(map(is_suspect, startable)):
+        return WaitReason.ISOLATION
+    return _find_room_reason(slots, wanted)
 
 
 def _find_account_limit(cell: Cell, step: Step, wanted: int) -> WaitReason | None:
--- a/packages/scheduler/bulrushspur_scheduler/workers.py
+++ b/packages/scheduler/bulrushspur_scheduler/workers.py
@@ -112,6 +112,11 @@
     last_on_time_end_s: float = -1e9
     reserved_for: StepKey | None = None
     reserved_until_s: float = 0.0
+    # Takes work of this step alone, a suspect of crashes; alone if nothing else may run
+    # beside it. Without a run of the step it is held for it until a time.
+    isolated_for: StepKey | None = None
+    isolated_alone: bool = False
+    held_until_s: float = 0.0
     # When its runs are expected to end, and when that was computed; None after a change
     # of its runs.
     expected_ends: list[tuple[float, Resources]] | None = None
--- /dev/null
+++ b/tests/test_isolation.py
@@ -0,0 +1,152 @@
+"""Test that suspects of crashes run apart from other work, and take little from it.
+
+Guards against sound tasks that crash again and again beside the same deadly one, and
+against suspects that keep workers from others, or never start.
+"""
+
+import unittest
+
+from bulrushspur_scheduler.crashes import SURVIVAL_S
+from bulrushspur_scheduler.isolation import HOLD_S
+from bulrushspur_scheduler.jobs import JobState
+from bulrushspur_scheduler.leases import mark_incarnation_ended
+from bulrushspur_scheduler.planning import plan
+from bulrushspur_scheduler.progress import finish_job
+from bulrushspur_scheduler.resources import Resources
+from bulrushspur_scheduler.takeover import reconcile
+from fuzz.deadly import DeadlySimulation, make_job
+from tests.cell_fixtures import (
+    acknowledge_starts,
+    add_test_job,
+    add_worker,
+    make_test_cell,
+    report_all_workers,
+)
+
+
+class IsolationTest(unittest.TestCase):
+    def setUp(self):
+        self.cell = make_test_cell(0)
+        self.now_s = 100.0
+
+    def pass_time(self, duration_s=0.1):
+        """Report all workers and plan; return the workers of the starts by job."""
+        self.now_s += duration_s
+        report_all_workers(self.cell, self.now_s)
+        reconcile(self.cell, self.now_s)
+        plan(self.cell, self.now_s)
+        started = acknowledge_starts(self.cell, self.now_s)
+        return {order.run.task.key.job: order.worker_id for order in started}
+
+    def crash_worker_of(self, job):
+        """Crash the worker of a job's first run; a new one comes in its place."""
+        (run,) = job.occurrences[0].steps[0].tasks[0].runs
+        worker = self.cell.workers.pop(run.worker_id)
+        mark_incarnation_ended(self.cell, worker, "gone", self.now_s)
+        add_worker(self.cell, f"{worker.id}x", now_s=self.now_s)
+
+    def make_suspect(self, job_id="d", crashes=1, **fields):
+        """Add a job whose worker crashes just after each of its first starts."""
+        add_worker(self.cell, f"for-{job_id}", now_s=self.now_s)
+        job = add_test_job(self.cell, job_id, now_s=self.now_s, **fields)
+        for _ in range(crashes):
+            for _ in range(20):
+                if self.pass_time().get(job_id):
+                    break
+            self.crash_worker_of(job)
+        return job
+
+    def test_nothing_starts_beside_a_suspect_until_it_has_survived_its_start(self):
+        self.make_suspect()
+        self.assertIn("d", self.pass_time())
+        add_test_job(self.cell, "s", now_s=self.now_s)
+        self.assertEqual(self.pass_time(), {})
+        self.assertIn("s", self.pass_time(SURVIVAL_S))
+
+    def test_suspect_waits_for_a_worker_on_which_nothing_has_just_started(self):
+        job = self.make_suspect()
+        for index in range(3):
+            add_test_job(self.cell, f"s{index}", "small", self.now_s)
+        self.assertEqual(set(self.pass_time(0.01)), {"s0", "s1", "s2"})
+        self.assertFalse(job.occurrences[0].steps[0].tasks[0].runs)
+        self.assertIn("d", self.pass_time(SURVIVAL_S))
+
+    def test_suspect_of_two_early_crashes_runs_alone(self):
+        add_worker(self.cell, "w0", now_s=self.now_s)
+        add_test_job(self.cell, "s", now_s=self.now_s, resources=Resources(16_000, 100))
+        self.pass_time()
+        self.make_suspect(crashes=2)
+        self.pass_time(SURVIVAL_S)
+        add_test_job(self.cell, "s2", now_s=self.now_s)
+        for _ in range(30):
+            self.assertNotIn("s2", self.pass_time())
+
+    def test_worker_that_is_held_for_a_cancelled_suspect_is_used_again(self):
+        add_worker(self.cell, "w0", now_s=self.now_s)
+        add_test_job(self.cell, "s", now_s=self.now_s)
+        self.pass_time()
+        job = add_test_job(self.cell, "d", now_s=self.now_s)
+        step = job.occurrences[0].steps[0]
+        step.has_suspects, step.tasks[0].early_crash_count = True, 2
+        self.assertEqual(self.pass_time(), {})
+        add_test_job(self.cell, "s2", now_s=self.now_s)
+        self.assertEqual(self.pass_time(), {})
+        finish_job(self.cell, job, JobState.CANCELLED, self.now_s)
+        self.assertEqual(self.pass_time(HOLD_S + 0.1), {"s2": "w0"})
+
+    def test_few_workers_are_isolated_in_a_busy_service(self):
+        for index in range(16):
+            add_worker(self.cell, f"w{index}", now_s=self.now_s)
+            add_test_job(
+                self.cell,
+                f"s{index}",
+                now_s=self.now_s,
+                resources=Resources(12_000, 100),
+            )
+        self.pass_time()
+        jobs = [self.make_suspect(f"d{index}") for index in range(6)]
+        for index in range(6):
+            self.cell.workers.pop(f"for-d{index}x", None)
+        started = self.pass_time(SURVIVAL_S)
+        suspects = [job.id for job in jobs if job.id in started]
+        self.assertTrue(0 < len(suspects) <= 2, started)
+
+    def test_gang_with_a_suspect_starts_whole_on_quiet_workers(self):
+        for index in range(3):
+            add_worker(self.cell, f"w{index}", now_s=self.now_s)
+        job = add_test_job(
+            self.cell, "g", now_s=self.now_s, count=3, gang=True, max_per_worker=1
+        )
+        self.pass_time()
+        self.crash_worker_of(job)
+        for task in job.occurrences[0].steps[0].tasks:
+            for run in list(task.runs):
+                self.cell.workers[run.worker_id].runs.pop(run.key, None)
+                task.runs.remove(run)
+        self.assertIn("g", self.pass_time(SURVIVAL_S))
+        runs = [task.runs for task in job.occurrences[0].steps[0].tasks]
+        self.assertEqual([len(row) for row in runs], [1, 1, 1])
+
+
+class CompanyTest(unittest.TestCase):
+    def test_sound_tasks_crash_twice_at_most_beside_a_deadly_one(self):
+        for gang, count in ((False, 1), (False, 4), (True, 4)):
+            with self.subTest(gang=gang, count=count):
+                simulation = DeadlySimulation(1)
+                for index in range(6):
+                    simulation.submit(make_job(f"s{index}", 4, 6.0), "large")
+                spec = make_job("d", count, gang=gang)
+                simulation.submit_deadly(spec, "small", {0: 0.01})
+                simulation.advance(60.0)
+                counts = {
+                    key: crash_count
+                    for key, crash_count in simulation.sound_crash_counts.items()
+                    if key.job != "d" or not gang
+                }
+                self.assertLessEqual(max(counts.values(), default=0), 2, counts)
+                states = simulation.oracle.published_final_states
+                self.assertEqual([states.get(f"s{i}") for i in range(6)].count(None), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
