Give up the job of a task that crashes its workers

Cause: a run lost with its worker is requeued without limit; only reported failures count as attempts. The class: one piece of work that takes down whoever touches it, without a budget. Change: a job is given up once one of its tasks has crashed a worker that was isolated for it, after another crash, and no worker without suspects was heard last at about the same time; after two of isolated workers if other workers crashed by themselves lately; after four crashes without, and five with a common cause. A task that runs for 60 s is cleared. Sound tasks that lose their worker three times complete, as before. Crashes are still forgotten with the leader.

--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -14,7 +14,7 @@
 from bulrushspur_scheduler import takeover
 from bulrushspur_scheduler.cell import Cell, StartOrder, StopOrder, make_cell
 from bulrushspur_scheduler.config import Account, CellConfig, Queue, make_config
-from bulrushspur_scheduler.crashes import clear_suspects
+from bulrushspur_scheduler.crashes import judge_suspects
 from bulrushspur_scheduler.eviction import evict_runs
 from bulrushspur_scheduler.jobs import Job, JobSpec, JobState, TaskKey
 from bulrushspur_scheduler.leases import expire_leases, extend_lease
@@ -293,7 +293,7 @@
         cell = leader.cell
         expire_leases(cell, leader.authority_confirmed_s)
         evict_runs(cell, self.now_s)
-        clear_suspects(cell, self.now_s)
+        judge_suspects(cell, self.now_s)
         takeover.reconcile(cell, leader.authority_confirmed_s)
         self._store_progress(leader)
         if self.has_authority(leader):
--- a/packages/daemon/bulrushspur_daemon/term_upkeep.py
+++ b/packages/daemon/bulrushspur_daemon/term_upkeep.py
@@ -13,7 +13,7 @@
 from bulrushspur_daemon.worker_connections import WorkerConnections
 from bulrushspur_daemon.worker_records import WorkerRecords
 from bulrushspur_scheduler.cell import Cell
-from bulrushspur_scheduler.crashes import clear_suspects
+from bulrushspur_scheduler.crashes import judge_suspects
 from bulrushspur_scheduler.eviction import evict_runs
 from bulrushspur_scheduler.headroom import observe_urgent_cpu
 from bulrushspur_scheduler.leases import expire_leases, list_expired_workers
@@ -47,7 +47,7 @@
             expire_leases(cell, self.writer.confirmed_s)
             start_all_due_occurrences(cell, now_s, unix_s())
             evict_runs(cell, now_s)
-            clear_suspects(cell, now_s)
+            judge_suspects(cell, now_s)
             observe_urgent_cpu(cell)
             self._remove_expired_workers(now_s)
             for job_id in purge_finished_jobs(cell, now_s):
--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -155,7 +155,7 @@
     )
     # Tasks of open jobs under which workers have crashed.
     suspects: dict[TaskKey, Task] = dataclasses.field(default_factory=dict)
-    # When a worker crashed last that ran no suspect of it, by machine.
+    # When a worker that crashed without a suspect was heard last, by machine.
     unexplained_crashes_s: dict[str, float] = dataclasses.field(default_factory=dict)
     # Ids of jobs whose progress has changed and is not stored yet.
     dirty_jobs: set[str] = dataclasses.field(default_factory=set)
--- a/packages/scheduler/bulrushspur_scheduler/isolation.py
+++ b/packages/scheduler/bulrushspur_scheduler/isolation.py
@@ -13,7 +13,9 @@
 
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.crashes import (
+    UNRELIABLE_S,
     Isolation,
+    awaits_verdict,
     is_quiet,
     list_runs_of,
     required_isolation,
@@ -30,8 +32,6 @@
 MAX_IDLE_ISOLATED_SHARE: t.Final = 0.5
 # A held worker is released unless its step renews the hold within this time.
 HOLD_S: t.Final = 1.0
-# Machines whose worker crashed by itself within this time are chosen last.
-UNRELIABLE_S: t.Final = 30.0
 
 
 def is_suspect(task: Task) -> bool:
@@ -49,7 +49,7 @@
 ) -> bool:
     """Start suspects of a step on isolated workers; return whether all were started."""
     for task in suspects:
-        if not is_within_limits(cell, step, 1):
+        if awaits_verdict(task, now_s) or not is_within_limits(cell, step, 1):
             return False
         alone = required_isolation(task) is Isolation.ALONE
         worker = _find_worker(cell, step, workers, alone, pool, now_s)
@@ -104,7 +104,10 @@
 def _rank(
     cell: Cell, worker: Worker, alone: bool, now_s: float
 ) -> tuple[bool, bool, int]:
-    """Rank a worker for a suspect: reliable, fit at once and with little to lose."""
+    """Rank a worker for a suspect: reliable, fit at once and with little to lose.
+
+    It is unreliable if the last one on its machine crashed without a suspect.
+    """
     crashed_s = cell.unexplained_crashes_s.get(worker.entry.machine, -1e9)
     is_unreliable = now_s - crashed_s < UNRELIABLE_S
     return (is_unreliable, not _is_fit(worker, alone), len(worker.runs))
@@ -127,13 +130,15 @@
 
 
 def choose_isolated_gang_workers(
-    step: Step, tasks: list[Task], workers: list[Worker], pool: Pool
+    step: Step, tasks: list[Task], workers: list[Worker], pool: Pool, now_s: float
 ) -> list[tuple[Task, Worker]] | None:
     """Choose workers for a gang with suspects, and isolate those of the suspects.
 
     Returns None if the gang does not fit now.
     """
     suspects = [task for task in tasks if is_suspect(task)]
+    if any(awaits_verdict(task, now_s) for task in suspects):
+        return None
     others = [task for task in tasks if not is_suspect(task)]
     quiet = [worker for worker in workers if is_quiet(worker)]
     chosen = assign_tasks(step, suspects, quiet)
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -151,6 +151,10 @@
     # to survive its start there.
     crash_count: int = 0
     early_crash_count: int = 0
+    # Those of workers that were isolated for it.
+    isolated_crash_count: int = 0
+    # When the worker that crashed last had been heard last.
+    last_crash_s: float = -1e9
     checkpoint: str = ""
     done: bool = False
     # Recovered after a takeover, and not known yet whether a worker runs it.
