Rank tasks that last as useful whenever they start

Cause: a job that lasts is past its objective for good, so after losing its workers it ranked behind all others, and got no lane of the advice service. Change: tasks that last have no deadline; they rank with the jobs that are on time.

--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -66,8 +66,10 @@
     steps = sorted(
         cell.waiting_steps.values(), key=lambda step: rank(cell, step, now_s)
     )
+    # Tasks that last have no deadline.
+    first = next((step for step in steps if not step.spec.long_running), None)
     all_past_deadline = (
-        bool(steps) and rank(cell, steps[0], now_s)[0] == Tier.PAST_DEADLINE
+        first is not None and rank(cell, first, now_s)[0] == Tier.PAST_DEADLINE
     )
     pools: dict[str, Pool] = {}
     unreached: dict[str, list[Step]] = {}
--- a/packages/scheduler/bulrushspur_scheduler/ranking.py
+++ b/packages/scheduler/bulrushspur_scheduler/ranking.py
@@ -1,9 +1,10 @@
 """Rank the waiting steps: the order in which planning serves them.
 
 Takes a waiting step; returns its sort key, the lowest first. Started gangs with missing
-members go first. Jobs that can still meet their objective go before those that cannot,
-and jobs within their account's share before those beyond it. Within a tier steps go by
-priority, then by the least time left until their latest start.
+members go first. Jobs that can still meet their objective, and tasks that last, go
+before those that cannot, and jobs within their account's share before those beyond it.
+Within a tier steps go by priority, then by the least time left until their latest
+start.
 """
 
 import enum
@@ -59,14 +60,20 @@
 
 
 def tier_of(job: Job, work_s: float, now_s: float, step: Step) -> Tier:
-    """Return the tier of a step with ``work_s`` seconds of work from now on."""
+    """Return the tier of a step with ``work_s`` seconds of work from now on.
+
+    Tasks that last are of use whenever they start.
+    """
+    in_time = Tier.OVER_SHARE if job.over_share else Tier.ON_TIME
+    if step.spec.long_running:
+        return in_time
     end_s = now_s + work_s
     origin_s = step.ready_s if job.spec.repeat_count > 0 else job.accepted_s
     if end_s > origin_s + DEADLINE_FACTOR * job.objective_s:
         return Tier.PAST_DEADLINE
     if now_s + OVERRUN_FACTOR * work_s > origin_s + job.objective_s:
         return Tier.PAST_OBJECTIVE
-    return Tier.OVER_SHARE if job.over_share else Tier.ON_TIME
+    return in_time
 
 
 def rank(cell: Cell, step: Step, now_s: float) -> tuple[int, int, float, str]:
--- a/tests/test_advice_waits.py
+++ b/tests/test_advice_waits.py
@@ -401,6 +401,28 @@
         self.assertLess(play.measure_wait("gang"), MAX_WAIT_S)
 
 
+class LastingTaskTest(unittest.TestCase):
+    def test_lasting_tasks_get_a_lane_beside_gangs_after_all_workers_were_replaced(
+        self,
+    ):
+        for gangs in (20, 40):
+            with self.subTest(gangs=gangs):
+                self.assertLess(self.measure_wait_beside(gangs), 2 * MAX_WAIT_S)
+
+    def measure_wait_beside(self, gangs):
+        """Replace all workers beside many gangs and a job that has lasted for 60 s."""
+        play = AdvicePlay(make_test_cell(24), lanes=4)
+        fields = {"long_running": True, "resources": Resources(4000, 100)}
+        step = play.add("lasting", count=4, age_s=60.0, **fields)
+        step.evaluated_workers = {f"gone{index}" for index in range(24)}
+        step.approved_workers = dict.fromkeys(("gone0", "gone1"))
+        each = Resources(6000, 100)
+        for index in range(gangs):
+            play.run_s[f"gang{index}"] = 4.0
+            play.add(f"gang{index}", gang=True, count=12, resources=each)
+        return play.measure_wait("lasting", 30.0)
+
+
 class HeldStepTest(unittest.TestCase):
     def test_waits_for_a_claim_and_for_a_doubted_worker_do_not_add_up(self):
         for index in range(8):
