Store changes in tests that expect tasks of a lost worker to start again

Cause: since a task of a crashed worker starts only once its crash is stored, and one that had just started only once the crash is counted. Change: plan_and_store stores what a writer would, before each of two passes.

--- a/tests/cell_fixtures.py
+++ b/tests/cell_fixtures.py
@@ -104,6 +104,18 @@
     return orders
 
 
+def plan_and_store(cell, now_s):
+    """Plan twice, with all changes of jobs stored before each pass.
+
+    Tasks under which workers crashed start only once that is stored, and then where.
+    """
+    for _ in range(2):
+        cell.dirty_jobs.clear()
+        for job in cell.jobs.values():
+            job.stored_crash_version = job.crash_version
+        plan(cell, now_s)
+
+
 def task_key(job="j1", index=0, step=0):
     return TaskKey(job, 0, step, index)
 
