Reject jobs that a leader cannot hold, and read no such record

Callers would see: one submission ends leader after leader. Cause: the interfaces checked tasks and dependencies alone, and leaders trust their records. Change: find_fault states the bounds of a job; both interfaces answer 400 with the reason, and a leader skips a stored job beyond them.

--- a/packages/daemon/bulrushspur_daemon/native_interface.py
+++ b/packages/daemon/bulrushspur_daemon/native_interface.py
@@ -26,6 +26,7 @@
 )
 from bulrushspur_kernel.work_types import RequestSize, WorkClass
 from bulrushspur_scheduler.config import Account, CellConfig, Queue, make_config
+from bulrushspur_scheduler.job_bounds import find_fault
 from bulrushspur_scheduler.jobs import JobSpec, StepSpec
 from bulrushspur_scheduler.resources import Resources
 
@@ -126,12 +127,11 @@
     if len(raw.payload.encode()) > MAX_PAYLOAD_BYTES:
         raise ValueError(f"payload is longer than {MAX_PAYLOAD_BYTES} bytes")
     steps = raw.steps or [_Step()]
-    for index, step in enumerate(steps):
-        if step.tasks < 1:
-            raise ValueError(f"steps[{index}].tasks is below 1")
-        if any(not 0 <= dependency < index for dependency in step.after):
-            raise ValueError(f"steps[{index}].after names no earlier step")
-    return JobSpec(job_id, raw.payload, tuple(map(_make_step_spec, steps)))
+    spec = JobSpec(job_id, raw.payload, tuple(map(_make_step_spec, steps)))
+    fault = find_fault(spec)
+    if fault:
+        raise ValueError(f"the job cannot be accepted: {fault}")
+    return spec
 
 
 def _make_step_spec(raw: _Step) -> StepSpec:
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -279,6 +279,8 @@
     state: JobState = JobState.QUEUED
     occurrences: dict[int, Occurrence] = dataclasses.field(default_factory=dict)
     completed_occurrences: set[int] = dataclasses.field(default_factory=set)
+    # The first occurrence that this term has not made yet.
+    next_occurrence: int = 0
     # Run numbers of recovered tasks start above it, beyond those of earlier terms.
     run_number_base: int = 0
     # Increased by each crash under one of its tasks, and the last that is stored.
--- a/packages/scheduler/bulrushspur_scheduler/progress.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress.py
@@ -11,6 +11,7 @@
 
 from bulrushspur_scheduler.cell import Cell, FinishedJob
 from bulrushspur_scheduler.estimates import predict_duration
+from bulrushspur_scheduler.job_bounds import max_open_occurrences
 from bulrushspur_scheduler.jobs import (
     Job,
     JobState,
@@ -72,7 +73,10 @@
 
 
 def start_due_occurrences(cell: Cell, job: Job, now_s: float, unix_s: float) -> None:
-    """Start the due occurrences of a repeating job that have not started yet."""
+    """Start the due occurrences of a repeating job that have not started yet.
+
+    While too many are open, further ones wait until others are done.
+    """
     spec = job.spec
     elapsed_s = unix_s - spec.start_at_s
     if elapsed_s < -MAX_OCCURRENCE_LEAD_S:
@@ -82,14 +86,16 @@
         last_due = min(
             last_due, math.floor((elapsed_s + MAX_OCCURRENCE_LEAD_S) / spec.interval_s)
         )
-    for number in range(last_due + 1):
-        occurrence = job.occurrences.get(number)
-        if number in job.completed_occurrences:
-            continue
-        if occurrence is None:
-            occurrence = make_occurrence(job, number)
-        if not occurrence.started:
+    for occurrence in job.occurrences.values():
+        # Those that were recovered have not started in this term.
+        if not occurrence.started and occurrence.number <= last_due:
             mark_ready_steps(cell, occurrence, now_s)
+    max_open = max_open_occurrences(spec)
+    while job.next_occurrence <= last_due and len(job.occurrences) < max_open:
+        number = job.next_occurrence
+        job.next_occurrence += 1
+        if number not in job.occurrences and number not in job.completed_occurrences:
+            mark_ready_steps(cell, make_occurrence(job, number), now_s)
 
 
 def mark_ready_steps(cell: Cell, occurrence: Occurrence, now_s: float) -> None:
@@ -146,11 +152,15 @@
 def _handle_step_done(cell: Cell, step: Step, now_s: float) -> None:
     """Make dependent steps ready, or complete the job if this was its last step."""
     job = step.job
-    occurrence = job.occurrences[step.key.occurrence]
+    occurrence = job.occurrences.get(step.key.occurrence)
+    if occurrence is None:
+        return
     if not occurrence.done:
         mark_ready_steps(cell, occurrence, now_s)
         return
     job.completed_occurrences.add(occurrence.number)
+    if job.is_repeating:
+        del job.occurrences[occurrence.number]
     if len(job.completed_occurrences) >= max(job.spec.repeat_count, 1):
         finish_job(cell, job, JobState.COMPLETED, now_s)
 
--- a/packages/scheduler/bulrushspur_scheduler/records.py
+++ b/packages/scheduler/bulrushspur_scheduler/records.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from bulrushspur_scheduler.cell import Cell, FinishedJob
+from bulrushspur_scheduler.job_bounds import find_fault
 from bulrushspur_scheduler.jobs import (
     Job,
     JobSpec,
@@ -174,7 +175,7 @@
 
 
 def decode_job(job_id: str, data: bytes, now_s: float, unix_s: float) -> Job:
-    """Decode a job record; raises msgspec.DecodeError.
+    """Decode a job record; raises msgspec.DecodeError, also for one out of bounds.
 
     ``accepted_s``, on the monotonic clock, is ``now_s`` less the age of the job; the
     age is limited to the range from 0 to 3600 s.
@@ -188,6 +189,9 @@
         record.interval_ms / 1000,
         record.repeat_count,
     )
+    fault = find_fault(spec)
+    if fault:
+        raise msgspec.ValidationError(fault)
     accepted_unix_s = record.accepted_unix_ms / 1000
     age_s = min(max(unix_s - accepted_unix_s, 0.0), 3600.0)
     return Job(
