Skip stored records that a leader can't use, whatever the fault

Callers would see: no leader at all. A progress record whose numbers name no task of its job raised IndexError or ValueError, which ended the term, and the next term read it again. Cause: recovery skipped only records that can't be decoded. Change: any error with one job's records is logged with its reason, the job is set aside and remembered as accepted.

--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -116,6 +116,8 @@
     # Admitted jobs whose record is still being stored.
     uncommitted_jobs: dict[str, Job] = dataclasses.field(default_factory=dict)
     finished_jobs: dict[str, FinishedJob] = dataclasses.field(default_factory=dict)
+    # Stored jobs whose records this term can't use.
+    unreadable_jobs: set[str] = dataclasses.field(default_factory=set)
     workers: dict[str, Worker] = dataclasses.field(default_factory=dict)
     usage: dict[str, Usage] = dataclasses.field(default_factory=dict)
     # Usage by account that this term has not observed; computed by each planning pass.
--- a/packages/scheduler/bulrushspur_scheduler/takeover.py
+++ b/packages/scheduler/bulrushspur_scheduler/takeover.py
@@ -8,8 +8,6 @@
 
 import typing as t
 
-import msgspec
-
 from bulrushspur_scheduler.cell import Cell, FinishedJob
 from bulrushspur_scheduler.crashes import restore_suspects
 from bulrushspur_scheduler.jobs import Job, Step, make_occurrence
@@ -40,7 +38,8 @@
     """Rebuild jobs and final states; yield after each record.
 
     The caller may do other work between two records, but not change the jobs of the
-    cell. A record that can't be decoded is logged and skipped.
+    cell. A record that can't be used is logged and skipped, whatever the fault: the
+    next leader would fail with it, too.
     """
     for key, data in stored.items():
         # Both prefixes have one letter.
@@ -52,8 +51,9 @@
                 finished = _recover_final_state(job_id, data, stored)
             else:
                 continue
-        except msgspec.DecodeError as exc:
-            cell.log("record_unreadable", job_id, reason=str(exc))
+        except Exception as exc:
+            cell.log("record_unreadable", job_id, reason=repr(exc))
+            set_aside_unreadable_job(cell, job_id)
             continue
         if finished is not None:
             finished.finished_s = now_s
@@ -61,6 +61,14 @@
         yield
 
 
+def set_aside_unreadable_job(cell: Cell, job_id: str) -> None:
+    """Remove a job whose records can't be used, and remember that it was accepted."""
+    cell.unreadable_jobs.add(job_id)
+    if cell.jobs.pop(job_id, None) is not None:
+        for key in [key for key in cell.waiting_steps if key.job == job_id]:
+            del cell.waiting_steps[key]
+
+
 def _recover_final_state(
     job_id: str, data: bytes, stored: dict[str, bytes]
 ) -> FinishedJob | None:
