Wait for the longest lease if the stored list of workers can't be read

Callers would see: no leader at all: the list was decoded without a guard by each new term. Change: an unknown worker of unknown capacity stands for all that the list may have named, so recovered tasks wait until the longest lease has expired, and the caps of accounts stay kept.

--- a/packages/daemon/bulrushspur_daemon/worker_records.py
+++ b/packages/daemon/bulrushspur_daemon/worker_records.py
@@ -7,6 +7,8 @@
 import dataclasses
 import typing as t
 
+import msgspec
+
 from bulrushspur_daemon.record_writer import RecordWriter
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.records import (
@@ -20,6 +22,8 @@
 )
 from bulrushspur_scheduler.workers import Worker, make_worker, replaces
 
+UNKNOWN_WORKER_ID: t.Final = "?"
+
 
 @dataclasses.dataclass
 class WorkerRecords:
@@ -61,11 +65,19 @@
     def recover(self, data: bytes, now_s: float) -> None:
         """Add the workers on which earlier terms may have left runs.
 
-        A worker whose machine has started another one since has ended.
-
-        Raises msgspec.DecodeError.
+        A worker whose machine has started another one since has ended. If the list
+        can't be read, an unknown worker stands for all that it may have named.
         """
-        for record in decode_workers(data):
+        try:
+            records = decode_workers(data)
+        except msgspec.DecodeError as exc:
+            self.cell.log("worker_records_unreadable", reason=str(exc))
+            entry = make_recorded_entry(WorkerRecord(UNKNOWN_WORKER_ID, "", 0))
+            unknown = make_worker(entry, now_s)
+            unknown.listed = False
+            self.cell.workers[unknown.id] = unknown
+            records = []
+        for record in records:
             self.by_id[record.id] = record
             worker = self.cell.workers.get(record.id)
             if worker is not None:
