Reject a submission that can't be handled, instead of ending the term

Callers saw (in the test): 504, and the term over; the caller hands the job in to the next leader, which ends, too. Cause: a submission ran as a task of the term, and any error in one ends the term. Change: an error before the job is stored rejects it, truly as not run; an error after that sets the job aside: it is answered as accepted, and its state as unavailable with the reason.

--- a/packages/daemon/bulrushspur_daemon/leader_requests.py
+++ b/packages/daemon/bulrushspur_daemon/leader_requests.py
@@ -18,14 +18,22 @@
 from bulrushspur_kernel.messages import Cancel, Outcome, Query, Reply, Submit
 from bulrushspur_scheduler import admission, advice, ranking
 from bulrushspur_scheduler.cell import Cell
-from bulrushspur_scheduler.jobs import FINAL_STATES, JobState, make_occurrence
+from bulrushspur_scheduler.jobs import (
+    FINAL_STATES,
+    Job,
+    JobState,
+    make_occurrence,
+)
 from bulrushspur_scheduler.pools import find_recent_pool
 from bulrushspur_scheduler.progress import add_job, finish_job, set_objective
 from bulrushspur_scheduler.records import decode_job
+from bulrushspur_scheduler.takeover import set_aside_unreadable_job
 
 STORE_FAILURE_TIMEOUT_S: t.Final = 0.35
 MIN_STORE_RETRY_AFTER_S: t.Final = 1.0
 MAX_STORE_RETRY_AFTER_S: t.Final = 3.0
+# After an error of the leader's own: another version may handle the request.
+FAULT_RETRY_AFTER_S: t.Final = 60.0
 
 LeaderRequest = Submit | Query | Cancel
 
@@ -63,8 +71,10 @@
         return msgspec.structs.replace(reply, request_id=message.request_id)
 
     async def _submit(self, message: Submit) -> Reply:
-        if message.job in self.cell.jobs or message.job in self.cell.finished_jobs:
-            return Reply(0, Outcome.OK)
+        cell = self.cell
+        for known in (cell.jobs, cell.finished_jobs, cell.unreadable_jobs):
+            if message.job in known:
+                return Reply(0, Outcome.OK)
         pending = self.pending_submissions.get(message.job)
         if pending is None:
             pending = asyncio.get_running_loop().create_future()
@@ -84,7 +94,29 @@
             pending.set_result(reply)
 
     async def _admit_and_store(self, message: Submit) -> Reply:
-        cell, now_s = self.cell, monotonic_s()
+        """Store an admitted job and add it to the cell, or reject it.
+
+        A submission that can't be handled must not end the term: the caller would hand
+        it in to the next leader.
+        """
+        began_s = monotonic_s()
+        try:
+            job = self._admit(message, began_s)
+        except Exception as exc:
+            self.cell.log("request_fault", message.job, reason=repr(exc))
+            return self._reject(message, "it cannot be handled", FAULT_RETRY_AFTER_S)
+        if isinstance(job, Reply):
+            return job
+        try:
+            await self.writer.store_job(job.id, message.record)
+        except NotStoredError:
+            return self._refuse_without_store(message)
+        self._add_stored_job(job, began_s)
+        return Reply(0, Outcome.OK)
+
+    def _admit(self, message: Submit, now_s: float) -> Job | Reply:
+        """Return the job of a submission, or the reply that rejects it."""
+        cell = self.cell
         queue = cell.config.queue_by_name.get(message.queue)
         if queue is None:
             return Reply(0, Outcome.NOT_READY)
@@ -109,11 +141,17 @@
             self.advice_dispatcher.update_free_long_call_lanes()
             advice.prefetch_advice(cell, job, pool)
             self.advice_dispatcher.dispatch()
+        return job
+
+    def _add_stored_job(self, job: Job, began_s: float) -> None:
+        """Add a job that is stored, or set it aside if that can't be done."""
+        cell = self.cell
         try:
-            await self.writer.store_job(job.id, message.record)
-        except NotStoredError:
-            return self._refuse_without_store(message)
-        add_job(cell, job, monotonic_s(), unix_s())
+            add_job(cell, job, monotonic_s(), unix_s())
+        except Exception as exc:
+            cell.log("request_fault", job.id, reason=repr(exc))
+            set_aside_unreadable_job(cell, job.id)
+            return
         cell.log(
             "accept",
             job.id,
@@ -122,10 +160,9 @@
             tasks=sum(step.count for step in job.spec.steps),
             excess=job.over_share,
             config=cell.config.version,
-            stored_ms=round((monotonic_s() - now_s) * 1000),
+            stored_ms=round((monotonic_s() - began_s) * 1000),
         )
         self.request_plan()
-        return Reply(0, Outcome.OK)
 
     def _store_retry_after_s(self) -> float:
         """Return the time after which to retry a submission, in seconds.
@@ -164,6 +201,9 @@
             return Reply(0, Outcome.OK, job.state.value)
         if job_id in self.pending_submissions:
             return Reply(0, Outcome.OK, JobState.QUEUED.value)
+        if job_id in self.cell.unreadable_jobs:
+            reason = "the leader cannot read what is stored of it"
+            return Reply(0, Outcome.NOT_READY, "", reason, FAULT_RETRY_AFTER_S)
         return Reply(0, Outcome.UNKNOWN_JOB)
 
     async def _cancel(self, job_id: str) -> Reply:
