Set a job aside whose step can't be planned

Callers would see: leader after leader ends, as each plans the same step. Cause: an error with one step ended the pass, the loop and the term. Sorting looks for steps without a rank only after an error. Isolated workers cost a pass next to nothing while there are none.

--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -142,6 +142,8 @@
     waiting_steps: dict[StepKey, Step] = dataclasses.field(default_factory=dict)
     # Steps that planning tries in rotation, by service; the last one goes next.
     rotations: dict[str, list[Step]] = dataclasses.field(default_factory=dict)
+    # Jobs that could not be planned because of an error, and when to try again.
+    faulted_jobs: dict[str, float] = dataclasses.field(default_factory=dict)
     reservations: dict[StepKey, t.Any] = dataclasses.field(default_factory=dict)
     reservations_made_s: float = -1e9
     # Start of the present hold period, by service.
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -283,6 +283,8 @@
     next_occurrence: int = 0
     # Run numbers of recovered tasks start above it, beyond those of earlier terms.
     run_number_base: int = 0
+    # How often its steps could not be planned because of an error.
+    fault_count: int = 0
     # Increased by each crash under one of its tasks, and the last that is stored.
     crash_version: int = 0
     stored_crash_version: int = 0
--- a/packages/scheduler/bulrushspur_scheduler/placement.py
+++ b/packages/scheduler/bulrushspur_scheduler/placement.py
@@ -58,7 +58,7 @@
         for worker in workers
         if (not ticketed or has_ticket(step, worker, now_s))
         and spec.accepts_labels(worker.entry.labels)
-        and worker.isolated_for in (None, step.key)
+        and (worker.isolated_for is None or worker.isolated_for == step.key)
         and (
             worker.reserved_for in (None, step.key)
             or takes_reserved
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -14,6 +14,7 @@
 from bulrushspur_scheduler import advice
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.crashes import awaits_storage, awaits_verdict
+from bulrushspur_scheduler.faulted_jobs import requeue_faulted_jobs, set_aside_job
 from bulrushspur_scheduler.gangs import plan_gang
 from bulrushspur_scheduler.isolation import (
     is_suspect,
@@ -63,9 +64,8 @@
 
 def plan(cell: Cell, now_s: float) -> None:
     """Order all starts that fit now; ``now_s`` is on the monotonic clock."""
-    steps = sorted(
-        cell.waiting_steps.values(), key=lambda step: rank(cell, step, now_s)
-    )
+    requeue_faulted_jobs(cell, now_s)
+    steps = _sort_by_rank(cell, now_s)
     # Tasks that last have no deadline.
     first = next((step for step in steps if not step.spec.long_running), None)
     all_past_deadline = (
@@ -89,7 +89,7 @@
         ):
             unreached[service].append(step)
         else:
-            _visit_step(cell, step, pool, now_s)
+            _visit_step_or_set_aside(cell, step, pool, now_s)
     for service, pool in pools.items():
         if unreached[service]:
             _plan_in_rotation(cell, service, unreached[service], pool, now_s)
@@ -126,7 +126,31 @@
             return
         step = queue.pop()
         if cell.waiting_steps.get(step.key) is step and may_fit(step, rooms):
-            remaining -= _visit_step(cell, step, pool, now_s)
+            remaining -= _visit_step_or_set_aside(cell, step, pool, now_s)
+
+
+def _sort_by_rank(cell: Cell, now_s: float) -> list[Step]:
+    """Sort the waiting steps, and set aside the jobs of those that have no rank."""
+    steps = list(cell.waiting_steps.values())
+    try:
+        return sorted(steps, key=lambda step: rank(cell, step, now_s))
+    except Exception:
+        # The steps at fault are found, and logged, one by one.
+        for step in steps:
+            try:
+                rank(cell, step, now_s)
+            except Exception as exc:
+                set_aside_job(cell, step.job, exc, now_s)
+    return sorted(cell.waiting_steps.values(), key=lambda step: rank(cell, step, now_s))
+
+
+def _visit_step_or_set_aside(cell: Cell, step: Step, pool: Pool, now_s: float) -> bool:
+    """Visit a step; a fault must not hold back other steps, nor end the term."""
+    try:
+        return _visit_step(cell, step, pool, now_s)
+    except Exception as exc:
+        set_aside_job(cell, step.job, exc, now_s)
+        return True
 
 
 def _visit_step(cell: Cell, step: Step, pool: Pool, now_s: float) -> bool:
--- a/packages/scheduler/bulrushspur_scheduler/pools.py
+++ b/packages/scheduler/bulrushspur_scheduler/pools.py
@@ -71,7 +71,7 @@
         if worker.entry.service == service and is_available(worker, now_s)
     ]
     isolated = _renew_isolated_workers(available, now_s)
-    shared = [worker for worker in available if worker.isolated_for is None]
+    shared = [w for w in available if w.isolated_for is None] if isolated else available
     workers = [worker for worker in shared if not is_doubted(worker, now_s)]
     pool = Pool(workers, now_s, {worker.id: worker for worker in workers})
     pool.isolated_workers, pool.isolated_count = isolated, len(isolated)
@@ -89,10 +89,12 @@
     """List the workers that are still isolated, and release the others."""
     rv = []
     for worker in workers:
-        if is_isolated(worker, now_s):
-            rv.append(worker)
-        else:
-            worker.isolated_for = None
+        # Called for each worker in each pass: hardly any is isolated.
+        if worker.isolated_for is not None:
+            if is_isolated(worker, now_s):
+                rv.append(worker)
+            else:
+                worker.isolated_for = None
     return rv
 
 
