Take a worker whose report can't be applied as silent

Callers would see: the runs of that worker neither end nor start elsewhere. Cause: an error in a report ended the worker's poll loop without a log line. Change: it is logged (worker_fault), and the worker counts as not heard: it gets no work, its lease is not extended, and its runs are lost once that has expired. No end is acknowledged that was not applied.

--- a/packages/daemon/bulrushspur_daemon/worker_connections.py
+++ b/packages/daemon/bulrushspur_daemon/worker_connections.py
@@ -40,6 +40,8 @@
 MAX_STORE_WAIT_S: t.Final = 0.4
 SILENCE_LOG_THRESHOLD_S: t.Final = 1.0
 REPORT_TIMEOUT_S: t.Final = 1.2
+# After a report that can't be applied.
+FAULT_RETRY_INTERVAL_S: t.Final = 1.0
 
 
 @dataclasses.dataclass
@@ -134,6 +136,15 @@
             except WorkerUnresponsiveError as exc:
                 self._log_silence(connection, str(exc))
                 await asyncio.sleep(RETRY_INTERVAL_S)
+            except Exception as exc:
+                # As if it had not reported: it gets no work, and its runs are lost once
+                # its lease has expired.
+                worker_id, reason = connection.worker.id, repr(exc)
+                self.log.event(
+                    "worker_fault", urgent=True, worker=worker_id, reason=reason
+                )
+                self.metrics.count("worker_faults")
+                await asyncio.sleep(FAULT_RETRY_INTERVAL_S)
 
     async def _poll(self, connection: WorkerConnection) -> None:
         """Renew the lease, acknowledge stored ends and apply the worker's report.
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -97,7 +97,6 @@
         report.incarnation_start_ms or worker.incarnation_start_ms
     )
     worker.clock.record_reading(report.clock_ms, now_s)
-    worker.last_report_s = now_s
     if not worker.has_reported:
         cell.log("worker_reached", worker=worker.id, runs=len(report.running))
         _assume_previous_lease(cell, worker, report)
@@ -105,8 +104,8 @@
     cell.unobserved_workers.discard(worker.id)
     for end in report.ended:
         if end.sequence > worker.applied_end_sequence:
-            worker.applied_end_sequence = end.sequence
             _apply_end(cell, worker, end, now_s)
+            worker.applied_end_sequence = end.sequence
     listed = {(status.key, status.number): status for status in report.running}
     is_complete = len(report.ended) < MAX_REPORTED_ENDS
     for run in list(worker.runs.values()):
@@ -119,6 +118,8 @@
         worker.remove_orphan(key)
     for status in listed.values():
         _adopt_or_stop_run(cell, worker, status, now_s)
+    # Last: a worker whose report can't be applied has not reported.
+    worker.last_report_s = now_s
 
 
 def _assume_previous_lease(cell: Cell, worker: Worker, report: WorkerReport) -> None:
