Log a peer's message that can't be handled, and go on

Operators would see: a process ends over one message, and the next one over the same. Cause: an error in the handler ended the receiving loop, which ends the process. Change: the message is dropped and logged with its kind and the reason.

--- a/packages/daemon/bulrushspur_daemon/peer_sockets.py
+++ b/packages/daemon/bulrushspur_daemon/peer_sockets.py
@@ -53,7 +53,7 @@
             identity, data = await self.socket.recv_multipart()
             message = _decode(data, self.log)
             if message is not None:
-                self.on_message(identity, message)
+                _handle(self.on_message, identity, message, self.log)
 
     async def watch_disconnects(self) -> None:
         """Call ``on_disconnect`` for each broken connection until cancelled."""
@@ -86,7 +86,7 @@
             data = await self.socket.recv()
             message = _decode(data, self.log)
             if message is not None:
-                self.on_message(self, message)
+                _handle(self.on_message, self, message, self.log)
 
     def send(self, message: messages.Message) -> bool:
         """Send to the process; return whether the message was queued for it."""
@@ -109,6 +109,16 @@
     return sent.done() and sent.exception() is None
 
 
+def _handle(
+    on_message: MessageHandler, sender: t.Any, message: messages.Message, log: EventLog
+) -> None:
+    """Handle a message; one that can't be handled must not end the process."""
+    try:
+        on_message(sender, message)
+    except Exception as exc:
+        log.event("peer_message_fault", kind=type(message).__name__, reason=repr(exc))
+
+
 def _decode(data: bytes, log: EventLog) -> messages.Message | None:
     try:
         return messages.decode_message(data)
