--- a/tests/test_poisoned_input.py
+++ b/tests/test_poisoned_input.py
@@ -27,7 +27,6 @@
 from tests.cluster import InProcessCluster, job_id
 from tests.test_config_watch import NullEventLog
 
-
 # So often a step is planned before its job is given up.
 MAX_FAULTS = 3
 
