--- /dev/null
+++ b/fuzz/capacity.py
@@ -0,0 +1,136 @@
+"""Simulate workers whose capacity shrinks and grows while they run.
+
+Takes a seed; returns the simulation after its history, with its violations. A history
+has jobs, workers that change their capacity at random, also below what they run, some
+that restart, changes of the leader and outages of the store. A worker writes its new
+capacity to the store, once that is available, and leaders read it from there.
+
+Checked is each start: it must not bring a worker over the most capacity that it had
+within the last CAPACITY_GRACE_S. Afterwards all jobs complete, and none stands still.
+"""
+
+import random
+import typing as t
+
+from bulrushspur_scheduler.jobs import JobSpec, StepSpec
+from bulrushspur_scheduler.resources import Resources
+from fuzz.leaders import SimLeader
+from fuzz.series import REGISTRATION_DELAY_S, SeriesSimulation
+from fuzz.simulation import WORKER_CPU_MILLI
+from fuzz.workers import SimWorker
+
+# A capacity that has shrunk counts after this time.
+CAPACITY_GRACE_S: t.Final = 4.5
+COMPLETION_TIMEOUT_S: t.Final = 120.0
+
+
+class CapacitySimulation(SeriesSimulation):
+    """A cell whose workers change their capacity."""
+
+    def __init__(self, seed: int) -> None:
+        # By worker: when it had which capacity from, in order.
+        self.capacity_history: dict[str, list[tuple[float, int]]] = {}
+        super().__init__(seed, has_incarnation_list=True)
+
+    def add_worker(self, name: str, machine: str = "") -> None:
+        """Start an incarnation of a worker with its full capacity."""
+        super().add_worker(name, machine)
+        self.workers[name].failure_share = 0.0
+        self.workers[name].changes_capacity = True
+        self.capacity_history[name] = [(self.now_s, WORKER_CPU_MILLI)]
+
+    def resize_worker(self, name: str, cpu_milli: int) -> None:
+        """Change the capacity of a worker, and write it to the store."""
+        self.add_trace(f"fault: {name} has {cpu_milli} mCPU")
+        worker = self.workers[name]
+        worker.cpu_milli = cpu_milli
+        self.capacity_history[name].append((self.now_s, cpu_milli))
+        entry = self.entries[name]
+        self.entries[name] = self.past_entries[name] = type(entry)(
+            entry.id,
+            entry.service,
+            entry.address,
+            entry.zone,
+            Resources(cpu_milli, 99_999),
+            machine=entry.machine,
+            incarnation_start_ms=entry.incarnation_start_ms,
+        )
+        self.schedule(REGISTRATION_DELAY_S, lambda: self._announce(name))
+
+    def on_started(self, leader: SimLeader, worker: SimWorker, run: t.Any) -> None:
+        """Check that a start keeps a worker within the capacity that counts."""
+        used_milli = sum(other.cpu_milli for other in worker.runs.values())
+        history = self.capacity_history[worker.id]
+        since_s = self.now_s - CAPACITY_GRACE_S
+        older = [cpu for start_s, cpu in history if start_s <= since_s]
+        recent = [cpu for start_s, cpu in history if start_s > since_s]
+        if used_milli > max([*older[-1:], *recent]):
+            key = ".".join(map(str, run.task.key))
+            self.oracle.record_violation(
+                f"{key} brings {worker.id} to {used_milli} of {worker.cpu_milli} mCPU "
+                f"at {self.now_s:.2f}"
+            )
+
+
+class CapacityHistory:
+    """The random actions of a history."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.simulation = CapacitySimulation(seed)
+
+    def run(self) -> CapacitySimulation:
+        """Run the history until a violation, then check that all jobs end."""
+        simulation, rng = self.simulation, self.rng
+        for _ in range(80):
+            self._act()
+            simulation.advance(rng.choice((0.1, 0.3, 0.6)))
+            if not simulation.leaders:
+                simulation.take_over(False)
+            if simulation.oracle.violations:
+                return simulation
+        for name in simulation.entries:
+            simulation.resize_worker(name, WORKER_CPU_MILLI)
+        while not simulation.leaders:
+            simulation.take_over(False)
+            simulation.advance(0.5)
+        deadline_s = simulation.now_s + COMPLETION_TIMEOUT_S
+        while simulation.leaders[-1].cell.jobs and simulation.now_s < deadline_s:
+            simulation.advance(0.5)
+        for job_id in simulation.leaders[-1].cell.jobs:
+            simulation.oracle.record_violation(f"job {job_id} never ended")
+        return simulation
+
+    def _act(self) -> None:
+        simulation, rng = self.simulation, self.rng
+        draw = rng.random()
+        names = sorted(simulation.entries)
+        if draw < 0.5 and simulation.leaders:
+            self._submit()
+        elif draw < 0.75:
+            share = rng.choice((0.1, 0.25, 0.5, 0.75, 1.0, 1.0))
+            name = rng.choice(names)
+            simulation.resize_worker(name, round(WORKER_CPU_MILLI * share))
+        elif draw < 0.78:
+            simulation.restart_worker(rng.choice(names))
+        elif draw < 0.82:
+            simulation.take_over(rng.random() < 0.3, rng.choice((0.0, 0.3, 2.0)))
+        elif draw < 0.84:
+            simulation.make_store_unavailable(rng.choice((0.5, 2.0, 8.0)))
+
+    def _submit(self) -> None:
+        simulation, rng = self.simulation, self.rng
+        simulation.job_count += 1
+        step = StepSpec(
+            rng.choice((1, 2, 4, 6)),
+            Resources(rng.choice((500, 1000, 2500)), 10),
+            rng.choice((0.3, 0.8, 3.0)),
+            gang=rng.random() < 0.3,
+        )
+        spec = JobSpec(f"j{simulation.job_count}", "p", (step,))
+        simulation.submit(spec, rng.choice(("small", "large")))
+
+
+def run_capacity_history(seed: int) -> CapacitySimulation:
+    """Run the history of a seed; return the simulation."""
+    return CapacityHistory(seed).run()
