Ignore a worker's entry that is older than the last one applied

Callers would see: a worker that has shrunk, or left, gets work again as if it had not (LIMIT). Cause: entries were applied in the order in which they were read. Change: the offset of the last record applied is kept by worker, and older ones are ignored.

--- a/packages/daemon/bulrushspur_daemon/worker_watch.py
+++ b/packages/daemon/bulrushspur_daemon/worker_watch.py
@@ -27,6 +27,8 @@
 RETRY_INTERVAL_S: t.Final = 0.3
 # Workers whose entries expired during a store outage register again within this time.
 REREGISTER_GRACE_S: t.Final = 2.6
+# Of the workers that registered last, also of those that have gone since.
+MAX_KNOWN_OFFSETS: t.Final = 10_000
 
 
 @dataclasses.dataclass
@@ -44,6 +46,8 @@
     store_unavailable: bool = False
     grace_until_s: float = 0.0
     missing_since_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    # The offset of the last record applied, by worker id.
+    applied_offsets: dict[str, int] = dataclasses.field(default_factory=dict)
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -88,6 +92,13 @@
             self.on_change()
 
     def _apply(self, record: StoredRecord) -> None:
+        if record.offset < self.applied_offsets.get(record.key, -1):
+            # Pages of the newest records, and reads after a compaction, may be behind.
+            return
+        self.applied_offsets.pop(record.key, None)
+        self.applied_offsets[record.key] = record.offset
+        if len(self.applied_offsets) > MAX_KNOWN_OFFSETS:
+            del self.applied_offsets[next(iter(self.applied_offsets))]
         if not record.value:
             self.missing_since_s.setdefault(record.key, monotonic_s())
             return
