Start nothing on a worker that is over its capacity in any resource

Cause: only the resources that a task asks for were looked at. Change: no task fits where a resource is below 0.

--- a/packages/scheduler/bulrushspur_scheduler/resources.py
+++ b/packages/scheduler/bulrushspur_scheduler/resources.py
@@ -60,7 +60,12 @@
 
 
 def count_fitting_tasks(free: Usage, each: Resources) -> int:
-    """Return how many tasks of size ``each`` fit into ``free``; 0 for an empty size."""
+    """Return how many tasks of size ``each`` fit into ``free``; 0 for an empty size.
+
+    None fit where a resource is below 0, whether or not they need it.
+    """
+    if free.cpu_milli < 0 or free.memory_mb < 0 or free.gpus < 0:
+        return 0
     rv = None
     if each.cpu_milli > 0:
         rv = free.cpu_milli // each.cpu_milli
