Bound what may run unobserved by the most capacity that a worker has had

Callers would see: after a change of the leader an account above its cap (QUOTA), on a worker that has shrunk below what runs there. Cause: the unobserved usage of an account is bounded by the capacity of the workers that have not reported, as their entries give it now. The stored list keeps the most, but it was used only for workers without an entry. Change: a worker has max_capacity, the most of its entries and of the stored list.

--- a/packages/daemon/bulrushspur_daemon/worker_records.py
+++ b/packages/daemon/bulrushspur_daemon/worker_records.py
@@ -81,6 +81,8 @@
             self.by_id[record.id] = record
             worker = self.cell.workers.get(record.id)
             if worker is not None:
+                recorded = make_recorded_entry(record).capacity
+                worker.max_capacity = worker.max_capacity.maximum(recorded)
                 self.update(worker)
             else:
                 worker = make_worker(make_recorded_entry(record), now_s)
--- a/packages/daemon/bulrushspur_daemon/worker_watch.py
+++ b/packages/daemon/bulrushspur_daemon/worker_watch.py
@@ -174,6 +174,7 @@
             runs=len(worker.runs),
         )
     worker.entry = entry
+    worker.max_capacity = worker.max_capacity.maximum(entry.capacity)
     if changed:
         on_new_capacity(worker)
 
--- a/packages/scheduler/bulrushspur_scheduler/resources.py
+++ b/packages/scheduler/bulrushspur_scheduler/resources.py
@@ -19,6 +19,14 @@
             and other.gpus <= self.gpus
         )
 
+    def maximum(self, other: "Resources") -> "Resources":
+        """Return the greater amount of each resource."""
+        return Resources(
+            max(self.cpu_milli, other.cpu_milli),
+            max(self.memory_mb, other.memory_mb),
+            max(self.gpus, other.gpus),
+        )
+
     def times(self, count: int) -> "Resources":
         """Return the amount of ``count`` tasks."""
         return Resources(
--- a/packages/scheduler/bulrushspur_scheduler/unobserved_usage.py
+++ b/packages/scheduler/bulrushspur_scheduler/unobserved_usage.py
@@ -42,7 +42,7 @@
         for worker_id in cell.unobserved_workers
         if worker_id in cell.workers
     ]
-    if any(worker.entry.capacity == Resources() for worker in unobserved):
+    if any(worker.max_capacity == Resources() for worker in unobserved):
         # A worker that is known only from the store has no known capacity.
         return
     for usage in usage_by_account.values():
@@ -70,7 +70,7 @@
 
 
 def _limit_to_capacity(amount: int, workers: list[Worker], name: str) -> int:
-    return min(amount, sum(getattr(worker.entry.capacity, name) for worker in workers))
+    return min(amount, sum(getattr(worker.max_capacity, name) for worker in workers))
 
 
 def _count_orphan_runs(
@@ -81,7 +81,7 @@
         if account:
             # A run of unknown size is at most as large as its worker.
             usage_by_account.setdefault(account, Usage()).add(
-                amount or worker.entry.capacity
+                amount or worker.max_capacity
             )
 
 
--- a/packages/scheduler/bulrushspur_scheduler/workers.py
+++ b/packages/scheduler/bulrushspur_scheduler/workers.py
@@ -76,6 +76,8 @@
 
     entry: WorkerEntry
     free: Usage
+    # The most that it has had; its runs may be older than a change.
+    max_capacity: Resources
     listed: bool = True
     added_s: float = 0.0
     unlisted_s: float = 0.0
@@ -171,7 +173,11 @@
     capacity = entry.capacity
     free = Usage(capacity.cpu_milli, capacity.memory_mb, capacity.gpus)
     return Worker(
-        entry, free, added_s=now_s, incarnation_start_ms=entry.incarnation_start_ms
+        entry,
+        free,
+        capacity,
+        added_s=now_s,
+        incarnation_start_ms=entry.incarnation_start_ms,
     )
 
 
