Accept a job that the workers could hold before they shrank

Callers saw: 429 with Retry-After of 60 s for a job that fits again seconds later. Cause: admission asked for the capacity of now, as if it were for good. Change: it asks for the most that a present worker has had; the job waits. A job that no worker ever could hold is refused at once, as before.

--- a/packages/scheduler/bulrushspur_scheduler/admission.py
+++ b/packages/scheduler/bulrushspur_scheduler/admission.py
@@ -2,7 +2,8 @@
 
 Takes a job that is not stored yet; returns None or a rejection, and changes nothing. A
 job is rejected if one of its steps could never start, on the present workers or under
-the cap of its client account. The present load is not considered: jobs can wait.
+the cap of its client account. The present load is not considered, nor that a worker has
+shrunk: jobs can wait.
 """
 
 import dataclasses
@@ -47,7 +48,7 @@
         if worker.entry.service == queue.service and worker.listed
     ]
     if workers and not any(
-        worker.entry.capacity.can_fit(step.resources)
+        worker.max_capacity.can_fit(step.resources)
         and step.accepts_labels(worker.entry.labels)
         for worker in workers
     ):
