Start nothing by a list of workers that is too old where capacities change

Cause: the planner used the last list of workers without regard to its age.

Change: the leader notes when it requested the list that it read last. Once a worker has changed its capacity in this term, a list older than `site.capacity_notice_ms` less the time of an order starts nothing, and the wait is reported as `worker_list`. Where no capacity has changed, starts go on through an outage as before; the first change ever in an outage stays open.

--- a/fuzz/series.py
+++ b/fuzz/series.py
@@ -140,6 +140,9 @@
         return sorted(cell.workers)
 
     def _tick(self, leader: SimLeader) -> None:
+        reads_store = not leader.store_unreachable
+        if reads_store and self.now_s >= self.store.unavailable_until_s:
+            leader.cell.worker_list_s = self.now_s - REGISTRATION_DELAY_S
         super()._tick(leader)
         if leader.store_unreachable or leader.ended or leader is not self.leaders[-1]:
             return
--- a/packages/daemon/bulrushspur_daemon/introspection.py
+++ b/packages/daemon/bulrushspur_daemon/introspection.py
@@ -24,6 +24,7 @@
     WaitReason.ISOLATION: "a worker without other new work: workers crashed under it",
     WaitReason.ROOM: "room on workers that may run it",
     WaitReason.EXCLUDED_WORKERS: "workers that are silent or quarantined",
+    WaitReason.WORKER_LIST: "the list of workers, whose capacities change",
     WaitReason.TICKETS: "tickets for workers that may run it",
     WaitReason.RESERVATION: "workers that are reserved for others",
     WaitReason.NOT_TRIED: "the planner to try it",
--- a/packages/daemon/bulrushspur_daemon/process.py
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -107,6 +107,7 @@
             early_s=site.early_ms / 1000,
             max_lease_s=site.lease_most_ms / 1000,
             far_factor=site.far_factor,
+            capacity_notice_s=site.capacity_notice_ms / 1000,
             checkpoint_interval_s=site.save_s,
             status_retention_s=site.status_s,
         )
--- a/packages/daemon/bulrushspur_daemon/worker_watch.py
+++ b/packages/daemon/bulrushspur_daemon/worker_watch.py
@@ -74,6 +74,7 @@
         Raises StoreTruncatedError and StoreUnavailableError.
         """
         topic = self.adapter.workers_topic
+        requested_s = monotonic_s()
         if self.next_offset is None:
             newest, self.next_offset = await self.store.read_newest(
                 topic, on_received=on_received
@@ -83,11 +84,13 @@
                     self.missing_since_s.setdefault(worker.id, monotonic_s())
             for record in newest.values():
                 self._apply(record)
+            self.cell.worker_list_s = requested_s
             self.on_change()
             return
         records, self.next_offset = await self.store.read(topic, self.next_offset)
         for record in {record.key: record for record in records}.values():
             self._apply(record)
+        self.cell.worker_list_s = requested_s
         if records:
             self.on_change()
 
@@ -157,6 +160,7 @@
         now_s + entry.drain_remaining_s if entry.drain_remaining_s is not None else None
     )
     changed = entry.capacity != worker.entry.capacity
+    cell.capacities_change |= changed
     if changed:
         old, new = worker.entry.capacity, entry.capacity
         worker.free.cpu_milli += new.cpu_milli - old.cpu_milli
--- a/packages/kernel/bulrushspur_kernel/settings.py
+++ b/packages/kernel/bulrushspur_kernel/settings.py
@@ -49,6 +49,8 @@
     early_ms: PositiveInt = 250
     # Workers shorten longer leases to this.
     lease_most_ms: PositiveInt = 10_000
+    # A smaller capacity of a worker counts for so long after it is in the store.
+    capacity_notice_ms: PositiveInt = 3000
     # How long the state of a job that has ended is reported.
     status_s: PositiveFloat = 120.0
     far_factor: PositiveFloat = 2.0
--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -40,6 +40,8 @@
     early_s: float = 0.25
     status_retention_s: float = 120.0
     checkpoint_interval_s: float = 1.0
+    # A smaller capacity of a worker counts for so long after it is in the store.
+    capacity_notice_s: float = 3.0
     lease_s: float = 6.5
     max_lease_s: float = 10.0
 
@@ -135,6 +137,10 @@
     approval_rates: dict[str, float] = dataclasses.field(default_factory=dict)
     # Number of lanes that can start a long advice call now.
     free_long_call_lanes: int = 1_000_000
+    # When the list of workers was requested that was read last.
+    worker_list_s: float = 0.0
+    # Whether a worker has changed its capacity in this term.
+    capacities_change: bool = False
     # The pool of each service that a planning pass or a submission made last.
     recent_pools: dict[str, t.Any] = dataclasses.field(default_factory=dict)
     # By account.
--- a/packages/scheduler/bulrushspur_scheduler/pools.py
+++ b/packages/scheduler/bulrushspur_scheduler/pools.py
@@ -20,6 +20,8 @@
 # These get no work for so long after a fault, or a task would soon use up its attempts,
 # and none for so long after such a start, or many tasks would fail there at once.
 MIN_FAULT_AGE_S: t.Final = 2.0
+# An order may take so long until its worker carries it out.
+ORDER_MARGIN_S: t.Final = 0.7
 
 
 @dataclasses.dataclass
@@ -64,10 +66,14 @@
 
 
 def make_pool(cell: Cell, service: str, now_s: float) -> Pool:
-    """Make the pool of a service for one planning pass."""
+    """Make the pool of a service for one planning pass.
+
+    It is empty while capacities may have changed unseen.
+    """
+    known_workers = () if is_worker_list_old(cell, now_s) else cell.workers.values()
     available = [
         worker
-        for worker in cell.workers.values()
+        for worker in known_workers
         if worker.entry.service == service and is_available(worker, now_s)
     ]
     isolated = _renew_isolated_workers(available, now_s)
@@ -98,6 +104,15 @@
     return rv
 
 
+def is_worker_list_old(cell: Cell, now_s: float) -> bool:
+    """Return whether workers may have shrunk since their list was read, as some have.
+
+    Where none has changed its capacity in this term, they are taken not to change.
+    """
+    max_age_s = cell.timing_limits.capacity_notice_s - ORDER_MARGIN_S
+    return cell.capacities_change and now_s - cell.worker_list_s > max_age_s
+
+
 @contextlib.contextmanager
 def include_workers(pool: Pool, extra: list[Worker]) -> t.Iterator[None]:
     """Add workers to a pool for one step."""
--- a/packages/scheduler/bulrushspur_scheduler/waiting.py
+++ b/packages/scheduler/bulrushspur_scheduler/waiting.py
@@ -21,7 +21,7 @@
     free_slots_under_cap,
     needs_advice,
 )
-from bulrushspur_scheduler.pools import Pool
+from bulrushspur_scheduler.pools import Pool, is_worker_list_old
 from bulrushspur_scheduler.workers import Worker, is_schedulable
 
 # A step whose job has had nothing running for longer is reported.
@@ -44,6 +44,7 @@
     ISOLATION = "isolation"
     ROOM = "room"
     EXCLUDED_WORKERS = "excluded_workers"
+    WORKER_LIST = "worker_list"
     TICKETS = "tickets"
     RESERVATION = "reservation"
     NOT_TRIED = "not_tried"
@@ -112,6 +113,8 @@
         return WaitReason.CLAIM
     if needs_advice(cell, step) and not step.evaluated_workers:
         return WaitReason.ADVICE
+    if is_worker_list_old(cell, now_s):
+        return WaitReason.WORKER_LIST
     if step.has_suspects and all(map(is_suspect, startable)):
         return WaitReason.ISOLATION
     return _find_room_reason(count_slots(cell, step, now_s), wanted)
