--- a/review/cell.py
+++ b/review/cell.py
@@ -26,7 +26,9 @@
     ResponseLostError,
     fetch_response,
 )
-from bulrushspur_kernel.http_exchange import Request
+from bulrushspur_kernel.http_exchange import CallerDisconnectedError, Request
+from bulrushspur_kernel.http_server import HttpServer
+from bulrushspur_standins.machines import MachinesStandin
 from bulrushspur_standins.serving import Faults, StatusAndBody, json_answer, make_server
 from bulrushspur_standins.store import StoreStandin
 
@@ -36,6 +38,7 @@
 SERVICE: t.Final = "coursework"
 ZONES: t.Final = ("peak-edge", "cotswold-north", "charnwood", "malvern")
 # As on the sheet of the Drystone deployment.
+HEARTBEAT_S: t.Final = 1.5
 STOP_MS: t.Final = 900
 GANG_MS: t.Final = 3000
 MAX_HOLD_MS: t.Final = 10_000
@@ -136,12 +139,14 @@
         self.ended = asyncio.Event()
         self.address = ""
         self.tasks: list[asyncio.Task[None]] = []
+        self.server: HttpServer | None = None
+        self.faults = Faults()
 
     async def start(self) -> None:
         """Listen on a free port and register."""
-        server = make_server(self.handle, Faults(), random.Random(1))
-        await server.listen("127.0.0.1", 0)
-        self.address = f"127.0.0.1:{server.port}"
+        self.server = make_server(self.handle, self.faults, random.Random(1))
+        await self.server.listen("127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.port}"
         self.tasks.append(asyncio.create_task(self._watch()))
         entry = {
             "service": SERVICE,
@@ -159,6 +164,24 @@
             "born": self.born_ms,
         }
         self.cell.store.put("keyed.servers", self.id, msgspec.json.encode(entry))
+        self.cell.machines.worker_by_machine[f"m-{self.id}"] = self.id
+
+    async def crash(self) -> None:
+        """End for good, without a word; the entry lapses after three heartbeats."""
+        self.cell.record.write(f"{self.id} crashes with {sorted(self.runs)}")
+        self.faults.down = True
+        for run in self.runs.values():
+            run.ended_s, run.how = time.monotonic(), "crashed"
+        self.runs.clear()
+        for task in self.tasks:
+            task.cancel()
+        del self.cell.machines.worker_by_machine[f"m-{self.id}"]
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            3 * HEARTBEAT_S, self.cell.store.put, "keyed.servers", self.id, b""
+        )
+        assert self.server is not None
+        await self.server.close(0.0)
 
     def clock_ms(self) -> int:
         """Return the worker's own clock."""
@@ -203,7 +226,10 @@
         if request.path == "/-/run-stop":
             return self._stop(data)
         if request.path == "/-/hold":
-            return await self._hold(data)
+            answer = await self._hold(data)
+            if self.faults.down:
+                raise CallerDisconnectedError
+            return answer
         return json_answer(404)
 
     def _refuse(self, data: dict[str, t.Any], path: str, why: str) -> StatusAndBody:
@@ -278,9 +304,9 @@
 class Entry:
     """An entry process, started with the command of the deploy file."""
 
-    def __init__(self, name: str, zone: str, store: str, folder: pathlib.Path) -> None:
+    def __init__(self, name: str, zone: str, cell: "Cell") -> None:
         self.name = name
-        self.folder = folder
+        self.folder = cell.folder
         addresses = [f"127.0.0.1:{find_port()}" for _ in range(4)]
         self.front, self.ready, peers, self.operators = addresses
         # The template of the settings, filled in by hand.
@@ -291,7 +317,8 @@
             "ready_address": self.ready,
             "peers_address": peers,
             "operators_address": self.operators,
-            "store_address": store,
+            "store_address": cell.store_address,
+            "machines_address": cell.machines_address,
             "adapter": "bulrushspur_platform",
             "cores": 0.537,
             "core_speed": 2,
@@ -344,6 +371,8 @@
         self.record = Record(folder)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.store = StoreStandin(append_delay_s=0.004)
+        self.machines = MachinesStandin(page_size=200)
+        self.machines_address = ""
         self.workers: list[Worker] = []
         self.entries: list[Entry] = []
         self.runs: list[Run] = []
@@ -353,8 +382,8 @@
         self, entries: int, workers: int, config: dict[str, t.Any] | None = None
     ) -> None:
         """Start all parts, and wait until each entry process is ready."""
-        if not self.store_address:
-            self.store_address = await self.store.start()
+        self.store_address = self.store_address or await self.store.start()
+        self.machines_address = await self.machines.start()
         self.store.put("keyed.op", "config", msgspec.json.encode(config or CONFIG))
         for index in range(workers):
             zone = ZONES[index % len(ZONES)]
@@ -363,9 +392,7 @@
             self.workers.append(worker)
         for index in range(entries):
             zone = ZONES[index % len(ZONES)]
-            entry = Entry(
-                f"front-{zone}-{index}", zone, self.store_address, self.folder
-            )
+            entry = Entry(f"front-{zone}-{index}", zone, self)
             self.entries.append(entry)
             await entry.start()
         for entry in self.entries:
