--- a/review/cell.py
+++ b/review/cell.py
@@ -122,10 +122,20 @@
 class Worker:
     """A worker: one life, without a disk, whose lease is by its own clock."""
 
-    def __init__(self, name: str, zone: str, rack: str, cell: "Cell") -> None:
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        rack: str,
+        cell: "Cell",
+        machine: str = "",
+        capacity: dict[str, int] = CAPACITY,
+    ) -> None:
         self.id = name
         self.zone = zone
         self.rack = rack
+        self.machine = machine or f"m-{name}"
+        self.capacity = capacity
         self.cell = cell
         self.began_s = time.monotonic()
         self.born_ms = int(time.time() * 1000)
@@ -156,15 +166,16 @@
             "slots": 8,
             "state": "ready",
             "cold_left_ms": 0,
-            "capacity": CAPACITY,
+            "capacity": self.capacity,
             "labels": ["a", self.rack],
-            "machine": f"m-{self.id}",
+            "machine": self.machine,
             "clock_ms": self.clock_ms(),
             "sequence": 1,
             "born": self.born_ms,
         }
         self.cell.store.put("keyed.servers", self.id, msgspec.json.encode(entry))
-        self.cell.machines.worker_by_machine[f"m-{self.id}"] = self.id
+        self.cell.machines.worker_by_machine[self.machine] = self.id
+        self.cell.record.write(f"{self.id} registers, on machine {self.machine}")
 
     async def crash(self) -> None:
         """End for good, without a word; the entry lapses after three heartbeats."""
@@ -175,7 +186,7 @@
         self.runs.clear()
         for task in self.tasks:
             task.cancel()
-        del self.cell.machines.worker_by_machine[f"m-{self.id}"]
+        del self.cell.machines.worker_by_machine[self.machine]
         loop = asyncio.get_running_loop()
         loop.call_later(
             3 * HEARTBEAT_S, self.cell.store.put, "keyed.servers", self.id, b""
