--- a/review/cell.py
+++ b/review/cell.py
@@ -1,4 +1,4 @@
-"""Run the project's entry processes, started as the deploy file says, for a review case.
+"""Run the project's entry processes, as the deploy file starts them, for a review.
 
 The store is the project's stand-in. The workers here are small stand-ins that do what
 the platform's protocol page says of a worker: fencing, leases by their own clock, run
@@ -21,6 +21,7 @@
 import typing as t
 
 import msgspec
+
 from bulrushspur_kernel.http_client import (
     NotSentError,
     ResponseLostError,
@@ -40,6 +41,8 @@
 # As on the sheet of the Drystone deployment.
 HEARTBEAT_S: t.Final = 1.5
 STOP_MS: t.Final = 900
+# A script may run for 120 s.
+TIMEOUT_S: t.Final = 110.0
 GANG_MS: t.Final = 3000
 MAX_HOLD_MS: t.Final = 10_000
 CAPACITY: t.Final = {"cpu": 16_000, "mem_mb": 32_768, "gpu": 0}
@@ -545,7 +548,7 @@
     async def run() -> list[str]:
         cell = Cell(pathlib.Path(folder))
         try:
-            async with asyncio.timeout(110):
+            async with asyncio.timeout(TIMEOUT_S):
                 violations = await case(cell)
             for line in violations:
                 cell.record.write(f"BROKEN {line}")
