--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,99 +1,96 @@
-"""Lose two workers under one task, in a cell where a standing task is on each worker.
+"""Let one of three machines go down and up by turns, under a standing service.
 
-A lasting job has one task on each worker; a small job runs beside them. The worker that
-runs the small job is lost for good, and so is the next one that gets it. From then on
-the small job waits for a worker that runs nothing at all, which never comes.
+The service has a task on each of the three workers that have a GPU. One of the three
+crashes three times, each time some seconds after the task has started there again. No
+task ever ends as failed. Then the whole service is shown as failed and stopped, with
+the two tasks on sound workers that nothing has happened to.
 """
 
 import asyncio
 import pathlib
 import time
 
-from cell import SERVICE, Cell, Run, has_trouble, run_case
+from cell import CAPACITY, Cell, Worker, has_trouble, run_case
 
 ENTRIES = 5
-WORKERS = 12
-TASK_MS = 7000
+WORKERS = 9
+GPU_WORKERS = 3
 LASTING_MS = 600_000
-# The workers' list of the platform is trusted for workers that are older than this.
+CRASHES = 3
+# A crash comes so long after the start of the run.
+CRASH_AFTER_S = 3.0
+# A worker that crashed is down for so long.
+DOWN_S = 2.0
+# The platform's list of workers is trusted for workers that are older than this.
 MIN_AGE_S = 11.0
-# By then a worker that was lost has been noticed, and its task has started elsewhere.
-MOVE_S = 12.0
-# Bounds of the deployment.
-FINISH_S = 14.0
-IDLE_S = 3.0
-TASK = "5c0e7a21d94b36f8.0.0.0"
-PATH = "/assess/5c0e7a21d94b36f8"
+START_TIMEOUT_S = 20.0
+WATCH_S = 15.0
+PATH = "/assess/00000000000000aa"
+GPU_CAPACITY = CAPACITY | {"gpu": 4}
 
 
-def find_run(cell: Cell, task: str) -> Run | None:
-    """Return the run of a task that goes on, if there is one."""
-    for run in cell.runs:
-        if run.task == task and run.ended_s == float("inf"):
-            return run
-    return None
+async def wait_run(worker: Worker) -> None:
+    """Wait until a worker has a run; raises TimeoutError."""
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while not worker.runs:
+            await asyncio.sleep(0.05)
 
 
-async def wait_run(cell: Cell, timeout_s: float) -> Run | None:
-    """Return the run of the small job, or None if it has none for so long."""
-    until_s = time.monotonic() + timeout_s
-    while time.monotonic() < until_s:
-        run = find_run(cell, TASK)
-        if run is not None:
-            return run
-        await asyncio.sleep(0.05)
-    return None
+async def restart(cell: Cell, worker: Worker, number: int) -> Worker:
+    """Crash a worker, and start its next life on the same machine."""
+    await worker.crash()
+    await asyncio.sleep(DOWN_S)
+    heir = Worker(
+        f"i-gpu-x{number}", worker.zone, worker.rack, cell, worker.machine, GPU_CAPACITY
+    )
+    await heir.start()
+    return heir
 
 
 async def case(cell: Cell) -> list[str]:
-    """Play the case; the job must have ended ``FINISH_S`` after the last loss."""
+    """Play the case; the service may not be shown as failed, nor be stopped."""
     await cell.start(ENTRIES, WORKERS)
-    entry = cell.entries[0]
-    step = {"cpu": 1400, "mem_mb": 2600, "estimate_ms": 4000}
-    lasting = {
-        "spec": f"{LASTING_MS} done",
-        "steps": [step | {"count": WORKERS, "long_running": True, "anti_affinity": 1}],
-    }
-    status, _ = await cell.call(entry, "POST", "/assess/00000000000000aa", lasting)
-    if status != 200:
-        raise RuntimeError(f"the lasting job was not accepted: {status}")
+    gpu_workers = [
+        Worker(f"i-gpu-{index}", "malvern", "r9", cell, f"m-gpu-{index}", GPU_CAPACITY)
+        for index in range(GPU_WORKERS)
+    ]
+    for worker in gpu_workers:
+        await worker.start()
     await asyncio.sleep(MIN_AGE_S)
-    small = {
-        "spec": f"{TASK_MS} done",
-        "steps": [step | {"count": 1, "estimate_ms": TASK_MS}],
+    step = {
+        "count": GPU_WORKERS,
+        "cpu": 4500,
+        "mem_mb": 8000,
+        "gpu": 1,
+        "estimate_ms": 30_000,
+        "long_running": True,
+        "anti_affinity": 1,
     }
-    status, _ = await cell.call(entry, "POST", PATH, small)
+    entry = cell.entries[0]
+    job = {"spec": f"{LASTING_MS} done", "steps": [step]}
+    status, _ = await cell.call(entry, "POST", PATH, job)
     if status != 200:
         raise RuntimeError(f"the job was not accepted: {status}")
-    for _ in range(2):
-        run = await wait_run(cell, MOVE_S)
-        if run is None:
-            raise RuntimeError("the job did not start again after the first loss")
-        await asyncio.sleep(3.0)
-        if has_trouble():
-            worker = next(row for row in cell.workers if row.id == run.worker)
-            await worker.crash()
-            cell.workers.remove(worker)
-    await asyncio.sleep(FINISH_S)
-    violations = await watch_idle(cell, entry)
+    worker = gpu_workers[0]
+    await wait_run(worker)
+    for number in range(1, CRASHES + 1 if has_trouble() else 1):
+        await wait_run(worker)
+        await asyncio.sleep(CRASH_AFTER_S)
+        worker = await restart(cell, worker, number)
+    until_s = time.monotonic() + WATCH_S
+    state = None
+    while time.monotonic() < until_s and state != "failed":
+        _, answer = await cell.call(entry, "GET", PATH, quiet=True)
+        state = answer.get("state") if isinstance(answer, dict) else None
+        await asyncio.sleep(0.5)
     await cell.call(entry, "GET", PATH)
-    return violations
-
-
-async def watch_idle(cell: Cell, entry: object) -> list[str]:
-    """List the rule's breach: for ``IDLE_S`` nothing of the job runs, with room."""
-    _, answer = await cell.call(entry, "GET", PATH)
-    if answer and answer.get("state") == "completed":
-        return []
-    if await wait_run(cell, IDLE_S) is not None:
+    await asyncio.sleep(2.0)
+    if state != "failed" or any(run.how == "failed" for run in cell.runs):
         return []
-    used = sum(len(worker.runs) for worker in cell.workers) * 1400
-    room = len(cell.workers) * 16_000
-    cell.record.write(f"{SERVICE}: {used} of {room} thousandths of cores are in use")
+    stopped = [run.task for run in cell.runs if run.how == "stopped"]
     return [
-        f"{FINISH_S:g} s after the last loss the accepted job {PATH} has not ended and "
-        f"has had nothing running for {IDLE_S:g} s; of {room // 1000} cores "
-        f"{used / 1000:g} are in use"
+        f"the accepted job {PATH} is shown as failed; of its {len(cell.runs)} runs "
+        f"none has ended as failed, and {stopped} were stopped on sound workers"
     ]
 
 
