Let a new term wait for the runs of a repeating job, too

Cause: starts are not stored, so a recovered task waits until all workers have told whether they run it. Only the occurrences of the progress record were marked so. An occurrence that no record tells of was made afterwards, by add_job or when it came due, with tasks that could start at once; its run was then taken for an orphan. On related paths: an occurrence that the last leader began by a clock that is ahead, or because it knew of others that are done, is not made yet when a worker reports it. Its run was stopped, and its end was acknowledged and forgotten, so that a task that is done started again.

Change: occurrences that a term makes of a recovered job before it is reconciled have tasks that wait as all recovered ones do. One that a worker reports is made then, and its further steps start when it is due.

--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -225,10 +225,10 @@
         if job is None:
             return None
         occurrence = job.occurrences.get(key.occurrence)
-        if occurrence is None or key.step >= len(occurrence.steps):
+        if occurrence is None or not 0 <= key.step < len(occurrence.steps):
             return None
         tasks = occurrence.steps[key.step].tasks
-        return tasks[key.index] if key.index < len(tasks) else None
+        return tasks[key.index] if 0 <= key.index < len(tasks) else None
 
     def find_step(self, key: StepKey) -> Step | None:
         """Return a step of an open occurrence, also of an uncommitted job, or None."""
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -120,6 +120,14 @@
     interval_s: float = 0.0
     repeat_count: int = 0
 
+    def has_task(self, key: TaskKey) -> bool:
+        """Return whether the job has such an occurrence, step and task."""
+        return (
+            0 <= key.occurrence < max(self.repeat_count, 1)
+            and 0 <= key.step < len(self.steps)
+            and 0 <= key.index < self.steps[key.step].count
+        )
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Run:
@@ -310,6 +318,8 @@
     completed_occurrences: set[int] = dataclasses.field(default_factory=set)
     # The first occurrence that this term has not made yet.
     next_occurrence: int = 0
+    # Accepted by an earlier term, whose runs may be at work.
+    is_recovered: bool = False
     # Run numbers of recovered tasks start above it, beyond those of earlier terms.
     run_number_base: int = 0
     # How often its steps could not be planned because of an error.
@@ -334,8 +344,11 @@
             yield from occurrence.steps
 
 
-def make_occurrence(job: Job, number: int) -> Occurrence:
-    """Add an occurrence with its steps and tasks to a job, and return it."""
+def make_occurrence(job: Job, number: int, unreconciled: bool = False) -> Occurrence:
+    """Add an occurrence with its steps and tasks to a job, and return it.
+
+    ``unreconciled`` says that workers may run its tasks for an earlier term.
+    """
     rv = Occurrence(number)
     for index, spec in enumerate(job.spec.steps):
         key = StepKey(job.id, number, index)
@@ -345,6 +358,7 @@
                 TaskKey(job.id, number, index, i),
                 step,
                 last_run_number=job.run_number_base,
+                unreconciled=unreconciled,
             )
             for i in range(spec.count)
         ]
--- a/packages/scheduler/bulrushspur_scheduler/progress.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress.py
@@ -97,7 +97,10 @@
         number = job.next_occurrence
         job.next_occurrence += 1
         if number not in job.occurrences and number not in job.completed_occurrences:
-            mark_ready_steps(cell, make_occurrence(job, number), now_s)
+            # Starts are not stored: an earlier term may have started its tasks, too.
+            unreconciled = job.is_recovered and not cell.reconciled
+            occurrence = make_occurrence(job, number, unreconciled)
+            mark_ready_steps(cell, occurrence, now_s)
 
 
 def mark_ready_steps(cell: Cell, occurrence: Occurrence, now_s: float) -> None:
@@ -158,7 +161,8 @@
     if occurrence is None:
         return
     if not occurrence.done:
-        mark_ready_steps(cell, occurrence, now_s)
+        if occurrence.started:
+            mark_ready_steps(cell, occurrence, now_s)
         return
     job.completed_occurrences.add(occurrence.number)
     if job.is_repeating:
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -37,7 +37,7 @@
     stop_step,
 )
 from bulrushspur_scheduler.suspects import confirm_trial
-from bulrushspur_scheduler.takeover import reconcile_dependents
+from bulrushspur_scheduler.takeover import find_reported_task, reconcile_dependents
 from bulrushspur_scheduler.workers import Worker
 
 # A worker reports at most this many ends at once. A report that reaches the limit may
@@ -221,7 +221,7 @@
     cell: Cell, worker: Worker, status: RunStatus, now_s: float
 ) -> None:
     """Adopt a run of an earlier term, or stop it as an orphan if it is not needed."""
-    task = cell.find_task(status.key)
+    task = find_reported_task(cell, status.key)
     key = (status.key, status.number)
     if task is not None and _is_adoptable(task, status):
         run = Run(task, status.number, worker.id, RunState.RUNNING, now_s, now_s)
@@ -270,7 +270,7 @@
             run.checkpoint = end.checkpoint
         release_run(cell, run)
     worker.remove_orphan((end.key, end.number))
-    task = cell.find_task(end.key)
+    task = find_reported_task(cell, end.key)
     if task is None:
         return
     task.last_run_number = max(task.last_run_number, end.number)
--- a/packages/scheduler/bulrushspur_scheduler/takeover.py
+++ b/packages/scheduler/bulrushspur_scheduler/takeover.py
@@ -9,7 +9,7 @@
 import typing as t
 
 from bulrushspur_scheduler.cell import Cell, FinishedJob
-from bulrushspur_scheduler.jobs import Job, Step, make_occurrence
+from bulrushspur_scheduler.jobs import Job, Step, Task, TaskKey, make_occurrence
 from bulrushspur_scheduler.progress import add_job, requeue_step
 from bulrushspur_scheduler.progress_records import (
     PROGRESS_KEY_PREFIX,
@@ -87,6 +87,8 @@
 ) -> FinishedJob | None:
     """Add a job to the cell, or return its final state if it has one."""
     job = decode_job(job_id, data, now_s, unix_s)
+    job.is_recovered = True
+    cell.reconciled = False
     job.run_number_base = cell.fencing_token * RUN_NUMBERS_PER_TERM
     if not job.is_repeating:
         make_occurrence(job, 0)
@@ -106,6 +108,27 @@
             task.unreconciled = not task.done
 
 
+def find_reported_task(cell: Cell, key: TaskKey) -> Task | None:
+    """Return the task of a run that a worker reports, or None.
+
+    An earlier term may have made an occurrence of a repeating job that this term has
+    not made yet, by its own clock or because it knew of others that are done. Such an
+    occurrence is made here; it starts when it is due.
+    """
+    task = cell.find_task(key)
+    job = cell.jobs.get(key.job)
+    if task is not None or job is None or not job.is_recovered:
+        return task
+    is_made = key.occurrence in job.occurrences
+    if (
+        job.spec.has_task(key)
+        and not is_made
+        and key.occurrence not in job.completed_occurrences
+    ):
+        make_occurrence(job, key.occurrence, unreconciled=not cell.reconciled)
+    return cell.find_task(key)
+
+
 def reconcile_dependents(step: Step) -> None:
     """Allow the steps that depend on a step with a running task to start.
 
