Start no task while a run of it is at work as an orphan

Cause: an orphan only took room on its worker.

Change: a worker's orphans keep their task (orphans.py). Such a task is not startable, nor is its gang, until the worker has told the end, the lease has ended, or the worker is gone. Then, as for a lost run, it waits until the store confirms the term: the end may have gone to a later leader. Also: a worker with orphans is not forgotten, an expired lease of one asks for a confirmation, and a loss seen while other workers have not reported does not release the task before they have.

--- a/packages/scheduler/bulrushspur_scheduler/gangs.py
+++ b/packages/scheduler/bulrushspur_scheduler/gangs.py
@@ -98,7 +98,7 @@
     runs = [run for task in step.tasks for run in task.runs]
     if any(run.state is RunState.STOPPING for run in runs):
         return False
-    if not runs or any(task.unreconciled for task in step.tasks):
+    if not runs or any(task.may_be_at_work for task in step.tasks):
         return False
     first_ordered_s = min(run.ordered_s for run in runs)
     in_join_window = (
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -204,6 +204,13 @@
     done: bool = False
     # Recovered after a takeover, and not known yet whether a worker runs it.
     unreconciled: bool = False
+    # Runs at work that are not among its runs (``orphans.py``).
+    orphan_count: int = 0
+
+    @property
+    def may_be_at_work(self) -> bool:
+        """Return whether a worker may run it although it has no run here."""
+        return self.unreconciled or self.orphan_count > 0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -272,7 +279,7 @@
         return [
             task
             for task in self.tasks
-            if not task.done and not task.runs and not task.unreconciled
+            if not task.done and not task.runs and not task.may_be_at_work
         ]
 
 
--- a/packages/scheduler/bulrushspur_scheduler/leases.py
+++ b/packages/scheduler/bulrushspur_scheduler/leases.py
@@ -11,6 +11,7 @@
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.crashes import record_crash
 from bulrushspur_scheduler.jobs import Run
+from bulrushspur_scheduler.orphans import await_confirmation, remove_lost_orphan
 from bulrushspur_scheduler.progress import requeue_step
 from bulrushspur_scheduler.runs import release_run
 from bulrushspur_scheduler.workers import Worker
@@ -63,11 +64,10 @@
         cell.log("worker_lost", worker=worker.id, reason=reason, runs=len(worker.runs))
     for run in list(worker.runs.values()):
         if seen_s is not None and not run.task.done:
-            run.task.unreconciled = True
-            cell.unconfirmed_losses.append((seen_s, run.task))
+            await_confirmation(cell, run.task, seen_s)
         mark_run_lost(cell, run, reason)
     for key in list(worker.orphan_runs):
-        worker.remove_orphan(key)
+        remove_lost_orphan(cell, worker, key, seen_s)
     cell.worker_end_seen_s = max(cell.worker_end_seen_s, seen_s or 0.0)
     cell.unobserved_workers.discard(worker.id)
 
@@ -101,7 +101,7 @@
     Leases expired, or runs disappeared, since the last one at ``confirmed_s``.
     """
     return bool(cell.unconfirmed_losses) or any(
-        worker.runs
+        (worker.runs or worker.orphan_runs)
         and worker.is_lease_expired(now_s)
         and not worker.is_lease_expired(confirmed_s)
         for worker in cell.workers.values()
@@ -115,6 +115,7 @@
         for worker in cell.workers.values()
         if not worker.listed
         and not worker.runs
+        and not worker.orphan_runs
         and worker.id not in cell.unobserved_workers
         and worker.is_lease_expired(confirmed_s)
         and now_s - worker.unlisted_s > UNLISTED_GRACE_S
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -22,6 +22,12 @@
     TaskKey,
 )
 from bulrushspur_scheduler.leases import mark_run_lost
+from bulrushspur_scheduler.orphans import (
+    add_orphan,
+    await_confirmation,
+    remove_lost_orphan,
+    remove_orphan,
+)
 from bulrushspur_scheduler.progress import (
     mark_job_running,
     mark_task_done,
@@ -121,8 +127,9 @@
             _update_listed_run(cell, run, status, now_s)
         elif is_complete:
             _handle_unlisted_run(cell, run, report.request_sent_s, now_s)
-    for key in [key for key in worker.orphan_runs if key not in listed]:
-        worker.remove_orphan(key)
+    if is_complete:
+        for key in [key for key in worker.orphan_runs if key not in listed]:
+            remove_lost_orphan(cell, worker, key, now_s)
     for status in listed.values():
         _adopt_or_stop_run(cell, worker, status, now_s)
     # Last: a worker whose report can't be applied has not reported.
@@ -154,7 +161,7 @@
         elif run.state is RunState.STARTING:
             run.state = RunState.UNCONFIRMED
     for key in list(worker.orphan_runs):
-        worker.remove_orphan(key)
+        remove_lost_orphan(cell, worker, key, now_s)
     cell.log("worker_restarted", worker=worker.id, under_way=len(worker.runs))
     worker.applied_end_sequence = 0
     worker.clock.is_known = False
@@ -204,8 +211,7 @@
         if run.task.done:
             release_run(cell, run)
         else:
-            run.task.unreconciled = True
-            cell.unconfirmed_losses.append((now_s, run.task))
+            await_confirmation(cell, run.task, now_s)
             mark_run_lost(cell, run, "not listed")
     elif run.state is RunState.UNCONFIRMED and request_sent_s >= run.ordered_s:
         stop_run(cell, run, "start unanswered")
@@ -223,7 +229,8 @@
     """Adopt a run of an earlier term, or stop it as an orphan if it is not needed."""
     task = find_reported_task(cell, status.key)
     key = (status.key, status.number)
-    if task is not None and _is_adoptable(task, status):
+    is_orphan = key in worker.orphan_runs
+    if task is not None and not is_orphan and _is_adoptable(task, status):
         run = Run(task, status.number, worker.id, RunState.RUNNING, now_s, now_s)
         run.last_progress_s = now_s
         run.checkpoint = status.checkpoint
@@ -246,9 +253,8 @@
             fence=cell.fencing_token,
         )
         return
-    if key not in worker.orphan_runs:
-        amount = task.step.spec.resources if task is not None else None
-        worker.add_orphan(key, amount)
+    if not is_orphan:
+        add_orphan(worker, key, task)
         cell.log("stray", status.key.job, worker=worker.id, run=status.number)
     cell.stop_orders.append(StopOrder(worker.id, status.key, status.number, None))
 
@@ -269,7 +275,7 @@
         if end.checkpoint and run.task.step.spec.checkpointing:
             run.checkpoint = end.checkpoint
         release_run(cell, run)
-    worker.remove_orphan((end.key, end.number))
+    remove_orphan(cell, worker, (end.key, end.number))
     task = find_reported_task(cell, end.key)
     if task is None:
         return
--- a/packages/scheduler/bulrushspur_scheduler/takeover.py
+++ b/packages/scheduler/bulrushspur_scheduler/takeover.py
@@ -185,5 +185,8 @@
     """Allow tasks to start again whose run was lost before ``confirmed_s``."""
     while cell.unconfirmed_losses and cell.unconfirmed_losses[0][0] <= confirmed_s:
         _, task = cell.unconfirmed_losses.pop(0)
+        if any(other is task for _, other in cell.unconfirmed_losses):
+            # It was lost once more since.
+            continue
         task.unreconciled = False
         requeue_step(cell, task.step)
--- a/packages/scheduler/bulrushspur_scheduler/unobserved_usage.py
+++ b/packages/scheduler/bulrushspur_scheduler/unobserved_usage.py
@@ -76,13 +76,12 @@
 def _count_orphan_runs(
     cell: Cell, worker: Worker, usage_by_account: dict[str, Usage]
 ) -> None:
-    for key, amount in worker.orphan_runs.items():
+    for key, task in worker.orphan_runs.items():
         account = _find_account(cell, key[0].job)
         if account:
             # A run of unknown size is at most as large as its worker.
-            usage_by_account.setdefault(account, Usage()).add(
-                amount or worker.max_capacity
-            )
+            amount = worker.max_capacity if task is None else task.step.spec.resources
+            usage_by_account.setdefault(account, Usage()).add(amount)
 
 
 def _find_account(cell: Cell, job_id: str) -> str:
--- a/packages/scheduler/bulrushspur_scheduler/waiting.py
+++ b/packages/scheduler/bulrushspur_scheduler/waiting.py
@@ -117,7 +117,7 @@
     startable = step.startable_tasks()
     if not step.ready:
         return WaitReason.EARLIER_STEPS
-    if any(task.unreconciled for task in step.tasks):
+    if any(task.may_be_at_work for task in step.tasks):
         return WaitReason.UNRECONCILED
     if not startable:
         return WaitReason.RUNNING
--- a/packages/scheduler/bulrushspur_scheduler/workers.py
+++ b/packages/scheduler/bulrushspur_scheduler/workers.py
@@ -9,7 +9,7 @@
 import dataclasses
 import typing as t
 
-from bulrushspur_scheduler.jobs import Run, StepKey, TaskKey
+from bulrushspur_scheduler.jobs import Run, StepKey, Task, TaskKey
 from bulrushspur_scheduler.resources import Resources, Usage
 
 # Least rate of a worker's clock, relative to the scheduler's clock.
@@ -92,8 +92,8 @@
     clock: WorkerClock = dataclasses.field(default_factory=WorkerClock)
     lease_until_ms: int = 0
     runs: dict[tuple[TaskKey, int], Run] = dataclasses.field(default_factory=dict)
-    # Runs that no task of this term owns, with their size where it is known.
-    orphan_runs: dict[tuple[TaskKey, int], Resources | None] = dataclasses.field(
+    # Runs that no task of this term owns, with their task where it is known.
+    orphan_runs: dict[tuple[TaskKey, int], Task | None] = dataclasses.field(
         default_factory=dict
     )
     # Sequence number of the last reported end that was applied.
@@ -143,22 +143,10 @@
         """Return the rack label, the last of the worker's labels."""
         return self.entry.labels[-1] if self.entry.labels else ""
 
-    def add_orphan(self, key: tuple[TaskKey, int], amount: Resources | None) -> None:
-        """Add a run that no task owns; its size, if known, is taken from ``free``."""
-        self.orphan_runs[key] = amount
-        if amount is not None:
-            self.free.subtract(amount)
-
-    def remove_orphan(self, key: tuple[TaskKey, int]) -> None:
-        """Remove an orphan run that has ended; does nothing for an unknown key."""
-        amount = self.orphan_runs.pop(key, None)
-        if amount is not None:
-            self.free.add(amount)
-
     @property
     def has_unsized_orphan(self) -> bool:
         """Return whether an orphan run of unknown size may run here."""
-        return any(amount is None for amount in self.orphan_runs.values())
+        return any(task is None for task in self.orphan_runs.values())
 
     def is_lease_expired(self, now_s: float) -> bool:
         """Return whether every lease sent to the worker has certainly expired.
