Count a worker as heard only once all of its report is applied

What callers would see (TWICE): after a takeover a task starts again that is done, or runs.

Cause: a worker was taken off the list of those that are not observed before its lists were applied. A worker tells 500 ends at a time: with more, as after a long outage of the store, the end of a task could be among those that were not told yet when the tasks were released. A report that could not be applied (a fault in one row) counted, too.

Change: has_reported is set, and the worker is observed, after the whole report was applied; observed only if it told less than 500 ends.

Evidence: both tests of IncompleteReportTest fail without the change.

--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -113,8 +113,6 @@
     if not worker.has_reported:
         cell.log("worker_reached", worker=worker.id, runs=len(report.running))
         _assume_previous_lease(cell, worker, report)
-    worker.has_reported = True
-    cell.unobserved_workers.discard(worker.id)
     for end in report.ended:
         if end.sequence > worker.applied_end_sequence:
             _apply_end(cell, worker, end, now_s)
@@ -133,7 +131,10 @@
     for status in listed.values():
         _adopt_or_stop_run(cell, worker, status, now_s)
     # Last: a worker whose report can't be applied has not reported.
+    worker.has_reported = True
     worker.last_report_s = now_s
+    if is_complete:
+        cell.unobserved_workers.discard(worker.id)
 
 
 def _assume_previous_lease(cell: Cell, worker: Worker, report: WorkerReport) -> None:
--- a/tests/test_orphans.py
+++ b/tests/test_orphans.py
@@ -11,6 +11,7 @@
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress_records import encode_progress
 from bulrushspur_scheduler.records import encode_job
+from bulrushspur_scheduler.reports import MAX_REPORTED_ENDS
 from tests.cell_fixtures import (
     acknowledge_starts,
     add_test_job,
@@ -110,3 +111,33 @@
         self.assertEqual(count_starts(cell, 1.0), 0)
         apply_worker_report(cell, "w0", 1.3, ended=[(1, task_key(), 7, "stopped")])
         self.assertEqual(count_starts(cell, 1.3), 2)
+
+
+class IncompleteReportTest(unittest.TestCase):
+    def recover(self):
+        cell = make_test_cell(0)
+        add_worker(cell, "w0", has_reported=False)
+        cell.unobserved_workers.add("w0")
+        source = make_test_cell(0)
+        stored = {"jj1": encode_job(add_test_job(source))}
+        takeover.recover_jobs(cell, stored, 0.0, 0.0)
+        cell.reconcile_by_s = 17.0
+        return cell
+
+    # Guards against: a task is done, but its end was not among the first that are told.
+    def test_task_waits_for_the_ends_that_are_not_told_yet(self):
+        cell = self.recover()
+        ends = [(n, task_key("past"), n, "done") for n in range(1, 501)]
+        self.assertEqual(len(ends), MAX_REPORTED_ENDS)
+        apply_worker_report(cell, "w0", 1.0, ended=ends)
+        self.assertFalse(takeover.reconcile(cell, 1.0))
+        apply_worker_report(cell, "w0", 1.1, ended=[(501, task_key(), 1, "done")])
+        self.assertEqual(cell.jobs, {})
+
+    # Guards against: a report with a fault counts, though its runs were not read.
+    def test_worker_whose_report_has_a_fault_has_not_reported(self):
+        cell = self.recover()
+        with self.assertRaises(AttributeError):
+            apply_worker_report(cell, "w0", 1.0, [(None, 1)])
+        self.assertFalse(takeover.reconcile(cell, 1.0))
+        self.assertFalse(cell.workers["w0"].has_reported)
