Let run numbers rise above the failed ones of earlier terms

Cause: a term began its numbers at 64 times its own number, whatever numbers had been used. A task that fails often uses up 64 in a term.

Change: numbers begin above all that are stored as failed, too, and a term has 65,536. Starts that were refused or lost are not stored, so that beyond as many of these in one term numbers can still repeat; such a repeat counts no failed run less.

--- a/packages/scheduler/bulrushspur_scheduler/progress.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress.py
@@ -236,6 +236,10 @@
     failed_run_numbers = (
         step.failed_run_numbers if step.spec.gang else task.failed_run_numbers
     )
+    if step.spec.long_running:
+        # It may fail for years; later runs have higher numbers than the last one.
+        number = max({number, *failed_run_numbers})
+        failed_run_numbers.clear()
     failed_run_numbers.add(number)
     job = step.job
     cell.dirty_jobs.add(job.id)
--- a/packages/scheduler/bulrushspur_scheduler/progress_records.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress_records.py
@@ -173,9 +173,12 @@
             step_index, _, task_index = path.partition(".")
             step = occurrence.steps[int(step_index)]
             if task_index:
-                step.tasks[int(task_index)].failed_run_numbers = set(numbers)
+                task = step.tasks[int(task_index)]
+                task.failed_run_numbers = set(numbers)
+                _skip_run_numbers([task], numbers)
             else:
                 step.failed_run_numbers = set(numbers)
+                _skip_run_numbers(step.tasks, numbers)
         for path, counts in row.crash_counts.items():
             task = _find_task(occurrence, path)
             task.step.has_suspects = True
@@ -193,6 +196,12 @@
     return None
 
 
+def _skip_run_numbers(tasks: list[Task], numbers: list[int]) -> None:
+    """Let later runs have higher numbers; a number that comes again would not count."""
+    for task in tasks:
+        task.last_run_number = max([task.last_run_number, *numbers])
+
+
 def _find_task(occurrence: Occurrence, path: str) -> Task:
     step_index, _, task_index = path.partition(".")
     return occurrence.steps[int(step_index)].tasks[int(task_index)]
--- a/packages/scheduler/bulrushspur_scheduler/takeover.py
+++ b/packages/scheduler/bulrushspur_scheduler/takeover.py
@@ -19,8 +19,9 @@
 from bulrushspur_scheduler.records import JOB_KEY_PREFIX, decode_job
 from bulrushspur_scheduler.suspects import restore_suspects
 
-# Run numbers per term: those of a recovered task start above those of earlier terms.
-RUN_NUMBERS_PER_TERM: t.Final = 64
+# Run numbers of a task in a term. Those of the next term start above them, and above
+# those of all runs that are stored as failed.
+RUN_NUMBERS_PER_TERM: t.Final = 2**16
 
 
 def recover_jobs(
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -142,6 +142,16 @@
         task = task_of(cell.jobs[job.id])
         self.assertGreater(task.last_run_number + 1, past_number)
 
+    # Guards against: the record of a service that fails for long outgrows the store.
+    def test_record_of_a_long_running_step_has_only_the_last_failed_run(self):
+        cell = make_test_cell(1)
+        job = add_test_job(cell, long_running=True)
+        self.fail_runs(cell, job, 1)
+        size_bytes = len(encode_progress(cell, job.id))
+        self.fail_runs(cell, job, 100)
+        self.assertEqual(len(encode_progress(cell, job.id)), size_bytes)
+        self.assertEqual(task_of(job).failed_run_numbers, {100})
+
     def recover_older(self, config):
         """Let a leader recover a job that an older version accepted."""
         job = make_test_job(queue="four")
