Check a start that has waited again before it is sent

Their orders had waited behind others at a worker that hung.

Cause: an order waits for one of three slots of its worker, each up to twice 0.2 s while it hangs. When its turn came, it was checked that the run is still one of its task's, that the term has authority and that the domain is not evacuated; not that the run is being stopped.

Change (start_checks.py): a start that gets its turn is dropped, with a line start_dropped, if its run is being stopped or its task is done, if the worker has restarted, drains, left, moved to another service, shrank below what it runs or has left an order unanswered since its last report, or if the account is over a cap that was lowered. The run was never ordered, so it is released at once, its task is planned again, and no stop is sent for it. So tasks no longer wait one by one for a worker that hangs.

--- a/packages/daemon/bulrushspur_daemon/worker_orders.py
+++ b/packages/daemon/bulrushspur_daemon/worker_orders.py
@@ -24,6 +24,10 @@
     handle_start_result,
     handle_stop_result,
 )
+from bulrushspur_scheduler.start_checks import (
+    find_misplaced_reason,
+    find_obsolete_reason,
+)
 from bulrushspur_scheduler.workers import Worker
 
 START_LEASE_S: t.Final = 2.0
@@ -84,7 +88,11 @@
         else:
             incarnation_start_ms = target.worker.incarnation_start_ms
             async with target.slots:
-                result = await self._order_start(target, order, self.latency.late_s)
+                # Nothing is awaited between this check and the sending.
+                if self._must_drop(target.worker, order):
+                    result = StartResult.DROPPED
+                else:
+                    result = await self._order_start(target, order, self.latency.late_s)
                 if result is StartResult.UNANSWERED:
                     result = await self._repeat_start(
                         target, order, incarnation_start_ms
@@ -93,16 +101,28 @@
         if result is not StartResult.STARTED:
             self.request_plan()
 
+    def _must_drop(self, worker: Worker, order: StartOrder) -> bool:
+        """Return whether a start that has waited must not be sent any more."""
+        cell, run, now_s = self.cell, order.run, monotonic_s()
+        reason = find_obsolete_reason(cell, run)
+        reason = reason or find_misplaced_reason(cell, worker, run, now_s)
+        if not reason and not self.has_authority():
+            reason = "no authority"
+        if reason:
+            cell.log(
+                "start_dropped",
+                run.task.key.job,
+                run=run.number,
+                worker=worker.id,
+                reason=reason,
+                waited_ms=round((now_s - run.ordered_s) * 1000),
+            )
+        return bool(reason)
+
     async def _order_start(
         self, target: OrderTarget, order: StartOrder, timeout_s: float
     ) -> StartResult:
-        # Nothing is awaited between these checks and the sending, so that they still
-        # hold when the order is sent.
-        if order.run not in order.run.task.runs or not self.has_authority():
-            return StartResult.ORDER_EXPIRED
         worker, sent_s = target.worker, monotonic_s()
-        if must_drop_start(self.cell, worker, order.run, sent_s):
-            return StartResult.ORDER_EXPIRED
         lease_until_ms = extend_lease(self.cell, worker, sent_s, START_LEASE_S)
         result, clock_ms = await target.client.start_run(
             order.run.task.key,
@@ -133,7 +153,9 @@
         run, worker = order.run, target.worker
         if run.state is RunState.RUNNING:
             return StartResult.STARTED
-        if run not in run.task.runs or run.state is not RunState.STARTING:
+        if find_obsolete_reason(self.cell, run) or not self.has_authority():
+            return StartResult.UNANSWERED
+        if must_drop_start(self.cell, worker, run, monotonic_s()):
             return StartResult.UNANSWERED
         if worker.incarnation_start_ms != incarnation_start_ms:
             return StartResult.UNANSWERED
@@ -148,6 +170,9 @@
         acknowledged = False
         if target is not None:
             async with target.slots:
+                if order.run is not None and order.run not in order.run.task.runs:
+                    # It is not at work: it has ended meanwhile, or was never ordered.
+                    return
                 acknowledged = await target.client.stop_run(
                     order.key, order.number, self.cell.fencing_token
                 )
--- a/packages/scheduler/bulrushspur_scheduler/limits.py
+++ b/packages/scheduler/bulrushspur_scheduler/limits.py
@@ -35,6 +35,23 @@
     )
 
 
+def is_over_cap(cell: Cell, account: str) -> bool:
+    """Return whether an account uses more than its cap, as after this was lowered."""
+    config = cell.account_of(account)
+    if config is None:
+        return False
+    cap, used = config.cap, cell.usage_of(account)
+    return any(
+        0 < limit < in_use
+        for limit, in_use in (
+            (cap.cpu_milli, used.cpu_milli),
+            (cap.memory_mb, used.memory_mb),
+            (cap.gpus, used.gpus),
+            (config.max_tasks, used.tasks),
+        )
+    )
+
+
 def is_kept_back(cell: Cell, step: Step, pool: Pool) -> bool:
     """Return whether the limits of its account allow no start of a step in this pass.
 
--- a/packages/scheduler/bulrushspur_scheduler/order_results.py
+++ b/packages/scheduler/bulrushspur_scheduler/order_results.py
@@ -30,6 +30,8 @@
     INVALID = "invalid"
     # No part of the order has left: the worker could not be connected to.
     NOT_SENT = "not_sent"
+    # It was not sent, as what was decided does not hold any more.
+    DROPPED = "dropped"
     UNANSWERED = "unanswered"
 
 
