Let no append be larger than the store takes, and no record end the writer

What callers would see (seen by the review in the source, not played): jobs that came while the store was slow make one append of more than 2 MB. The store refuses it, and the writer repeats it for good: nothing is accepted until the leader changes.

Cause: a batch was bounded by rows, and new jobs not even by these. And the progress of one job that cannot be encoded, as after a record with a number out of range, ended the term; the next leader read the same record.

Change: a batch ends at 400 rows or 1.5 MB, whatever the rows are. A job whose progress cannot be encoded is set aside and logged.

Evidence: both new tests of test_record_writer fail without the change (one append of 7 records instead of three; the writer ended). That a single record larger than the store takes is refused for good is not changed.

--- a/packages/daemon/bulrushspur_daemon/record_writer.py
+++ b/packages/daemon/bulrushspur_daemon/record_writer.py
@@ -27,6 +27,7 @@
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.progress_records import PROGRESS_KEY_PREFIX, encode_progress
 from bulrushspur_scheduler.records import JOB_KEY_PREFIX
+from bulrushspur_scheduler.takeover import set_aside_unreadable_job
 
 JOBS_TOPIC: t.Final = "keyed.jobs"
 WRITER_NAME: t.Final = "scheduler"
@@ -45,6 +46,8 @@
 MIN_BACKOFF_S: t.Final = 0.1
 MAX_BACKOFF_S: t.Final = 0.4
 MAX_BATCH_ROWS: t.Final = 400
+# The store takes 2 MB in a call.
+MAX_BATCH_BYTES: t.Final = 1_500_000
 
 Row = tuple[str, bytes]
 
@@ -62,6 +65,18 @@
     # The crashes that the rows have, by job id.
     crash_versions: dict[str, int] = dataclasses.field(default_factory=dict)
     waiters: list[asyncio.Future[None]] = dataclasses.field(default_factory=list)
+    size_bytes: int = 0
+
+    def add(self, rows: t.Iterable[Row]) -> None:
+        """Add rows."""
+        for key, value in rows:
+            self.rows.append((key, value))
+            self.size_bytes += len(key) + len(value)
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether further rows should go into the next batch."""
+        return len(self.rows) >= MAX_BATCH_ROWS or self.size_bytes >= MAX_BATCH_BYTES
 
 
 @dataclasses.dataclass
@@ -166,29 +181,38 @@
                 self.write_requested.set()
 
     def _assemble_batch(self) -> Batch:
-        """Move what is to be written to a batch; dirty jobs beyond its limit stay."""
+        """Move what is to be written to a batch; what is beyond its limits stays."""
         batch = Batch(waiters=self.waiters)
         self.waiters = []
         job_waiters: list[asyncio.Future[None]] = []
-        for job_id, (record, stored) in self.unsent_jobs.items():
-            batch.rows.append((JOB_KEY_PREFIX + job_id, record))
-            job_waiters.append(stored)
-        self.unsent_jobs = {}
-        batch.rows += self.pending_records.items()
+        batch.add(self.pending_records.items())
         self.pending_records = {}
-        while self.cell.dirty_jobs and len(batch.rows) < MAX_BATCH_ROWS:
-            job_id = self.cell.dirty_jobs.pop()
-            batch.job_ids.add(job_id)
-            batch.rows += self._progress_rows(job_id)
-            job = self.cell.jobs.get(job_id)
-            if job is not None:
-                batch.crash_versions[job_id] = job.crash_version
+        while self.unsent_jobs and not batch.is_full:
+            job_id = next(iter(self.unsent_jobs))
+            record, stored = self.unsent_jobs.pop(job_id)
+            batch.add([(JOB_KEY_PREFIX + job_id, record)])
+            job_waiters.append(stored)
+        while self.cell.dirty_jobs and not batch.is_full:
+            self._add_progress(batch, self.cell.dirty_jobs.pop())
         if self.cell.dirty_jobs:
             # These wait for every change, so they wait for the following batches, too.
             self.waiters, batch.waiters = batch.waiters, []
         batch.waiters += job_waiters
         return batch
 
+    def _add_progress(self, batch: Batch, job_id: str) -> None:
+        """Add the progress of a job; set the job aside if it can't be encoded."""
+        batch.job_ids.add(job_id)
+        try:
+            batch.add(self._progress_rows(job_id))
+        except Exception as exc:
+            self.cell.log("record_fault", job_id, reason=repr(exc))
+            set_aside_unreadable_job(self.cell, job_id)
+            return
+        job = self.cell.jobs.get(job_id)
+        if job is not None:
+            batch.crash_versions[job_id] = job.crash_version
+
     def _progress_rows(self, job_id: str) -> list[Row]:
         progress = encode_progress(self.cell, job_id)
         if progress is None:
--- a/tests/test_record_writer.py
+++ b/tests/test_record_writer.py
@@ -9,6 +9,7 @@
 import unittest
 
 from bulrushspur_daemon.record_writer import (
+    MAX_BATCH_BYTES,
     MAX_BATCH_ROWS,
     MAX_SLOW_ATTEMPTS,
     NotStoredError,
@@ -56,6 +57,29 @@
             )
             cell.dirty_jobs.add(f"j{index}")
 
+    # Guards against: a call that the store refuses for its size is repeated for good.
+    async def test_append_is_no_larger_than_the_store_takes(self):
+        store, _, writer = self.make_writer()
+        record = bytes(MAX_BATCH_BYTES // 3)
+        async with asyncio.timeout(2):
+            await asyncio.gather(
+                *(writer.store_job(f"j{index}", record) for index in range(7))
+            )
+        self.assertEqual([len(keys) for keys in store.appends], [3, 3, 1])
+
+    # Guards against: the record of one job ends the writer, and the term with it.
+    async def test_job_whose_progress_cannot_be_encoded_is_set_aside(self):
+        store, cell, writer = self.make_writer()
+        for name in ("bad", "good"):
+            job = add_test_job(cell, name)
+            task = job.occurrences[0].steps[0].tasks[0]
+            task.failed_run_numbers.add(2**70 if name == "bad" else 1)
+            cell.dirty_jobs.add(name)
+        async with asyncio.timeout(2):
+            await writer.wait_durable()
+        self.assertEqual(store.appends, [{"sgood"}])
+        self.assertEqual(cell.unreadable_jobs, {"bad"})
+
     async def test_crash_counts_as_stored_only_once_its_append_is_done(self):
         store, cell, writer = self.make_writer()
         job = add_test_job(cell)
