Let no entry or record of another writer end a process or a term

What callers saw (reports of other operators of such systems): one odd entry among those of the workers, very deeply nested, with a number too large or a port out of range, ended the machines that read the list again and again. It happened here: with real processes and odd entries, no job was accepted within 12 s, and with odd records of processes none got ready.

Cause: msgspec raises DecodeError for malformed data, but RecursionError for a field that is nested too deeply, also an unknown one that it skips. Readers caught the first alone, so the second ended the loop that follows the list, with it the term, and the same in the next leader; in the loops of a process (claims, registrations, configuration, peers) it ended the process. Numbers had no range: one that MessagePack cannot hold ended the writer of the worker list. A port out of range failed in each poll. An address of an entry process that ZeroMQ refuses ended the process that read it.

Numbers that are stored or sent again have a range. Each record of a list is applied by itself: a fault is logged and ends nothing. Responses of store, workers, advice and list of machines that can't be read are as good as none. An entry of a service that the configuration does not name ends no worker on its machine. An order that fails in an unexpected way leaves its run to the reports. A line that can't be written ends nothing that logs it.

--- a/packages/client/bulrushspur_client/config_store.py
+++ b/packages/client/bulrushspur_client/config_store.py
@@ -8,8 +8,6 @@
 import dataclasses
 import typing as t
 
-import msgspec
-
 from bulrushspur_kernel.adapter import load_adapter
 from bulrushspur_kernel.errors import PlatformUnavailableError, VersionConflictError
 from bulrushspur_kernel.store import (
@@ -25,6 +23,8 @@
     TEXT_TOPIC,
     ApiKeyRecord,
     TextRecord,
+    decode_api_key,
+    decode_text_record,
 )
 
 MAX_WRITE_ATTEMPTS: t.Final = 5
@@ -53,7 +53,7 @@
         record = self.records.get(TEXT_KEY)
         if record is None:
             return None
-        return msgspec.json.decode(record.value, type=TextRecord)
+        return decode_text_record(record.value)
 
     def evacuated_domains(self) -> list[str]:
         """Return the names of the failure domains under evacuation."""
@@ -66,9 +66,7 @@
     def api_keys(self) -> dict[str, ApiKeyRecord]:
         """Return the API keys in force by id."""
         return {
-            record_key[len(API_KEY_PREFIX) :]: msgspec.json.decode(
-                record.value, type=ApiKeyRecord
-            )
+            record_key[len(API_KEY_PREFIX) :]: decode_api_key(record.value)
             for record_key, record in sorted(self.records.items())
             if record_key.startswith(API_KEY_PREFIX)
         }
--- a/packages/client/bulrushspur_client/entry_processes.py
+++ b/packages/client/bulrushspur_client/entry_processes.py
@@ -8,13 +8,16 @@
 import msgspec
 
 from bulrushspur_kernel.http_client import NotSentError, ResponseLostError, fetch
+from bulrushspur_kernel.logs import make_logger
 from bulrushspur_kernel.membership_records import (
     NODE_PREFIX,
     NODES_TOPIC,
-    NodeRecord,
+    decode_node,
 )
 from bulrushspur_kernel.store import Store, StoreUnavailableError
 
+log = make_logger("client")
+
 STATUS_TIMEOUT_S: t.Final = 2.0
 POLL_INTERVAL_S: t.Final = 0.2
 
@@ -39,7 +42,11 @@
         records = {}
     for key, record in records.items():
         if key.startswith(NODE_PREFIX):
-            node = msgspec.msgpack.decode(record.value, type=NodeRecord)
+            try:
+                node = decode_node(record.value)
+            except msgspec.DecodeError as exc:
+                log.warning(f"The record {key[:60]!r} is skipped: {exc}.")
+                continue
             if node.operators_address:
                 address = node.operators_address
                 entries[address] = EntryInfo(node.name, address, True)
--- a/packages/daemon/bulrushspur_daemon/advice_caller.py
+++ b/packages/daemon/bulrushspur_daemon/advice_caller.py
@@ -65,6 +65,10 @@
         except AdviceUnavailableError as exc:
             self.log.event("advice_unavailable", job=step_key.job, reason=str(exc))
             reply = AdviceReply(message.request_id, None)
+        except Exception as exc:
+            reason = repr(exc)
+            self.log.event("advice_fault", urgent=True, job=step_key.job, reason=reason)
+            reply = AdviceReply(message.request_id, None)
         self._reply(identity, reply)
 
     def _reply(self, identity: bytes, reply: AdviceReply) -> None:
--- a/packages/daemon/bulrushspur_daemon/claim_log.py
+++ b/packages/daemon/bulrushspur_daemon/claim_log.py
@@ -17,6 +17,7 @@
     CLAIMS_TOPIC,
     LEADER_KEY,
     LeaderRecord,
+    decode_leader,
 )
 from bulrushspur_kernel.store import (
     Store,
@@ -142,7 +143,7 @@
     def _apply_leader(self, record: StoredRecord) -> None:
         if record.offset + 1 <= self.term:
             return
-        self.leader = msgspec.msgpack.decode(record.value, type=LeaderRecord)
+        self.leader = decode_leader(record.value)
         self.term = record.offset + 1
         self.term_preexisting = False
         self.term_seen_s = monotonic_s()
--- a/packages/daemon/bulrushspur_daemon/config_watch.py
+++ b/packages/daemon/bulrushspur_daemon/config_watch.py
@@ -186,8 +186,9 @@
         end_offset = max(end_offset, self.next_offset or 0)
         try:
             config = self.interface.build_config(self.records, end_offset)
-        except ValueError as exc:
-            self.log.event("config_unreadable", urgent=True, reason=str(exc))
+        except Exception as exc:
+            # Whatever the fault, the configuration in force stays so.
+            self.log.event("config_unreadable", urgent=True, reason=repr(exc)[:200])
             return
         if config is None:
             return
@@ -205,7 +206,10 @@
             evacuated=sorted(config.evacuated_domains),
         )
         for listener in self.listeners:
-            listener(config)
+            try:
+                listener(config)
+            except Exception as exc:
+                self.log.event("config_listener_fault", urgent=True, reason=repr(exc))
 
 
 def _replaces(config: CellConfig, other: CellConfig) -> bool:
--- a/packages/daemon/bulrushspur_daemon/job_preview.py
+++ b/packages/daemon/bulrushspur_daemon/job_preview.py
@@ -7,6 +7,7 @@
 from bulrushspur_daemon.clock import monotonic_s
 from bulrushspur_daemon.introspection import WAIT_TEXTS
 from bulrushspur_daemon.native_interface import parse_job
+from bulrushspur_kernel.decoding import make_json_decoder
 from bulrushspur_scheduler.jobs import Job
 from bulrushspur_scheduler.preview import JobPreview, StepPreview, preview_job
 
@@ -20,6 +21,9 @@
     job: msgspec.Raw = msgspec.Raw(b"{}")
 
 
+_decode_question = make_json_decoder(_Question)
+
+
 def answer_preview(process: t.Any, body: bytes) -> tuple[int, dict[str, t.Any]]:
     """Return the HTTP status and the answer to a question.
 
@@ -30,7 +34,7 @@
         return 503, {"error": "this process does not lead"}
     cell = process.term.cell
     try:
-        question = msgspec.json.decode(body, type=_Question)
+        question = _decode_question(body)
         spec = parse_job(PREVIEW_JOB_ID, bytes(question.job))
     except (msgspec.DecodeError, ValueError) as exc:
         return 400, {"error": str(exc)}
--- a/packages/daemon/bulrushspur_daemon/native_interface.py
+++ b/packages/daemon/bulrushspur_daemon/native_interface.py
@@ -12,8 +12,10 @@
 
 from bulrushspur_kernel.adapter import INTERFACE_POINT, CallerInterface
 from bulrushspur_kernel.api_keys import hash_api_key
+from bulrushspur_kernel.decoding import make_json_decoder
 from bulrushspur_kernel.errors import ErrorKind, Ran, Refusal
 from bulrushspur_kernel.http_exchange import Exchange, Request
+from bulrushspur_kernel.logs import make_logger
 from bulrushspur_kernel.plugins import register
 from bulrushspur_kernel.store import StoredRecord
 from bulrushspur_kernel.text import Text, WorkKind, convert_text
@@ -22,8 +24,8 @@
     EVACUATION_PREFIX,
     TEXT_KEY,
     TEXT_TOPIC,
-    ApiKeyRecord,
-    TextRecord,
+    decode_api_key,
+    decode_text_record,
 )
 from bulrushspur_kernel.work_types import RequestSize, WorkClass
 from bulrushspur_scheduler.config import Account, CellConfig, Queue, make_config
@@ -31,6 +33,8 @@
 from bulrushspur_scheduler.jobs import JobSpec, StepSpec
 from bulrushspur_scheduler.resources import Resources
 
+log = make_logger("native")
+
 JOBS_PATH_PREFIX: t.Final = "/v1/jobs/"
 API_KEY_HEADER: t.Final = "authorization"
 DEADLINE_HEADER: t.Final = "x-deadline-s"
@@ -47,7 +51,7 @@
 
 class _Step(msgspec.Struct, forbid_unknown_fields=True):
     tasks: int = 1
-    cores: float | None = None
+    cores: t.Annotated[float, msgspec.Meta(ge=0, le=1e6)] | None = None
     memory_mb: int | None = None
     accelerators: int | None = None
     run_time_s: float | None = None
@@ -65,6 +69,9 @@
     steps: list[_Step] = []
 
 
+_decode_job = make_json_decoder(_Job)
+
+
 def build_config_from_text(
     records: t.Mapping[str, StoredRecord], end_offset: int
 ) -> CellConfig | None:
@@ -75,7 +82,7 @@
     text_record = records.get(TEXT_KEY)
     if text_record is None:
         return None
-    raw = msgspec.json.decode(text_record.value, type=TextRecord)
+    raw = decode_text_record(text_record.value)
     parsed = convert_text(raw.text)
     if parsed.is_err():
         raise ValueError("; ".join(map(str, parsed.unwrap_err())))
@@ -83,7 +90,11 @@
     keys: dict[str, list[str]] = {}
     for name, record in records.items():
         if name.startswith(API_KEY_PREFIX):
-            key = msgspec.json.decode(record.value, type=ApiKeyRecord)
+            try:
+                key = decode_api_key(record.value)
+            except msgspec.DecodeError as exc:
+                log.warning(f"The record of an API key is skipped: {exc}.")
+                continue
             keys.setdefault(key.team, []).append(key.hash)
     # The version is the end offset of the topic, so that each change of a key, also a
     # withdrawal, makes a new version of the configuration.
@@ -131,7 +142,7 @@
 
 def parse_job(job_id: str, body: bytes) -> JobSpec:
     """Parse a job from its JSON body; raises ValueError with the fault found."""
-    raw = msgspec.json.decode(body or b"{}", type=_Job)
+    raw = _decode_job(body or b"{}")
     if len(raw.payload.encode()) > MAX_PAYLOAD_BYTES:
         raise ValueError(f"payload is longer than {MAX_PAYLOAD_BYTES} bytes")
     steps = raw.steps or [_Step()]
--- a/packages/daemon/bulrushspur_daemon/node_registry.py
+++ b/packages/daemon/bulrushspur_daemon/node_registry.py
@@ -20,6 +20,7 @@
     NODES_TOPIC,
     LeaderRecord,
     NodeRecord,
+    decode_node,
 )
 from bulrushspur_kernel.store import (
     Store,
@@ -129,16 +130,21 @@
         if not record.key.startswith(NODE_PREFIX) or not record.value:
             return
         try:
-            node = msgspec.msgpack.decode(record.value, type=NodeRecord)
+            node = decode_node(record.value)
         except msgspec.DecodeError as exc:
             self.log.event("cell_record_unreadable", key=record.key, reason=str(exc))
             return
         if record.offset < self.offsets.get(node.name, _LEGACY_OFFSET):
             return
         self.offsets[node.name] = record.offset
-        if self.nodes.get(node.name) != node:
-            self.nodes[node.name] = node
+        if self.nodes.get(node.name) == node:
+            return
+        self.nodes[node.name] = node
+        try:
             self.on_change()
+        except Exception as exc:
+            # The other processes are followed on, whatever is wrong with this one.
+            self.log.event("node_record_fault", node=node.name, reason=repr(exc))
 
     def apply_legacy(self, record: StoredRecord) -> None:
         """Apply a node record of another topic, if the nodes topic has none of it.
--- a/packages/daemon/bulrushspur_daemon/peer_sockets.py
+++ b/packages/daemon/bulrushspur_daemon/peer_sockets.py
@@ -50,8 +50,8 @@
     async def run(self) -> None:
         """Receive messages until cancelled."""
         while True:
-            identity, data = await self.socket.recv_multipart()
-            message = _decode(data, self.log)
+            identity, *frames = await self.socket.recv_multipart()
+            message = _decode(b"".join(frames), self.log)
             if message is not None:
                 _handle(self.on_message, identity, message, self.log)
 
--- a/packages/daemon/bulrushspur_daemon/term_peers.py
+++ b/packages/daemon/bulrushspur_daemon/term_peers.py
@@ -7,6 +7,7 @@
 import dataclasses
 import typing as t
 
+import zmq
 import zmq.asyncio
 
 from bulrushspur_daemon.clock import monotonic_s
@@ -49,14 +50,18 @@
                 continue
             if client is not None:
                 client.close()
-            self.clients[name] = make_peer_client(
-                self.context,
-                name,
-                node.peers_address,
-                self.identity,
-                self._handle_message,
-                self.log,
-            )
+                del self.clients[name]
+            try:
+                self.clients[name] = make_peer_client(
+                    self.context,
+                    name,
+                    node.peers_address,
+                    self.identity,
+                    self._handle_message,
+                    self.log,
+                )
+            except zmq.ZMQError as exc:
+                self.log.event("peer_unusable", peer=name, reason=str(exc))
 
     def _handle_message(self, client: PeerClient, message: Message) -> None:
         client.last_message_s = monotonic_s()
--- a/packages/daemon/bulrushspur_daemon/term_recovery.py
+++ b/packages/daemon/bulrushspur_daemon/term_recovery.py
@@ -63,9 +63,9 @@
         with _pause_garbage_collection():
             await self._recover_jobs(stored)
         if self.past_use is not None:
-            self.past_use.recover(past_use_data)
+            self._recover_or_skip(PAST_USE_KEY, self.past_use.recover, past_use_data)
         if self.speeds is not None:
-            self.speeds.recover(speeds_data)
+            self._recover_or_skip(SPEEDS_KEY, self.speeds.recover, speeds_data)
         cell, now_s = self.cell, monotonic_s()
         if worker_data:
             self.worker_records.recover(worker_data, now_s)
@@ -92,6 +92,15 @@
             took_ms=round((monotonic_s() - began_s) * 1000),
         )
 
+    def _recover_or_skip(
+        self, key: str, recover: t.Callable[[bytes], None], data: bytes
+    ) -> None:
+        """Recover what the term can do without; log a record that can't be used."""
+        try:
+            recover(data)
+        except Exception as exc:
+            self.log.event("record_unreadable", urgent=True, key=key, reason=repr(exc))
+
     async def _load_until_answered(self) -> dict[str, bytes]:
         while True:
             try:
--- a/packages/daemon/bulrushspur_daemon/worker_orders.py
+++ b/packages/daemon/bulrushspur_daemon/worker_orders.py
@@ -82,25 +82,35 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _send_start(self, order: StartOrder) -> None:
-        target = self.find_target(order.worker_id)
-        if target is None:
-            result = StartResult.INCARNATION_MISMATCH
-        else:
-            incarnation_start_ms = target.worker.incarnation_start_ms
-            async with target.slots:
-                # Nothing is awaited between this check and the sending.
-                if self._must_drop(target.worker, order):
-                    result = StartResult.DROPPED
-                else:
-                    result = await self._order_start(target, order, self.latency.late_s)
-                if result is StartResult.UNANSWERED:
-                    result = await self._repeat_start(
-                        target, order, incarnation_start_ms
-                    )
+        try:
+            result = await self._send_start_in_turn(order)
+        except Exception as exc:
+            # It may have been sent: the reports show what became of it.
+            self._log_fault(order.run.task.key.job, order.worker_id, exc)
+            result = StartResult.UNANSWERED
         handle_start_result(self.cell, order.run, result, monotonic_s())
         if result is not StartResult.STARTED:
             self.request_plan()
 
+    def _log_fault(self, job_id: str, worker_id: str, exc: Exception) -> None:
+        self.metrics.count("order_faults")
+        self.cell.log("order_fault", job_id, worker=worker_id, reason=repr(exc))
+
+    async def _send_start_in_turn(self, order: StartOrder) -> StartResult:
+        """Wait until the worker can take the order, send it and return the result."""
+        target = self.find_target(order.worker_id)
+        if target is None:
+            return StartResult.INCARNATION_MISMATCH
+        incarnation_start_ms = target.worker.incarnation_start_ms
+        async with target.slots:
+            # Nothing is awaited between this check and the sending.
+            if self._must_drop(target.worker, order):
+                return StartResult.DROPPED
+            result = await self._order_start(target, order, self.latency.late_s)
+            if result is StartResult.UNANSWERED:
+                return await self._repeat_start(target, order, incarnation_start_ms)
+            return result
+
     def _must_drop(self, worker: Worker, order: StartOrder) -> bool:
         """Return whether a start that has waited must not be sent any more."""
         cell, run, now_s = self.cell, order.run, monotonic_s()
@@ -173,11 +183,18 @@
                 if order.run is not None and order.run not in order.run.task.runs:
                     # It is not at work: it has ended meanwhile, or was never ordered.
                     return
-                acknowledged = await target.client.stop_run(
-                    order.key, order.number, self.cell.fencing_token
-                )
+                acknowledged = await self._order_stop(target, order)
         if not acknowledged:
             await asyncio.sleep(STOP_RETRY_INTERVAL_S)
         handle_stop_result(self.cell, order, acknowledged, monotonic_s())
         if not acknowledged:
             self.request_plan()
+
+    async def _order_stop(self, target: OrderTarget, order: StopOrder) -> bool:
+        try:
+            return await target.client.stop_run(
+                order.key, order.number, self.cell.fencing_token
+            )
+        except Exception as exc:
+            self._log_fault(order.key.job, order.worker_id, exc)
+            return False
--- a/packages/daemon/bulrushspur_daemon/worker_watch.py
+++ b/packages/daemon/bulrushspur_daemon/worker_watch.py
@@ -50,6 +50,8 @@
     missing_since_s: dict[str, float] = dataclasses.field(default_factory=dict)
     # The offset of the last record applied, by worker id.
     applied_offsets: dict[str, int] = dataclasses.field(default_factory=dict)
+    # Why the last entry cannot be used, by key.
+    unusable_keys: dict[str, str] = dataclasses.field(default_factory=dict)
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -117,20 +119,31 @@
         if not record.value:
             self.missing_since_s.setdefault(record.key, monotonic_s())
             return
-        entry = self.adapter.decode_worker(record.key, record.value)
-        if entry is None:
-            if record.key in self.cell.workers:
-                self.log.event("worker_entry_unreadable", worker=record.key)
+        try:
+            entry = self.adapter.decode_worker(record.key, record.value)
+            self.missing_since_s.pop(record.key, None)
+            apply_entry(
+                self.cell,
+                entry,
+                monotonic_s(),
+                self.on_new_worker,
+                self.on_new_capacity,
+                ids_by_machine,
+            )
+        except Exception as exc:
+            # Whatever the fault: the next leader would fail with it, too.
+            self._log_unusable(record.key, str(exc) or repr(exc))
             return
-        self.missing_since_s.pop(record.key, None)
-        apply_entry(
-            self.cell,
-            entry,
-            monotonic_s(),
-            self.on_new_worker,
-            self.on_new_capacity,
-            ids_by_machine,
-        )
+        self.unusable_keys.pop(record.key, None)
+
+    def _log_unusable(self, key: str, reason: str) -> None:
+        """Log an entry that cannot be used, once: it may be written again and again."""
+        if self.unusable_keys.get(key) == reason:
+            return
+        self.unusable_keys[key] = reason
+        if len(self.unusable_keys) > MAX_KNOWN_OFFSETS:
+            del self.unusable_keys[next(iter(self.unusable_keys))]
+        self.log.event("worker_entry_unreadable", worker=key[:60], reason=reason[:200])
 
     def _unlist_missing(self) -> None:
         """Unlist workers whose entries were not registered again."""
@@ -227,7 +240,13 @@
 def _expire_previous_incarnations(
     cell: Cell, entry: WorkerEntry, ids: set[str], now_s: float
 ) -> None:
-    """Mark earlier incarnations on the same machine as lost, with their runs."""
+    """Mark earlier incarnations on the same machine as lost, with their runs.
+
+    An entry of a service that is not known may be of another writer.
+    """
+    services = {service.name for service in cell.config.services}
+    if services and entry.service not in services:
+        return
     for other in [cell.workers[id_] for id_ in ids if id_ in cell.workers]:
         if replaces(entry, other):
             mark_incarnation_ended(
--- a/packages/kernel/bulrushspur_kernel/adapter.py
+++ b/packages/kernel/bulrushspur_kernel/adapter.py
@@ -115,7 +115,8 @@
     # Returns the ids of all incarnations; raises IncarnationsUnavailableError.
     list_incarnations: t.Callable[[t.Any], t.Awaitable[frozenset[str]]]
     workers_topic: str
-    decode_worker: t.Callable[[str, bytes], "WorkerEntry | None"]
+    # Raises ValueError for an entry that cannot be used.
+    decode_worker: t.Callable[[str, bytes], "WorkerEntry"]
     interface: CallerInterface
 
 
--- a/packages/kernel/bulrushspur_kernel/http_client.py
+++ b/packages/kernel/bulrushspur_kernel/http_client.py
@@ -47,7 +47,10 @@
     ) -> None:
         """Send a request with its body in one write."""
         all_headers = [*headers, ("content-length", str(len(body)))]
-        request = h11.Request(method=method, target=path, headers=all_headers)
+        try:
+            request = h11.Request(method=method, target=path, headers=all_headers)
+        except (ValueError, h11.LocalProtocolError) as exc:
+            raise NotSentError(f"the request cannot be sent: {exc}") from exc
         await self._send(request, h11.Data(data=body), h11.EndOfMessage())
 
     async def read_response_head(self) -> int:
@@ -126,14 +129,17 @@
 
 async def open_client_connection(address: str, timeout_s: float) -> ClientConnection:
     """Connect to ``host:port`` within ``timeout_s`` seconds; raises NotSentError."""
-    host, port = split_address(address)
     try:
+        host, port = split_address(address)
         async with asyncio.timeout(timeout_s):
             reader, writer = await asyncio.open_connection(
                 host, port, limit=MAX_BUFFER_BYTES
             )
     except (OSError, TimeoutError) as exc:
         raise NotSentError(f"{address} does not answer") from exc
+    except (ValueError, OverflowError) as exc:
+        # A port or host that cannot exist.
+        raise NotSentError(f"{address[:60]} is no address: {exc}") from exc
     return ClientConnection(reader, writer, h11.Connection(h11.CLIENT))
 
 
--- a/packages/kernel/bulrushspur_kernel/logs.py
+++ b/packages/kernel/bulrushspur_kernel/logs.py
@@ -95,7 +95,12 @@
         """Log an event; ``urgent`` events are exempt from the limit on the rate."""
         row = {"t": round(time.time(), 3), "process": self.process_name, "event": event}
         row.update(fields)
-        self.sink.write(_encode_json(row) + b"\n", urgent)
+        try:
+            line = _encode_json(row)
+        except Exception as exc:
+            # A line with a value that cannot be written must not end what logs it.
+            line = _encode_json({"event": event, "unwritable": ascii(exc)})
+        self.sink.write(line + b"\n", urgent)
 
 
 def make_logger(part: str) -> logbook.Logger:
--- a/packages/kernel/bulrushspur_kernel/membership_records.py
+++ b/packages/kernel/bulrushspur_kernel/membership_records.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from bulrushspur_kernel.decoding import SmallInt, make_msgpack_decoder
+
 CLAIMS_TOPIC: t.Final = "keyed.cell"
 LEADER_KEY: t.Final = "leader"
 # Apart from the claims: a claim is appended on condition that its topic has not grown.
@@ -20,7 +22,7 @@
     name: str
     domain: str
     peers_address: str
-    cores: float
+    cores: t.Annotated[float, msgspec.Meta(gt=0, le=1e6)]
     incarnation: str
     operators_address: str = ""
 
@@ -36,5 +38,9 @@
     name: str
     claim_id: str
     incarnation: str = ""
-    unstable_terms: int = 0
+    unstable_terms: SmallInt = 0
     node_offset: int = -1
+
+
+decode_node = make_msgpack_decoder(NodeRecord)
+decode_leader = make_msgpack_decoder(LeaderRecord)
--- a/packages/kernel/bulrushspur_kernel/messages.py
+++ b/packages/kernel/bulrushspur_kernel/messages.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from bulrushspur_kernel.decoding import make_msgpack_decoder
+
 
 class Outcome(enum.IntEnum):
     """Result of a request to the leader."""
@@ -146,9 +148,9 @@
 )
 
 encode_message = msgspec.msgpack.Encoder().encode
-_decoder = msgspec.msgpack.Decoder(Message)
+_decode = make_msgpack_decoder(Message)
 
 
 def decode_message(data: bytes) -> Message:
     """Decode a message; raises msgspec.DecodeError."""
-    return _decoder.decode(data)
+    return _decode(data)
--- a/packages/kernel/bulrushspur_kernel/settings.py
+++ b/packages/kernel/bulrushspur_kernel/settings.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from bulrushspur_kernel.decoding import make_json_decoder
 from bulrushspur_kernel.errors import BadSettingsError
 from bulrushspur_kernel.validation import ValidationIssue, make_validation_issue
 
@@ -97,6 +98,7 @@
     log: LogSettings = msgspec.field(default_factory=LogSettings)
 
 
+_decode_settings = make_json_decoder(Settings)
 _STRUCT_BY_FIELD: t.Final = {
     "$": Settings,
     "bounds": Bounds,
@@ -118,7 +120,7 @@
 def parse_settings(data: bytes) -> Settings:
     """Parse and check settings given as JSON; raises BadSettingsError."""
     try:
-        settings = msgspec.json.decode(data, type=Settings)
+        settings = _decode_settings(data)
     except msgspec.DecodeError as exc:
         raise BadSettingsError(
             str(make_validation_issue(exc, _STRUCT_BY_FIELD))
--- a/packages/kernel/bulrushspur_kernel/text.py
+++ b/packages/kernel/bulrushspur_kernel/text.py
@@ -11,6 +11,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from bulrushspur_kernel.decoding import make_json_decoder
 from bulrushspur_kernel.validation import ValidationIssue, make_validation_issue
 from bulrushspur_kernel.work_types import RequestSize, ResourceAmount, WorkClass
 
@@ -139,10 +140,13 @@
 }
 
 
+_decode_text = make_json_decoder(Text)
+
+
 def parse_text(data: bytes) -> Result[Text, list[ValidationIssue]]:
     """Parse and check a text given as JSON; return the text or its issues."""
     try:
-        text = msgspec.json.decode(data, type=Text)
+        text = _decode_text(data)
     except msgspec.DecodeError as exc:
         return Err([make_validation_issue(exc, _STRUCT_BY_FIELD)])
     return _validate(text)
--- a/packages/kernel/bulrushspur_kernel/text_records.py
+++ b/packages/kernel/bulrushspur_kernel/text_records.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from bulrushspur_kernel.decoding import make_json_decoder
+
 TEXT_TOPIC: t.Final = "keyed.text"
 TEXT_KEY: t.Final = "text"
 API_KEY_PREFIX: t.Final = "key/"
@@ -29,3 +31,7 @@
 
     team: str
     hash: str
+
+
+decode_text_record = make_json_decoder(TextRecord)
+decode_api_key = make_json_decoder(ApiKeyRecord)
--- a/packages/scheduler/bulrushspur_scheduler/machine_speeds.py
+++ b/packages/scheduler/bulrushspur_scheduler/machine_speeds.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from bulrushspur_kernel.decoding import Count, make_msgpack_decoder
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.workers import Worker
 
@@ -25,7 +26,10 @@
     """The stored rows: machine, speed, and when it was seen last in Unix seconds."""
 
     version: int
-    rows: list[tuple[str, float, int]]
+    rows: list[tuple[str, float, Count]]
+
+
+_decode_record = make_msgpack_decoder(MachineSpeedsRecord)
 
 
 @dataclasses.dataclass
@@ -68,7 +72,7 @@
 def load_speeds(cell: Cell, speeds: MachineSpeeds, data: bytes) -> None:
     """Take over what an earlier leader has stored; log a record that can't be used."""
     try:
-        record = msgspec.msgpack.decode(data, type=MachineSpeedsRecord)
+        record = _decode_record(data)
         if record.version != RECORD_VERSION:
             raise ValueError(f"version {record.version} is not known")
     except (msgspec.DecodeError, ValueError) as exc:
--- a/packages/scheduler/bulrushspur_scheduler/past_use.py
+++ b/packages/scheduler/bulrushspur_scheduler/past_use.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from bulrushspur_kernel.decoding import make_msgpack_decoder
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.resources import Resources, Usage
 
@@ -35,6 +36,9 @@
     rows: list[tuple[str, float]]
 
 
+_decode_record = make_msgpack_decoder(PastUseRecord)
+
+
 @dataclasses.dataclass
 class PastUse:
     """The decayed use of each account, and the levels that follow from it."""
@@ -133,7 +137,7 @@
 def load_past_use(cell: Cell, past_use: PastUse, data: bytes, unix_s: float) -> None:
     """Take over what an earlier leader has stored; log a record that can't be used."""
     try:
-        record = msgspec.msgpack.decode(data, type=PastUseRecord)
+        record = _decode_record(data)
         if record.version != RECORD_VERSION:
             raise ValueError(f"version {record.version} is not known")
         rows = {name: use_s for name, use_s in record.rows if 0 <= use_s < math.inf}
--- a/packages/scheduler/bulrushspur_scheduler/progress_records.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress_records.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from bulrushspur_kernel.decoding import Count, SmallInt, make_msgpack_decoder
 from bulrushspur_scheduler.cell import Cell, FinishedJob
 from bulrushspur_scheduler.jobs import (
     FINAL_STATES,
@@ -38,12 +39,12 @@
     has the id, machine and start of the worker incarnation that runs a suspect.
     """
 
-    number: int
+    number: Count
     done_bits: list[bytes]
-    failed_run_numbers: dict[str, list[int]] = {}
-    crash_counts: dict[str, tuple[int, int, int]] = {}
-    trials: dict[str, tuple[str, str, int]] = {}
-    crash_evidence: dict[str, tuple[int, int, int, bool]] = {}
+    failed_run_numbers: dict[str, list[Count]] = {}
+    crash_counts: dict[str, tuple[SmallInt, SmallInt, SmallInt]] = {}
+    trials: dict[str, tuple[str, str, Count]] = {}
+    crash_evidence: dict[str, tuple[SmallInt, SmallInt, SmallInt, bool]] = {}
 
 
 class ProgressRecord(msgspec.Struct, array_like=True, omit_defaults=True):
@@ -53,13 +54,13 @@
     account: str
     queue: str
     occurrences: list[OccurrenceRecord] = []
-    completed_occurrences: list[int] = []
+    completed_occurrences: list[Count] = []
     # Why the job failed.
     reason: str = ""
 
 
 _encode = msgspec.msgpack.Encoder().encode
-_decode_progress = msgspec.msgpack.Decoder(ProgressRecord).decode
+_decode_progress = make_msgpack_decoder(ProgressRecord)
 
 
 def encode_progress(cell: Cell, job_id: str) -> bytes | None:
--- a/packages/scheduler/bulrushspur_scheduler/records.py
+++ b/packages/scheduler/bulrushspur_scheduler/records.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from bulrushspur_kernel.decoding import make_msgpack_decoder
 from bulrushspur_scheduler.accepted_queues import (
     AcceptedQueueRecord,
     make_accepted_queue,
@@ -69,7 +70,7 @@
 )
 
 _encode = msgspec.msgpack.Encoder().encode
-_decode_job = msgspec.msgpack.Decoder(JobRecord).decode
+_decode_job = make_msgpack_decoder(JobRecord)
 
 
 def encode_job(job: Job) -> bytes:
--- a/packages/scheduler/bulrushspur_scheduler/worker_list_records.py
+++ b/packages/scheduler/bulrushspur_scheduler/worker_list_records.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from bulrushspur_kernel.decoding import Amount, Count, make_msgpack_decoder
 from bulrushspur_scheduler.resources import Resources
 from bulrushspur_scheduler.workers import WorkerEntry
 
@@ -21,15 +22,15 @@
 
     id: str
     address: str
-    incarnation_start_ms: int
+    incarnation_start_ms: Count
     machine: str = ""
-    cpu_milli: int = 0
-    memory_mb: int = 0
-    gpus: int = 0
+    cpu_milli: Amount = 0
+    memory_mb: Amount = 0
+    gpus: Amount = 0
 
 
 _encode = msgspec.msgpack.Encoder().encode
-_decode_workers = msgspec.msgpack.Decoder(list[WorkerRecord]).decode
+_decode_workers = make_msgpack_decoder(list[WorkerRecord])
 
 
 def make_worker_record(entry: WorkerEntry) -> WorkerRecord:
