Deny a job only after the store has confirmed the term

Cause: a term answers from memory while it serves. Orders and records are fenced by their term; an answer that a job does not exist, or is rejected, is not, and nothing asks whether a later term has begun. Heartbeats, workers and the claim log tell a leader that wakes only some milliseconds later.

Change (term_confirmation.py, with the loop that confirms the term, moved from term.py): a job is called unknown only after a call of the store that was sent when the request had come in has shown no later term; requests that wait share one call. A rejection needs a confirmation of the last second, suspension counted. Without the store the answer is 503 with Retry-After. What an accepted job is, and that it is stored, holds whoever leads, and is answered as before. A term that has ended meanwhile refuses nothing; the gateway asks the next leader.

--- a/packages/daemon/bulrushspur_daemon/leader_requests.py
+++ b/packages/daemon/bulrushspur_daemon/leader_requests.py
@@ -15,6 +15,7 @@
 from bulrushspur_daemon.advice_dispatcher import AdviceDispatcher
 from bulrushspur_daemon.clock import monotonic_s, unix_s
 from bulrushspur_daemon.record_writer import NotStoredError, RecordWriter
+from bulrushspur_daemon.term_confirmation import TermConfirmation
 from bulrushspur_kernel.messages import Cancel, Outcome, Query, Reply, Submit
 from bulrushspur_scheduler import admission, advice, ranking
 from bulrushspur_scheduler.cell import Cell
@@ -47,6 +48,7 @@
 
     cell: Cell
     writer: RecordWriter
+    confirmation: TermConfirmation
     advice_dispatcher: AdviceDispatcher
     spawn: t.Callable[[t.Coroutine[t.Any, t.Any, None]], None]
     request_plan: t.Callable[[], None]
@@ -61,15 +63,39 @@
             pending.cancel()
 
     async def answer(self, message: LeaderRequest) -> Reply:
-        """Answer a caller's request."""
+        """Answer a caller's request.
+
+        That a job does not exist, or is rejected, is said only once the store has shown
+        that no later term has begun: another leader may have accepted it meanwhile.
+        """
+        received_s = monotonic_s()
         if isinstance(message, Submit):
             reply = await self._submit(message)
         elif isinstance(message, Query):
             reply = self._query(message.job)
         else:
             reply = await self._cancel(message.job)
+        if not await self._is_valid(reply, received_s):
+            reply = self._refuse_unconfirmed(message)
         return msgspec.structs.replace(reply, request_id=message.request_id)
 
+    async def _is_valid(self, reply: Reply, received_s: float) -> bool:
+        """Return whether a reply to a request that came at ``received_s`` still holds.
+
+        What an accepted job is, and that it is stored, holds whoever leads.
+        """
+        if reply.outcome is Outcome.UNKNOWN_JOB:
+            return await self.confirmation.confirm_since(received_s)
+        if reply.outcome is Outcome.REJECTED and not self.confirmation.is_recent():
+            return await self.confirmation.confirm_since(received_s)
+        return True
+
+    def _refuse_unconfirmed(self, message: LeaderRequest) -> Reply:
+        self.cell.log("answer_unconfirmed", message.job, kind=type(message).__name__)
+        reason = "the store is away: another leader may know more"
+        retry_after_s = self._store_retry_after_s()
+        return Reply(0, Outcome.STORE_UNAVAILABLE, "", reason, retry_after_s)
+
     async def _submit(self, message: Submit) -> Reply:
         cell = self.cell
         for known in (cell.jobs, cell.finished_jobs, cell.unreadable_jobs):
--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -17,6 +17,7 @@
 from bulrushspur_daemon.liveness_watch import LivenessWatch
 from bulrushspur_daemon.plan_loop import PlanLoop
 from bulrushspur_daemon.record_writer import RecordWriter
+from bulrushspur_daemon.term_confirmation import TermConfirmation
 from bulrushspur_daemon.term_heartbeats import TermHeartbeats
 from bulrushspur_daemon.term_load import TermLoad
 from bulrushspur_daemon.term_past_use import TermPastUse
@@ -46,18 +47,15 @@
 from bulrushspur_kernel.store import (
     Store,
     StoreFencedError,
-    StoreUnavailableError,
 )
 from bulrushspur_scheduler.cell import Cell, TimingLimits, make_cell
 from bulrushspur_scheduler.config import CellConfig
 from bulrushspur_scheduler.evacuation import log_changes
-from bulrushspur_scheduler.leases import awaits_confirmation
 from bulrushspur_scheduler.machine_speeds import MachineSpeeds
 from bulrushspur_scheduler.overload import Backlog
 from bulrushspur_scheduler.past_use import make_past_use
 from bulrushspur_scheduler.progress import set_objective
 
-CONFIRM_INTERVAL_S: t.Final = 0.4
 HANDOVER_CHECK_INTERVAL_S: t.Final = 0.02
 # A leader that only wants a larger VM in its place leads on after this time.
 YIELD_TIMEOUT_S: t.Final = 1.5
@@ -87,6 +85,7 @@
     worker_records: WorkerRecords = dataclasses.field(init=False)
     worker_watch: WorkerWatch = dataclasses.field(init=False)
     recovery: TermRecovery = dataclasses.field(init=False)
+    confirmation: TermConfirmation = dataclasses.field(init=False)
     heartbeats: TermHeartbeats = dataclasses.field(init=False)
     liveness_watch: LivenessWatch = dataclasses.field(init=False)
     plan_loop: PlanLoop = dataclasses.field(init=False)
@@ -146,6 +145,7 @@
         self.advice_dispatcher.stop()
         self.peers.close()
         self.request_handler.stop()
+        self.confirmation.stop()
         self.on_end(reason)
 
     async def _run(self) -> None:
@@ -161,7 +161,7 @@
         self._spawn(self.past_use.run())
         self._spawn(self.speeds.run())
         self._spawn(self.upkeep.report_waits())
-        self._spawn(self._confirm_loop())
+        self._spawn(self.confirmation.run())
 
     async def _recover(self) -> None:
         """Recover the cell, then serve; end the term if a later one fences it."""
@@ -193,26 +193,6 @@
             set_objective(self.cell, job)
         self.request_plan()
 
-    async def _confirm_loop(self) -> None:
-        """Read the claim log to confirm the term while nothing is written."""
-        while True:
-            await asyncio.sleep(CONFIRM_INTERVAL_S / 2)
-            claim_log = self.claim_log
-            now_s, confirmed_s = monotonic_s(), self.writer.confirmed_s
-            is_due = now_s - confirmed_s > CONFIRM_INTERVAL_S
-            if is_due or awaits_confirmation(self.cell, confirmed_s, now_s):
-                try:
-                    await claim_log.read()
-                except StoreUnavailableError:
-                    # Not logged: heartbeats report the age of the last answer.
-                    self.metrics.count("confirm_failed")
-                    await asyncio.sleep(CONFIRM_INTERVAL_S)
-            if claim_log.term == self.number:
-                self.writer.record_confirmation(
-                    claim_log.last_store_success_s,
-                    claim_log.last_store_success_boottime_s,
-                )
-
     async def hand_over(self, timeout_s: float) -> None:
         """Lead until another process has claimed, for ``timeout_s`` at most."""
         self.is_leaving = True
@@ -248,10 +228,16 @@
         reply(await self.answer(message))
 
     async def answer(self, message: LeaderRequest) -> Reply:
-        """Answer a caller's request, NOT_READY until recovery is complete."""
+        """Answer a caller's request, NOT_READY until recovery is complete.
+
+        A term that has ended meanwhile refuses nothing: the next leader may know more.
+        """
         if not self.serving:
             return Reply(message.request_id, Outcome.NOT_READY)
-        return await self.request_handler.answer(message)
+        reply = await self.request_handler.answer(message)
+        if self.ended and reply.outcome is not Outcome.OK:
+            return Reply(message.request_id, Outcome.NOT_READY)
+        return reply
 
 
 def make_term(
@@ -352,9 +338,11 @@
         term.has_authority,
         term.stop,
     )
+    term.confirmation = TermConfirmation(number, cell, claim_log, writer, metrics)
     term.request_handler = LeaderRequestHandler(
         cell,
         writer,
+        term.confirmation,
         term.advice_dispatcher,
         term._spawn,
         term.request_plan,
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -42,6 +42,7 @@
     report_all_workers,
 )
 from tests.test_config_watch import NullEventLog
+from tests.test_leader_requests import FakeConfirmation
 
 
 def reply_to_call(cell, approved, now_s, valid_s=2.5):
@@ -263,7 +264,13 @@
         cell, writer = dispatcher.cell, FailingWriter()
         report_all_workers(cell, now_s)
         handler = LeaderRequestHandler(
-            cell, writer, dispatcher, asyncio.ensure_future, int, int
+            cell,
+            writer,
+            FakeConfirmation(),
+            dispatcher,
+            asyncio.ensure_future,
+            int,
+            int,
         )
         record = encode_job(make_test_job(queue="advised", now_s=now_s))
         submit = Submit(1, "j1", "advised", "team", record)
--- a/tests/test_leader_requests.py
+++ b/tests/test_leader_requests.py
@@ -33,6 +33,31 @@
         self.records[job_id] = record
 
 
+class FakeConfirmation:
+    """The store confirms the term at once."""
+
+    def is_recent(self):
+        return True
+
+    async def confirm_since(self, since_s):
+        return True
+
+
+def make_handler(cell, writer, confirmation=None):
+    dispatcher = AdviceDispatcher(
+        cell, NullEventLog(), Metrics(), lambda *_: True, list, lambda: None
+    )
+    return LeaderRequestHandler(
+        cell,
+        writer,
+        confirmation or FakeConfirmation(),
+        dispatcher,
+        asyncio.ensure_future,
+        int,
+        int,
+    )
+
+
 def accept_job(queue):
     """Make a job as a gateway does that takes it on this queue; None tells nothing."""
     job = make_test_job()
@@ -53,14 +78,7 @@
         return await self.answer(Submit(1, "j1", "heavy", "team", record))
 
     async def answer(self, request):
-        cell = self.cell
-        dispatcher = AdviceDispatcher(
-            cell, NullEventLog(), Metrics(), lambda *_: True, list, lambda: None
-        )
-        handler = LeaderRequestHandler(
-            cell, self.writer, dispatcher, asyncio.ensure_future, int, int
-        )
-        return await handler.answer(request)
+        return await make_handler(self.cell, self.writer).answer(request)
 
     def lower_attempts(self):
         lowered = dataclasses.replace(QUEUES[1], max_attempts=1)
