Read the rows of a worker's report one by one

What callers would see: a worker on which something else has started a run with a name of its own, or that tells an end of an unknown kind, counts as silent, and all its work is lost when the lease ends.

Cause: one row that could not be read made the whole report unreadable.

Change: a name that no task has stands for a run of another's; it takes room of unknown size, as orphans do. An end of an unknown kind is an end. Both are acknowledged. A row whose number is out of range still makes the report unreadable: which run it is of cannot be told. An entry of a service that the configuration does not name does not end a recorded worker, either.

Evidence: the new test fails without the change (the report raises WorkerUnresponsiveError).

--- a/packages/daemon/bulrushspur_daemon/worker_records.py
+++ b/packages/daemon/bulrushspur_daemon/worker_records.py
@@ -90,6 +90,7 @@
                 worker = make_worker(make_recorded_entry(record), now_s)
                 if any(
                     replaces(other.entry, worker)
+                    and self.cell.config.may_have_workers(other.entry.service)
                     for other in self.cell.workers.values()
                 ):
                     del self.by_id[record.id]
--- a/packages/daemon/bulrushspur_daemon/worker_watch.py
+++ b/packages/daemon/bulrushspur_daemon/worker_watch.py
@@ -240,12 +240,8 @@
 def _expire_previous_incarnations(
     cell: Cell, entry: WorkerEntry, ids: set[str], now_s: float
 ) -> None:
-    """Mark earlier incarnations on the same machine as lost, with their runs.
-
-    An entry of a service that is not known may be of another writer.
-    """
-    services = {service.name for service in cell.config.services}
-    if services and entry.service not in services:
+    """Mark earlier incarnations on the same machine as lost, with their runs."""
+    if not cell.config.may_have_workers(entry.service):
         return
     for other in [cell.workers[id_] for id_ in ids if id_ in cell.workers]:
         if replaces(entry, other):
--- a/packages/scheduler/bulrushspur_scheduler/config.py
+++ b/packages/scheduler/bulrushspur_scheduler/config.py
@@ -88,6 +88,15 @@
     account_by_api_key: dict[str, Account] = dataclasses.field(default_factory=dict)
     account_by_name: dict[str, Account] = dataclasses.field(default_factory=dict)
 
+    def may_have_workers(self, service: str) -> bool:
+        """Return whether entries of workers may name a service.
+
+        An entry of another one may be of another writer. Without a list of services all
+        are known, and so is that of a worker known only from the store, which is empty.
+        """
+        names = {row.name for row in self.services}
+        return not names or not service or service in names
+
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of a host with the longest prefix of ``path``, or None."""
         for queue in self.queues_by_host.get(host, ()):
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -60,6 +60,8 @@
     GANG_BROKEN = "broken"
     # The other members of its gang did not start in time.
     GANG_INCOMPLETE = "alone"
+    # The worker says something else; the run is over.
+    UNKNOWN = "unknown"
 
 
 class TaskKey(t.NamedTuple):
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -31,9 +31,10 @@
 from bulrushspur_platform.machines import list_incarnations
 from bulrushspur_platform.store import LogStore
 from bulrushspur_scheduler.config import Service, make_config
-from bulrushspur_scheduler.jobs import RunState, StepKey
+from bulrushspur_scheduler.jobs import RunOutcome, RunState, StepKey, TaskKey
 from bulrushspur_scheduler.planning import plan
-from bulrushspur_scheduler.workers import WorkerEntry
+from bulrushspur_scheduler.reports import apply_report
+from bulrushspur_scheduler.workers import WorkerEntry, is_available
 from tests.cell_fixtures import add_test_job, add_worker, make_test_cell
 from tests.odd_entries import (
     DEEP_ARRAY,
@@ -161,6 +162,24 @@
                 ):
                     await client.renew_lease(None, 1, 0, 0)
 
+    # Guards against: a run of another's ends the work of a whole worker.
+    async def test_odd_row_of_a_report_hides_no_other(self):
+        body = (
+            b'{"clock_ms":1,"running":[["odd",1,"",1],["j.0.0.0",2,null,1.5,9]],'
+            b'"ended":[[1,"j.0.0.x",1,"done",""],[2,"j.0.0.1",1,"evaporated",""]]}'
+        )
+        pool = FakePool(body)
+        report = await workers.HttpWorkerClient("w", pool, pool).renew_lease(
+            None, 1, 0, 0
+        )
+        self.assertEqual(report.running[1].key, TaskKey("j", 0, 0, 0))
+        self.assertIs(report.ended[1].outcome, RunOutcome.UNKNOWN)
+        cell = make_test_cell(1)
+        apply_report(cell, cell.workers["w0"], report, 1.0)
+        # All ends are acknowledged, or the worker would tell them at once each time.
+        self.assertEqual(cell.workers["w0"].applied_end_sequence, 2)
+        self.assertFalse(is_available(cell.workers["w0"], 1.0))
+
     async def test_address_that_cannot_exist_is_not_sent_to(self):
         for port in ("", "x", "99999", "9" * 5000, "-1"):
             with self.subTest(port[:9]), self.assertRaises(NotSentError):
