Let a gateway answer from memory only while that is young

What callers would see: a process that wakes from a freeze lets a key in that was withdrawn meanwhile, or knows no route that was added; a job is shown as completed that has the id of one that ended long ago, if it was handed in at another process.

The configuration that a process knows, and the final states that it has passed on, were used however old they are.

Change: a process whose configuration was read more than 2.5 s ago, suspension counted, while the store answers, reads it again before it serves; requests share the call, and wait 0.6 s for it at most. Without the store all know nothing newer, and it serves as before. A final state is told from memory for 10 s.

Evidence: the new tests of test_config_watch and test_gateway fail without the change.

--- a/packages/daemon/bulrushspur_daemon/config_watch.py
+++ b/packages/daemon/bulrushspur_daemon/config_watch.py
@@ -9,7 +9,7 @@
 import dataclasses
 import typing as t
 
-from bulrushspur_daemon.clock import monotonic_s
+from bulrushspur_daemon.clock import boottime_s, monotonic_s
 from bulrushspur_kernel.adapter import CallerInterface
 from bulrushspur_kernel.logs import EventLog
 from bulrushspur_kernel.store import (
@@ -26,6 +26,10 @@
 LONG_POLL_TIMEOUT_S: t.Final = 1.0
 STORE_TIMEOUT_S: t.Final = 0.5
 RETRY_INTERVAL_S: t.Final = 0.25
+# A process that has read nothing for longer has been suspended, or the store is away.
+MAX_UNREAD_S: t.Final = 2.5
+# So long a request waits for the configuration of a process that was suspended.
+CATCH_UP_TIMEOUT_S: t.Final = 0.6
 
 
 @dataclasses.dataclass
@@ -45,6 +49,9 @@
     )
     request_from_leader: t.Callable[[], None] = lambda: None
     refresh_requested: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    # Of when the records are at least, suspension counted.
+    read_boottime_s: float = -1e9
+    catching_up: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -65,6 +72,7 @@
 
     async def _poll(self) -> None:
         topic = self.interface.config_topic
+        sent_boottime_s = boottime_s()
         if self.next_offset is None:
             await self._load()
             return
@@ -77,10 +85,39 @@
         self.next_offset = max(self.next_offset, end)
         if self._merge(records):
             self._rebuild()
+        # Without records the store has waited before it answered.
+        waited_s = 0.0 if records else LONG_POLL_TIMEOUT_S
+        read_s = min(sent_boottime_s + waited_s, boottime_s())
+        self.read_boottime_s = max(self.read_boottime_s, read_s)
+
+    def is_behind(self) -> bool:
+        """Return whether the configuration may have changed since it was read last.
+
+        That is after a suspension; not while the store is away, as all know nothing
+        newer then.
+        """
+        if self.current is None or self.store_unavailable:
+            return False
+        return boottime_s() - self.read_boottime_s > MAX_UNREAD_S
+
+    async def catch_up(self) -> None:
+        """Read all records now; return after a while in any case."""
+        if self.catching_up is None:
+            self.catching_up = asyncio.create_task(self._catch_up())
+        await asyncio.wait({self.catching_up}, timeout=CATCH_UP_TIMEOUT_S)
+
+    async def _catch_up(self) -> None:
+        try:
+            await self._load()
+        except StoreUnavailableError as exc:
+            self.log.event("config_refresh_failed", reason=str(exc))
+        finally:
+            self.catching_up = None
 
     async def _load(self) -> None:
         """Read the newest record of each key; drop the keys that have none any more."""
         known = dict(self.records)
+        sent_boottime_s = boottime_s()
         newest, _ = await self.store.read_newest(self.interface.config_topic)
         changed = self._merge(newest.values())
         for key, record in known.items():
@@ -92,6 +129,7 @@
         self.next_offset = max(self.next_offset or 0, after)
         if changed or self.current is None:
             self._rebuild()
+        self.read_boottime_s = max(self.read_boottime_s, sent_boottime_s)
 
     def _merge(self, records: t.Iterable[StoredRecord]) -> bool:
         """Keep the newest record of each key; return whether any has changed."""
--- a/packages/daemon/bulrushspur_daemon/gateway.py
+++ b/packages/daemon/bulrushspur_daemon/gateway.py
@@ -10,7 +10,7 @@
 import math
 import typing as t
 
-from bulrushspur_daemon.clock import monotonic_s, unix_s
+from bulrushspur_daemon.clock import boottime_s, monotonic_s, unix_s
 from bulrushspur_daemon.config_watch import ConfigWatch
 from bulrushspur_daemon.leader_client import (
     HEARTBEAT_TIMEOUT_S,
@@ -38,6 +38,8 @@
 # Older counts of waiting jobs are not passed on.
 MAX_COUNT_AGE_S: t.Final = 3.0
 MAX_FINAL_RESULTS: t.Final = 5000
+# The leader forgets a final state after a time; then another job may have the id.
+MAX_FINAL_AGE_S: t.Final = 10.0
 
 ANONYMOUS_ACCOUNT: t.Final = Account("")
 
@@ -66,13 +68,21 @@
     leader_client: LeaderClient
     log: EventLog
     metrics: Metrics
-    final_results: dict[str, Result] = dataclasses.field(default_factory=dict)
+    # With the time when the leader told them.
+    final_results: dict[str, tuple[Result, float]] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def has_config(self) -> bool:
         """Return whether a configuration is known."""
         return self.config_watch.current is not None
 
+    async def catch_up(self) -> None:
+        """Read the configuration again if this process has not for too long."""
+        if self.config_watch.is_behind():
+            await self.config_watch.catch_up()
+
     @property
     def max_body_bytes(self) -> int:
         """Return the size of the largest request body accepted."""
@@ -130,9 +140,9 @@
         return await self._request("submit", spec.id, make_request, wait_s)
 
     async def query(self, job_id: str, deadline_s: float) -> Result:
-        """Return the state of a job; final states are cached in this process."""
-        final_result = self.final_results.get(job_id)
-        if final_result is not None:
+        """Return the state of a job; final states are cached here for a while."""
+        final_result, told_s = self.final_results.get(job_id, (None, 0.0))
+        if final_result is not None and boottime_s() - told_s < MAX_FINAL_AGE_S:
             return final_result
         return await self._request(
             "query", job_id, lambda request_id: Query(request_id, job_id), deadline_s
@@ -197,7 +207,7 @@
     def _cache_final_result(self, job_id: str, result: Result) -> None:
         while len(self.final_results) >= MAX_FINAL_RESULTS:
             del self.final_results[next(iter(self.final_results))]
-        self.final_results[job_id] = result
+        self.final_results[job_id] = (result, boottime_s())
 
 
 def limit_retry_after_s(expected_s: float, remaining_s: float) -> float:
--- a/packages/daemon/bulrushspur_daemon/native_interface.py
+++ b/packages/daemon/bulrushspur_daemon/native_interface.py
@@ -197,6 +197,7 @@
 ) -> None:
     """Answer a request of a caller."""
     body = await request.read_full_body(gateway.max_body_bytes)
+    await gateway.catch_up()
     if not gateway.has_config:
         await _refuse(exchange, ErrorKind.NO_TEXT, "No text is in force.")
         return
--- a/tests/test_config_watch.py
+++ b/tests/test_config_watch.py
@@ -10,7 +10,7 @@
 import time
 import unittest
 
-from bulrushspur_daemon.config_watch import ConfigWatch
+from bulrushspur_daemon.config_watch import MAX_UNREAD_S, ConfigWatch
 from bulrushspur_kernel.adapter import CallerInterface
 from bulrushspur_kernel.store import StoredRecord, StoreTruncatedError
 from bulrushspur_scheduler.config import make_config
@@ -76,6 +76,29 @@
         current = watch.current.version if watch.current else None
         self.fail(f"version {current} is in force, not {version}")
 
+    # Guards against: a process that was suspended lets a withdrawn key in.
+    async def test_process_that_was_suspended_catches_up_first(self):
+        store = FakeStore()
+        store.append_version(1)
+        watch = await self.start_watch(store)
+        await self.wait_version(watch, 1)
+        self.assertFalse(watch.is_behind())
+        watch.read_boottime_s -= MAX_UNREAD_S
+        self.assertTrue(watch.is_behind())
+        store.append_version(2)
+        reads = store.newest_reads
+        await asyncio.gather(*(watch.catch_up() for _ in range(20)))
+        self.assertEqual(watch.current.version, 2)
+        self.assertFalse(watch.is_behind())
+        self.assertEqual(store.newest_reads, reads + 1)
+
+    async def test_process_without_the_store_serves_with_what_it_knows(self):
+        watch = await self.start_watch(FakeStore())
+        watch.current = make_config(1)
+        watch.read_boottime_s -= MAX_UNREAD_S
+        watch.store_unavailable = True
+        self.assertFalse(watch.is_behind())
+
     async def test_record_appended_during_a_load_is_not_missed(self):
         store = FakeStore(missing_from_newest=1)
         store.append_version(1)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,7 +6,11 @@
 
 import unittest
 
-from bulrushspur_daemon.gateway import Gateway, limit_retry_after_s
+from bulrushspur_daemon.gateway import (
+    MAX_FINAL_AGE_S,
+    Gateway,
+    limit_retry_after_s,
+)
 from bulrushspur_kernel.messages import Outcome, Reply
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_scheduler.config import Account
@@ -101,6 +105,18 @@
         client.reply = Reply(1, Outcome.OK, JobState.QUEUED.value)
         self.assertEqual((await gateway.query("j1", 3.0)).state, "queued")
 
+    # Guards against: a job is shown as completed that has the id of a forgotten one.
+    async def test_final_state_is_asked_for_again_after_a_while(self):
+        client = FakeLeaderClient()
+        gateway = Gateway(None, client, NullEventLog(), Metrics())
+        client.reply = Reply(1, Outcome.OK, JobState.COMPLETED.value)
+        await gateway.query("j1", 3.0)
+        client.reply = Reply(1, Outcome.OK, JobState.QUEUED.value)
+        self.assertEqual((await gateway.query("j1", 3.0)).state, "completed")
+        result, told_s = gateway.final_results["j1"]
+        gateway.final_results["j1"] = (result, told_s - MAX_FINAL_AGE_S)
+        self.assertEqual((await gateway.query("j1", 3.0)).state, "queued")
+
 
 if __name__ == "__main__":
     unittest.main()
