Let dependent steps wait again if their dependency ended as another run

What callers would see (TWICE): after a takeover a step starts again beside its runs, where a late order of the step before it was carried out meanwhile.

Cause: a task with a run at work has not ended, so the steps after it cannot have begun, and are not waited for. But the run may be a late one, and the task have ended as another run, whose end a second worker tells only then.

Change: such an end makes the dependent tasks wait for the reports of all workers again.

Evidence: the new test of test_takeover fails without the change.

--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -43,7 +43,11 @@
     stop_step,
 )
 from bulrushspur_scheduler.suspects import confirm_trial
-from bulrushspur_scheduler.takeover import find_reported_task, reconcile_dependents
+from bulrushspur_scheduler.takeover import (
+    find_reported_task,
+    reconcile_dependents,
+    unreconcile_dependents,
+)
 from bulrushspur_scheduler.workers import Worker
 
 # A worker reports at most this many ends at once. A report that reaches the limit may
@@ -293,6 +297,8 @@
     if end.outcome is RunOutcome.DONE and not task.step.spec.long_running:
         if run is not None:
             health.record_success(cell, worker, run, now_s)
+        else:
+            unreconcile_dependents(cell, task.step)
         mark_task_done(cell, task, now_s)
         return
     if end.outcome is RunOutcome.FAILED:
--- a/packages/scheduler/bulrushspur_scheduler/takeover.py
+++ b/packages/scheduler/bulrushspur_scheduler/takeover.py
@@ -136,9 +136,7 @@
     No earlier leader can have started them, since this task has not ended. The step
     must not be a gang: one end represents all members, and others may be listed still.
     """
-    for other in step.job.occurrences[step.key.occurrence].steps:
-        if step.key.step not in other.spec.depends_on:
-            continue
+    for other in _list_dependents(step):
         if not all(task.unreconciled for task in other.tasks):
             continue
         for task in other.tasks:
@@ -146,6 +144,27 @@
         reconcile_dependents(other)
 
 
+def unreconcile_dependents(cell: Cell, step: Step) -> None:
+    """Let the steps that depend on a step wait for the workers' reports again.
+
+    A task of the step that was taken for unfinished, by a run that goes on, has ended
+    as another run: an earlier leader may have started them.
+    """
+    if cell.reconciled:
+        return
+    for other in _list_dependents(step):
+        for task in other.tasks:
+            task.unreconciled = not task.done and not task.runs
+        unreconcile_dependents(cell, other)
+
+
+def _list_dependents(step: Step) -> t.Iterator[Step]:
+    """Yield the steps of the same occurrence that depend directly on a step."""
+    for other in step.job.occurrences[step.key.occurrence].steps:
+        if step.key.step in other.spec.depends_on:
+            yield other
+
+
 def reconcile(cell: Cell, confirmed_s: float) -> bool:
     """Allow recovered tasks to start once no worker can run them unobserved.
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -156,6 +156,22 @@
         plan(cell, 1.5)
         self.assertEqual(cell.start_orders, [], "w1 reported the end to the last term")
 
+    # Guards against: a late run hides that its task is done and the next step at work.
+    def test_step_whose_dependency_ended_as_another_run_waits_for_every_worker(self):
+        cell = make_two_step_cell()
+        add_worker(cell, "w2", has_reported=False)
+        cell.unobserved_workers.add("w2")
+        apply_worker_report(cell, "w0", 1.0, [(task_key(), 1)])
+        apply_worker_report(cell, "w1", 1.1, ended=[(1, task_key(), 2, "done")])
+        takeover.reconcile(cell, 1.2)
+        plan(cell, 1.2)
+        self.assertEqual(cell.start_orders, [], "w2 may run the second step")
+        apply_worker_report(cell, "w2", 1.3, [(task_key(step=1), 3)])
+        takeover.reconcile(cell, 1.4)
+        plan(cell, 1.4)
+        self.assertEqual(cell.start_orders, [])
+        self.assertEqual(len(cell.workers["w2"].runs), 1)
+
     def test_step_whose_dependency_ended_unobserved_waits_for_every_worker(self):
         cell = make_two_step_cell()
         apply_worker_report(cell, "w0", 1.0, ended=[(1, task_key(), 1, "done")])
