Let the fuzzed leaders connect only to workers on the stored list

Term 8 loads for 2 s, is cut off from the store meanwhile, reads the stored list and the entries at 117.1 although it is cut off since 116.0, finds there a worker that term 9 has recorded, and starts tasks on it. In the product a worker is recorded in the store before the leader connects to it (worker_records.py), the list is read when earlier terms are fenced, and a leader that is fenced or cut off can record none.

Change: a simulated leader reads the list when its term begins, and polls a worker only once it has written it there. The check itself is as it was.

--- a/fuzz/crash_series.py
+++ b/fuzz/crash_series.py
@@ -16,7 +16,6 @@
 import typing as t
 
 from bulrushspur_daemon.worker_watch import apply_entry
-from bulrushspur_scheduler.cell import Cell
 from fuzz.deadly import RESTART_DELAYS_S, SETTLING_S, DeadlySimulation, make_job
 from fuzz.histories import act_at_random, ensure_leader
 from fuzz.leaders import SimLeader
@@ -81,11 +80,11 @@
 
         self.schedule(stays_s, leave)
 
-    def _load_workers(self, cell: Cell) -> list[str]:
-        rv = super()._load_workers(cell)
+    def _load_workers(self, leader: SimLeader) -> list[str]:
+        rv = super()._load_workers(leader)
         for entry in self.entries.values():
             if entry.draining:
-                apply_entry(cell, entry, self.now_s, lambda worker: None)
+                apply_entry(leader.cell, entry, self.now_s, lambda worker: None)
         return rv
 
     def takes_work(self, leader: SimLeader, name: str) -> bool:
--- a/fuzz/leaders.py
+++ b/fuzz/leaders.py
@@ -36,3 +36,5 @@
     ended: bool = False
     loading: bool = False
     unstored_jobs: set[str] = dataclasses.field(default_factory=set)
+    # The stored list of workers, as it has read and changed it.
+    recorded_worker_ids: set[str] = dataclasses.field(default_factory=set)
--- a/fuzz/series.py
+++ b/fuzz/series.py
@@ -11,7 +11,6 @@
 
 from bulrushspur_daemon.worker_connections import REPORT_TIMEOUT_S
 from bulrushspur_daemon.worker_watch import apply_entry
-from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.config import Account, CellConfig, Queue, make_config
 from bulrushspur_scheduler.jobs import JobSpec, StepSpec
 from bulrushspur_scheduler.leases import list_expired_workers
@@ -92,8 +91,7 @@
 
     def _apply_entry(self, leader: SimLeader, entry: WorkerEntry) -> None:
         def connect(worker: Worker) -> None:
-            self.store.worker_ids.add(worker.id)
-            self._renew_lease(leader, worker.id)
+            self._connect(leader, worker.id)
 
         apply_entry(leader.cell, entry, self.now_s, connect)
 
@@ -130,20 +128,21 @@
                 worker.listed = False
                 worker.unlisted_s = self.now_s
 
-    def _load_workers(self, cell: Cell) -> list[str]:
+    def _load_workers(self, leader: SimLeader) -> list[str]:
         """Add the registered workers, and those that only the stored list names."""
+        cell = leader.cell
         for name, entry in sorted(self.entries.items()):
             cell.workers[name] = make_worker(entry, self.now_s)
-        for name in sorted(self.store.worker_ids - set(self.entries)):
+        for name in sorted(leader.recorded_worker_ids - set(self.entries)):
             entry = make_recorded_entry(make_worker_record(self.past_entries[name]))
             worker = make_worker(entry, self.now_s)
             if any(replaces(other, worker) for other in self.entries.values()):
+                leader.recorded_worker_ids.discard(name)
                 self.store.worker_ids.discard(name)
                 continue
             cell.workers[name] = worker
             worker.listed = False
-        cell.unobserved_workers = set(self.store.worker_ids)
-        self.store.worker_ids |= set(self.entries)
+        cell.unobserved_workers = set(leader.recorded_worker_ids)
         return sorted(cell.workers)
 
     def _tick(self, leader: SimLeader) -> None:
@@ -159,6 +158,7 @@
         for worker in list_expired_workers(cell, confirmed_s, self.now_s):
             del cell.workers[worker.id]
             self.store.worker_ids.discard(worker.id)
+            leader.recorded_worker_ids.discard(worker.id)
 
     def _may_extend_lease(self, leader: SimLeader, worker: Worker) -> bool:
         """Extend no lease without a recent report: it could never expire."""
--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -12,7 +12,7 @@
 import typing as t
 
 from bulrushspur_scheduler import takeover
-from bulrushspur_scheduler.cell import Cell, StartOrder, StopOrder, make_cell
+from bulrushspur_scheduler.cell import StartOrder, StopOrder, make_cell
 from bulrushspur_scheduler.config import Account, CellConfig, Queue, make_config
 from bulrushspur_scheduler.eviction import evict_runs
 from bulrushspur_scheduler.jobs import Job, JobSpec, JobState, TaskKey
@@ -183,6 +183,7 @@
         self.store.epoch = self.oracle.newest_term = self.newest_term
         self.leaders.append(leader)
         stored = dict(self.store.records)
+        leader.recorded_worker_ids = set(self.store.worker_ids)
         if load_s:
             leader.loading = True
             self.schedule(load_s, lambda: self._begin_to_serve(leader, stored))
@@ -196,26 +197,49 @@
             return
         cell = leader.cell
         takeover.recover_jobs(cell, stored, self.now_s, self.now_s)
-        names = self._load_workers(cell)
+        names = self._load_workers(leader)
         cell.reconciled = not cell.jobs
         cell.reconcile_by_s = (
             self.now_s + AUTHORITY_TIMEOUT_S + cell.timing_limits.lease_s * 1.05
         )
         for name in names:
-            self._renew_lease(leader, name)
+            self._connect(leader, name)
         self._tick(leader)
 
-    def _load_workers(self, cell: Cell) -> list[str]:
+    def _connect(self, leader: SimLeader, name: str) -> None:
+        """Poll a worker once it is in the stored list: so later terms know it.
+
+        A leader that cannot write to the store connects only to those on the list that
+        it has read.
+        """
+        if name not in leader.recorded_worker_ids:
+            if leader.ended or leader.cell.superseded:
+                return
+            if not self._can_write(leader):
+                self.schedule(TICK_INTERVAL_S, lambda: self._connect(leader, name))
+                return
+            self.store.worker_ids.add(name)
+            leader.recorded_worker_ids.add(name)
+        self._renew_lease(leader, name)
+
+    def _can_write(self, leader: SimLeader) -> bool:
+        return (
+            not leader.store_unreachable
+            and self.now_s >= self.store.unavailable_until_s
+            and self.store.epoch == leader.term
+        )
+
+    def _load_workers(self, leader: SimLeader) -> list[str]:
         """Add the workers to the cell of a new leader; return their ids."""
+        cell = leader.cell
         names = sorted(self.workers)
         for name in names:
             entry = WorkerEntry(
                 name, "svc", "", "z", Resources(WORKER_CPU_MILLI, 99_999)
             )
             cell.workers[name] = make_worker(entry, self.now_s)
-            if name in self.store.worker_ids:
+            if name in leader.recorded_worker_ids:
                 cell.unobserved_workers.add(name)
-        self.store.worker_ids |= set(names)
         return names
 
     def _end_term(self, leader: SimLeader) -> None:
