Test odd answers, requests and settings with real processes

Cause: the tests of odd entries played what is read from the store; text also comes in as answers of workers, of the list of machines and of the advice service, as callers' and operators' requests, and as a settings file that is read again.

--- a/tests/odd_entries.py
+++ b/tests/odd_entries.py
@@ -21,6 +21,15 @@
 DEEP_OBJECT = b'{"a":' * NESTED + b"1" + b"}" * NESTED
 # Nothing in MessagePack is nested more deeply in fewer bytes.
 DEEP_PACK = b"\x91" * NESTED + b"\x01"
+# Of requests and answers.
+ODD_BODIES = (
+    b"",
+    b"7",
+    b"\xff",
+    DEEP_ARRAY,
+    DEEP_OBJECT,
+    b'{"unknown":' + DEEP_ARRAY + b"}",
+)
 
 
 def make_entry(**fields):
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -37,9 +37,8 @@
 from bulrushspur_scheduler.workers import WorkerEntry, is_available
 from tests.cell_fixtures import add_test_job, add_worker, make_test_cell
 from tests.odd_entries import (
-    DEEP_ARRAY,
-    DEEP_OBJECT,
     DEEP_PACK,
+    ODD_BODIES,
     list_odd_entries,
     list_odd_nodes,
     list_odd_packs,
@@ -47,15 +46,6 @@
     make_numbers,
 )
 
-BODIES = (
-    b"",
-    b"7",
-    b"\xff",
-    DEEP_ARRAY,
-    DEEP_OBJECT,
-    b'{"unknown":' + DEEP_ARRAY + b"}",
-)
-
 
 class FakePool:
     """Answers each request with the same body."""
@@ -105,7 +95,7 @@
 
 class BodyTest(unittest.IsolatedAsyncioTestCase):
     async def test_store_response_that_cannot_be_read_is_as_good_as_none(self):
-        for body in BODIES:
+        for body in ODD_BODIES:
             store = LogStore(FakePool(body), FakePool(body))
             with self.subTest(body[:20]):
                 with self.assertRaises(StoreUnavailableError):
@@ -132,7 +122,7 @@
         self.assertEqual(newest["good"].value, b"good")
 
     async def test_other_services(self):
-        for body in BODIES:
+        for body in ODD_BODIES:
             pool = FakePool(body)
             client = workers.HttpWorkerClient("w", pool, pool)
             with self.subTest(body[:20]):
@@ -186,19 +176,19 @@
                 await make_http_pool(f"127.0.0.1:{port}").request("GET", "/")
 
     def test_job_of_a_caller_is_refused(self):
-        for body in (*BODIES, b'{"steps":[{"count":' + b"9" * 400 + b"}]}"):
+        for body in (*ODD_BODIES, b'{"steps":[{"count":' + b"9" * 400 + b"}]}"):
             if body:
                 with self.subTest(body[:20]), self.assertRaises(ValueError):
                     spec = callers.parse_job("a" * 16, body)
                     self.assertTrue(spec.steps)
 
     def test_settings_are_refused(self):
-        for body in BODIES:
+        for body in ODD_BODIES:
             with self.subTest(body[:20]), self.assertRaises(BadSettingsError):
                 parse_settings(body)
 
     def test_configuration_is_refused(self):
-        for body in BODIES:
+        for body in ODD_BODIES:
             records = {config.CONFIG_KEY: StoredRecord(1, config.CONFIG_KEY, body)}
             with self.subTest(body[:20]), self.assertRaises(ValueError):
                 config.build_config(records, 1)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -5,19 +5,25 @@
 """
 
 import asyncio
+import itertools
+import random
 import signal
 import unittest
 
 from bench.processes import ProcessCluster
+from bulrushspur_kernel.http_client import fetch_response
 from bulrushspur_scheduler.records import encode_job
+from bulrushspur_standins.serving import Faults, make_server
 from tests.cell_fixtures import make_test_job
 from tests.cluster import API_KEY, CONFIG, HOST, job_id, make_job_body
 from tests.odd_entries import (
     DEEP_PACK,
+    ODD_BODIES,
     list_odd_entries,
     list_odd_nodes,
     list_odd_packs,
     list_odd_progress,
+    make_entry,
 )
 
 HEADERS = [("bulrushspur-credential", API_KEY), ("bulrushspur-deadline-ms", "3000")]
@@ -36,9 +42,10 @@
         self.job_count = 0
         await cluster.start(0, 3, "platform", CONFIG)
 
-    async def start_entries(self, count=3):
+    async def start_entries(self, count=3, **settings):
         for number in range(count):
             entry = self.cluster.make_entry(f"n{number}", "platform")
+            entry.settings.update(settings)
             self.cluster.entries.append(entry)
             await entry.start()
         await self.cluster.wait_ready()
@@ -138,6 +145,57 @@
         await self.run_job()
         self.check_processes(max_terms=3)
 
+    async def start_odd_service(self):
+        """Start a server of odd answers, one after the other; return its address."""
+        answers = itertools.cycle((200, body) for body in ODD_BODIES)
+
+        async def answer(request, body):
+            return next(answers)
+
+        server = make_server(answer, Faults(), random.Random(1))
+        await server.listen("127.0.0.1", 0)
+        self.addAsyncCleanup(server.close, 0.0)
+        return f"127.0.0.1:{server.port}"
+
+    # Guards against: an answer of a worker or another service ends a leader.
+    async def test_odd_answers_end_no_process(self):
+        address = await self.start_odd_service()
+        entry = make_entry(address=address)
+        self.cluster.store.put("keyed.servers", "odd-worker", entry)
+        self.cluster.advice_address = address
+        await self.start_entries(2, machines_address=address)
+        # A worker that is silent has the list of machines read.
+        self.cluster.workers[0].faults.unresponsive = True
+        await self.run_job()
+        entry = self.cluster.entries[0]
+        body = make_job_body(count=1)
+        path = f"/place/{job_id(77)}"
+        await self.cluster.call(entry, "POST", path, HEADERS, body, host=HOST)
+        await asyncio.sleep(2.0)
+        await self.run_job()
+        await self.kill_leader()
+        await self.run_job()
+        self.check_processes(max_terms=2)
+
+    # Guards against: a request, or a settings file that is changed, ends a process.
+    async def test_odd_requests_and_settings_end_no_process(self):
+        await self.start_entries(1)
+        (entry,) = self.cluster.entries
+        for number, body in enumerate(ODD_BODIES):
+            path = f"/assess/{job_id(900 + number)}"
+            answer = await fetch_response(
+                "POST", entry.address, path, body, HEADERS, host=HOST
+            )
+            self.assertIn(answer.status, (400, 413), body[:20])
+            address = entry.settings["operators_address"]
+            answer = await fetch_response("POST", address, "/where", body)
+            self.assertIn(answer.status, (400, 413), body[:20])
+            (entry.folder / f"{entry.name}.json").write_bytes(body)
+            entry.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.05)
+        await self.run_job()
+        self.check_processes(max_terms=1)
+
 
 if __name__ == "__main__":
     unittest.main()
