Let the soak repeat and cancel jobs, among odd entries of workers

Change: a quarter of the jobs repeat, a tenth is cancelled, and all odd entries of the tests stand among those of the workers. A task that starts over 3 s after its job's cancel was acknowledged is a violation.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -13,6 +13,8 @@
 
 MAX_ATTEMPTS: t.Final = {row["name"]: row["max_attempts"] for row in CONFIG["routes"]}
 COMPLETION_TIMEOUT_S: t.Final = 40.0
+# A task of a cancelled job may start for so long after the acknowledgement.
+MAX_CANCEL_S: t.Final = 3.0
 # A job may be given up from so many crashes under one of its tasks on.
 MIN_CRASHES: t.Final = 2
 
@@ -58,6 +60,7 @@
         f"accepted job {job} did not complete" for job in sorted(unfinished_jobs)
     ]
     _check_refused_jobs(soak)
+    _check_cancelled_jobs(soak)
 
 
 def _has_ended(soak: "Soak", job: str, told: dict[str, t.Any]) -> bool:
@@ -65,6 +68,8 @@
     state, reason = told["state"], told.get("reason")
     if state == "failed" and _may_fail(soak, job):
         soak.failed_jobs.add(job)
+    elif state == "cancelled" and soak.submissions[job].cancel_sent:
+        return True
     elif state in ("failed", "cancelled"):
         soak.violations.append(f"accepted job {job} is shown as {state}: {reason}")
     return state in ("completed", "failed", "cancelled")
@@ -90,6 +95,13 @@
     return has_used_attempts or max(crash_counts, default=0) >= MIN_CRASHES
 
 
+def _check_cancelled_jobs(soak: "Soak") -> None:
+    for started_s, task, _, worker_id in soak.cluster.oracle.starts:
+        submission = soak.submissions[task.split(".")[0]]
+        if started_s - submission.cancelled_s > MAX_CANCEL_S:
+            soak.violations.append(f"{task} started on {worker_id} though cancelled")
+
+
 def _check_refused_jobs(soak: "Soak") -> None:
     started_jobs = {row[1].split(".")[0] for row in soak.cluster.oracle.starts}
     for job, submission in soak.submissions.items():
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,10 +2,11 @@
 
 ``make soak SEEDS=n SEED=k MINUTES=m`` runs up to ``n`` seeds from ``k`` on and starts
 none after ``m`` minutes. The seed fixes the random numbers for jobs and faults; which
-client or fault draws next also depends on the timing of the processes. Violations are:
-an accepted job that does not complete, unless its runs failed or its workers crashed
-often enough, a refused job that runs, and what the workers together record, such as two
-runs of a task at the same time.
+client or fault draws next also depends on the timing of the processes. Some jobs repeat
+and some are cancelled; odd entries of another writer stand among those of the workers.
+Violations are: an accepted job that does not complete, unless its runs failed or its
+workers crashed often enough, a refused job that runs, a cancelled one of which a task
+starts later, and what the workers together record, such as two runs of a task at once.
 """
 
 import asyncio
@@ -25,10 +26,13 @@
 from soak.faults import DOMAINS, inject_faults
 from soak.proxy import FaultProxy
 from tests.cluster import API_KEY, CONFIG, HOST, job_id, make_job_body
+from tests.odd_entries import list_odd_entries
 
 RUN_DURATION_S: t.Final = 15.0
 # Share of the runs that fail by themselves.
 FAILURE_SHARE: t.Final = 0.15
+REPEATING_SHARE: t.Final = 0.25
+CANCEL_SHARE: t.Final = 0.1
 # Seeds of earlier failures, each with the cause.
 REGRESSION_SEEDS: t.Final[dict[int, str]] = {}
 
@@ -45,6 +49,9 @@
     gang: bool
     accepted: bool = False
     outcome_unknown: bool = False
+    # A cancel was sent, and when it was acknowledged, on the monotonic clock.
+    cancel_sent: bool = False
+    cancelled_s: float = float("inf")
 
 
 class Soak:
@@ -99,6 +106,8 @@
             worker.address = await proxy.start()
             self.worker_proxies.append(proxy)
             cluster.store.put("keyed.servers", worker.id, worker.encode_entry())
+        for index, data in enumerate(list_odd_entries().values()):
+            cluster.store.put("keyed.servers", f"odd-{index}", data)
         # The advice service approves these workers for every step, so that each job
         # can run.
         cluster.advice.always_approved = {"w0", "w1"}
@@ -137,17 +146,48 @@
             queue = self.rng.choice(("assess", "place"))
             gang = self.rng.random() < 0.3
             self.submissions[job] = Submission(queue, gang)
-            body = msgspec.json.encode(
-                make_job_body(
-                    count=self.rng.choice((1, 2, 4)),
-                    cpu_milli=self.rng.choice((500, 2000, 4000)),
-                    run_time_ms=self.rng.choice((100, 400, 1500)),
-                    gang=gang,
-                )
+            body = make_job_body(
+                count=self.rng.choice((1, 2, 4)),
+                cpu_milli=self.rng.choice((500, 2000, 4000)),
+                run_time_ms=self.rng.choice((100, 400, 1500)),
+                gang=gang,
             )
-            await self._submit(pools, f"/{queue}/{job}", body, headers, job)
+            if self.rng.random() < REPEATING_SHARE:
+                body |= self._draw_times()
+            path = f"/{queue}/{job}"
+            await self._submit(pools, path, msgspec.json.encode(body), headers, job)
+            if self.rng.random() < CANCEL_SHARE:
+                await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+                await self._cancel(pools, path, headers, job)
             await asyncio.sleep(self.rng.uniform(0.0, 0.3))
 
+    def _draw_times(self) -> dict[str, int]:
+        """Draw when a job repeats."""
+        now_ms = int(time.time() * 1000)
+        return {
+            "start_at_ms": now_ms + self.rng.choice((0, 300, 1000)),
+            "interval_ms": self.rng.choice((200, 1000, 3000)),
+            "repeat_count": self.rng.choice((1, 2, 4)),
+        }
+
+    async def _cancel(
+        self,
+        pools: dict[str, HttpPool],
+        path: str,
+        headers: list[tuple[str, str]],
+        job: str,
+    ) -> None:
+        submission = self.submissions[job]
+        pool = pools[self.rng.choice(self.cluster.entries).name]
+        submission.cancel_sent = True
+        try:
+            answer = await pool.request("DELETE", path, b"", headers, 4.0)
+        except (NotSentError, ResponseLostError):
+            return
+        # A job that is not known must not be accepted.
+        if answer.status in (200, 410) and submission.accepted:
+            submission.cancelled_s = time.monotonic()
+
     async def _submit(
         self,
         pools: dict[str, HttpPool],
