--- a/packages/daemon/bulrushspur_daemon/gateway.py
+++ b/packages/daemon/bulrushspur_daemon/gateway.py
@@ -112,7 +112,7 @@
         know it yet.
         """
         client = self.leader_client
-        if monotonic_s() - client.waiting_jobs_s > MAX_COUNT_AGE_S:
+        if boottime_s() - client.waiting_jobs_s > MAX_COUNT_AGE_S:
             return None
         return client.waiting_jobs.get(queue.name, 0)
 
--- a/packages/daemon/bulrushspur_daemon/leader_client.py
+++ b/packages/daemon/bulrushspur_daemon/leader_client.py
@@ -11,7 +11,7 @@
 import os
 import typing as t
 
-from bulrushspur_daemon.clock import monotonic_s
+from bulrushspur_daemon.clock import boottime_s, monotonic_s
 from bulrushspur_kernel.messages import (
     Cancel,
     Heartbeat,
@@ -82,7 +82,8 @@
     leader_isolated: bool = False
     # The leader leads until another process has claimed.
     leader_stopping: bool = False
-    # Counts by queue of the latest leader that served, and when they came.
+    # Counts by queue of the latest leader that served, and when they came, suspension
+    # counted.
     waiting_jobs: dict[str, int] = dataclasses.field(default_factory=dict)
     waiting_jobs_s: float = -1e9
     pending_replies: dict[int, asyncio.Future[Reply]] = dataclasses.field(
@@ -117,7 +118,7 @@
         self._record_recovery_progress(heartbeat)
         if heartbeat.serving:
             self.waiting_jobs = heartbeat.waiting_jobs
-            self.waiting_jobs_s = self.last_heartbeat_s
+            self.waiting_jobs_s = boottime_s()
         self.on_config_version(heartbeat.config_version)
         if has_changed:
             self._notify_change()
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -121,6 +121,19 @@
         newest, _ = await LogStore(FakePool(body), FakePool(body)).read_newest("t")
         self.assertEqual(newest["good"].value, b"good")
 
+    # Guards against: a key that is no text ends the reading of all others.
+    async def test_record_whose_key_is_no_text_hides_no_other(self):
+        value = base64.b64encode(b"good").decode().encode()
+        rows = (
+            b'{"key":"a","offset":1,"value":"%b"}' % value,
+            b'{"key":"\\udcff","offset":2,"value":""}',
+            b'{"key":7,"offset":3,"value":""}',
+            b'{"key":"z","offset":4,"value":"%b"}' % value,
+        )
+        body = b'{"items":[%b],"end":5}' % b",".join(rows)
+        newest, end = await LogStore(FakePool(body), FakePool(body)).read_newest("t")
+        self.assertEqual((sorted(newest), end), (["a", "z"], 5))
+
     async def test_other_services(self):
         for body in ODD_BODIES:
             pool = FakePool(body)
