--- a/fuzz/deadly.py
+++ b/fuzz/deadly.py
@@ -15,7 +15,7 @@
 import random
 import typing as t
 
-from bulrushspur_scheduler.jobs import JobSpec, StepSpec, TaskKey
+from bulrushspur_scheduler.job_specs import JobSpec, StepSpec, TaskKey
 from bulrushspur_scheduler.resources import Resources
 from fuzz.evidence import MIN_CRASHES
 from fuzz.histories import act_at_random, ensure_leader
--- a/fuzz/evidence.py
+++ b/fuzz/evidence.py
@@ -10,7 +10,7 @@
 import dataclasses
 import typing as t
 
-from bulrushspur_scheduler.jobs import JobSpec, TaskKey
+from bulrushspur_scheduler.job_specs import JobSpec, TaskKey
 
 # A job may be given up from so many crashes under one of its tasks on.
 MIN_CRASHES: t.Final = 2
--- a/fuzz/histories.py
+++ b/fuzz/histories.py
@@ -3,7 +3,7 @@
 import random
 import typing as t
 
-from bulrushspur_scheduler.jobs import JobSpec, StepSpec
+from bulrushspur_scheduler.job_specs import JobSpec, StepSpec
 from bulrushspur_scheduler.resources import Resources
 from fuzz.series import SeriesSimulation
 
--- a/fuzz/jobs.py
+++ b/fuzz/jobs.py
@@ -2,7 +2,7 @@
 
 import random
 
-from bulrushspur_scheduler.jobs import JobSpec, StepSpec
+from bulrushspur_scheduler.job_specs import JobSpec, StepSpec
 from bulrushspur_scheduler.resources import Resources
 
 
--- a/fuzz/repeating.py
+++ b/fuzz/repeating.py
@@ -9,7 +9,7 @@
 import random
 import typing as t
 
-from bulrushspur_scheduler.jobs import JobSpec
+from bulrushspur_scheduler.job_specs import JobSpec
 from bulrushspur_scheduler.progress import (
     MAX_OCCURRENCE_LEAD_S,
     start_all_due_occurrences,
--- a/fuzz/series.py
+++ b/fuzz/series.py
@@ -12,7 +12,7 @@
 from bulrushspur_daemon.worker_connections import REPORT_TIMEOUT_S
 from bulrushspur_daemon.worker_watch import apply_entry
 from bulrushspur_scheduler.config import Account, CellConfig, Queue, make_config
-from bulrushspur_scheduler.jobs import JobSpec, StepSpec
+from bulrushspur_scheduler.job_specs import JobSpec, StepSpec
 from bulrushspur_scheduler.leases import list_expired_workers
 from bulrushspur_scheduler.liveness import expire_unlisted_workers
 from bulrushspur_scheduler.resources import Resources
--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -15,7 +15,8 @@
 from bulrushspur_scheduler.cell import StartOrder, StopOrder, make_cell
 from bulrushspur_scheduler.config import Account, CellConfig, Queue, make_config
 from bulrushspur_scheduler.eviction import evict_runs
-from bulrushspur_scheduler.jobs import Job, JobSpec, JobState, TaskKey
+from bulrushspur_scheduler.job_specs import JobSpec, TaskKey
+from bulrushspur_scheduler.jobs import Job, JobState
 from bulrushspur_scheduler.leases import expire_leases, extend_lease
 from bulrushspur_scheduler.order_results import (
     StartResult,
--- a/fuzz/terms.py
+++ b/fuzz/terms.py
@@ -16,7 +16,7 @@
 import typing as t
 
 from bulrushspur_scheduler.config import CellConfig, Queue, make_config
-from bulrushspur_scheduler.jobs import JobSpec
+from bulrushspur_scheduler.job_specs import JobSpec
 from bulrushspur_scheduler.progress import set_objective
 from fuzz.histories import play_history, submit_random_job
 from fuzz.leaders import SimLeader
--- a/packages/daemon/bulrushspur_daemon/advice_caller.py
+++ b/packages/daemon/bulrushspur_daemon/advice_caller.py
@@ -15,7 +15,7 @@
 from bulrushspur_kernel.logs import EventLog
 from bulrushspur_kernel.messages import AdviceReply, AdviceRequest, Message
 from bulrushspur_kernel.metrics import Metrics
-from bulrushspur_scheduler.jobs import StepKey
+from bulrushspur_scheduler.job_specs import StepKey
 
 
 @dataclasses.dataclass
--- a/packages/daemon/bulrushspur_daemon/gateway.py
+++ b/packages/daemon/bulrushspur_daemon/gateway.py
@@ -21,7 +21,8 @@
 from bulrushspur_kernel.messages import Cancel, Outcome, Query, Reply, Submit
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_scheduler.config import Account, Queue
-from bulrushspur_scheduler.jobs import FINAL_STATES, Job, JobSpec
+from bulrushspur_scheduler.job_specs import JobSpec
+from bulrushspur_scheduler.jobs import FINAL_STATES, Job
 from bulrushspur_scheduler.records import encode_job
 
 # A new leader is expected within this time after the old one is lost.
--- a/packages/daemon/bulrushspur_daemon/native_interface.py
+++ b/packages/daemon/bulrushspur_daemon/native_interface.py
@@ -30,7 +30,7 @@
 from bulrushspur_kernel.work_types import RequestSize, WorkClass
 from bulrushspur_scheduler.config import Account, CellConfig, Queue, make_config
 from bulrushspur_scheduler.job_bounds import find_fault
-from bulrushspur_scheduler.jobs import JobSpec, StepSpec
+from bulrushspur_scheduler.job_specs import JobSpec, StepSpec
 from bulrushspur_scheduler.resources import Resources
 
 log = make_logger("native")
--- a/packages/kernel/bulrushspur_kernel/adapter.py
+++ b/packages/kernel/bulrushspur_kernel/adapter.py
@@ -15,7 +15,7 @@
 
 if t.TYPE_CHECKING:
     from bulrushspur_scheduler.config import CellConfig
-    from bulrushspur_scheduler.jobs import StepKey, TaskKey
+    from bulrushspur_scheduler.job_specs import StepKey, TaskKey
     from bulrushspur_scheduler.order_results import StartResult
     from bulrushspur_scheduler.reports import WorkerReport
     from bulrushspur_scheduler.workers import WorkerEntry
--- a/packages/scheduler/bulrushspur_scheduler/admission.py
+++ b/packages/scheduler/bulrushspur_scheduler/admission.py
@@ -17,7 +17,8 @@
     is_confined,
     may_wait_for_domain,
 )
-from bulrushspur_scheduler.jobs import Job, StepSpec
+from bulrushspur_scheduler.job_specs import StepSpec
+from bulrushspur_scheduler.jobs import Job
 from bulrushspur_scheduler.overload import find_return_s
 from bulrushspur_scheduler.placement import free_slots_under_cap
 from bulrushspur_scheduler.resources import Usage
--- a/packages/scheduler/bulrushspur_scheduler/crash_causes.py
+++ b/packages/scheduler/bulrushspur_scheduler/crash_causes.py
@@ -9,7 +9,8 @@
 import typing as t
 
 from bulrushspur_scheduler.cell import Cell
-from bulrushspur_scheduler.jobs import Run, StepKey
+from bulrushspur_scheduler.job_specs import StepKey
+from bulrushspur_scheduler.jobs import Run
 from bulrushspur_scheduler.workers import Worker
 
 # A run that goes on for so long after its start is not taken for the cause of a crash.
--- a/packages/scheduler/bulrushspur_scheduler/crashes.py
+++ b/packages/scheduler/bulrushspur_scheduler/crashes.py
@@ -27,7 +27,8 @@
     has_survived_start,
 )
 from bulrushspur_scheduler.estimates import predict_duration
-from bulrushspur_scheduler.jobs import Run, RunState, StepKey
+from bulrushspur_scheduler.job_specs import StepKey
+from bulrushspur_scheduler.jobs import Run, RunState
 from bulrushspur_scheduler.runs import GANG_STOP_REASONS
 from bulrushspur_scheduler.workers import Worker
 
--- a/packages/scheduler/bulrushspur_scheduler/evacuation.py
+++ b/packages/scheduler/bulrushspur_scheduler/evacuation.py
@@ -9,7 +9,8 @@
 
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.config import CellConfig
-from bulrushspur_scheduler.jobs import JobSpec, Run, StepSpec
+from bulrushspur_scheduler.job_specs import JobSpec, StepSpec
+from bulrushspur_scheduler.jobs import Run
 from bulrushspur_scheduler.workers import Worker
 
 # The other members of a gang wait about so long for one that was ordered.
--- a/packages/scheduler/bulrushspur_scheduler/health.py
+++ b/packages/scheduler/bulrushspur_scheduler/health.py
@@ -20,7 +20,8 @@
     predict_step_duration,
     record_duration,
 )
-from bulrushspur_scheduler.jobs import Run, RunState, Step, StepKey
+from bulrushspur_scheduler.job_specs import StepKey
+from bulrushspur_scheduler.jobs import Run, RunState, Step
 from bulrushspur_scheduler.workers import Worker
 
 # A worker is quarantined at this failure score. A failure adds at most 1, a success
--- a/packages/scheduler/bulrushspur_scheduler/job_bounds.py
+++ b/packages/scheduler/bulrushspur_scheduler/job_bounds.py
@@ -9,7 +9,7 @@
 import typing as t
 
 if t.TYPE_CHECKING:
-    from bulrushspur_scheduler.jobs import JobSpec, StepSpec
+    from bulrushspur_scheduler.job_specs import JobSpec, StepSpec
 
 MAX_STEPS: t.Final = 1000
 # Of all steps of one occurrence together, and of all open occurrences.
--- a/packages/scheduler/bulrushspur_scheduler/pools.py
+++ b/packages/scheduler/bulrushspur_scheduler/pools.py
@@ -12,7 +12,8 @@
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.crashes import is_isolated
 from bulrushspur_scheduler.evacuation import is_evacuated
-from bulrushspur_scheduler.jobs import Step, StepKey
+from bulrushspur_scheduler.job_specs import StepKey
+from bulrushspur_scheduler.jobs import Step
 from bulrushspur_scheduler.workers import Worker, is_available, is_doubted
 
 MAX_RECENT_POOL_AGE_S: t.Final = 0.1
--- a/packages/scheduler/bulrushspur_scheduler/progress.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress.py
@@ -12,6 +12,7 @@
 from bulrushspur_scheduler.cell import Cell, FinishedJob
 from bulrushspur_scheduler.estimates import predict_duration
 from bulrushspur_scheduler.job_bounds import max_open_occurrences
+from bulrushspur_scheduler.job_specs import critical_path_s
 from bulrushspur_scheduler.jobs import (
     FailureReason,
     Job,
@@ -19,7 +20,6 @@
     Occurrence,
     Step,
     Task,
-    critical_path_s,
     make_occurrence,
 )
 from bulrushspur_scheduler.runs import stop_run
--- a/packages/scheduler/bulrushspur_scheduler/records.py
+++ b/packages/scheduler/bulrushspur_scheduler/records.py
@@ -16,11 +16,8 @@
     make_accepted_queue_record,
 )
 from bulrushspur_scheduler.job_bounds import find_fault
-from bulrushspur_scheduler.jobs import (
-    Job,
-    JobSpec,
-    StepSpec,
-)
+from bulrushspur_scheduler.job_specs import JobSpec, StepSpec
+from bulrushspur_scheduler.jobs import Job
 from bulrushspur_scheduler.resources import Resources
 
 JOB_KEY_PREFIX: t.Final = "j"
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -13,14 +13,8 @@
 from bulrushspur_scheduler import health
 from bulrushspur_scheduler.cell import Cell, StopOrder
 from bulrushspur_scheduler.crashes import record_crash
-from bulrushspur_scheduler.jobs import (
-    Run,
-    RunOutcome,
-    RunState,
-    Step,
-    Task,
-    TaskKey,
-)
+from bulrushspur_scheduler.job_specs import TaskKey
+from bulrushspur_scheduler.jobs import Run, RunOutcome, RunState, Step, Task
 from bulrushspur_scheduler.leases import mark_run_lost
 from bulrushspur_scheduler.orphans import (
     add_orphan,
--- a/packages/scheduler/bulrushspur_scheduler/takeover.py
+++ b/packages/scheduler/bulrushspur_scheduler/takeover.py
@@ -9,7 +9,8 @@
 import typing as t
 
 from bulrushspur_scheduler.cell import Cell, FinishedJob
-from bulrushspur_scheduler.jobs import Job, Step, Task, TaskKey, make_occurrence
+from bulrushspur_scheduler.job_specs import TaskKey
+from bulrushspur_scheduler.jobs import Job, Step, Task, make_occurrence
 from bulrushspur_scheduler.progress import add_job, requeue_step
 from bulrushspur_scheduler.progress_records import (
     PROGRESS_KEY_PREFIX,
--- a/packages/scheduler/bulrushspur_scheduler/waiting.py
+++ b/packages/scheduler/bulrushspur_scheduler/waiting.py
@@ -14,7 +14,8 @@
 from bulrushspur_scheduler.evacuation import is_evacuated
 from bulrushspur_scheduler.headroom import leaves_account_headroom
 from bulrushspur_scheduler.isolation import is_suspect
-from bulrushspur_scheduler.jobs import Job, Step, StepKey
+from bulrushspur_scheduler.job_specs import StepKey
+from bulrushspur_scheduler.jobs import Job, Step
 from bulrushspur_scheduler.placement import (
     eligible_workers,
     free_slots_of_account,
--- a/packages/scheduler/bulrushspur_scheduler/workers.py
+++ b/packages/scheduler/bulrushspur_scheduler/workers.py
@@ -9,7 +9,8 @@
 import dataclasses
 import typing as t
 
-from bulrushspur_scheduler.jobs import Run, StepKey, Task, TaskKey
+from bulrushspur_scheduler.job_specs import StepKey, TaskKey
+from bulrushspur_scheduler.jobs import Run, Task
 from bulrushspur_scheduler.resources import Resources, Usage
 
 # Least rate of a worker's clock, relative to the scheduler's clock.
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -26,7 +26,8 @@
 from bulrushspur_scheduler.advice import apply_advice, prefetch_advice
 from bulrushspur_scheduler.cell import AdviceCall, TimingLimits
 from bulrushspur_scheduler.config import AdvicePolicy, make_config
-from bulrushspur_scheduler.jobs import StepKey, make_occurrence
+from bulrushspur_scheduler.job_specs import StepKey
+from bulrushspur_scheduler.jobs import make_occurrence
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.pools import find_recent_pool
 from bulrushspur_scheduler.progress import add_job
--- a/tests/test_failure_evidence.py
+++ b/tests/test_failure_evidence.py
@@ -7,7 +7,7 @@
 import random
 import unittest
 
-from bulrushspur_scheduler.jobs import TaskKey
+from bulrushspur_scheduler.job_specs import TaskKey
 from fuzz.deadly import make_job
 from fuzz.workers import Oracle, SimWorker
 
--- a/tests/test_job_bounds.py
+++ b/tests/test_job_bounds.py
@@ -16,7 +16,8 @@
 from bulrushspur_platform import callers
 from bulrushspur_scheduler.admission import check_admission
 from bulrushspur_scheduler.job_bounds import MAX_REPEAT_COUNT, MAX_TASKS
-from bulrushspur_scheduler.jobs import Job, JobSpec, StepSpec, make_occurrence
+from bulrushspur_scheduler.job_specs import JobSpec, StepSpec
+from bulrushspur_scheduler.jobs import Job, make_occurrence
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import add_job, start_all_due_occurrences
 from bulrushspur_scheduler.progress_records import encode_progress
--- a/tests/test_lanes.py
+++ b/tests/test_lanes.py
@@ -8,7 +8,7 @@
 import unittest
 
 from bulrushspur_scheduler.cell import AdviceCall
-from bulrushspur_scheduler.jobs import StepKey
+from bulrushspur_scheduler.job_specs import StepKey
 from bulrushspur_scheduler.lanes import (
     ATTEMPT_TIMEOUT_MARGIN_S,
     MAX_ATTEMPTS,
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -11,7 +11,8 @@
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_scheduler.config import make_config
 from bulrushspur_scheduler.headroom import UrgentCpu
-from bulrushspur_scheduler.jobs import FailureReason, JobState, TaskKey
+from bulrushspur_scheduler.job_specs import TaskKey
+from bulrushspur_scheduler.jobs import FailureReason, JobState
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import (
     fail_job,
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -7,12 +7,8 @@
 
 import msgspec
 
-from bulrushspur_scheduler.jobs import (
-    FailureReason,
-    JobState,
-    StepSpec,
-    make_occurrence,
-)
+from bulrushspur_scheduler.job_specs import StepSpec
+from bulrushspur_scheduler.jobs import FailureReason, JobState, make_occurrence
 from bulrushspur_scheduler.progress import fail_job, mark_task_done
 from bulrushspur_scheduler.progress_records import (
     apply_progress,
--- a/tests/test_repeating_jobs.py
+++ b/tests/test_repeating_jobs.py
@@ -8,7 +8,8 @@
 import unittest
 
 from bulrushspur_scheduler import takeover
-from bulrushspur_scheduler.jobs import Job, JobSpec, StepSpec, TaskKey
+from bulrushspur_scheduler.job_specs import JobSpec, StepSpec, TaskKey
+from bulrushspur_scheduler.jobs import Job
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import start_all_due_occurrences
 from bulrushspur_scheduler.records import encode_job
--- a/tests/test_slow_takeover.py
+++ b/tests/test_slow_takeover.py
@@ -10,7 +10,8 @@
 import unittest
 
 from bench.processes import ProcessCluster
-from bulrushspur_scheduler.jobs import Job, JobSpec, StepSpec
+from bulrushspur_scheduler.job_specs import JobSpec, StepSpec
+from bulrushspur_scheduler.jobs import Job
 from bulrushspur_scheduler.records import JOB_KEY_PREFIX, encode_job
 from bulrushspur_scheduler.resources import Resources
 from soak.proxy import FaultProxy
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -11,7 +11,8 @@
 from bulrushspur_scheduler import takeover
 from bulrushspur_scheduler.advice import apply_advice
 from bulrushspur_scheduler.config import make_config
-from bulrushspur_scheduler.jobs import JobState, StepSpec
+from bulrushspur_scheduler.job_specs import StepSpec
+from bulrushspur_scheduler.jobs import JobState
 from bulrushspur_scheduler.leases import expire_leases, mark_incarnation_ended
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import record_failed_run
--- a/tests/test_term_recovery.py
+++ b/tests/test_term_recovery.py
@@ -20,7 +20,8 @@
 from bulrushspur_kernel.store import StoredRecord, StoreUnavailableError
 from bulrushspur_scheduler.cell import make_cell
 from bulrushspur_scheduler.config import make_config
-from bulrushspur_scheduler.jobs import Job, JobSpec, StepSpec
+from bulrushspur_scheduler.job_specs import JobSpec, StepSpec
+from bulrushspur_scheduler.jobs import Job
 from bulrushspur_scheduler.progress_records import PROGRESS_KEY_PREFIX
 from bulrushspur_scheduler.records import JOB_KEY_PREFIX, encode_job
 from bulrushspur_scheduler.resources import Resources
