Visit each dependent step once, and load no slow link further

Cause: found when reading the diff. unreconcile_dependents followed all ways through the steps, of which a job whose steps depend on all before has 2 to the power of their number; the leader would stand still.

Change: each step is visited once; a process that receives a large answer does not count as behind.

Evidence: the new test of test_takeover does not end without the change; that of test_config_watch fails.

--- a/packages/daemon/bulrushspur_daemon/config_watch.py
+++ b/packages/daemon/bulrushspur_daemon/config_watch.py
@@ -94,10 +94,12 @@
         """Return whether the configuration may have changed since it was read last.
 
         That is after a suspension; not while the store is away, as all know nothing
-        newer then.
+        newer then, nor while a large answer arrives, which may be the configuration.
         """
         if self.current is None or self.store_unavailable:
             return False
+        if is_receiving_bulk(self.store, monotonic_s()):
+            return False
         return boottime_s() - self.read_boottime_s > MAX_UNREAD_S
 
     async def catch_up(self) -> None:
--- a/packages/scheduler/bulrushspur_scheduler/takeover.py
+++ b/packages/scheduler/bulrushspur_scheduler/takeover.py
@@ -153,10 +153,16 @@
     """
     if cell.reconciled:
         return
-    for other in _list_dependents(step):
-        for task in other.tasks:
-            task.unreconciled = not task.done and not task.runs
-        unreconcile_dependents(cell, other)
+    # Each step once: there are far more ways through the steps than steps.
+    found, remaining = {step.key}, [step]
+    while remaining:
+        for other in _list_dependents(remaining.pop()):
+            if other.key in found:
+                continue
+            found.add(other.key)
+            remaining.append(other)
+            for task in other.tasks:
+                task.unreconciled = not task.done and not task.runs
 
 
 def _list_dependents(step: Step) -> t.Iterator[Step]:
--- a/tests/test_config_watch.py
+++ b/tests/test_config_watch.py
@@ -92,6 +92,15 @@
         self.assertFalse(watch.is_behind())
         self.assertEqual(store.newest_reads, reads + 1)
 
+    # Guards against: requests that load a slow link further while it fills.
+    async def test_process_that_receives_a_large_answer_is_not_behind(self):
+        store = FakeStore()
+        watch = await self.start_watch(store)
+        watch.current = make_config(1)
+        watch.read_boottime_s -= MAX_UNREAD_S
+        store.last_bulk_s = time.monotonic()
+        self.assertFalse(watch.is_behind())
+
     async def test_process_without_the_store_serves_with_what_it_knows(self):
         watch = await self.start_watch(FakeStore())
         watch.current = make_config(1)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -173,6 +173,21 @@
         self.assertEqual(cell.start_orders, [])
         self.assertEqual(len(cell.workers["w2"].runs), 1)
 
+    # Guards against: a leader that follows all ways through the steps never serves.
+    def test_many_steps_that_depend_on_all_before_take_no_time(self):
+        each = Resources(1000, 100)
+        steps = tuple(
+            StepSpec(1, each, depends_on=tuple(range(index))) for index in range(60)
+        )
+        cell = make_test_cell(0)
+        add_worker(cell, "w0", has_reported=False)
+        cell.unobserved_workers.add("w0")
+        stored = {"jj1": encode_job(make_test_job(steps=steps))}
+        takeover.recover_jobs(cell, stored, 0.0, 0.0)
+        apply_worker_report(cell, "w0", 1.0, [(task_key(), 1)])
+        apply_worker_report(cell, "w0", 1.1, ended=[(1, task_key(), 2, "done")])
+        self.assertEqual(cell.jobs["j1"].occurrences[0].steps[0].done_count, 1)
+
     def test_step_whose_dependency_ended_unobserved_waits_for_every_worker(self):
         cell = make_two_step_cell()
         apply_worker_report(cell, "w0", 1.0, ended=[(1, task_key(), 1, "done")])
