Drop a waiting start whose worker lacks the label now

Cause: a worker that is back under its id may be of another kind; an order that waited was checked for its service, not for the label that its step requires (ROUTE).

Change: the label is checked with the service when the order's turn comes.

Evidence: the new test of test_start_checks fails without the change.

--- a/packages/scheduler/bulrushspur_scheduler/start_checks.py
+++ b/packages/scheduler/bulrushspur_scheduler/start_checks.py
@@ -42,6 +42,8 @@
         return "worker not available"
     if worker.entry.service != step.job.service:
         return "worker of another service"
+    if not step.spec.accepts_labels(worker.entry.labels):
+        return "worker without the label"
     free = worker.free
     if min(free.cpu_milli, free.memory_mb, free.gpus) < 0:
         return "worker full"
--- a/tests/test_start_checks.py
+++ b/tests/test_start_checks.py
@@ -157,6 +157,12 @@
         worker.entry = dataclasses.replace(worker.entry, service="other")
         self.assertEqual(self.reason(cell, worker, run), "worker of another service")
 
+    # Guards against: the next incarnation of a worker is of another kind.
+    def test_worker_without_the_label_gets_none(self):
+        cell, worker, run = self.order(required_label="a")
+        worker.entry = dataclasses.replace(worker.entry, labels=("b", "r1"))
+        self.assertEqual(self.reason(cell, worker, run), "worker without the label")
+
     # Guards against: a member of a gang starts after another one has ended done.
     def test_gang_that_is_done_gets_none(self):
         cell, worker, run = self.order(count=2, gang=True)
