Connect to a recorded worker only if it is still the same

Cause: a leader connects to a worker once its record is stored. Meanwhile the worker may have been forgotten and added again under its id; then the connection for the one that was forgotten was opened, too, and its reports were applied to what is not of the cell any more.

Change: the worker of the cell must be the same object.

Evidence: one of the two tests of tests/test_worker_records.py, which is new, fails without it.

--- a/packages/daemon/bulrushspur_daemon/worker_records.py
+++ b/packages/daemon/bulrushspur_daemon/worker_records.py
@@ -115,5 +115,6 @@
 
     async def _open_when_durable(self, worker: Worker) -> None:
         await self.writer.wait_durable()
-        if not self.has_ended() and worker.id in self.cell.workers:
+        # Meanwhile it may have been forgotten, and added again.
+        if not self.has_ended() and self.cell.workers.get(worker.id) is worker:
             self.open_connection(worker)
--- /dev/null
+++ b/tests/test_worker_records.py
@@ -0,0 +1,53 @@
+"""Test when a leader connects to a worker that it has recorded.
+
+The tests guard against connections to workers that are not known any more when their
+record is stored.
+"""
+
+import asyncio
+import unittest
+
+from bulrushspur_daemon.worker_records import WorkerRecords
+from tests.cell_fixtures import add_worker, make_test_cell
+
+
+class FakeWriter:
+    """A writer whose records are stored when the test says so."""
+
+    def __init__(self):
+        self.pending_records = {}
+        self.stored = asyncio.Event()
+
+    async def wait_durable(self):
+        await self.stored.wait()
+
+
+class OpenTest(unittest.IsolatedAsyncioTestCase):
+    async def add_and_store(self, meanwhile):
+        """Add a worker, do something, store its record; return who was connected to."""
+        cell, writer, opened = make_test_cell(0), FakeWriter(), []
+        records = WorkerRecords(
+            cell, writer, opened.append, asyncio.ensure_future, lambda: False
+        )
+        worker = add_worker(cell, "w0", has_reported=False)
+        records.add(worker)
+        await asyncio.sleep(0)
+        self.assertEqual(opened, [])
+        meanwhile(cell, records)
+        writer.stored.set()
+        await asyncio.sleep(0.01)
+        return cell, worker, opened
+
+    async def test_worker_is_connected_to_once_it_is_stored(self):
+        _, worker, opened = await self.add_and_store(lambda cell, records: None)
+        self.assertEqual(opened, [worker])
+
+    # Guards against: reports that are applied to what is not of the cell any more.
+    async def test_worker_that_was_added_again_meanwhile_is_connected_to_once(self):
+        def add_again(cell, records):
+            del cell.workers["w0"]
+            records.remove("w0")
+            records.add(add_worker(cell, "w0", has_reported=False))
+
+        cell, _, opened = await self.add_and_store(add_again)
+        self.assertEqual(opened, [cell.workers["w0"]])
