--- a/tests/test_process_end.py
+++ b/tests/test_process_end.py
@@ -1,6 +1,8 @@
 """Test that an entry process closes all that it opened before it ends."""
 
 import asyncio
+import pathlib
+import re
 import signal
 import sys
 import unittest
@@ -10,6 +12,13 @@
 from tests.left_open import SHOW_LEFT_OPEN, assert_nothing_left_open
 
 
+def ignores_signal(pid, number):
+    """Return whether a process ignores a signal."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    (mask,) = re.findall(r"^SigIgn:\s*(\w+)", status, re.MULTILINE)
+    return bool(int(mask, 16) >> (number - 1) & 1)
+
+
 class ObservedEntry(EntryProcess):
     """An entry process that reports what it leaves open."""
 
@@ -64,6 +73,21 @@
         await asyncio.sleep(0.3)
         self.assertEqual(await self.end_all(), [0, 0])
 
+    # Guards against: a process that starts is ended by a change of its settings.
+    async def test_change_of_the_settings_ends_no_process_that_starts(self):
+        entry = self.cluster.make_entry("n0", "platform")
+        self.cluster.entries.append(entry)
+        await entry.start()
+        # The interpreter itself takes some hundredths of a second before that.
+        async with asyncio.timeout(10):
+            while not ignores_signal(entry.process.pid, signal.SIGHUP):
+                await asyncio.sleep(0.002)
+        for _ in range(40):
+            entry.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.02)
+        await self.cluster.wait_ready()
+        self.assertIsNone(entry.process.returncode)
+
     async def test_nothing_is_left_open_by_a_start_that_fails(self):
         await self.start_entries(1)
         await self.cluster.wait_ready()
