--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -11,13 +11,13 @@
 import typing as t
 
 from bulrushspur_scheduler import health
+from bulrushspur_scheduler.adoption import adopt_or_stop_run
 from bulrushspur_scheduler.cell import Cell, StopOrder
 from bulrushspur_scheduler.crashes import record_crash
 from bulrushspur_scheduler.job_specs import TaskKey
-from bulrushspur_scheduler.jobs import Run, RunOutcome, RunState, Step, Task
+from bulrushspur_scheduler.jobs import Run, RunOutcome, RunState, Step
 from bulrushspur_scheduler.leases import mark_run_lost
 from bulrushspur_scheduler.orphans import (
-    add_orphan,
     await_confirmation,
     remove_lost_orphan,
     remove_orphan,
@@ -28,10 +28,8 @@
     record_failed_run,
     requeue_step,
 )
-from bulrushspur_scheduler.resources import Usage
 from bulrushspur_scheduler.runs import (
     GANG_BROKEN,
-    allocate_run,
     release_run,
     stop_run,
     stop_step,
@@ -39,7 +37,6 @@
 from bulrushspur_scheduler.suspects import confirm_trial
 from bulrushspur_scheduler.takeover import (
     find_reported_task,
-    reconcile_dependents,
     unreconcile_dependents,
 )
 from bulrushspur_scheduler.workers import Worker
@@ -127,7 +124,9 @@
         for key in [key for key in worker.orphan_runs if key not in listed]:
             remove_lost_orphan(cell, worker, key, now_s)
     for status in listed.values():
-        _adopt_or_stop_run(cell, worker, status, now_s)
+        adopt_or_stop_run(
+            cell, worker, status.key, status.number, status.checkpoint, now_s
+        )
     # Last: a worker whose report can't be applied has not reported.
     worker.has_reported = True
     worker.last_report_s = now_s
@@ -222,51 +221,6 @@
         mark_run_lost(cell, run, run.stop_reason)
 
 
-def _adopt_or_stop_run(
-    cell: Cell, worker: Worker, status: RunStatus, now_s: float
-) -> None:
-    """Adopt a run of an earlier term, or stop it as an orphan if it is not needed."""
-    task = find_reported_task(cell, status.key)
-    key = (status.key, status.number)
-    is_orphan = key in worker.orphan_runs
-    if task is not None and not is_orphan and _is_adoptable(task, status):
-        run = Run(task, status.number, worker.id, RunState.RUNNING, now_s, now_s)
-        run.last_progress_s = now_s
-        run.checkpoint = status.checkpoint
-        run.resumed_from = status.checkpoint or "adopted"
-        run.adopted = True
-        task.unreconciled = False
-        allocate_run(cell, run, worker)
-        step = task.step
-        adopted = cell.adopted_usage.setdefault(step.job.account, Usage())
-        adopted.add(step.spec.resources)
-        if not step.spec.gang:
-            reconcile_dependents(step)
-        step.gang_run_number = max(step.gang_run_number, status.number)
-        mark_job_running(cell, step.job)
-        cell.log(
-            "adopt",
-            status.key.job,
-            worker=worker.id,
-            run=status.number,
-            fence=cell.fencing_token,
-        )
-        return
-    if not is_orphan:
-        add_orphan(worker, key, task)
-        cell.log("stray", status.key.job, worker=worker.id, run=status.number)
-    cell.stop_orders.append(StopOrder(worker.id, status.key, status.number, None))
-
-
-def _is_adoptable(task: Task, status: RunStatus) -> bool:
-    return (
-        not task.done
-        and task.unreconciled
-        and not task.runs
-        and status.number not in task.failed_run_numbers
-    )
-
-
 def _apply_end(cell: Cell, worker: Worker, end: RunEnd, now_s: float) -> None:
     """Release an ended run, and record its outcome for its task and its worker."""
     run = worker.runs.get((end.key, end.number))
