--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -191,10 +191,8 @@
 
     def test_job_of_a_caller_is_refused(self):
         for body in (*ODD_BODIES, b'{"steps":[{"count":' + b"9" * 400 + b"}]}"):
-            if body:
-                with self.subTest(body[:20]), self.assertRaises(ValueError):
-                    spec = callers.parse_job("a" * 16, body)
-                    self.assertTrue(spec.steps)
+            with self.subTest(body[:20]), self.assertRaises(ValueError):
+                callers.parse_job("a" * 16, body)
 
     def test_settings_are_refused(self):
         for body in ODD_BODIES:
