Log what tells the causes of an unwanted start apart

Cause: for a task that runs though its job was cancelled, the lines did not tell whose submission it came from, whether the order waited, or what the leader knew of the cancel. Change: accept and start have the payload's checksum, start the account and checkpoint; start_late tells of an order that was sent 0.25 s after its decision; cancel tells when a cancel was stored and which runs were left, cancel_unknown that a cancel met no job; stray has the final state of its job. Step.runs() says once what four places spelled out. Result: no decision changes.

--- a/packages/daemon/bulrushspur_daemon/leader_requests.py
+++ b/packages/daemon/bulrushspur_daemon/leader_requests.py
@@ -187,6 +187,7 @@
             job.id,
             queue=job.queue,
             account=job.account,
+            payload=job.spec.payload_crc,
             tasks=sum(step.count for step in job.spec.steps),
             max_attempts=cell.max_attempts(job),
             excess=job.over_share,
@@ -240,6 +241,7 @@
         return Reply(0, Outcome.UNKNOWN_JOB)
 
     async def _cancel(self, job_id: str) -> Reply:
+        received_s = monotonic_s()
         pending = self.pending_submissions.get(job_id)
         if pending is not None:
             await asyncio.shield(pending)
@@ -248,9 +250,28 @@
             finish_job(self.cell, job, JobState.CANCELLED, monotonic_s())
             self.flush()
         elif job_id not in self.cell.finished_jobs:
+            self.cell.log("cancel_unknown", job_id)
             return self._make_unknown_reply(job_id)
         if not self.writer.is_durable(job_id):
             await self.writer.wait_durable()
+        self._log_cancel(job_id, job, received_s)
         finished = self.cell.finished_jobs[job_id]
         assert finished.state in FINAL_STATES
         return Reply(0, Outcome.OK, finished.state.value, finished.reason)
+
+    def _log_cancel(self, job_id: str, job: Job | None, received_s: float) -> None:
+        """Log that a cancel is stored, and the runs that are not stopped by then.
+
+        ``job`` is None if the job had its final state before.
+        """
+        runs = [run for step in job.steps() for run in step.runs()] if job else []
+        self.cell.log(
+            "cancel",
+            job_id,
+            state=self.cell.finished_jobs[job_id].state.value,
+            repeated=job is None,
+            stored_ms=round((monotonic_s() - received_s) * 1000),
+            runs_left=len(runs),
+            workers=sorted({run.worker_id for run in runs}),
+        )
+        self.flush()
--- a/packages/daemon/bulrushspur_daemon/worker_orders.py
+++ b/packages/daemon/bulrushspur_daemon/worker_orders.py
@@ -34,6 +34,8 @@
 START_TIMEOUT_S: t.Final = 0.35
 STOP_RETRY_INTERVAL_S: t.Final = 0.3
 MAX_CONCURRENT_ORDERS: t.Final = 3
+# A start that is sent so long after its decision is logged.
+LATE_START_AGE_S: t.Final = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,6 +108,7 @@
             # Nothing is awaited between this check and the sending.
             if self._must_drop(target.worker, order):
                 return StartResult.DROPPED
+            self._log_late_start(order)
             result = await self._order_start(target, order, self.latency.late_s)
             if result is StartResult.UNANSWERED:
                 return await self._repeat_start(target, order, incarnation_start_ms)
@@ -129,6 +132,22 @@
             )
         return bool(reason)
 
+    def _log_late_start(self, order: StartOrder) -> None:
+        """Log a start that has waited; the others are sent with their decision."""
+        run = order.run
+        age_s = monotonic_s() - run.ordered_s
+        if age_s > LATE_START_AGE_S:
+            key = run.task.key
+            self.cell.log(
+                "start_late",
+                key.job,
+                task=f"{key.occurrence}.{key.step}.{key.index}",
+                run=run.number,
+                worker=order.worker_id,
+                fence=self.cell.fencing_token,
+                waited_ms=round(age_s * 1000),
+            )
+
     async def _order_start(
         self, target: OrderTarget, order: StartOrder, timeout_s: float
     ) -> StartResult:
--- a/packages/scheduler/bulrushspur_scheduler/adoption.py
+++ b/packages/scheduler/bulrushspur_scheduler/adoption.py
@@ -35,10 +35,27 @@
         return
     if not is_orphan:
         add_orphan(worker, (key, number), task)
-        cell.log("stray", key.job, worker=worker.id, run=number)
+        _log_orphan(cell, worker, key, number, now_s)
     cell.stop_orders.append(StopOrder(worker.id, key, number, None))
 
 
+def _log_orphan(
+    cell: Cell, worker: Worker, key: TaskKey, number: int, now_s: float
+) -> None:
+    """Log an orphan run, and since when its job has its final state, if it has one."""
+    finished = cell.finished_jobs.get(key.job)
+    cell.log(
+        "stray",
+        key.job,
+        task=f"{key.occurrence}.{key.step}.{key.index}",
+        worker=worker.id,
+        run=number,
+        fence=cell.fencing_token,
+        state=finished.state.value if finished else None,
+        final_age_ms=round((now_s - finished.finished_s) * 1000) if finished else None,
+    )
+
+
 def _is_adoptable(task: Task, number: int) -> bool:
     return (
         not task.done
--- a/packages/scheduler/bulrushspur_scheduler/gangs.py
+++ b/packages/scheduler/bulrushspur_scheduler/gangs.py
@@ -95,7 +95,7 @@
     number of the gang. Otherwise the runs are stopped, and the gang can start again as
     a whole.
     """
-    runs = [run for task in step.tasks for run in task.runs]
+    runs = list(step.runs())
     if any(run.state is RunState.STOPPING for run in runs):
         return False
     if not runs or any(task.may_be_at_work for task in step.tasks):
--- a/packages/scheduler/bulrushspur_scheduler/health.py
+++ b/packages/scheduler/bulrushspur_scheduler/health.py
@@ -220,4 +220,4 @@
     """
     if step.duration_count:
         return False
-    return any(run.worker_id != worker.id for task in step.tasks for run in task.runs)
+    return any(run.worker_id != worker.id for run in step.runs())
--- a/packages/scheduler/bulrushspur_scheduler/job_specs.py
+++ b/packages/scheduler/bulrushspur_scheduler/job_specs.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import typing as t
+import zlib
 
 from bulrushspur_scheduler.resources import Resources
 
@@ -64,6 +65,11 @@
     interval_s: float = 0.0
     repeat_count: int = 0
 
+    @property
+    def payload_crc(self) -> str:
+        """Return a short checksum of the payload, for the log."""
+        return f"{zlib.crc32(self.payload.encode()):08x}"
+
     def has_task(self, key: TaskKey) -> bool:
         """Return whether the job has such an occurrence, step and task."""
         return (
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -209,6 +209,11 @@
         # Before the first start or adoption of a run the number is 0.
         return self.gang_run_number > 0 and any(task.runs for task in self.tasks)
 
+    def runs(self) -> t.Iterator[Run]:
+        """Yield the runs of all tasks."""
+        for task in self.tasks:
+            yield from task.runs
+
     def startable_tasks(self) -> list[Task]:
         """List the tasks that may be started now."""
         return [
--- a/packages/scheduler/bulrushspur_scheduler/placement.py
+++ b/packages/scheduler/bulrushspur_scheduler/placement.py
@@ -90,9 +90,7 @@
     rv = count_fitting_tasks(worker.free, step.spec.resources)
     max_tasks = step.spec.max_per_worker
     if max_tasks:
-        running = sum(
-            run.worker_id == worker.id for task in step.tasks for run in task.runs
-        )
+        running = sum(run.worker_id == worker.id for run in step.runs())
         rv = min(rv, max_tasks - running)
     return max(rv, 0)
 
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -265,5 +265,5 @@
 
 def _stop_broken_gang(cell: Cell, step: Step, number: int) -> None:
     """Stop the remaining members of a gang run after one member has ended."""
-    if any(run.number == number for task in step.tasks for run in task.runs):
+    if any(run.number == number for run in step.runs()):
         stop_step(cell, step, GANG_BROKEN)
--- a/packages/scheduler/bulrushspur_scheduler/runs.py
+++ b/packages/scheduler/bulrushspur_scheduler/runs.py
@@ -25,8 +25,8 @@
     run.checkpoint = run.resumed_from = task.checkpoint
     allocate_run(cell, run, worker)
     ticket = task.step.tickets.get(worker.id, ("", 0.0))[0]
-    payload = task.step.job.spec.payload
-    order = StartOrder(run, worker.id, payload, task.checkpoint, ticket)
+    job = task.step.job
+    order = StartOrder(run, worker.id, job.spec.payload, task.checkpoint, ticket)
     cell.start_orders.append(order)
     cell.log(
         "start",
@@ -34,6 +34,9 @@
         task=f"{task.key.occurrence}.{task.key.step}.{task.key.index}",
         run=number,
         worker=worker.id,
+        payload=job.spec.payload_crc,
+        account=job.account,
+        checkpoint=task.checkpoint,
         free_milli=worker.free.cpu_milli,
         heard_age_ms=round((now_s - worker.last_report_s) * 1000),
     )
