Test that a job does not run whose cancel came before its submission

What callers see: a cancel is answered with 410 while a submission of the job is still on its way (a suspended gateway holds it). It arrives, is accepted, and all tasks run.

--- /dev/null
+++ b/tests/test_late_submissions.py
@@ -0,0 +1,150 @@
+"""Test that a job does not run whose cancel came before its submission.
+
+A submission may be on its way for seconds: at a gateway that is suspended, on a link,
+or while a gateway waits for a leader. The tests guard against tasks that start after a
+cancel was acknowledged, and against showing a job that nobody has submitted.
+"""
+
+import asyncio
+import signal
+import unittest
+
+import msgspec
+
+from bench.processes import ProcessCluster
+from bulrushspur_kernel.messages import Cancel, Outcome, Query, Submit
+from bulrushspur_scheduler.cell import make_cell
+from bulrushspur_scheduler.progress_records import encode_progress
+from bulrushspur_scheduler.records import encode_job
+from bulrushspur_scheduler.takeover import recover_jobs
+from tests.cell_fixtures import make_test_cell, make_test_job
+from tests.cluster import (
+    API_KEY,
+    CONFIG,
+    HOST,
+    InProcessCluster,
+    job_id,
+    make_job_body,
+)
+from tests.test_leader_requests import FakeWriter, make_handler
+
+SUSPENSION_S = 2.0
+HEADERS = [("bulrushspur-credential", API_KEY), ("bulrushspur-deadline-ms", "3000")]
+
+
+class StoringWriter(FakeWriter):
+    """A writer that stores the progress of changed jobs at once."""
+
+    def __init__(self, cell):
+        super().__init__()
+        self.cell = cell
+        self.progress = {}
+
+    def is_durable(self, job_id):
+        return job_id not in self.cell.dirty_jobs
+
+    async def wait_durable(self):
+        for job in self.cell.dirty_jobs:
+            self.progress["s" + job] = encode_progress(self.cell, job)
+        self.cell.dirty_jobs.clear()
+
+
+class LateSubmissionTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.cell = make_test_cell(1)
+        self.writer = StoringWriter(self.cell)
+        self.handler = make_handler(self.cell, self.writer)
+        record = encode_job(make_test_job())
+        self.submission = Submit(2, "j1", "heavy", "team", record)
+
+    async def cancel(self):
+        return await self.handler.answer(Cancel(1, "j1"))
+
+    async def query(self):
+        return await self.handler.answer(Query(3, "j1"))
+
+    def lead_next(self):
+        """Go on with the next leader, from what is stored."""
+        self.cell = make_cell(self.cell.config, fencing_token=6)
+        recover_jobs(self.cell, self.writer.progress, 1.0, 1.0)
+        self.writer.cell = self.cell
+        self.handler = make_handler(self.cell, self.writer)
+
+    async def test_job_that_was_cancelled_before_it_came_does_not_run(self):
+        self.assertEqual((await self.cancel()).outcome, Outcome.UNKNOWN_JOB)
+        reply = await self.handler.answer(self.submission)
+        self.assertEqual((reply.outcome, reply.state), (Outcome.OK, "cancelled"))
+        self.assertEqual((self.cell.jobs, self.writer.records), ({}, {}))
+        self.assertEqual((await self.query()).state, "cancelled")
+        self.assertEqual((await self.cancel()).outcome, Outcome.OK)
+
+    async def test_next_leader_knows_the_cancel(self):
+        await self.cancel()
+        self.lead_next()
+        reply = await self.handler.answer(self.submission)
+        self.assertEqual((reply.outcome, reply.state), (Outcome.OK, "cancelled"))
+        self.lead_next()
+        self.assertEqual((await self.query()).state, "cancelled")
+
+    async def test_cancel_is_stored_before_it_is_acknowledged(self):
+        await self.cancel()
+        self.assertEqual(list(self.writer.progress), ["sj1"])
+
+    async def test_job_that_nobody_submitted_is_not_shown(self):
+        await self.cancel()
+        self.assertEqual((await self.query()).outcome, Outcome.UNKNOWN_JOB)
+        self.assertEqual((await self.cancel()).outcome, Outcome.UNKNOWN_JOB)
+        self.lead_next()
+        self.assertEqual((await self.query()).outcome, Outcome.UNKNOWN_JOB)
+
+
+class LeaderChangeTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.cluster = InProcessCluster()
+        self.addAsyncCleanup(self.cluster.stop)
+        await self.cluster.start(nodes=3, workers=2)
+
+    async def test_cancel_before_a_submission_outlasts_the_leader(self):
+        cluster = self.cluster
+        answer = await cluster.call("DELETE", f"/assess/{job_id(1)}")
+        self.assertEqual(answer.status, 410)
+        await cluster.kill(cluster.find_leader())
+        await cluster.wait_leader()
+        answer = await cluster.submit(job_id(1))
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(await cluster.fetch_job_state(job_id(1)), "cancelled")
+        await asyncio.sleep(0.5)
+        self.assertEqual(cluster.oracle.starts, [])
+
+
+class SuspendedGatewayTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.cluster = ProcessCluster()
+        self.addAsyncCleanup(self.cluster.stop)
+        await self.cluster.start(3, 4, "platform", CONFIG)
+        await self.cluster.wait_ready()
+
+    async def call(self, entry, method, body=None):
+        path = f"/assess/{job_id(1)}"
+        return await self.cluster.call(
+            entry, method, path, HEADERS, body, timeout_s=8.0, host=HOST
+        )
+
+    async def test_job_cancelled_while_a_suspended_gateway_holds_it_does_not_run(self):
+        cluster = self.cluster
+        leader = await cluster.find_leader()
+        suspended, other = (entry for entry in cluster.entries if entry is not leader)
+        suspended.send_signal(signal.SIGSTOP)
+        body = make_job_body(count=24, cpu_milli=200, run_time_ms=500)
+        submission = asyncio.create_task(self.call(suspended, "POST", body))
+        await asyncio.sleep(SUSPENSION_S / 2)
+        cancelled = await self.call(other, "DELETE")
+        self.assertEqual(cancelled.status, 410)
+        await asyncio.sleep(SUSPENSION_S / 2)
+        suspended.send_signal(signal.SIGCONT)
+        answer = await submission
+        self.assertEqual(answer.status, 200)
+        await asyncio.sleep(1.0)
+        self.assertEqual(cluster.oracle.starts, [])
+        state = msgspec.json.decode((await self.call(other, "GET")).body)["state"]
+        self.assertEqual(state, "cancelled")
