Remember the cancel of a job whose submission is still on its way

Callers saw: a cancel answered with 410, and then all tasks of the job run. The submission was held by a gateway that was suspended (or on a link, or waited for a leader) and came to the leader after the cancel. Cause: the leader denied a job that it did not know and kept nothing of the cancel. An acknowledged request took no effect on one that it overtook. Change: such a cancel is a final state that is stored before the 410, and kept as long as the others; it outlasts the leader. A submission that comes later is acknowledged with the state cancelled, and nothing starts. A job that nobody has submitted is still not shown. AnswerTest has a store now, as a cancel is stored; what it asks is unchanged.

--- a/packages/daemon/bulrushspur_daemon/leader_requests.py
+++ b/packages/daemon/bulrushspur_daemon/leader_requests.py
@@ -26,7 +26,13 @@
     make_occurrence,
 )
 from bulrushspur_scheduler.pools import find_recent_pool
-from bulrushspur_scheduler.progress import add_job, finish_job, set_objective
+from bulrushspur_scheduler.progress import (
+    add_job,
+    cancel_unknown_job,
+    finish_job,
+    record_late_submission,
+    set_objective,
+)
 from bulrushspur_scheduler.records import decode_job, encode_job, has_accepted_queue
 from bulrushspur_scheduler.takeover import set_aside_unreadable_job
 
@@ -74,7 +80,7 @@
         elif isinstance(message, Query):
             reply = self._query(message.job)
         else:
-            reply = await self._cancel(message.job)
+            reply = await self._cancel(message)
         if not await self._is_valid(reply, received_s):
             reply = self._refuse_unconfirmed(message)
         return msgspec.structs.replace(reply, request_id=message.request_id)
@@ -98,16 +104,43 @@
 
     async def _submit(self, message: Submit) -> Reply:
         cell = self.cell
-        for known in (cell.jobs, cell.finished_jobs, cell.unreadable_jobs):
-            if message.job in known:
-                return Reply(0, Outcome.OK)
+        finished = cell.finished_jobs.get(message.job)
+        if finished is not None and not finished.was_submitted:
+            return await self._submit_cancelled_job(message)
         pending = self.pending_submissions.get(message.job)
+        if pending is None and self._is_known(message.job):
+            return Reply(0, Outcome.OK)
         if pending is None:
             pending = asyncio.get_running_loop().create_future()
             self.pending_submissions[message.job] = pending
             self.spawn(self._process_submission(message, pending))
         return await asyncio.shield(pending)
 
+    def _is_known(self, job_id: str) -> bool:
+        """Return whether a job was accepted or cancelled, or is being submitted."""
+        cell = self.cell
+        known = (cell.jobs, cell.finished_jobs, cell.unreadable_jobs)
+        return job_id in self.pending_submissions or any(
+            job_id in jobs for jobs in known
+        )
+
+    async def _submit_cancelled_job(self, message: Submit) -> Reply:
+        """Acknowledge a job that was cancelled before its submission came."""
+        if self._is_store_failing():
+            return self._refuse_without_store(message)
+        record_late_submission(
+            self.cell, message.job, message.account, message.queue, monotonic_s()
+        )
+        self.cell.log(
+            "accept_cancelled",
+            message.job,
+            queue=message.queue,
+            account=message.account,
+        )
+        self.flush()
+        await self.writer.wait_durable()
+        return Reply(0, Outcome.OK, JobState.CANCELLED.value)
+
     async def _process_submission(
         self, message: Submit, pending: asyncio.Future[Reply]
     ) -> None:
@@ -150,8 +183,7 @@
         queue = cell.config.queue_by_name.get(message.queue)
         if queue is None:
             return Reply(0, Outcome.NOT_READY)
-        failing_since_s = self.writer.failing_since_s
-        if failing_since_s and now_s - failing_since_s > STORE_FAILURE_TIMEOUT_S:
+        if self._is_store_failing():
             return self._refuse_without_store(message)
         try:
             job = decode_job(message.job, message.record, now_s, unix_s())
@@ -196,6 +228,13 @@
         )
         self.request_plan()
 
+    def _is_store_failing(self) -> bool:
+        """Return whether the store has not answered for some time."""
+        failing_since_s = self.writer.failing_since_s
+        if not failing_since_s:
+            return False
+        return monotonic_s() - failing_since_s > STORE_FAILURE_TIMEOUT_S
+
     def _store_retry_after_s(self) -> float:
         """Return the time after which to retry a submission, in seconds.
 
@@ -222,7 +261,7 @@
 
     def _query(self, job_id: str) -> Reply:
         finished = self.cell.finished_jobs.get(job_id)
-        if finished is not None:
+        if finished is not None and finished.was_submitted:
             # The next term may not know a final state that is not stored yet.
             if not self.writer.is_durable(job_id):
                 return Reply(0, Outcome.OK, JobState.RUNNING.value)
@@ -240,23 +279,34 @@
             return Reply(0, Outcome.NOT_READY, "", reason, FAULT_RETRY_AFTER_S)
         return Reply(0, Outcome.UNKNOWN_JOB)
 
-    async def _cancel(self, job_id: str) -> Reply:
-        received_s = monotonic_s()
+    async def _cancel(self, message: Cancel) -> Reply:
+        """Cancel a job; answer only when that is stored.
+
+        So is the cancel of an unknown job, as its submission may still be on its way.
+        """
+        cell, job_id, received_s = self.cell, message.job, monotonic_s()
+        is_known = self._is_known(job_id)
+        if not is_known and not await self.confirmation.confirm_since(received_s):
+            # Another leader may have accepted it.
+            return self._refuse_unconfirmed(message)
         pending = self.pending_submissions.get(job_id)
         if pending is not None:
             await asyncio.shield(pending)
-        job = self.cell.jobs.get(job_id)
+        job = cell.jobs.get(job_id)
         if job is not None:
-            finish_job(self.cell, job, JobState.CANCELLED, monotonic_s())
-            self.flush()
-        elif job_id not in self.cell.finished_jobs:
-            self.cell.log("cancel_unknown", job_id)
+            finish_job(cell, job, JobState.CANCELLED, monotonic_s())
+        elif job_id in cell.unreadable_jobs:
             return self._make_unknown_reply(job_id)
+        elif job_id not in cell.finished_jobs:
+            cancel_unknown_job(cell, job_id, monotonic_s())
+        self.flush()
         if not self.writer.is_durable(job_id):
             await self.writer.wait_durable()
         self._log_cancel(job_id, job, received_s)
-        finished = self.cell.finished_jobs[job_id]
+        finished = cell.finished_jobs[job_id]
         assert finished.state in FINAL_STATES
+        if not finished.was_submitted:
+            return Reply(0, Outcome.UNKNOWN_JOB)
         return Reply(0, Outcome.OK, finished.state.value, finished.reason)
 
     def _log_cancel(self, job_id: str, job: Job | None, received_s: float) -> None:
@@ -265,10 +315,11 @@
         ``job`` is None if the job had its final state before.
         """
         runs = [run for step in job.steps() for run in step.runs()] if job else []
+        finished = self.cell.finished_jobs[job_id]
         self.cell.log(
-            "cancel",
+            "cancel" if finished.was_submitted else "cancel_unknown",
             job_id,
-            state=self.cell.finished_jobs[job_id].state.value,
+            state=finished.state.value,
             repeated=job is None,
             stored_ms=round((monotonic_s() - received_s) * 1000),
             runs_left=len(runs),
--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -103,6 +103,8 @@
     finished_s: float
     # Why it failed.
     reason: str = ""
+    # False if it was cancelled, and no submission of it has come so far.
+    was_submitted: bool = True
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/scheduler/bulrushspur_scheduler/progress.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress.py
@@ -215,6 +215,22 @@
     )
 
 
+def cancel_unknown_job(cell: Cell, job_id: str, now_s: float) -> None:
+    """Give an unknown job its final state: its submission may still be on its way."""
+    cell.finished_jobs[job_id] = FinishedJob(
+        JobState.CANCELLED, "", "", now_s, was_submitted=False
+    )
+    cell.dirty_jobs.add(job_id)
+
+
+def record_late_submission(
+    cell: Cell, job_id: str, account: str, queue: str, now_s: float
+) -> None:
+    """Record the submission of a job that was cancelled before it; it does not run."""
+    cell.finished_jobs[job_id] = FinishedJob(JobState.CANCELLED, account, queue, now_s)
+    cell.dirty_jobs.add(job_id)
+
+
 def _max_failed_runs(job: Job) -> int:
     """Return how many runs have failed of the task, or gang, that failed most often."""
     return max(
--- a/packages/scheduler/bulrushspur_scheduler/progress_records.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress_records.py
@@ -57,6 +57,8 @@
     completed_occurrences: list[Count] = []
     # Why the job failed.
     reason: str = ""
+    # As in FinishedJob.
+    was_submitted: bool = True
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -70,7 +72,11 @@
         state = JOB_STATES.index(finished.state)
         return _encode(
             ProgressRecord(
-                state, finished.account, finished.queue, reason=finished.reason
+                state,
+                finished.account,
+                finished.queue,
+                reason=finished.reason,
+                was_submitted=finished.was_submitted,
             )
         )
     job = cell.jobs.get(job_id)
@@ -227,4 +233,11 @@
 
 
 def _make_finished(record: ProgressRecord, state: JobState) -> FinishedJob:
-    return FinishedJob(state, record.account, record.queue, 0.0, record.reason)
+    return FinishedJob(
+        state,
+        record.account,
+        record.queue,
+        0.0,
+        record.reason,
+        record.was_submitted,
+    )
--- a/tests/test_term_confirmation.py
+++ b/tests/test_term_confirmation.py
@@ -46,13 +46,24 @@
         self.error = None
 
 
+class FakeStore:
+    """A store that stores what is appended."""
+
+    last_answer_s = 0.0
+
+    async def append(self, topic, rows, writer, timeout_s):
+        await asyncio.sleep(0)
+
+
 class AnswerTest(unittest.IsolatedAsyncioTestCase):
-    def setUp(self):
+    async def asyncSetUp(self):
         self.cell = make_test_cell(1)
         self.claim_log = FakeClaimLog()
         self.writer = RecordWriter(
-            None, self.cell, NullEventLog(), Metrics(), lambda reason: None
+            FakeStore(), self.cell, NullEventLog(), Metrics(), lambda reason: None
         )
+        writing = asyncio.create_task(self.writer.run())
+        self.addCleanup(writing.cancel)
         self.confirmation = TermConfirmation(
             5, self.cell, self.claim_log, self.writer, Metrics()
         )
