--- a/models/run.py
+++ b/models/run.py
@@ -19,6 +19,7 @@
     "takeover",
     "succession",
     "failures",
+    "cancellation",
 ]
 
 MAX_STATES: t.Final = 5_000_000
