Stop the second run of a task that is done

Callers saw: a task of a job whose cancel was acknowledged works on to its end. Cause: a task can have a second run: its first one was given up with the lease of a silent worker, and is reported later as done. The task was then done and its second run kept; the cancel stops the runs of unfinished tasks alone. So nothing stopped it, with its job or before. Class: what is decided for a task is not carried through to all of its runs. Change: the end of a task as done stops its other runs, whether it is speculative or not.

--- a/packages/scheduler/bulrushspur_scheduler/progress.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress.py
@@ -129,23 +129,19 @@
 
 
 def mark_task_done(cell: Cell, task: Task, now_s: float) -> None:
-    """Mark a task as done, and stop its other runs if it is speculative.
+    """Mark a task as done, and stop its other runs.
 
-    The successful end of one gang member completes all tasks of the gang.
+    The successful end of one gang member completes all tasks of the gang, whose other
+    members have ended, too.
     """
     step = task.step
-    tasks = step.tasks if step.spec.gang else [task]
-    for done_task in tasks:
-        if done_task.done:
-            continue
-        done_task.done = True
-        done_task.unreconciled = False
-        step.done_count += 1
-        for run in list(done_task.runs):
-            if done_task is not task and not step.spec.gang:
-                stop_run(cell, run, "done elsewhere")
-    for run in list(task.runs):
-        if step.spec.speculative and not step.spec.gang:
+    for done_task in step.tasks if step.spec.gang else [task]:
+        if not done_task.done:
+            done_task.done = True
+            done_task.unreconciled = False
+            step.done_count += 1
+    if not step.spec.gang:
+        for run in list(task.runs):
             stop_run(cell, run, "done elsewhere")
     mark_job_running(cell, step.job)
     cell.dirty_jobs.add(step.job.id)
