Test that a stop does not wait on connections that have long been silent

What callers see: the connections to a worker go silent for good, new ones work. Seconds later a job is cancelled; its runs go on for 0.9 to 1.8 s after the acknowledgement. FaultProxy can silence its connections now; nothing else of it changes.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,8 +1,8 @@
 """Forward loopback TCP connections to a target, with faults injected on the way.
 
-The proxy can delay data, limit its rate, block one or both directions, and reset
-connections. It never drops, changes or reorders the data of a connection that stays
-open.
+The proxy can delay data, limit its rate, block one or both directions, and reset or
+silence connections. It never drops, changes or reorders the data of a connection that
+stays open and is not silenced.
 """
 
 import asyncio
@@ -44,6 +44,8 @@
     busy_until_s: dict[LinkFault, float] = dataclasses.field(default_factory=dict)
     server: asyncio.Server | None = None
     writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
+    # Of connections that are silent for good.
+    silent_writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
     tasks: set[asyncio.Task[t.Any]] = dataclasses.field(default_factory=set)
 
     async def start(self) -> str:
@@ -108,8 +110,16 @@
             writer.transport.abort()
         self.writers.clear()
 
+    def silence(self) -> None:
+        """Deliver nothing more on the open connections, for good; new ones work."""
+        for task in list(self.tasks):
+            task.cancel()
+        self.silent_writers |= self.writers
+        self.writers.clear()
+
     async def stop(self) -> None:
         """Stop listening and reset all open connections."""
+        self.writers |= self.silent_writers
         self.reset()
         for task in list(self.tasks):
             task.cancel()
--- a/tests/test_cancel_links.py
+++ b/tests/test_cancel_links.py
@@ -1,26 +1,42 @@
 """Test that the runs of a cancelled job stop, however links were cut before.
 
 A worker that was cut off for longer than its lease tells the end of a run later, when
-another run of the task is at work. The tests guard against runs that go on after the
-cancel of their job was acknowledged.
+another run of the task is at work. Connections may be silent for good, and new ones
+work. The tests guard against runs that go on after the cancel of their job was
+acknowledged.
 """
 
+import asyncio
+import time
 import unittest
 
+from bulrushspur_kernel.adapter import WorkerUnresponsiveError
 from bulrushspur_kernel.messages import Cancel, Outcome
+from bulrushspur_platform.workers import make_worker_client
 from bulrushspur_scheduler.jobs import JobState, RunState
 from bulrushspur_scheduler.leases import expire_leases
 from bulrushspur_scheduler.planning import plan
+from bulrushspur_scheduler.resources import Resources
+from bulrushspur_scheduler.workers import WorkerEntry
+from bulrushspur_standins.worker import WorkerStandin
+from soak.proxy import FaultProxy
 from tests.cell_fixtures import (
     acknowledge_starts,
     add_test_job,
     apply_worker_report,
     make_test_cell,
+    task_key,
 )
+from tests.cluster import InProcessCluster, job_id
 from tests.test_late_submissions import StoringWriter
 from tests.test_leader_requests import make_handler
 
 LONG_AFTER_S = 30.0
+# A worker may take stop_ms, 0.9 s; the stand-in ends a run at once.
+MAX_STOP_S = 0.45
+# By then a renewal of a lease has shown that the connections are silent.
+SILENCE_S = 2.0
+CONCURRENT_ORDERS = 3
 
 
 class SecondRunTest(unittest.IsolatedAsyncioTestCase):
@@ -75,5 +91,57 @@
         self.assertIn(second.key, self.list_stops())
 
 
+class SilentConnectionsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.worker = WorkerStandin("w0")
+        self.proxy = FaultProxy(await self.worker.start())
+        address = await self.proxy.start()
+        self.addAsyncCleanup(self.worker.stop)
+        self.addAsyncCleanup(self.proxy.stop)
+        resources = Resources(16_000, 32_768)
+        entry = WorkerEntry("w0", "svc", address, "z", resources)
+        self.client = make_worker_client(entry)
+        self.addCleanup(self.client.close)
+
+    async def stop_run(self, number):
+        return await self.client.stop_run(task_key(), number, 5)
+
+    async def test_stop_after_a_renewal_without_an_answer_takes_a_new_connection(self):
+        numbers = range(CONCURRENT_ORDERS)
+        await asyncio.gather(*map(self.stop_run, numbers), self.renew())
+        self.proxy.silence()
+        with self.assertRaises(WorkerUnresponsiveError):
+            await self.renew()
+        self.assertTrue(await self.stop_run(CONCURRENT_ORDERS))
+
+    async def renew(self):
+        return await self.client.renew_lease(None, 5, 0, 0)
+
+
+class SilentLinkTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.cluster = InProcessCluster()
+        self.addAsyncCleanup(self.cluster.stop)
+        await self.cluster.start(nodes=1, workers=0)
+        worker = await self.cluster.add_worker("w0")
+        self.proxy = FaultProxy(worker.address)
+        worker.address = await self.proxy.start()
+        self.addAsyncCleanup(self.proxy.stop)
+        self.cluster.store.put("keyed.servers", worker.id, worker.encode_entry())
+
+    async def test_runs_stop_with_the_cancel_long_after_connections_went_silent(self):
+        cluster, count = self.cluster, CONCURRENT_ORDERS
+        await cluster.submit(job_id(1), count=count, run_time_ms=30_000)
+        running = cluster.oracle.running_on
+        await cluster.wait_for(lambda: len(running) == count)
+        self.proxy.silence()
+        await asyncio.sleep(SILENCE_S)
+        answer = await cluster.call("DELETE", f"/assess/{job_id(1)}")
+        self.assertEqual(answer.status, 200)
+        cancelled_s = time.monotonic()
+        await cluster.wait_for(lambda: not running)
+        self.assertLess(time.monotonic() - cancelled_s, MAX_STOP_S)
+
+
 if __name__ == "__main__":
     unittest.main()
