Reject a submission whose id belongs to another job

Callers saw: a job of another payload, other steps or times, under the id of a known job, was answered 200 as if it would run; the other's payload ran, or had run. Cause: the leader took each submission of a known id for a repetition; it compared nothing. Change: what the callers declared is compared, after the same encoding, by a digest of payload, steps and times. Another job gets 429, "the id belongs to another job", while the first is being stored, runs, or has a final state, also under the next leader: records of final states have the digest at their end. A job that was cancelled before it came has none until it comes, and records of older processes have none: then all are accepted, as before. Older processes read the records. Account and queue are not compared: keys and queues move between accounts and services, and the queue may be public, while callers repeat their submissions; to reject one of these would tell a caller that a job never runs that does. The same content under another account's key is taken for a repetition, as before. Only fields that differ from their default count, by position, so a later version with more fields gives the same digests; a test holds one of them fixed. What it doesn't cover: a gateway of an older version drops fields that it doesn't know; the job that it hands in then differs from the same one at a newer gateway, if it uses them.

--- a/packages/daemon/bulrushspur_daemon/leader_requests.py
+++ b/packages/daemon/bulrushspur_daemon/leader_requests.py
@@ -19,6 +19,7 @@
 from bulrushspur_kernel.messages import Cancel, Outcome, Query, Reply, Submit
 from bulrushspur_scheduler import admission, advice, ranking
 from bulrushspur_scheduler.cell import Cell
+from bulrushspur_scheduler.content_digests import declares_other_job
 from bulrushspur_scheduler.jobs import (
     FINAL_STATES,
     Job,
@@ -41,15 +42,25 @@
 MAX_STORE_RETRY_AFTER_S: t.Final = 3.0
 # After an error of the leader's own: another version may handle the request.
 FAULT_RETRY_AFTER_S: t.Final = 60.0
+# The id of a job is free again some time after the job has ended.
+OTHER_JOB_RETRY_AFTER_S: t.Final = 60.0
 
 LeaderRequest = Submit | Query | Cancel
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PendingSubmission:
+    """A submission that is not decided yet: its job record, and the reply to come."""
+
+    record: bytes
+    reply: asyncio.Future[Reply]
+
+
 @dataclasses.dataclass
 class LeaderRequestHandler:
     """Handle the requests of one term.
 
-    ``pending_submissions`` has the replies to submissions not decided yet, by job id.
+    ``pending_submissions`` has the submissions not decided yet, by job id.
     """
 
     cell: Cell
@@ -59,14 +70,14 @@
     spawn: t.Callable[[t.Coroutine[t.Any, t.Any, None]], None]
     request_plan: t.Callable[[], None]
     flush: t.Callable[[], None]
-    pending_submissions: dict[str, asyncio.Future[Reply]] = dataclasses.field(
+    pending_submissions: dict[str, PendingSubmission] = dataclasses.field(
         default_factory=dict
     )
 
     def stop(self) -> None:
         """Cancel the pending submissions; callers are answered by the next leader."""
         for pending in self.pending_submissions.values():
-            pending.cancel()
+            pending.reply.cancel()
 
     async def answer(self, message: LeaderRequest) -> Reply:
         """Answer a caller's request.
@@ -108,13 +119,19 @@
         if finished is not None and not finished.was_submitted:
             return await self._submit_cancelled_job(message)
         pending = self.pending_submissions.get(message.job)
-        if pending is None and self._is_known(message.job):
-            return Reply(0, Outcome.OK)
-        if pending is None:
-            pending = asyncio.get_running_loop().create_future()
+        if pending is None and not self._is_known(message.job):
+            reply = asyncio.get_running_loop().create_future()
+            pending = PendingSubmission(message.record, reply)
             self.pending_submissions[message.job] = pending
-            self.spawn(self._process_submission(message, pending))
-        return await asyncio.shield(pending)
+            self.spawn(self._process_submission(message, reply))
+        elif declares_other_job(
+            cell, message.job, message.record, pending and pending.record
+        ):
+            reason = "the id belongs to another job"
+            return self._reject(message, reason, OTHER_JOB_RETRY_AFTER_S)
+        if pending is None:
+            return Reply(0, Outcome.OK)
+        return await asyncio.shield(pending.reply)
 
     def _is_known(self, job_id: str) -> bool:
         """Return whether a job was accepted or cancelled, or is being submitted."""
@@ -129,7 +146,12 @@
         if self._is_store_failing():
             return self._refuse_without_store(message)
         record_late_submission(
-            self.cell, message.job, message.account, message.queue, monotonic_s()
+            self.cell,
+            message.job,
+            message.account,
+            message.queue,
+            message.record,
+            monotonic_s(),
         )
         self.cell.log(
             "accept_cancelled",
@@ -291,7 +313,7 @@
             return self._refuse_unconfirmed(message)
         pending = self.pending_submissions.get(job_id)
         if pending is not None:
-            await asyncio.shield(pending)
+            await asyncio.shield(pending.reply)
         job = cell.jobs.get(job_id)
         if job is not None:
             finish_job(cell, job, JobState.CANCELLED, monotonic_s())
--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -105,6 +105,8 @@
     reason: str = ""
     # False if it was cancelled, and no submission of it has come so far.
     was_submitted: bool = True
+    # Of what was submitted (``content_digests.py``); empty if that is not known.
+    content_digest: bytes = b""
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/scheduler/bulrushspur_scheduler/progress.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress.py
@@ -10,6 +10,7 @@
 import math
 
 from bulrushspur_scheduler.cell import Cell, FinishedJob
+from bulrushspur_scheduler.content_digests import digest_content, digest_record
 from bulrushspur_scheduler.estimates import predict_duration
 from bulrushspur_scheduler.job_bounds import max_open_occurrences
 from bulrushspur_scheduler.job_specs import critical_path_s
@@ -190,7 +191,12 @@
                     stop_run(cell, run, state.value)
     del cell.jobs[job.id]
     cell.finished_jobs[job.id] = FinishedJob(
-        state, job.account, job.queue, now_s, reason
+        state,
+        job.account,
+        job.queue,
+        now_s,
+        reason,
+        content_digest=digest_content(job.spec),
     )
     cell.dirty_jobs.add(job.id)
     failure: dict[str, int] = {}
@@ -220,10 +226,16 @@
 
 
 def record_late_submission(
-    cell: Cell, job_id: str, account: str, queue: str, now_s: float
+    cell: Cell, job_id: str, account: str, queue: str, record: bytes, now_s: float
 ) -> None:
     """Record the submission of a job that was cancelled before it; it does not run."""
-    cell.finished_jobs[job_id] = FinishedJob(JobState.CANCELLED, account, queue, now_s)
+    cell.finished_jobs[job_id] = FinishedJob(
+        JobState.CANCELLED,
+        account,
+        queue,
+        now_s,
+        content_digest=digest_record(job_id, record),
+    )
     cell.dirty_jobs.add(job_id)
 
 
--- a/packages/scheduler/bulrushspur_scheduler/progress_records.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress_records.py
@@ -59,6 +59,8 @@
     reason: str = ""
     # As in FinishedJob.
     was_submitted: bool = True
+    # Empty in records of older processes.
+    content_digest: bytes = b""
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -77,6 +79,7 @@
                 finished.queue,
                 reason=finished.reason,
                 was_submitted=finished.was_submitted,
+                content_digest=finished.content_digest,
             )
         )
     job = cell.jobs.get(job_id)
@@ -240,4 +243,5 @@
         0.0,
         record.reason,
         record.was_submitted,
+        record.content_digest,
     )
--- a/packages/scheduler/bulrushspur_scheduler/records.py
+++ b/packages/scheduler/bulrushspur_scheduler/records.py
@@ -79,7 +79,7 @@
             job.service,
             job.account,
             spec.payload,
-            [_make_step_record(step) for step in spec.steps],
+            [make_step_record(step) for step in spec.steps],
             round(job.accepted_unix_s * 1000),
             round(spec.start_at_s * 1000),
             round(spec.interval_s * 1000),
@@ -89,7 +89,8 @@
     )
 
 
-def _make_step_record(spec: StepSpec) -> StepRecord:
+def make_step_record(spec: StepSpec) -> StepRecord:
+    """Make the stored form of a step."""
     flags = sum(1 << i for i, name in enumerate(_FLAG_NAMES) if getattr(spec, name))
     return StepRecord(
         spec.count,
@@ -123,12 +124,7 @@
     )
 
 
-def decode_job(job_id: str, data: bytes, now_s: float, unix_s: float) -> Job:
-    """Decode a job record; raises msgspec.DecodeError, also for one out of bounds.
-
-    ``accepted_s``, on the monotonic clock, is ``now_s`` less the age of the job; the
-    age is limited to the range from 0 to 3600 s.
-    """
+def _decode(job_id: str, data: bytes) -> tuple[JobRecord, JobSpec]:
     record = _decode_job(data)
     spec = JobSpec(
         job_id,
@@ -141,6 +137,21 @@
     fault = find_fault(spec)
     if fault:
         raise msgspec.ValidationError(fault)
+    return record, spec
+
+
+def decode_spec(job_id: str, data: bytes) -> JobSpec:
+    """Decode what the caller declared from a job record; raises as ``decode_job``."""
+    return _decode(job_id, data)[1]
+
+
+def decode_job(job_id: str, data: bytes, now_s: float, unix_s: float) -> Job:
+    """Decode a job record; raises msgspec.DecodeError, also for one out of bounds.
+
+    ``accepted_s``, on the monotonic clock, is ``now_s`` less the age of the job; the
+    age is limited to the range from 0 to 3600 s.
+    """
+    record, spec = _decode(job_id, data)
     accepted_unix_s = record.accepted_unix_ms / 1000
     age_s = min(max(unix_s - accepted_unix_s, 0.0), 3600.0)
     return Job(
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -13,6 +13,7 @@
 
 from bulrushspur_kernel.messages import Cancel, Outcome, Submit
 from bulrushspur_scheduler.cell import make_cell
+from bulrushspur_scheduler.content_digests import digest_content
 from bulrushspur_scheduler.job_specs import JobSpec, StepSpec
 from bulrushspur_scheduler.jobs import Job, JobState
 from bulrushspur_scheduler.progress import finish_job, purge_finished_jobs
@@ -166,6 +167,18 @@
         newer = msgspec.msgpack.encode([*fields, "field of a later version"])
         self.assertEqual(decode_finished(newer).state, JobState.COMPLETED)
 
+    async def test_repetition_at_a_gateway_of_a_later_version_is_accepted(self):
+        await self.submit()
+        fields = msgspec.msgpack.decode(self.writer.records["j1"])
+        newer = msgspec.msgpack.encode([*fields, "field of a later version"])
+        reply = await self.handler.answer(Submit(1, "j1", "heavy", "team", newer))
+        self.assertEqual(reply.outcome, Outcome.OK)
+
+    def test_digest_is_the_same_in_all_versions(self):
+        step = dataclasses.replace(STEP, depends_on=(0,), required_label="a")
+        spec = dataclasses.replace(SPEC, steps=(STEP, step), repeat_count=2)
+        self.assertEqual(digest_content(spec).hex(), "7800ea348df849b1")
+
     async def test_id_of_a_forgotten_job_is_free(self):
         await self.submit()
         await self.end_job()
