Stop the second run of a gang that is done

Change: the end of a run as done stops the runs of its task, or gang, with other numbers. Result: test_second_run_of_a_done_gang_is_stopped failed before; members of the run that is done are not stopped.

--- a/packages/scheduler/bulrushspur_scheduler/progress.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress.py
@@ -130,20 +130,16 @@
 
 
 def mark_task_done(cell: Cell, task: Task, now_s: float) -> None:
-    """Mark a task as done, and stop its other runs.
+    """Mark a task as done.
 
-    The successful end of one gang member completes all tasks of the gang, whose other
-    members have ended, too.
+    The successful end of one gang member completes all tasks of the gang.
     """
     step = task.step
-    for done_task in step.tasks if step.spec.gang else [task]:
+    for done_task in _list_done_tasks(task):
         if not done_task.done:
             done_task.done = True
             done_task.unreconciled = False
             step.done_count += 1
-    if not step.spec.gang:
-        for run in list(task.runs):
-            stop_run(cell, run, "done elsewhere")
     mark_job_running(cell, step.job)
     cell.dirty_jobs.add(step.job.id)
     if step.done:
@@ -151,6 +147,22 @@
         _handle_step_done(cell, step, now_s)
 
 
+def _list_done_tasks(task: Task) -> list[Task]:
+    """List the tasks that a successful end completes."""
+    return task.step.tasks if task.step.spec.gang else [task]
+
+
+def stop_other_runs(cell: Cell, task: Task, number: int) -> None:
+    """Stop the runs of a done task, or gang, but those of the number that is done.
+
+    The other members of a gang run have ended with it, though not all may be reported.
+    """
+    for done_task in _list_done_tasks(task):
+        for run in list(done_task.runs):
+            if run.number != number:
+                stop_run(cell, run, "done elsewhere")
+
+
 def _handle_step_done(cell: Cell, step: Step, now_s: float) -> None:
     """Make dependent steps ready, or complete the job if this was its last step."""
     job = step.job
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -27,6 +27,7 @@
     mark_task_done,
     record_failed_run,
     requeue_step,
+    stop_other_runs,
 )
 from bulrushspur_scheduler.runs import (
     GANG_BROKEN,
@@ -248,6 +249,7 @@
         else:
             unreconcile_dependents(cell, task.step)
         mark_task_done(cell, task, now_s)
+        stop_other_runs(cell, task, end.number)
         return
     if end.outcome is RunOutcome.FAILED:
         task.failed_worker_ids.add(worker.id)
--- a/tests/test_cancelled_runs.py
+++ b/tests/test_cancelled_runs.py
@@ -53,6 +53,29 @@
         self.assertEqual(len(self.runs), 2)
         self.assertEqual(self.list_stopped(), [(0, 2)])
 
+    # Guards against: the second run of a gang goes on, also after a cancel.
+    def test_second_run_of_a_done_gang_is_stopped(self):
+        cell = make_test_cell(2)
+        add_test_job(cell, count=2, gang=True)
+        silent, runs, now_s = restart_tasks(cell)
+        self.assertEqual({run.number for run in runs}, {2})
+        # The end of one member stands for all of its run.
+        ended = [(1, task_key(), 1, "done")]
+        apply_worker_report(cell, silent, now_s + 1.0, ended=ended)
+        stopped = [(order.key.index, order.number) for order in cell.stop_orders]
+        self.assertEqual(stopped, [(0, 2), (1, 2)])
+
+    # Guards against: members of a done gang that are reported later are stopped.
+    def test_other_members_of_the_run_that_is_done_are_not_stopped(self):
+        cell = make_test_cell(1)
+        add_test_job(cell, count=2, gang=True)
+        plan(cell, 1.0)
+        acknowledge_starts(cell, 1.0)
+        running = [(task_key(index=1), 1)]
+        ended = [(1, task_key(), 1, "done")]
+        apply_worker_report(cell, "w0", 2.0, running, ended, request_sent_s=0.5)
+        self.assertEqual(cell.stop_orders, [])
+
     # Guards against: a run of a cancelled job goes on, as its task is done.
     def test_all_runs_of_a_cancelled_job_are_stopped(self):
         finish_job(self.cell, self.job, JobState.CANCELLED, 20.0)
