Let a task wait for all reports after its adopted run has ended

Cause, by the test: a new leader adopts the third run from one worker's report; so the task no longer waits for the other workers. The run ends as failed, and the task starts, though a worker that has not reported yet still holds the end of the second one. Change: until all workers have reported, a task whose adopted run has ended waits for them.

--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -260,6 +260,9 @@
         task.checkpoint = end.checkpoint
     if task.done:
         return
+    if run is not None and run.adopted and not cell.reconciled:
+        # A worker that has not reported yet may have an earlier end of the task.
+        task.unreconciled = True
     if task.step.spec.gang:
         _stop_broken_gang(cell, task.step, end.number)
     requeue_step(cell, task.step)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -173,6 +173,24 @@
         self.assertEqual(cell.start_orders, [])
         self.assertEqual(len(cell.workers["w2"].runs), 1)
 
+    # Guards against: failed runs that a worker has not reported yet do not count.
+    def test_task_whose_adopted_run_has_ended_waits_for_every_worker(self):
+        for outcome in ("failed", "stopped"):
+            with self.subTest(outcome=outcome):
+                cell = make_recovered_cell()
+                apply_worker_report(cell, "w0", 1.0, [(task_key(), 3)])
+                ended = [(1, task_key(), 3, outcome)]
+                apply_worker_report(cell, "w0", 1.1, ended=ended)
+                takeover.reconcile(cell, 1.2)
+                plan(cell, 1.2)
+                self.assertEqual(cell.start_orders, [], "w1 may report a failed run")
+                apply_worker_report(
+                    cell, "w1", 1.3, ended=[(1, task_key(), 2, "failed")]
+                )
+                takeover.reconcile(cell, 1.4)
+                plan(cell, 1.4)
+                self.assertEqual(len(cell.start_orders), 1)
+
     # Guards against: a leader that follows all ways through the steps never serves.
     def test_many_steps_that_depend_on_all_before_take_no_time(self):
         each = Resources(1000, 100)
