--- /dev/null
+++ b/oracle/__init__.py
@@ -0,0 +1,1 @@
+"""Judge what clients and workers saw by the users' rules."""
--- /dev/null
+++ b/oracle/observations.py
@@ -0,0 +1,284 @@
+"""Record what clients and workers saw, for the clauses that judge it.
+
+Takes submissions and cancels as clients sent them, and starts, stops, checkpoints and
+ends as workers saw them, in any order; all times are seconds on one monotonic clock.
+Nothing in here comes from the scheduler or its logs. What has not happened yet has an
+infinite time. A run is identified by its task, its number and the worker's incarnation:
+a worker that is back under its id runs another one.
+"""
+
+import dataclasses
+import math
+import typing as t
+
+from oracle.requests import Cancel, DeclaredStep, Submission, TaskId
+
+
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """The users' time bounds, in seconds."""
+
+    cancel_s: float = 3.0
+    ack_s: float = 4.0
+    stop_s: float = 0.9
+    contact_s: float = 3.0
+    # By how long after a noted end, or a job shown as completed, nothing more starts.
+    noted_s: float = 1.0
+
+
+@dataclasses.dataclass(eq=False)
+class Run:
+    """An order to start a run that a worker was told, and how the run ended.
+
+    ``is_started`` is False if the worker did not start it on this order: it refused, or
+    the run was there. ``term`` is the fencing token of the order. ``is_late`` says that
+    the worker carried the order out late, ``in_touch`` that the starter was in touch
+    with the platform. ``noted_s`` is when the leader first took note of the end;
+    ``is_note_void`` says that the worker's lease lapsed before that. The outcome is
+    ``lost`` if the worker crashed or left.
+    """
+
+    task: TaskId
+    number: int
+    worker: str
+    incarnation: int
+    told_s: float
+    payload: str
+    checkpoint: str = ""
+    term: int = 0
+    is_late: bool = False
+    in_touch: bool = True
+    cpu_milli: int = 0
+    is_started: bool = True
+    ended_s: float = math.inf
+    outcome: str = ""
+    noted_s: float = math.inf
+    is_note_void: bool = False
+
+    def __str__(self) -> str:
+        return f"{self.task} run {self.number} on {self.worker} at {self.told_s:.2f}"
+
+
+RunKey = tuple[TaskId, int, str, int]
+
+
+@dataclasses.dataclass(frozen=True)
+class Stop:
+    """A stop order that a worker was told, whether it had such a run or not."""
+
+    told_s: float
+    task: TaskId
+    number: int
+    worker: str
+    term: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Checkpoint:
+    """A checkpoint that a worker produced for a run."""
+
+    produced_s: float
+    task: TaskId
+    number: int
+    value: str
+
+
+@dataclasses.dataclass
+class Disruption:
+    """A fault or its effect from one time to another; it is over at ``until_s``."""
+
+    from_s: float
+    until_s: float
+    name: str = ""
+
+
+@dataclasses.dataclass
+class Observations:
+    """All that clients and workers saw, in the order in which it was recorded."""
+
+    submissions: dict[str, list[Submission]] = dataclasses.field(default_factory=dict)
+    cancels: dict[str, list[Cancel]] = dataclasses.field(default_factory=dict)
+    # All orders to start a run, and those of them on which a run was started.
+    orders: list[Run] = dataclasses.field(default_factory=list)
+    runs: list[Run] = dataclasses.field(default_factory=list)
+    stops: list[Stop] = dataclasses.field(default_factory=list)
+    checkpoints: dict[TaskId, list[Checkpoint]] = dataclasses.field(
+        default_factory=dict
+    )
+    disruptions: list[Disruption] = dataclasses.field(default_factory=list)
+    # When a job was first shown as completed.
+    completed_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    # When the observation ended; until then the runs without an end went on.
+    until_s: float = 0.0
+    # Whether the workers let the members of a gang end together, as real ones do.
+    gangs_end_together: bool = False
+    _run_by_key: dict[RunKey, Run] = dataclasses.field(default_factory=dict)
+
+    def record_submission(
+        self,
+        job: str,
+        sent_s: float,
+        **fields: t.Any,
+    ) -> Submission:
+        """Record an attempt to hand a job in; pass the result to ``record_answer``.
+
+        See ``Submission`` for the fields; ``declare_job`` makes those of a body.
+        """
+        submission = Submission(job, sent_s=sent_s, **fields)
+        self.submissions.setdefault(job, []).append(submission)
+        return submission
+
+    def record_cancel(self, job: str, sent_s: float, account: str = "") -> Cancel:
+        """Record an attempt to cancel a job; pass the result to ``record_answer``."""
+        cancel = Cancel(job, sent_s, account)
+        self.cancels.setdefault(job, []).append(cancel)
+        return cancel
+
+    def record_answer(
+        self, request: Submission | Cancel, status: int | None, answered_s: float
+    ) -> None:
+        """Record the answer to an attempt, or with None that its client gave up."""
+        request.status, request.answered_s = status, answered_s
+        self._extend(answered_s)
+
+    def record_start(
+        self,
+        task: tuple[str, int, int, int],
+        number: int,
+        worker: str,
+        incarnation: int,
+        told_s: float,
+        payload: str,
+        **fields: t.Any,
+    ) -> Run:
+        """Record a start order; see ``Run`` for the fields."""
+        task = TaskId(*task)
+        run = Run(task, number, worker, incarnation, told_s, payload, **fields)
+        self.orders.append(run)
+        if run.is_started:
+            self.runs.append(run)
+            self._run_by_key[task, number, worker, incarnation] = run
+        self._extend(told_s)
+        return run
+
+    def record_end(
+        self,
+        task: tuple[str, int, int, int],
+        number: int,
+        worker: str,
+        incarnation: int,
+        ended_s: float,
+        outcome: str,
+    ) -> None:
+        """Record how a run ended; a run that was not started is ignored."""
+        run = self._run_by_key.get((TaskId(*task), number, worker, incarnation))
+        if run is not None and run.ended_s == math.inf:
+            run.ended_s, run.outcome = ended_s, outcome
+            self._extend(ended_s)
+
+    def record_note(
+        self,
+        task: tuple[str, int, int, int],
+        number: int,
+        worker: str,
+        incarnation: int,
+        noted_s: float,
+        is_void: bool,
+    ) -> None:
+        """Record that the leader took note of an end, by acknowledging it.
+
+        ``is_void`` says that the worker's lease lapsed between the two.
+        """
+        run = self._run_by_key.get((TaskId(*task), number, worker, incarnation))
+        if run is not None and run.noted_s == math.inf:
+            run.noted_s, run.is_note_void = noted_s, is_void
+            self._extend(noted_s)
+
+    def record_incarnation_end(
+        self, worker: str, incarnation: int, ended_s: float
+    ) -> None:
+        """Record that a worker has crashed or left: its runs are over."""
+        for key, run in self._run_by_key.items():
+            if key[2:] == (worker, incarnation) and run.ended_s == math.inf:
+                run.ended_s, run.outcome = ended_s, "lost"
+        self._extend(ended_s)
+
+    def record_stop(
+        self,
+        task: tuple[str, int, int, int],
+        number: int,
+        worker: str,
+        told_s: float,
+        term: int = 0,
+    ) -> None:
+        """Record a stop order."""
+        self.stops.append(Stop(told_s, TaskId(*task), number, worker, term))
+        self._extend(told_s)
+
+    def record_checkpoint(
+        self,
+        task: tuple[str, int, int, int],
+        number: int,
+        value: str,
+        produced_s: float,
+    ) -> None:
+        """Record a checkpoint that a worker produced."""
+        task = TaskId(*task)
+        self.checkpoints.setdefault(task, []).append(
+            Checkpoint(produced_s, task, number, value)
+        )
+
+    def record_disruption(
+        self, from_s: float, until_s: float = math.inf, name: str = ""
+    ) -> Disruption:
+        """Record a disruption; while it lasts, its ``until_s`` may be set later.
+
+        Cancels, workers that shut down gracefully and evacuations are none.
+        """
+        disruption = Disruption(from_s, until_s, name)
+        self.disruptions.append(disruption)
+        return disruption
+
+    def record_completed(self, job: str, shown_s: float) -> None:
+        """Record that a job was shown as completed."""
+        self.completed_s.setdefault(job, shown_s)
+        self._extend(shown_s)
+
+    def end_at(self, until_s: float) -> None:
+        """Record until when the workers were observed."""
+        self._extend(until_s)
+
+    def _extend(self, until_s: float) -> None:
+        self.until_s = max(self.until_s, until_s)
+
+    def declared_step(self, task: TaskId) -> DeclaredStep | None:
+        """Return the step of a task as a submission that may count declares it."""
+        for submission in self.list_valid_submissions(task.job):
+            if submission.declares(task):
+                return submission.steps[task.step]
+        return None
+
+    def list_valid_submissions(
+        self, job: str, until_s: float = math.inf
+    ) -> list[Submission]:
+        """List the submissions sent by a time that were not rejected; all if all were.
+
+        That a job starts though all were rejected is for the rule REFUSED.
+        """
+        submissions = [
+            row for row in self.submissions.get(job, []) if row.sent_s <= until_s
+        ]
+        valid = [row for row in submissions if row.outcome != "rejected"]
+        return valid or submissions
+
+
+@dataclasses.dataclass(frozen=True)
+class Violation:
+    """One broken clause of a rule, with a sentence that says what was seen."""
+
+    rule: str
+    clause: str
+    sentence: str
+
+    def __str__(self) -> str:
+        return f"{self.rule} ({self.clause}): {self.sentence}"
--- /dev/null
+++ b/oracle/twice.py
@@ -0,0 +1,103 @@
+"""Find tasks that run twice at once, or again after they were done: the rule TWICE.
+
+An end counts once the leader has taken note of it, unless the worker's lease lapsed
+before that. Steps whose copies may run in parallel are judged only by what was known,
+and long-running ones, which start again however they end, only by parallel runs.
+"""
+
+import itertools
+import math
+import typing as t
+
+from oracle.observations import (
+    Bounds,
+    Observations,
+    Run,
+    Violation,
+)
+from oracle.requests import DeclaredStep, TaskId
+
+RULE: t.Final = "TWICE"
+# Of a task that nobody declared.
+ANY_STEP: t.Final = DeclaredStep(1)
+
+
+def find_parallel_runs(observations: Observations, bounds: Bounds) -> list[Violation]:
+    """Find runs that start while another run of their task goes on."""
+    violations = []
+    for task, runs in _group_runs(observations).items():
+        step = observations.declared_step(task) or ANY_STEP
+        if step.speculative:
+            continue
+        longest = runs[0]
+        for run in itertools.islice(runs, 1, None):
+            if run.told_s < longest.ended_s:
+                sentence = f"{run} starts while run {longest.number} goes on"
+                sentence += f" on {longest.worker}"
+                violations.append(Violation(RULE, "parallel", sentence))
+            longest = max(longest, run, key=lambda row: row.ended_s)
+    return violations
+
+
+def find_starts_after_done(
+    observations: Observations, bounds: Bounds
+) -> list[Violation]:
+    """Find starts after an end as done of which the leader took note, then or later."""
+    violations = []
+    for task, runs in _group_runs(observations).items():
+        step = observations.declared_step(task) or ANY_STEP
+        if step.speculative or step.long_running:
+            continue
+        # Stand-ins may end a member of a gang as done though another one fails.
+        counts_at_end = not step.gang or observations.gangs_end_together
+        done_s = min(
+            (
+                row.ended_s if counts_at_end else row.noted_s
+                for row in runs
+                if _is_noted(row)
+            ),
+            default=math.inf,
+        )
+        for run in runs:
+            if run.told_s > done_s:
+                sentence = f"{run} starts again after it was done at {done_s:.2f}"
+                violations.append(Violation(RULE, "done", sentence))
+    return violations
+
+
+def find_starts_after_noted(
+    observations: Observations, bounds: Bounds
+) -> list[Violation]:
+    """Find starts over ``noted_s`` after an end was noted or a job was completed."""
+    violations = []
+    for task, runs in _group_runs(observations).items():
+        step = observations.declared_step(task) or ANY_STEP
+        known_s = observations.completed_s.get(task.job, math.inf)
+        if not step.long_running:
+            known_s = min([known_s, *(row.noted_s for row in runs if _is_noted(row))])
+        for run in runs:
+            if run.in_touch and not run.is_late:
+                late_s = run.told_s - known_s
+                if late_s > bounds.noted_s:
+                    sentence = f"{run} starts {late_s:.2f} s after it was known as done"
+                    violations.append(Violation(RULE, "noted", sentence))
+    return violations
+
+
+def _is_noted(run: Run) -> bool:
+    return run.outcome == "done" and run.noted_s < math.inf and not run.is_note_void
+
+
+def _group_runs(observations: Observations) -> dict[TaskId, list[Run]]:
+    """Return the runs of each task in the order of their starts."""
+    rv: dict[TaskId, list[Run]] = {}
+    for run in sorted(observations.runs, key=lambda run: run.told_s):
+        rv.setdefault(run.task, []).append(run)
+    return rv
+
+
+CLAUSES: t.Final = {
+    "parallel": find_parallel_runs,
+    "done": find_starts_after_done,
+    "noted": find_starts_after_noted,
+}
--- /dev/null
+++ b/tests/test_oracle.py
@@ -0,0 +1,460 @@
+"""Test each clause of the oracle with observations made by hand.
+
+For each clause: what breaks it, and what is just inside the bound. The tests guard
+against clauses that never fail, and against ones that excuse more than the rules do.
+"""
+
+import unittest
+
+from oracle.calm import find_waited_s, list_steady_stretches
+from oracle.observations import Bounds, Observations
+from oracle.requests import DeclaredStep, declare_job, parse_task_id
+from oracle.rules import CLAUSES, find_violations
+
+JOB = "00000000000000a1"
+BOUNDS = Bounds()
+STEP = DeclaredStep(2)
+GANG = DeclaredStep(2, gang=True)
+# A time that is late enough that nothing before it is near.
+T = 100.0
+
+
+class OracleTest(unittest.TestCase):
+    def setUp(self):
+        self.seen = Observations()
+
+    def submit(self, *steps, sent_s=T, status=200, answered_s=None, **fields):
+        fields = {"payload": "p", "account": "team", **fields}
+        submission = self.seen.record_submission(
+            JOB, sent_s, steps=steps or (STEP,), **fields
+        )
+        if answered_s is not None or status is not None:
+            answered_s = sent_s + 0.1 if answered_s is None else answered_s
+            self.seen.record_answer(submission, status, answered_s)
+        return submission
+
+    def cancel(self, sent_s, answered_s, status=200, account="team"):
+        cancel = self.seen.record_cancel(JOB, sent_s, account)
+        if answered_s is not None:
+            self.seen.record_answer(cancel, status, answered_s)
+
+    def start(self, told_s=T + 1, task=(0, 0, 0), number=1, worker="w", **fields):
+        fields = {"payload": "p", **fields}
+        key = (JOB, *task)
+        return self.seen.record_start(key, number, worker, 1, told_s, **fields)
+
+    def end(self, ended_s, outcome="done", task=(0, 0, 0), number=1, worker="w"):
+        key = (JOB, *task)
+        self.seen.record_end(key, number, worker, 1, ended_s, outcome)
+
+    def note(self, noted_s, is_void=False, task=(0, 0, 0), number=1, worker="w"):
+        key = (JOB, *task)
+        self.seen.record_note(key, number, worker, 1, noted_s, is_void)
+
+    def check(self, *names):
+        """Check that exactly these clauses are broken, each by one sentence or more."""
+        found = {f"{row.rule} ({row.clause})" for row in find_violations(self.seen)}
+        self.assertEqual(found, set(names))
+
+
+class UnsubmittedTest(OracleTest):
+    CLAUSE = "UNASKED (unsubmitted)"
+
+    def test_job_that_nobody_submitted(self):
+        self.start()
+        self.check(self.CLAUSE)
+
+    def test_job_that_is_submitted_only_later(self):
+        self.submit(sent_s=T + 1.1)
+        self.start()
+        self.check(self.CLAUSE)
+
+    def test_each_index_out_of_the_declared_bounds(self):
+        for task in ((1, 0, 0), (0, 1, 0), (0, 0, 2), (-1, -1, -1)):
+            with self.subTest(task=task):
+                self.seen = Observations()
+                self.submit(STEP)
+                self.start(task=task)
+                self.check(self.CLAUSE)
+
+    def test_order_that_the_worker_refused_counts(self):
+        self.start(is_started=False)
+        self.check(self.CLAUSE)
+
+    def test_last_declared_task(self):
+        self.submit(STEP, DeclaredStep(3), occurrence_count=2, status=None)
+        self.start(task=(1, 1, 2))
+        self.check()
+
+    def test_names_of_tasks(self):
+        self.assertEqual(parse_task_id(f"{JOB}.1.2.3"), (JOB, 1, 2, 3))
+        for name in (JOB, f"{JOB}.1.2", f"{JOB}.1.2.x", f"{JOB}.1.-2.3"):
+            self.assertEqual(parse_task_id(name)[1:], (-1, -1, -1))
+
+    def test_body_of_a_submission(self):
+        step = {"count": 2, "cpu": 500, "gang": True, "depends_on": [0]}
+        body = {"spec": "x", "steps": [{"count": 1}, step], "repeat_count": 3}
+        submission = Observations().record_submission(JOB, T, **declare_job(body))
+        self.assertEqual((submission.payload, submission.occurrence_count), ("x", 3))
+        second = DeclaredStep(2, 500, gang=True, depends_on=(0,))
+        self.assertEqual(submission.steps, (DeclaredStep(1), second))
+
+
+class PayloadTest(OracleTest):
+    CLAUSE = "UNASKED (payload)"
+
+    def test_payload_of_no_submission(self):
+        self.submit()
+        self.start(payload="q")
+        self.check(self.CLAUSE)
+
+    def test_payload_of_a_submission_that_was_rejected(self):
+        self.submit()
+        self.submit(payload="q", status=429)
+        self.start(payload="q")
+        self.check(self.CLAUSE)
+
+    def test_payload_of_a_later_submission(self):
+        self.submit()
+        self.submit(payload="q", sent_s=T + 2)
+        self.start(payload="q")
+        self.check(self.CLAUSE)
+
+    def test_order_that_repeats_a_start_with_another_payload(self):
+        self.submit()
+        self.start()
+        self.start(payload="q", is_started=False)
+        self.check(self.CLAUSE)
+
+    def test_payloads_of_two_submissions_that_may_count(self):
+        self.submit()
+        self.submit(payload="q", status=None)
+        self.start()
+        self.start(payload="q", task=(0, 0, 1))
+        self.check()
+
+
+class CheckpointTest(OracleTest):
+    CLAUSE = "UNASKED (checkpoint)"
+
+    def produce(self, value, produced_s=T + 2, task=(0, 0, 0)):
+        self.seen.record_checkpoint((JOB, *task), 1, value, produced_s)
+
+    def test_checkpoint_that_nobody_produced(self):
+        self.submit()
+        self.start(checkpoint="c")
+        self.check(self.CLAUSE)
+
+    def test_checkpoint_of_another_task(self):
+        self.submit()
+        self.produce("c", task=(0, 0, 1))
+        self.start(T + 3, checkpoint="c")
+        self.check(self.CLAUSE)
+
+    def test_checkpoint_that_is_produced_later(self):
+        self.submit()
+        self.produce("c", T + 3.1)
+        self.start(T + 3, checkpoint="c")
+        self.check(self.CLAUSE)
+
+    def test_checkpoint_of_the_task(self):
+        self.submit()
+        self.produce("c")
+        self.produce("d", T + 4)
+        self.start(T + 2, checkpoint="c")
+        self.check()
+
+    def test_checkpoint_of_a_gang_of_another_occurrence(self):
+        self.submit(GANG, occurrence_count=2)
+        self.produce("c", task=(1, 0, 0))
+        self.start(T + 3, checkpoint="c")
+        self.check(self.CLAUSE)
+
+    def test_checkpoint_of_another_member_of_the_gang(self):
+        self.submit(GANG)
+        self.produce("c", task=(0, 0, 1))
+        self.start(T + 3, checkpoint="c", number=2)
+        self.start(T + 3, checkpoint="c", number=2, task=(0, 0, 1))
+        self.check()
+
+    def test_members_of_one_gang_run_with_different_checkpoints(self):
+        self.submit(GANG)
+        self.produce("c", task=(0, 0, 1))
+        self.start(T + 3, checkpoint="c", number=2)
+        self.start(T + 3, number=2, task=(0, 0, 1))
+        self.check(self.CLAUSE)
+
+
+class StartAfterCancelTest(OracleTest):
+    CLAUSE = "UNASKED (start after cancel)"
+
+    def test_start_later_than_allowed(self):
+        for status in (200, 204, 410):
+            with self.subTest(status=status):
+                self.seen = Observations()
+                self.submit()
+                self.cancel(T + 1, T + 1.5, status)
+                self.start(T + 4.51)
+                self.end(T + 4.6)
+                self.check(self.CLAUSE)
+
+    def test_start_at_the_bound(self):
+        self.submit()
+        self.cancel(T + 1, T + 1.5)
+        self.start(T + 4.49)
+        self.end(T + 4.6)
+        self.check()
+
+    def test_cancel_that_came_before_the_submission_was_accepted(self):
+        self.submit(sent_s=T, answered_s=T + 6)
+        self.cancel(T + 1, T + 1.5, 410)
+        self.start(T + 6)
+        self.end(T + 6.1)
+        self.check(self.CLAUSE)
+
+    def test_cancel_that_had_waited(self):
+        self.submit()
+        self.cancel(T + 1, None)
+        self.start(T + 8.01)
+        self.end(T + 8.1)
+        self.check(self.CLAUSE)
+
+    def test_cancel_that_waits_at_the_bound_or_had_another_answer(self):
+        self.submit()
+        self.cancel(T + 1, T + 1.5, 503)
+        self.cancel(T + 1.5, T + 4.9, None)
+        self.cancel(T + 5, None)
+        self.start(T + 8.09)
+        self.end(T + 8.1)
+        self.check()
+
+    def test_cancel_that_does_not_wait_in_a_steady_state(self):
+        self.submit()
+        self.seen.record_disruption(T, T + 2)
+        self.cancel(T + 1, None)
+        self.start(T + 5 + 7 - 0.01)
+        self.end(T + 12)
+        self.check()
+        self.start(T + 5 + 7 + 0.01, number=2)
+        self.end(T + 12.1, number=2)
+        self.check(self.CLAUSE)
+
+    def test_start_that_was_carried_out_late_or_whose_starter_was_out_of_touch(self):
+        self.submit()
+        self.cancel(T + 1, T + 1.5)
+        self.start(T + 9, is_late=True)
+        self.start(T + 9, in_touch=False, task=(0, 0, 1))
+        self.end(T + 9.1)
+        self.end(T + 9.1, task=(0, 0, 1))
+        self.check()
+
+    def test_cancel_by_an_account_that_did_not_submit_the_job(self):
+        self.submit()
+        self.cancel(T + 1, T + 1.5, 410, account="other")
+        self.start(T + 9)
+        self.check()
+
+
+class RunAfterCancelTest(OracleTest):
+    CLAUSE = "UNASKED (run after cancel)"
+
+    def setUp(self):
+        super().setUp()
+        self.submit()
+        self.cancel(T + 1, T + 1.5)
+        self.due_s = T + 1.5 + 3.0 + 0.9
+
+    def test_run_that_ends_late(self):
+        self.start()
+        self.end(self.due_s + 0.01)
+        self.check(self.CLAUSE)
+
+    def test_run_that_is_still_there(self):
+        self.start()
+        self.seen.end_at(self.due_s + 0.01)
+        self.check(self.CLAUSE)
+
+    def test_run_that_ends_in_time(self):
+        self.start()
+        self.end(self.due_s - 0.01, "stopped")
+        self.seen.end_at(T + 50)
+        self.check()
+
+    def test_run_on_a_worker_that_crashed(self):
+        self.start()
+        self.seen.record_incarnation_end("w", 1, self.due_s - 0.01)
+        self.seen.end_at(T + 50)
+        self.check()
+
+    def test_disruption_before_what_is_near(self):
+        self.start()
+        self.seen.record_disruption(T + 1, self.due_s - 3.01)
+        self.end(self.due_s + 0.01)
+        self.check(self.CLAUSE)
+
+    def test_run_ends_in_the_next_steady_stretch(self):
+        self.start()
+        self.seen.record_disruption(self.due_s - 0.5, self.due_s + 0.5)
+        due_s = self.due_s + 0.5 + 3.0 + 3.9
+        self.seen.end_at(due_s - 0.01)
+        self.check()
+        self.seen.end_at(due_s + 0.01)
+        self.check(self.CLAUSE)
+
+    def test_run_that_started_late_counts_from_its_start(self):
+        for field in ({"is_late": True}, {"in_touch": False}):
+            with self.subTest(field=field):
+                self.seen.runs.clear()
+                self.start(T + 10, **field)
+                self.end(T + 13.89, "stopped")
+                self.check()
+                self.start(T + 10, number=2, **field)
+                self.end(T + 13.91, "stopped", number=2)
+                self.seen.runs[:1] = []
+                self.check(self.CLAUSE)
+
+
+class RefusedTest(OracleTest):
+    CLAUSE = "REFUSED (refused)"
+
+    def test_start_though_each_attempt_was_rejected(self):
+        for status in (429, 503, 404, 401):
+            with self.subTest(status=status):
+                self.seen = Observations()
+                self.submit(status=503)
+                self.submit(status=status)
+                self.start()
+                self.check(self.CLAUSE)
+
+    def test_attempt_after_the_start_is_no_excuse(self):
+        self.submit(status=503)
+        self.submit(sent_s=T + 2)
+        self.start()
+        self.check(self.CLAUSE)
+
+    def test_attempt_that_may_count(self):
+        for status in (200, None, 502, 504, 408):
+            with self.subTest(status=status):
+                self.seen = Observations()
+                self.submit(status=503)
+                self.submit(status=status)
+                self.start()
+                self.check()
+
+
+class TwiceTest(OracleTest):
+    def test_two_runs_at_the_same_time(self):
+        self.submit()
+        self.start(T + 1)
+        self.start(T + 2, number=2, worker="x")
+        self.end(T + 2.01, "stopped")
+        self.check("TWICE (parallel)")
+
+    def test_run_beside_one_that_began_long_before(self):
+        self.submit()
+        self.start(T + 1)
+        self.start(T + 1, task=(0, 0, 1))
+        self.end(T + 9, "stopped")
+        self.start(T + 9.1, number=2)
+        self.end(T + 9.2, "stopped", number=2)
+        self.start(T + 9.15, number=3)
+        self.check("TWICE (parallel)")
+
+    def test_run_after_another_one_has_ended(self):
+        self.submit()
+        self.start(T + 1)
+        self.end(T + 2, "stopped")
+        self.start(T + 2, number=2, worker="x")
+        self.check()
+
+    def test_copies_of_a_speculative_step(self):
+        self.submit(DeclaredStep(1, speculative=True))
+        self.start(T + 1)
+        self.start(T + 2, number=2, worker="x")
+        self.check()
+
+    def test_start_after_an_end_that_is_noted_later(self):
+        self.submit()
+        self.start(T + 1)
+        self.end(T + 2)
+        self.start(T + 2.5, number=2)
+        self.check()
+        self.note(T + 3)
+        self.check("TWICE (done)")
+
+    def test_lease_lapsed_before_the_note(self):
+        self.submit()
+        self.start(T + 1)
+        self.end(T + 2)
+        self.note(T + 3, is_void=True)
+        self.start(T + 4, number=2)
+        self.check()
+
+    def test_member_of_a_gang(self):
+        self.submit(GANG)
+        self.start(T + 1)
+        self.end(T + 2)
+        self.start(T + 2.5, number=2)
+        self.note(T + 3)
+        self.check()
+        self.seen.gangs_end_together = True
+        self.check("TWICE (done)")
+        self.seen.gangs_end_together = False
+        self.end(T + 3, "stopped", number=2)
+        self.start(T + 3.1, number=3)
+        self.check("TWICE (done)")
+
+    def test_speculative_copy_after_the_end_was_noted(self):
+        self.submit(DeclaredStep(1, speculative=True))
+        self.start(T + 1)
+        self.end(T + 2)
+        self.note(T + 3)
+        self.start(T + 3.99, number=2)
+        self.check()
+        self.start(T + 4.01, number=3)
+        self.check("TWICE (noted)")
+
+    def test_start_after_the_job_was_shown_as_completed(self):
+        self.submit()
+        self.seen.record_completed(JOB, T + 3)
+        self.start(T + 3.99)
+        self.start(T + 9, task=(0, 0, 1), is_late=True)
+        self.check()
+        self.start(T + 4.01, number=2, task=(0, 0, 1))
+        self.end(T + 4.02, "stopped", number=2, task=(0, 0, 1))
+        self.check("TWICE (noted)")
+
+    def test_long_running_task_starts_again(self):
+        self.submit(DeclaredStep(1, long_running=True))
+        self.start(T + 1)
+        self.end(T + 2)
+        self.note(T + 3)
+        self.start(T + 5, number=2)
+        self.check()
+
+
+class CalmTest(unittest.TestCase):
+    def test_steady_stretches(self):
+        seen = Observations()
+        for from_s, until_s in ((10, 11), (12, 13), (30, 40), (32, 33)):
+            seen.record_disruption(from_s, until_s)
+        stretches = list_steady_stretches(seen, BOUNDS)
+        inf = float("inf")
+        self.assertEqual(stretches, [(-inf, 10), (16, 30), (43, inf)])
+        seen.record_disruption(50)
+        self.assertEqual(list_steady_stretches(seen, BOUNDS)[-1], (43, 50))
+
+    def test_waits_count_together_and_overlaps_once(self):
+        stretches = [(0.0, 10.0), (20.0, 30.0)]
+        waits = [(8.0, 12.0), (8.5, 9.0), (19.0, 21.0), (22.0, 40.0)]
+        self.assertEqual(find_waited_s(waits, stretches, 4.0), 23.0)
+        self.assertEqual(find_waited_s(waits, stretches, 20.0), float("inf"))
+
+
+class RulesTest(unittest.TestCase):
+    def test_clauses_have_the_names_of_their_violations(self):
+        self.assertEqual(len(CLAUSES), 9)
+
+
+if __name__ == "__main__":
+    unittest.main()
