Judge late orders and cut-off leaders in the oracle by when orders arrived

Cause: an order that a worker carries out late was excused whenever it had come, and so was each start of a leader that is not the newest. Change: a run has the time at which its order arrived, by which the clauses with a bound judge it; a leader is excused only if it has been cut off for all of contact_s. Result: tests/test_oracle.py has one case on each side of both bounds.

--- a/oracle/observations.py
+++ b/oracle/observations.py
@@ -2,16 +2,21 @@
 
 Takes submissions and cancels as clients sent them, and starts, stops, checkpoints and
 ends as workers saw them, in any order; all times are seconds on one monotonic clock.
-Nothing in here comes from the scheduler or its logs. What has not happened yet has an
-infinite time. A run is identified by its task, its number and the worker's incarnation:
-a worker that is back under its id runs another one.
+Nothing in here comes from the scheduler or its logs.
 """
 
 import dataclasses
 import math
 import typing as t
 
-from oracle.requests import Cancel, DeclaredStep, Submission, TaskId
+from oracle.requests import (
+    Cancel,
+    DeclaredStep,
+    Submission,
+    TaskId,
+    make_task_id,
+)
+from oracle.runs import Checkpoint, Run, RunKey, Stop
 
 
 @dataclasses.dataclass(frozen=True)
@@ -26,63 +31,6 @@
     noted_s: float = 1.0
 
 
-@dataclasses.dataclass(eq=False)
-class Run:
-    """An order to start a run that a worker was told, and how the run ended.
-
-    ``is_started`` is False if the worker did not start it on this order: it refused, or
-    the run was there. ``term`` is the fencing token of the order. ``is_late`` says that
-    the worker carried the order out late, ``in_touch`` that the starter was in touch
-    with the platform. ``noted_s`` is when the leader first took note of the end;
-    ``is_note_void`` says that the worker's lease lapsed before that. The outcome is
-    ``lost`` if the worker crashed or left.
-    """
-
-    task: TaskId
-    number: int
-    worker: str
-    incarnation: int
-    told_s: float
-    payload: str
-    checkpoint: str = ""
-    term: int = 0
-    is_late: bool = False
-    in_touch: bool = True
-    cpu_milli: int = 0
-    is_started: bool = True
-    ended_s: float = math.inf
-    outcome: str = ""
-    noted_s: float = math.inf
-    is_note_void: bool = False
-
-    def __str__(self) -> str:
-        return f"{self.task} run {self.number} on {self.worker} at {self.told_s:.2f}"
-
-
-RunKey = tuple[TaskId, int, str, int]
-
-
-@dataclasses.dataclass(frozen=True)
-class Stop:
-    """A stop order that a worker was told, whether it had such a run or not."""
-
-    told_s: float
-    task: TaskId
-    number: int
-    worker: str
-    term: int
-
-
-@dataclasses.dataclass(frozen=True)
-class Checkpoint:
-    """A checkpoint that a worker produced for a run."""
-
-    produced_s: float
-    task: TaskId
-    number: int
-    value: str
-
-
 @dataclasses.dataclass
 class Disruption:
     """A fault or its effect from one time to another; it is over at ``until_s``."""
@@ -106,6 +54,10 @@
         default_factory=dict
     )
     disruptions: list[Disruption] = dataclasses.field(default_factory=list)
+    # By term: when its leader was cut off from the store.
+    contact_losses: dict[int, list[Disruption]] = dataclasses.field(
+        default_factory=dict
+    )
     # When a job was first shown as completed.
     completed_s: dict[str, float] = dataclasses.field(default_factory=dict)
     # When the observation ended; until then the runs without an end went on.
@@ -143,7 +95,7 @@
 
     def record_start(
         self,
-        task: tuple[str, int, int, int],
+        task: str | tuple[str, int, int, int],
         number: int,
         worker: str,
         incarnation: int,
@@ -152,18 +104,18 @@
         **fields: t.Any,
     ) -> Run:
         """Record a start order; see ``Run`` for the fields."""
-        task = TaskId(*task)
-        run = Run(task, number, worker, incarnation, told_s, payload, **fields)
+        task_id = make_task_id(task)
+        run = Run(task_id, number, worker, incarnation, told_s, payload, **fields)
         self.orders.append(run)
         if run.is_started:
             self.runs.append(run)
-            self._run_by_key[task, number, worker, incarnation] = run
+            self._run_by_key[task_id, number, worker, incarnation] = run
         self._extend(told_s)
         return run
 
     def record_end(
         self,
-        task: tuple[str, int, int, int],
+        task: str | tuple[str, int, int, int],
         number: int,
         worker: str,
         incarnation: int,
@@ -171,14 +123,14 @@
         outcome: str,
     ) -> None:
         """Record how a run ended; a run that was not started is ignored."""
-        run = self._run_by_key.get((TaskId(*task), number, worker, incarnation))
+        run = self._run_by_key.get((make_task_id(task), number, worker, incarnation))
         if run is not None and run.ended_s == math.inf:
             run.ended_s, run.outcome = ended_s, outcome
             self._extend(ended_s)
 
     def record_note(
         self,
-        task: tuple[str, int, int, int],
+        task: str | tuple[str, int, int, int],
         number: int,
         worker: str,
         incarnation: int,
@@ -189,7 +141,7 @@
 
         ``is_void`` says that the worker's lease lapsed between the two.
         """
-        run = self._run_by_key.get((TaskId(*task), number, worker, incarnation))
+        run = self._run_by_key.get((make_task_id(task), number, worker, incarnation))
         if run is not None and run.noted_s == math.inf:
             run.noted_s, run.is_note_void = noted_s, is_void
             self._extend(noted_s)
@@ -205,27 +157,27 @@
 
     def record_stop(
         self,
-        task: tuple[str, int, int, int],
+        task: str | tuple[str, int, int, int],
         number: int,
         worker: str,
         told_s: float,
         term: int = 0,
     ) -> None:
         """Record a stop order."""
-        self.stops.append(Stop(told_s, TaskId(*task), number, worker, term))
+        self.stops.append(Stop(told_s, make_task_id(task), number, worker, term))
         self._extend(told_s)
 
     def record_checkpoint(
         self,
-        task: tuple[str, int, int, int],
+        task: str | tuple[str, int, int, int],
         number: int,
         value: str,
         produced_s: float,
     ) -> None:
         """Record a checkpoint that a worker produced."""
-        task = TaskId(*task)
-        self.checkpoints.setdefault(task, []).append(
-            Checkpoint(produced_s, task, number, value)
+        task_id = make_task_id(task)
+        self.checkpoints.setdefault(task_id, []).append(
+            Checkpoint(produced_s, task_id, number, value)
         )
 
     def record_disruption(
@@ -239,6 +191,25 @@
         self.disruptions.append(disruption)
         return disruption
 
+    def record_contact_loss(
+        self, term: int, from_s: float, until_s: float = math.inf
+    ) -> Disruption:
+        """Record that the leader of a term was cut off from the store."""
+        loss = Disruption(from_s, until_s, f"term {term} is cut off")
+        self.contact_losses.setdefault(term, []).append(loss)
+        return loss
+
+    def is_in_touch(self, run: Run, bounds: Bounds) -> bool:
+        """Return whether the starter of a run may know what happened ``contact_s`` ago.
+
+        The users' rule asks for contact in all of that time: it excuses more.
+        """
+        from_s = run.arrived_s - bounds.contact_s
+        return run.in_touch and not any(
+            loss.from_s <= from_s and loss.until_s >= run.arrived_s
+            for loss in self.contact_losses.get(run.term, [])
+        )
+
     def record_completed(self, job: str, shown_s: float) -> None:
         """Record that a job was shown as completed."""
         self.completed_s.setdefault(job, shown_s)
--- a/oracle/requests.py
+++ b/oracle/requests.py
@@ -30,6 +30,11 @@
     return TaskId(name, -1, -1, -1)
 
 
+def make_task_id(task: str | tuple[str, int, int, int]) -> TaskId:
+    """Return the id of a task that is given by name or by its four values."""
+    return parse_task_id(task) if isinstance(task, str) else TaskId(*task)
+
+
 @dataclasses.dataclass(frozen=True)
 class DeclaredStep:
     """What a client declared of a step, as far as clauses need it."""
--- a/oracle/twice.py
+++ b/oracle/twice.py
@@ -12,10 +12,10 @@
 from oracle.observations import (
     Bounds,
     Observations,
-    Run,
     Violation,
 )
 from oracle.requests import DeclaredStep, TaskId
+from oracle.runs import Run
 
 RULE: t.Final = "TWICE"
 # Of a task that nobody declared.
@@ -76,11 +76,10 @@
         if not step.long_running:
             known_s = min([known_s, *(row.noted_s for row in runs if _is_noted(row))])
         for run in runs:
-            if run.in_touch and not run.is_late:
-                late_s = run.told_s - known_s
-                if late_s > bounds.noted_s:
-                    sentence = f"{run} starts {late_s:.2f} s after it was known as done"
-                    violations.append(Violation(RULE, "noted", sentence))
+            late_s = run.arrived_s - known_s
+            if late_s > bounds.noted_s and observations.is_in_touch(run, bounds):
+                sentence = f"{run} starts {late_s:.2f} s after it was known as done"
+                violations.append(Violation(RULE, "noted", sentence))
     return violations
 
 
--- a/oracle/unasked.py
+++ b/oracle/unasked.py
@@ -15,10 +15,10 @@
 from oracle.observations import (
     Bounds,
     Observations,
-    Run,
     Violation,
 )
 from oracle.requests import Cancel
+from oracle.runs import Run
 
 RULE: t.Final = "UNASKED"
 
@@ -107,14 +107,15 @@
 ) -> list[Violation]:
     """Find starts later than ``cancel_s`` after the cancel of their job counts.
 
-    What a worker carried out late is no such start, nor is that of a starter that was
-    out of touch; the run has to end all the same (``find_runs_after_cancel``).
+    What a worker carried out late counts by when it got the order. The start of a
+    starter that was out of touch does not count; the run has to end all the same
+    (``find_runs_after_cancel``).
     """
     violations = []
     cancelled_s = find_cancel_times(observations, bounds)
     for run in observations.runs:
-        late_s = run.told_s - cancelled_s.get(run.task.job, math.inf)
-        if late_s > bounds.cancel_s and not run.is_late and run.in_touch:
+        late_s = run.arrived_s - cancelled_s.get(run.task.job, math.inf)
+        if late_s > bounds.cancel_s and observations.is_in_touch(run, bounds):
             sentence = f"{run} starts {late_s:.2f} s after its job was cancelled"
             violations.append(Violation(RULE, "start after cancel", sentence))
     return violations
--- a/tests/test_oracle.py
+++ b/tests/test_oracle.py
@@ -242,12 +242,41 @@
     def test_start_that_was_carried_out_late_or_whose_starter_was_out_of_touch(self):
         self.submit()
         self.cancel(T + 1, T + 1.5)
-        self.start(T + 9, is_late=True)
+        self.start(T + 9, arrived_s=T + 4.49)
         self.start(T + 9, in_touch=False, task=(0, 0, 1))
         self.end(T + 9.1)
         self.end(T + 9.1, task=(0, 0, 1))
         self.check()
 
+    def test_order_that_arrived_too_late_and_was_carried_out_later(self):
+        self.submit()
+        self.cancel(T + 1, T + 1.5)
+        self.start(T + 9, arrived_s=T + 4.51)
+        self.end(T + 9.1)
+        self.check(self.CLAUSE)
+
+    def test_starter_that_has_been_cut_off(self):
+        self.submit()
+        self.cancel(T + 1, T + 1.5)
+        self.seen.record_contact_loss(7, T + 1.5)
+        self.start(T + 4.51, term=7)
+        self.end(T + 4.6)
+        self.check()
+        self.start(T + 4.7, number=2, term=8)
+        self.end(T + 4.8, number=2)
+        self.check(self.CLAUSE)
+
+    def test_starter_that_was_in_touch_for_a_while(self):
+        for from_s, until_s in ((T + 1.52, T + 9), (T, T + 4.4)):
+            with self.subTest(from_s=from_s):
+                self.seen = Observations()
+                self.submit()
+                self.cancel(T + 1, T + 1.5)
+                self.seen.record_contact_loss(7, from_s, until_s)
+                self.start(T + 4.51, term=7)
+                self.end(T + 4.6)
+                self.check(self.CLAUSE)
+
     def test_cancel_by_an_account_that_did_not_submit_the_job(self):
         self.submit()
         self.cancel(T + 1, T + 1.5, 410, account="other")
@@ -302,7 +331,7 @@
         self.check(self.CLAUSE)
 
     def test_run_that_started_late_counts_from_its_start(self):
-        for field in ({"is_late": True}, {"in_touch": False}):
+        for field in ({"arrived_s": T + 4}, {"in_touch": False}):
             with self.subTest(field=field):
                 self.seen.runs.clear()
                 self.start(T + 10, **field)
@@ -418,7 +447,7 @@
         self.submit()
         self.seen.record_completed(JOB, T + 3)
         self.start(T + 3.99)
-        self.start(T + 9, task=(0, 0, 1), is_late=True)
+        self.start(T + 9, task=(0, 0, 1), arrived_s=T + 3.9)
         self.check()
         self.start(T + 4.01, number=2, task=(0, 0, 1))
         self.end(T + 4.02, "stopped", number=2, task=(0, 0, 1))
