Let stand-in workers and test clusters record what the oracle judges

Change: stand-in workers record orders with all that they tell, ends, notes and checkpoints, which they make if the payload asks for it and go on from; both clusters record what their clients send and get. All clauses are asked after each test with InProcessCluster, and by the demo and the bench.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -187,7 +187,7 @@
         print(
             f"{name:10} {count:5} {p50:7.2f} {p99:7.2f} {load.refused_counts[name]:8}"
         )
-    violations = list(cluster.oracle.violations)
+    violations = cluster.find_violations()
     lost = sorted(load.unfinished_jobs)
     print(f"starts: {len(cluster.oracle.starts)}, accepted and not ended: {len(lost)}")
     print(f"violations: {len(violations)}")
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,8 +1,9 @@
 """Run real entry processes against stand-ins of the services they depend on.
 
 The store, the advice service and the workers are stand-ins in this process, so that a
-caller can inject faults into them and read what the workers recorded. Entry processes
-are processes of the operating system; settings and logs are in a temporary folder.
+caller can inject faults into them and read what the workers recorded. What clients and
+workers see is recorded, and judged by ``find_violations``. Entry processes are
+processes of the operating system; settings and logs are in a temporary folder.
 """
 
 import asyncio
@@ -28,6 +29,9 @@
 from bulrushspur_standins.advice import AdviceStandin
 from bulrushspur_standins.store import StoreStandin
 from bulrushspur_standins.worker import RunOracle, WorkerStandin
+from oracle.clients import observe_request
+from oracle.observations import Observations
+from oracle.rules import find_violations
 
 READY_TIMEOUT_S: t.Final = 15.0
 
@@ -98,7 +102,8 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="bulrushspur-"))
         self.store = StoreStandin()
         self.advice = AdviceStandin()
-        self.oracle = RunOracle()
+        self.observations = Observations()
+        self.oracle = RunOracle(self.observations.record)
         self.workers: list[WorkerStandin] = []
         self.entries: list[EntryProcess] = []
 
@@ -190,12 +195,25 @@
     ) -> t.Any:
         """Send a request as a caller; return None without a complete answer."""
         data = msgspec.json.encode(body) if body is not None else b""
-        try:
-            return await fetch_response(
-                method, entry.address, path, data, headers, timeout_s, host
-            )
-        except (NotSentError, ResponseLostError):
-            return None
+
+        async def send() -> t.Any:
+            try:
+                return await fetch_response(
+                    method, entry.address, path, data, headers, timeout_s, host
+                )
+            except (NotSentError, ResponseLostError):
+                return None
+
+        account = dict(headers).get("bulrushspur-credential", "")
+        return await observe_request(
+            self.observations, method, path, body, account, send
+        )
+
+    def find_violations(self) -> list[str]:
+        """List what broke a rule so far, as sentences."""
+        self.observations.end_at(time.monotonic())
+        judged = find_violations(self.observations)
+        return self.oracle.violations + [str(violation) for violation in judged]
 
     async def stop(self) -> None:
         """Stop all entry processes, workers and stand-ins that this object started."""
--- a/bench/run.py
+++ b/bench/run.py
@@ -55,8 +55,9 @@
         print(
             f"figure takeover_s {await submit(cluster, follower, JOB_COUNT + 1):.2f} s"
         )
-        print(f"figure violations {len(cluster.oracle.violations)} count")
-        sys.exit(1 if cluster.oracle.violations else 0)
+        violations = cluster.find_violations()
+        print(f"figure violations {len(violations)} count")
+        sys.exit(1 if violations else 0)
     finally:
         await cluster.stop()
 
--- a/oracle/observations.py
+++ b/oracle/observations.py
@@ -215,6 +215,10 @@
         self.completed_s.setdefault(job, shown_s)
         self._extend(shown_s)
 
+    def record(self, kind: str, **fields: t.Any) -> None:
+        """Record what a stand-in saw, by the function that its kind names."""
+        getattr(self, f"record_{kind}")(**fields)
+
     def end_at(self, until_s: float) -> None:
         """Record until when the workers were observed."""
         self._extend(until_s)
--- a/oracle/requests.py
+++ b/oracle/requests.py
@@ -105,7 +105,11 @@
 
 
 def declare_job(body: dict[str, t.Any]) -> dict[str, t.Any]:
-    """Return the fields of a submission that its body on the wire declares."""
+    """Return the fields of a submission that its body on the wire declares.
+
+    A body of another form declares nothing: it must be rejected.
+    """
+    rows = body.get("steps")
     steps = tuple(
         DeclaredStep(
             step.get("count", 0),
@@ -116,7 +120,7 @@
             step.get("long_running", False),
             tuple(step.get("depends_on", ())),
         )
-        for step in body.get("steps", ())
+        for step in (rows if isinstance(rows, list) else ())
     )
     return {
         "payload": body.get("spec", ""),
--- a/standins/bulrushspur_standins/serving.py
+++ b/standins/bulrushspur_standins/serving.py
@@ -5,8 +5,10 @@
 """
 
 import asyncio
+import contextvars
 import dataclasses
 import random
+import time
 import typing as t
 
 import msgspec
@@ -18,6 +20,11 @@
 
 StatusAndBody = tuple[int, bytes]
 
+# A request that is handled so long after it has arrived is handled late.
+LATE_S: t.Final = 0.1
+# When the request had arrived that is being handled, on the monotonic clock.
+_arrived_s: contextvars.ContextVar[float] = contextvars.ContextVar("arrived_s")
+
 
 @dataclasses.dataclass
 class Faults:
@@ -50,6 +57,12 @@
     return status, b"{}" if body is None else msgspec.json.encode(body)
 
 
+def find_arrival_s(now_s: float) -> float:
+    """Return when the present request had arrived, if it is handled late; or now."""
+    arrived_s = _arrived_s.get(now_s)
+    return arrived_s if now_s - arrived_s > LATE_S else now_s
+
+
 def make_server(
     handle: t.Callable[[Request, bytes], t.Awaitable[StatusAndBody]],
     faults: Faults,
@@ -59,6 +72,7 @@
 
     async def serve(request: Request, exchange: Exchange) -> None:
         body = await request.read_full_body(4_000_000)
+        _arrived_s.set(time.monotonic())
         if faults.down:
             raise CallerDisconnectedError
         if faults.unresponsive:
--- a/standins/bulrushspur_standins/worker.py
+++ b/standins/bulrushspur_standins/worker.py
@@ -8,6 +8,7 @@
 refused. Each start is checked: the worker's CPU is not overcommitted, also after it has
 shrunk for a while, no worker runs the task already, no end of it with outcome done has
 been acknowledged, and a task that has crashed three workers starts twice more at most.
+All orders are recorded with what was told, and so are checkpoints and ends.
 """
 
 import asyncio
@@ -20,7 +21,20 @@
 
 from bulrushspur_kernel.http_exchange import Request
 from bulrushspur_kernel.http_server import HttpServer
-from bulrushspur_standins.serving import Faults, StatusAndBody, json_answer, make_server
+from bulrushspur_standins.runs import (
+    RunOracle,
+    WorkerRun,
+    WorkModel,
+    save_interval_from_payload,
+    work_from_payload,
+)
+from bulrushspur_standins.serving import (
+    Faults,
+    StatusAndBody,
+    find_arrival_s,
+    json_answer,
+    make_server,
+)
 
 CLOCK_START_MS: t.Final = 1000
 CRASH: t.Final = "crash"
@@ -31,56 +45,6 @@
 MAX_FURTHER_STARTS: t.Final = 2
 
 
-@dataclasses.dataclass
-class WorkerRun:
-    """A run on the worker; its work is done at the monotonic time ``end_s``."""
-
-    task: str
-    number: int
-    cpu_milli: int
-    end_s: float
-    outcome: str
-
-
-@dataclasses.dataclass
-class RunOracle:
-    """Hold the runs of all workers that share it, for checks across workers.
-
-    ``starts`` has time, task, run number and worker of each start; ``done_counts`` has
-    the number of acknowledged ends with outcome done of each task. ``crash_counts`` has
-    the crashes that a task caused, ``lost_counts`` all those of workers that ran it,
-    and ``failed_runs`` the numbers of its runs that ended as failed.
-    """
-
-    running_on: dict[str, str] = dataclasses.field(default_factory=dict)
-    done_counts: dict[str, int] = dataclasses.field(default_factory=dict)
-    starts: list[tuple[float, str, int, str]] = dataclasses.field(default_factory=list)
-    crash_counts: dict[str, int] = dataclasses.field(default_factory=dict)
-    lost_counts: dict[str, int] = dataclasses.field(default_factory=dict)
-    failed_runs: dict[str, set[int]] = dataclasses.field(default_factory=dict)
-    further_starts: dict[str, int] = dataclasses.field(default_factory=dict)
-    violations: list[str] = dataclasses.field(default_factory=list)
-
-
-# Maps a task and its payload to CPU in thousandths, run time in seconds and outcome.
-WorkModel = t.Callable[[str, str], tuple[int, float, str]]
-
-
-def work_from_payload(task: str, payload: str) -> tuple[int, float, str]:
-    """Parse ``CPU_MILLI DURATION_MS OUTCOME``; other payloads run 1 CPU for 0.1 s.
-
-    The outcome ``crash:INDEX`` holds for the task of that index alone; the others are
-    done.
-    """
-    parts = payload.split()
-    if len(parts) != 3:
-        parts = ["1000", "100", "done"]
-    outcome, _, index = parts[2].partition(":")
-    if index and not task.endswith(f".{index}"):
-        outcome = "done"
-    return int(parts[0]), int(parts[1]) / 1000, outcome
-
-
 @dataclasses.dataclass
 class WorkerStandin:
     """Serve a worker, one incarnation after the other.
@@ -102,10 +66,14 @@
     rng: random.Random = dataclasses.field(default_factory=lambda: random.Random(1))
     fence: int = 0
     lease_until_ms: int = 0
+    # When the lease lapsed last, on the worker's clock.
+    lapsed_ms: int = 0
     running: dict[tuple[str, int], WorkerRun] = dataclasses.field(default_factory=dict)
     highest_run_numbers: dict[str, int] = dataclasses.field(default_factory=dict)
     unacknowledged_ends: list[list[t.Any]] = dataclasses.field(default_factory=list)
     last_end_sequence: int = 0
+    # By the sequence number of an end, on the worker's clock.
+    ended_ms: dict[int, int] = dataclasses.field(default_factory=dict)
     started_s: float = dataclasses.field(default_factory=time.monotonic)
     incarnation_start_ms: int = dataclasses.field(
         default_factory=lambda: int(time.time() * 1000)
@@ -152,6 +120,12 @@
         for run in list(self.running.values()):
             self.oracle.running_on.pop(run.task, None)
         self.running.clear()
+        self._record("incarnation_end", ended_s=time.monotonic())
+
+    def _record(self, kind: str, **fields: t.Any) -> None:
+        """Record what this incarnation was told or did."""
+        incarnation = self.incarnation_start_ms
+        self.oracle.record(kind, worker=self.id, incarnation=incarnation, **fields)
 
     def crash(self) -> None:
         """Reset all connections, and start the next incarnation after ``down_s``."""
@@ -172,7 +146,8 @@
         self.incarnation_count += 1
         if self.renamed:
             self.id = f"{self.machine}-{self.incarnation_count}"
-        self.fence = self.lease_until_ms = self.last_end_sequence = 0
+        self.fence = self.lease_until_ms = self.last_end_sequence = self.lapsed_ms = 0
+        self.ended_ms.clear()
         self.highest_run_numbers.clear()
         self.unacknowledged_ends.clear()
         self.started_s = time.monotonic()
@@ -216,9 +191,10 @@
             }
         )
 
-    def clock_ms(self) -> int:
+    def clock_ms(self, now_s: float | None = None) -> int:
         """Return the worker's own clock in milliseconds, by which leases expire."""
-        return CLOCK_START_MS + int((time.monotonic() - self.started_s) * 1000)
+        now_s = time.monotonic() if now_s is None else now_s
+        return CLOCK_START_MS + int((now_s - self.started_s) * 1000)
 
     async def _tick_loop(self) -> None:
         while self.alive:
@@ -232,25 +208,46 @@
         # a late tick finds it after that.
         lease_end_s = self.started_s + (self.lease_until_ms - CLOCK_START_MS) / 1000
         for run in list(self.running.values()):
+            self._save_progress(run, min(now_s, lease_end_s))
             if run.end_s <= min(now_s, lease_end_s):
                 if run.outcome == CRASH:
                     counts = self.oracle.crash_counts
                     counts[run.task] = counts.get(run.task, 0) + 1
                     self.crash()
                     return
-                self._end_run(run, run.outcome)
+                self._end_run(run, run.outcome, run.end_s)
         if now_s > lease_end_s:
             for run in list(self.running.values()):
-                self._end_run(run, "lapsed")
+                self._end_run(run, "lapsed", lease_end_s)
+
+    def _save_progress(self, run: WorkerRun, now_s: float) -> None:
+        """Make the checkpoints that are due."""
+        while run.next_save_s <= min(now_s, run.end_s):
+            self._make_checkpoint(run, run.next_save_s)
+            run.next_save_s += run.save_interval_s
+
+    def _make_checkpoint(self, run: WorkerRun, now_s: float) -> None:
+        run.saved = self.oracle.make_checkpoint(run.worked_s + now_s - run.began_s)
+        self.oracle.record(
+            "checkpoint",
+            task=run.task,
+            number=run.number,
+            value=run.saved,
+            produced_s=now_s,
+        )
 
-    def _end_run(self, run: WorkerRun, outcome: str) -> None:
+    def _end_run(self, run: WorkerRun, outcome: str, ended_s: float) -> None:
         self.running.pop((run.task, run.number), None)
         self.oracle.running_on.pop(run.task, None)
         if outcome == "failed":
             self.oracle.failed_runs.setdefault(run.task, set()).add(run.number)
+        self._record(
+            "end", task=run.task, number=run.number, outcome=outcome, ended_s=ended_s
+        )
         self.last_end_sequence += 1
+        self.ended_ms[self.last_end_sequence] = self.clock_ms(ended_s)
         self.unacknowledged_ends.append(
-            [self.last_end_sequence, run.task, run.number, outcome, ""]
+            [self.last_end_sequence, run.task, run.number, outcome, run.saved]
         )
         self.end_added.set()
         self.end_added = asyncio.Event()
@@ -264,6 +261,8 @@
             return json_answer(421)
         data = msgspec.json.decode(body) if body else {}
         if data.get("fence", 0) < self.fence:
+            if request.path == "/-/run-start":
+                self._record_order(data, False)
             return self._refuse("fence")
         self.fence = max(self.fence, data.get("fence", 0))
         if request.path == "/-/run-start":
@@ -277,23 +276,65 @@
     def _refuse(self, reason: str) -> StatusAndBody:
         return json_answer(409, {"clock_ms": self.clock_ms(), "reason": reason})
 
+    def _record_order(self, data: dict[str, t.Any], is_started: bool) -> None:
+        """Record what a start order told, and whether a run was started on it."""
+        now_s = time.monotonic()
+        self._record(
+            "start",
+            task=data["task"],
+            number=data["run"],
+            payload=data["spec"],
+            checkpoint=data.get("checkpoint", ""),
+            term=data.get("fence", 0),
+            told_s=now_s,
+            arrived_s=find_arrival_s(now_s),
+            is_started=is_started,
+        )
+
+    def _extend_lease(self, until_ms: int) -> None:
+        if self.clock_ms() > self.lease_until_ms:
+            self.lapsed_ms = self.lease_until_ms
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+
     def _start_run(self, data: dict[str, t.Any]) -> StatusAndBody:
+        refusal = self._find_refusal(data)
+        is_there = (data["task"], data["run"]) in self.running
+        self._record_order(data, not refusal and not is_there)
+        if refusal:
+            return self._refuse(refusal)
+        if not is_there:
+            self._add_run(data)
+        return json_answer(200, {"clock_ms": self.clock_ms()})
+
+    def _find_refusal(self, data: dict[str, t.Any]) -> str:
+        """Return why a start is refused, or an empty text; it may extend the lease."""
         task, number = data["task"], data["run"]
         if (task, number) in self.running:
-            return json_answer(200, {"clock_ms": self.clock_ms()})
+            return ""
         if data["until_ms"] <= self.clock_ms():
-            return self._refuse("late")
-        self.lease_until_ms = max(self.lease_until_ms, data["until_ms"])
-        if number <= self.highest_run_numbers.get(task, 0):
-            return self._refuse("old")
+            return "late"
+        self._extend_lease(data["until_ms"])
+        return "old" if number <= self.highest_run_numbers.get(task, 0) else ""
+
+    def _add_run(self, data: dict[str, t.Any]) -> None:
+        """Start a run; with a checkpoint it goes on from there."""
+        task, number, checkpoint = data["task"], data["run"], data.get("checkpoint", "")
         cpu_milli, run_time_s, outcome = self.work_model(task, data["spec"])
         self._check_start(task, number, cpu_milli)
         self.highest_run_numbers[task] = number
-        run = WorkerRun(task, number, cpu_milli, time.monotonic() + run_time_s, outcome)
+        now_s, worked_s = (
+            time.monotonic(),
+            self.oracle.saved_work_s.get(checkpoint, 0.0),
+        )
+        end_s = now_s + max(run_time_s - worked_s, 0.0)
+        run = WorkerRun(task, number, cpu_milli, end_s, outcome, now_s)
+        run.saved, run.worked_s = checkpoint, worked_s
+        run.save_interval_s = save_interval_from_payload(data["spec"])
+        if run.save_interval_s:
+            run.next_save_s = now_s + run.save_interval_s
         self.running[task, number] = run
         self.oracle.running_on[task] = self.id
-        self.oracle.starts.append((time.monotonic(), task, number, self.id))
-        return json_answer(200, {"clock_ms": self.clock_ms()})
+        self.oracle.starts.append((now_s, task, number, self.id))
 
     def _check_start(self, task: str, number: int, cpu_milli: int) -> None:
         used_milli = sum(run.cpu_milli for run in self.running.values())
@@ -323,9 +364,20 @@
         self.highest_run_numbers[task] = max(
             self.highest_run_numbers.get(task, 0), number
         )
+        now_s = time.monotonic()
+        self.oracle.record(
+            "stop",
+            task=task,
+            number=number,
+            worker=self.id,
+            told_s=now_s,
+            term=data.get("fence", 0),
+        )
         run = self.running.get((task, number))
         if run is not None:
-            self._end_run(run, "stopped")
+            if run.save_interval_s:
+                self._make_checkpoint(run, now_s)
+            self._end_run(run, "stopped", now_s)
         return json_answer(200, {"clock_ms": self.clock_ms()})
 
     def _count_acknowledged_ends(self, acknowledged_upto: int) -> None:
@@ -335,19 +387,24 @@
         does not count.
         """
         lease_expired = self.clock_ms() > self.lease_until_ms
-        for sequence, task, _, outcome, _ in self.unacknowledged_ends:
-            if (
-                sequence <= acknowledged_upto
-                and outcome == "done"
-                and not lease_expired
-            ):
+        for sequence, task, number, outcome, _ in self.unacknowledged_ends:
+            if sequence > acknowledged_upto:
+                continue
+            self._record(
+                "note",
+                task=task,
+                number=number,
+                noted_s=time.monotonic(),
+                is_void=lease_expired or self.lapsed_ms >= self.ended_ms[sequence],
+            )
+            if outcome == "done" and not lease_expired:
                 self.oracle.done_counts[task] = self.oracle.done_counts.get(task, 0) + 1
 
     async def _renew_lease(self, data: dict[str, t.Any]) -> StatusAndBody:
         """Extend the lease, drop acknowledged ends, and report runs and ends."""
         until_ms = data.get("until_ms")
         if until_ms is not None and self.running:
-            self.lease_until_ms = max(self.lease_until_ms, until_ms)
+            self._extend_lease(until_ms)
         acknowledged_upto = data.get("seen_upto", 0)
         self._count_acknowledged_ends(acknowledged_upto)
         self.unacknowledged_ends = [
@@ -360,7 +417,9 @@
                     await self.end_added.wait()
             except TimeoutError:
                 pass
-        rows = [[run.task, run.number, "", 100, 0] for run in self.running.values()]
+        rows = [
+            [run.task, run.number, run.saved, 100, 0] for run in self.running.values()
+        ]
         return json_answer(
             200,
             {
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -1,7 +1,7 @@
 """Run a cell in one event loop for end-to-end tests.
 
 The entry processes are real; workers, store and advice service are stand-ins that take
-faults on request. An oracle records all runs, and violations of the rules for them.
+faults on request. What clients and workers see is recorded and judged by ``oracle``.
 """
 
 import asyncio
@@ -25,6 +25,9 @@
 from bulrushspur_standins.advice import AdviceStandin
 from bulrushspur_standins.store import StoreStandin
 from bulrushspur_standins.worker import RunOracle, WorkerStandin
+from oracle.clients import observe_request
+from oracle.observations import Observations
+from oracle.rules import find_violations
 
 HOST = "shop.example"
 API_KEY = "key-of-school"
@@ -102,7 +105,8 @@
         self.folder = tempfile.mkdtemp()
         self.store = StoreStandin()
         self.advice = AdviceStandin()
-        self.oracle = RunOracle()
+        self.observations = Observations()
+        self.oracle = RunOracle(self.observations.record)
         self.workers = []
         self.nodes = {}
         self.heartbeats = None
@@ -199,7 +203,17 @@
             if row["job"] == job
         ]
 
+    def find_violations(self):
+        """List what broke a rule so far, as sentences."""
+        self.observations.end_at(time.monotonic())
+        return self.oracle.violations + list(
+            map(str, find_violations(self.observations))
+        )
+
     async def kill(self, node):
+        self.observations.record_disruption(
+            time.monotonic(), time.monotonic(), "killed"
+        )
         del self.nodes[node.process.settings.name]
         await node.kill()
 
@@ -208,18 +222,22 @@
         headers = [("bulrushspur-credential", key)]
         headers.append(("bulrushspur-deadline-ms", str(int(wait_s * 1000))))
         data = msgspec.json.encode(body) if body is not None else b""
-        try:
-            return await fetch_response(
-                method,
-                node.address,
-                path,
-                data,
-                headers,
-                wait_s + 1,
-                host=HOST,
-            )
-        except (NotSentError, ResponseLostError):
-            return None
+
+        async def send():
+            try:
+                return await fetch_response(
+                    method,
+                    node.address,
+                    path,
+                    data,
+                    headers,
+                    wait_s + 1,
+                    host=HOST,
+                )
+            except (NotSentError, ResponseLostError):
+                return None
+
+        return await observe_request(self.observations, method, path, body, key, send)
 
     async def submit(self, job, queue="assess", node=None, wait_s=3.0, **fields):
         body = make_job_body(**fields)
@@ -251,18 +269,35 @@
             await asyncio.sleep(0.05)
 
     async def stop(self):
+        """Stop all; raise AssertionError if a rule was broken."""
+        violations = self.find_violations()
         for node in list(self.nodes.values()):
             await self.kill(node)
         for worker in self.workers:
             await worker.stop()
         for standin in (self.store, self.advice):
             await standin.server.close(0.0)
+        if violations:
+            raise AssertionError(f"rules were broken: {violations}")
 
 
 def make_job_body(
-    count=2, cpu_milli=1000, run_time_ms=100, outcome="done", steps=None, **fields
+    count=2,
+    cpu_milli=1000,
+    run_time_ms=100,
+    outcome="done",
+    steps=None,
+    save_ms=0,
+    **fields,
 ):
-    """Make the body of a submission; its ``spec`` directs the stand-in workers."""
+    """Make the body of a submission; its ``spec`` directs the stand-in workers.
+
+    With ``save_ms`` its tasks make checkpoints, so often.
+    """
+    spec = f"{cpu_milli} {run_time_ms} {outcome}"
+    if save_ms:
+        spec += f" {save_ms}"
+        fields["checkpointing"] = True
     step = {
         "count": count,
         "cpu": cpu_milli,
@@ -270,7 +305,7 @@
         "estimate_ms": run_time_ms,
         **fields,
     }
-    return {"spec": f"{cpu_milli} {run_time_ms} {outcome}", "steps": steps or [step]}
+    return {"spec": spec, "steps": steps or [step]}
 
 
 def job_id(number):
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -176,7 +176,7 @@
             cluster.store.put("keyed.servers", worker.id, worker.encode_entry())
         for number in range(30):
             await cluster.wait_job_state(job_id(number), "completed", wait_s=30.0)
-        self.assertEqual(cluster.oracle.violations, [])
+        self.assertEqual(cluster.find_violations(), [])
 
 
 if __name__ == "__main__":
--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -120,7 +120,7 @@
         self.assertEqual(await cluster.fetch_job(job_id(1)), told)
         for number in range(2, 8):
             await cluster.wait_job_state(job_id(number), "completed", wait_s=20.0)
-        self.assertEqual(cluster.oracle.violations, [])
+        self.assertEqual(cluster.find_violations(), [])
 
 
 if __name__ == "__main__":
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -20,7 +20,7 @@
         await self.cluster.start()
 
     async def asyncTearDown(self):
-        self.assertEqual(self.cluster.oracle.violations, [])
+        self.assertEqual(self.cluster.find_violations(), [])
 
     async def test_job_runs_once_through_any_process(self):
         cluster = self.cluster
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -23,7 +23,7 @@
         self.submitted = 0
 
     async def asyncTearDown(self):
-        self.assertEqual(self.cluster.oracle.violations, [])
+        self.assertEqual(self.cluster.find_violations(), [])
 
     async def submit_until(self, task, node):
         """Submit jobs to a node until a task has ended; return statuses and times."""
--- a/tests/test_leader_load.py
+++ b/tests/test_leader_load.py
@@ -63,4 +63,4 @@
         self.assertEqual(cluster.find_leader().process.settings.name, "larger")
         for done in range(1, number + 1):
             await cluster.wait_job_state(job_id(done), "completed")
-        self.assertEqual(cluster.oracle.violations, [])
+        self.assertEqual(cluster.find_violations(), [])
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -110,7 +110,7 @@
                 self.assertNotIn(row["event"], faults, row)
             terms += sum(row["event"] == "term_start" for row in rows)
         self.assertLessEqual(terms, max_terms)
-        self.assertEqual(self.cluster.oracle.violations, [])
+        self.assertEqual(self.cluster.find_violations(), [])
 
     async def kill_leader(self):
         leader = await self.cluster.find_leader()
--- a/tests/test_oracle.py
+++ b/tests/test_oracle.py
@@ -98,6 +98,7 @@
         self.assertEqual((submission.payload, submission.occurrence_count), ("x", 3))
         second = DeclaredStep(2, 500, gang=True, depends_on=(0,))
         self.assertEqual(submission.steps, (DeclaredStep(1), second))
+        self.assertEqual(declare_job({"steps": 3})["steps"], ())
 
 
 class PayloadTest(OracleTest):
--- a/tests/test_past_use.py
+++ b/tests/test_past_use.py
@@ -171,4 +171,4 @@
         await cluster.submit(job_id(1))
         await cluster.wait_job_state(job_id(1), "completed")
         await asyncio.sleep(0)
-        self.assertEqual(cluster.oracle.violations, [])
+        self.assertEqual(cluster.find_violations(), [])
--- a/tests/test_poisoned_input.py
+++ b/tests/test_poisoned_input.py
@@ -233,7 +233,7 @@
                 await cluster.submit(job_id(number), count=3, run_time_ms=50)
             for number in range(4):
                 await cluster.wait_job_state(job_id(number), "completed", wait_s=25.0)
-        self.assertEqual(cluster.oracle.violations, [])
+        self.assertEqual(cluster.find_violations(), [])
         self.assertTrue(cluster.find_leader().events("worker_fault"))
 
 
--- a/tests/test_takeover_processes.py
+++ b/tests/test_takeover_processes.py
@@ -36,7 +36,7 @@
         await self.cluster.start(nodes=3, workers=3)
 
     async def asyncTearDown(self):
-        self.assertEqual(self.cluster.oracle.violations, [])
+        self.assertEqual(self.cluster.find_violations(), [])
 
     async def test_accepted_jobs_survive_a_killed_leader(self):
         cluster = self.cluster
@@ -151,7 +151,7 @@
         cluster.store.faults.forced_status = 0
         await cluster.wait_job_state(job_id(1), "completed")
         self.assertEqual(await cluster.fetch_job_state(job_id(3)), 410)
-        self.assertEqual(cluster.oracle.violations, [])
+        self.assertEqual(cluster.find_violations(), [])
 
     async def test_slow_store_delays_jobs_and_rejects_none(self):
         cluster = self.cluster
@@ -167,7 +167,7 @@
         cluster.store.faults.delay_s = cluster.store.append_delay_s = 0.0
         for number in range(30):
             await cluster.wait_job_state(job_id(number), "completed")
-        self.assertEqual(cluster.oracle.violations, [])
+        self.assertEqual(cluster.find_violations(), [])
 
     async def test_leases_are_extended_while_run_ends_wait_for_the_store(self):
         cluster = self.cluster
@@ -182,7 +182,7 @@
         for number in (1, 2, 3):
             await cluster.wait_job_state(job_id(number), "completed")
         self.assertEqual(len(cluster.oracle.starts), 10)
-        self.assertEqual(cluster.oracle.violations, [])
+        self.assertEqual(cluster.find_violations(), [])
 
     async def test_lost_answers_of_the_store_neither_lose_nor_repeat_runs(self):
         cluster = self.cluster
@@ -192,7 +192,7 @@
         for number in range(8):
             await cluster.wait_job_state(job_id(number), "completed")
         self.assertEqual(len(cluster.oracle.starts), 16)
-        self.assertEqual(cluster.oracle.violations, [])
+        self.assertEqual(cluster.find_violations(), [])
 
     async def submit_until_accepted(self, job):
         """Submit a job again while it is rejected or in doubt."""
--- a/tests/test_worker_connections.py
+++ b/tests/test_worker_connections.py
@@ -40,7 +40,7 @@
         run_time_s = 1.5
         self.assertLess(time.monotonic() - began_s, lease_s + run_time_s + TOLERANCE_S)
         self.assertEqual(len(cluster.oracle.starts), 2)
-        self.assertEqual(cluster.oracle.violations, [])
+        self.assertEqual(cluster.find_violations(), [])
 
 
 class UnansweredOrderTest(unittest.IsolatedAsyncioTestCase):
@@ -57,7 +57,7 @@
             await cluster.submit(job_id(number), count=4, run_time_ms=50)
             await cluster.wait_job_state(job_id(number), "completed", wait_s=15.0)
             took_s.append(time.monotonic() - began_s)
-        self.assertEqual(cluster.oracle.violations, [])
+        self.assertEqual(cluster.find_violations(), [])
         return took_s
 
     async def test_start_whose_answer_was_lost_is_repeated(self):
@@ -90,4 +90,4 @@
             await cluster.wait_job_state(job_id(number), "completed", wait_s=15.0)
             took_s.append(time.monotonic() - began_s)
         self.assertLess(max(took_s), 1.0)
-        self.assertEqual(cluster.oracle.violations, [])
+        self.assertEqual(cluster.find_violations(), [])
