Judge the fuzzed histories by the oracle, and show each clause to fail

Change: simulated workers record orders, ends, notes and checkpoints, which checkpointing steps make now; payloads differ by job; a history is judged at its end. The four checks at each start that the clauses replace are gone from fuzz/workers.py. fuzz/cancels.py plays many cancels, also of jobs that a gateway still holds, with checkpoints and calm stretches. tests/test_oracle_mutants.py has a mutant for each clause.

--- a/fuzz/capacity.py
+++ b/fuzz/capacity.py
@@ -107,4 +107,4 @@
 
 def run_capacity_history(seed: int) -> CapacitySimulation:
     """Run the history of a seed; return the simulation."""
-    return CapacityHistory(seed).run()
+    return CapacityHistory(seed).run().judge()
--- a/fuzz/crash_series.py
+++ b/fuzz/crash_series.py
@@ -168,4 +168,4 @@
     seed: int, deadly_share: float = 0.0
 ) -> CrashSeriesSimulation:
     """Run the history of a seed; return the simulation."""
-    return CrashSeriesHistory(seed, deadly_share).run()
+    return CrashSeriesHistory(seed, deadly_share).run().judge()
--- a/fuzz/deadly.py
+++ b/fuzz/deadly.py
@@ -196,4 +196,4 @@
 
 def run_deadly_history(seed: int) -> DeadlySimulation:
     """Run the history of a seed; return the simulation."""
-    return DeadlyHistory(seed).run()
+    return DeadlyHistory(seed).run().judge()
--- a/fuzz/evacuation.py
+++ b/fuzz/evacuation.py
@@ -135,4 +135,4 @@
 
 def run_evacuation_history(seed: int) -> EvacuationSimulation:
     """Run the history of a seed; return the simulation."""
-    return EvacuationHistory(seed).run()
+    return EvacuationHistory(seed).run().judge()
--- a/fuzz/repeating.py
+++ b/fuzz/repeating.py
@@ -74,6 +74,6 @@
 
 def run_repeating_history(seed: int) -> RepeatingSimulation:
     """Run the history of a seed; return the simulation."""
-    simulation = RepeatingHistory(seed).run()
+    simulation = RepeatingHistory(seed).run().judge()
     assert isinstance(simulation, RepeatingSimulation)
     return simulation
--- a/fuzz/run.py
+++ b/fuzz/run.py
@@ -76,9 +76,9 @@
                 continue
         apply_random_action(simulation, rng)
         if simulation.oracle.violations:
-            return simulation, step + 1
+            return simulation.judge(), step + 1
     check_completion(simulation)
-    return simulation, MAX_STEPS_PER_HISTORY
+    return simulation.judge(), MAX_STEPS_PER_HISTORY
 
 
 def _filter_trace(trace: list[str], violation: str) -> list[str]:
--- a/fuzz/series.py
+++ b/fuzz/series.py
@@ -112,7 +112,7 @@
             new_name = f"{machine}-{int(self.now_s * 100)}"
 
             def replace() -> None:
-                self.standing_check.disturb(self.now_s)
+                self.disturb(0.0, f"{new_name} starts")
                 self.add_worker(new_name, machine)
 
             self.schedule(replacement_delay_s, replace)
@@ -283,4 +283,4 @@
 
 def run_series_history(seed: int) -> SeriesSimulation:
     """Run the history of a seed; return the simulation."""
-    return SeriesHistory(seed).run()
+    return SeriesHistory(seed).run().judge()
--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -6,6 +6,7 @@
 their times and draw from one generator, so a seed always gives the same history.
 """
 
+import dataclasses
 import heapq
 import itertools
 import random
@@ -24,13 +25,18 @@
     handle_stop_result,
 )
 from bulrushspur_scheduler.planning import plan
-from bulrushspur_scheduler.progress import add_job, finish_job
+from bulrushspur_scheduler.progress import (
+    add_job,
+    finish_job,
+    record_late_submission,
+)
 from bulrushspur_scheduler.progress_records import PROGRESS_KEY_PREFIX, encode_progress
 from bulrushspur_scheduler.records import JOB_KEY_PREFIX, encode_job
 from bulrushspur_scheduler.reports import apply_report
 from bulrushspur_scheduler.resources import Resources
 from bulrushspur_scheduler.suspects import judge_suspects
 from bulrushspur_scheduler.workers import Worker, WorkerEntry, make_worker
+from fuzz.clients import observe_submission
 from fuzz.leaders import SimLeader, SimStore
 from fuzz.standing import CHECK_INTERVAL_S, StandingCheck
 from fuzz.workers import Oracle, SimWorker
@@ -109,7 +115,20 @@
         """Count a fault that starts now, and add it to the trace."""
         self.add_trace(f"fault: {event}")
         self.fault_count += 1
-        self.standing_check.disturb(self.now_s + duration_s)
+        self.disturb(duration_s, event)
+
+    def disturb(self, duration_s: float, name: str) -> None:
+        """Record a disturbance that begins now and lasts for a time."""
+        until_s = self.now_s + duration_s
+        self.standing_check.disturb(until_s)
+        self.oracle.observations.record_disruption(self.now_s, until_s, name)
+
+    def judge(self) -> t.Self:
+        """End the observation, and record what broke a rule."""
+        for worker in self.workers.values():
+            worker.advance(self.now_s)
+        self.oracle.judge(self.now_s)
+        return self
 
     # Faults and callers' requests.
 
@@ -155,7 +174,7 @@
             return
         self.newest_term += 1
         self.fault_count += 1
-        self.standing_check.disturb(self.now_s + load_s)
+        self.disturb(load_s, "takeover")
         names = sorted(self.workers)
         for old in self.leaders:
             if not old_leader_survives:
@@ -165,7 +184,8 @@
                 half = self.rng.sample(names, len(names) // 2)
                 old.unreachable_workers = set(half)
                 self.schedule(8.0, lambda old=old: self._end_term(old))
-                self.standing_check.disturb(self.now_s + 8.0)
+                self.oracle.observations.record_contact_loss(old.term, self.now_s)
+                self.disturb(8.0, f"term {old.term} is cut off")
         self.leaders = [leader for leader in self.leaders if not leader.ended][-1:]
         reached_by_old_leader = set(names) - set().union(
             *(leader.unreachable_workers for leader in self.leaders)
@@ -181,7 +201,7 @@
         self.add_trace(
             f"term {self.newest_term} starts, old one survives: {old_leader_survives}"
         )
-        self.store.epoch = self.oracle.newest_term = self.newest_term
+        self.store.epoch = self.newest_term
         self.leaders.append(leader)
         stored = dict(self.store.records)
         leader.recorded_worker_ids = set(self.store.worker_ids)
@@ -245,21 +265,45 @@
 
     def _end_term(self, leader: SimLeader) -> None:
         leader.ended = True
-        self.standing_check.disturb(self.now_s)
+        self.disturb(0.0, f"term {leader.term} ends")
         if leader in self.leaders:
             self.leaders.remove(leader)
 
-    def submit(self, spec: JobSpec, queue: str, account: str = "team") -> None:
-        """Submit a job to the newest leader.
+    def submit(
+        self, spec: JobSpec, queue: str, account: str = "team", held_s: float = 0.0
+    ) -> None:
+        """Send a job to the newest leader; a gateway holds it for ``held_s``.
 
-        It is refused while the store is unavailable or the leader loads.
+        Each job gets a payload of its own.
         """
-        leader = self.leaders[-1]
+        spec = dataclasses.replace(spec, payload=f"payload of {spec.id}")
         self.oracle.jobs[spec.id] = spec
         self.account_by_job[spec.id] = account
-        if self.now_s < self.store.unavailable_until_s or leader.loading:
-            self.oracle.refused_jobs.add(spec.id)
-            return
+        submission = observe_submission(
+            self.oracle.observations, spec, queue, account, self.now_s
+        )
+
+        def arrive() -> None:
+            status = self._receive_submission(spec, queue, account)
+            if status == 503:
+                self.oracle.refused_jobs.add(spec.id)
+            self.oracle.observations.record_answer(submission, status, self.now_s)
+
+        if held_s:
+            self.schedule(held_s, arrive)
+        else:
+            arrive()
+
+    def _receive_submission(self, spec: JobSpec, queue: str, account: str) -> int:
+        """Answer a submission; it is refused if no leader can store and serve it."""
+        is_unavailable = self.now_s < self.store.unavailable_until_s
+        if is_unavailable or not self.leaders or self.leaders[-1].loading:
+            return 503
+        leader = self.leaders[-1]
+        if spec.id in leader.cell.finished_jobs:
+            record_late_submission(leader.cell, spec.id, account, queue, self.now_s)
+            self._store_progress(leader)
+            return 200
         accepted_queue = self.config.queue_by_name[queue]
         self.oracle.evidence.max_attempts[spec.id] = accepted_queue.max_attempts
         job = Job(spec, queue, "svc", account, self.now_s, self.now_s)
@@ -267,6 +311,7 @@
         self.store.records[JOB_KEY_PREFIX + spec.id] = encode_job(job)
         self.add_trace(f"{spec.id} is accepted in {queue}: {spec.steps}")
         add_job(leader.cell, job, self.now_s, self.now_s)
+        return 200
 
     def cancel(self, job_id: str) -> None:
         """Cancel a job, if the newest leader knows it and the store is available."""
@@ -277,7 +322,13 @@
         self.add_trace(f"{job_id} is cancelled")
         finish_job(leader.cell, job, JobState.CANCELLED, self.now_s)
         self._store_progress(leader)
-        self.oracle.cancelled_s[job_id] = self.now_s
+        self.record_cancel(job_id, 200)
+
+    def record_cancel(self, job_id: str, status: int) -> None:
+        """Record a cancel that is answered at once."""
+        observations = self.oracle.observations
+        cancel = observations.record_cancel(job_id, self.now_s)
+        observations.record_answer(cancel, status, self.now_s)
 
     # The leader process.
 
@@ -376,6 +427,7 @@
         key: TaskKey = run.task.key
         number = run.number
         late = self.rng.random() < self.late_start_share
+        sent_s = self.now_s
         delay_s = self.rng.uniform(1, 5) if late else self._delay_s()
         if late:
             self.standing_check.disturb_job(key.job, self.now_s + delay_s)
@@ -391,7 +443,16 @@
                 return
             if not self._reaches(leader, order.worker_id):
                 return
-            result = worker.start(key, number, until_ms, leader.term, self.now_s)
+            result = worker.start(
+                key,
+                number,
+                until_ms,
+                leader.term,
+                self.now_s,
+                order.payload,
+                order.checkpoint,
+                sent_s if late else self.now_s,
+            )
             if result is StartResult.STARTED:
                 self.on_started(leader, worker, run)
             if not late and self.rng.random() > self.lost_answer_share:
--- a/fuzz/terms.py
+++ b/fuzz/terms.py
@@ -59,7 +59,7 @@
     def _learn_later(self, leader: SimLeader, config: CellConfig) -> None:
         delay_s = self.learning_rng.choice(LEARNING_DELAYS_S)
         outage_s = max(self.store.unavailable_until_s - self.now_s, 0.0)
-        self.standing_check.disturb(self.now_s + outage_s + delay_s)
+        self.disturb(outage_s + delay_s, f"configuration {config.version}")
 
         def learn() -> None:
             if not leader.ended and config.version > leader.cell.config.version:
@@ -122,4 +122,4 @@
 
 def run_terms_history(seed: int) -> TermsSimulation:
     """Run the history of a seed; return the simulation."""
-    return TermsHistory(seed).run()
+    return TermsHistory(seed).run().judge()
--- a/fuzz/workers.py
+++ b/fuzz/workers.py
@@ -1,12 +1,12 @@
 """Simulate the workers of a fuzzed cell, and check the scheduler's guarantees.
 
 Takes start orders, stop orders and lease renewals at simulated times; returns the
-results and reports that a worker would answer. Each start is checked against what has
-happened on all workers, which the oracle records: no worker is overcommitted, and no
-task runs twice, starts again after it was done, starts before the steps that it depends
-on are done, or starts though its job was refused or has ended. A job is shown as failed
-only with cause (``evidence.py``), and no final state changes. Violations are recorded,
-not raised.
+results and reports that a worker would answer. All orders, ends and checkpoints are
+recorded in ``Oracle.observations``, which the clauses of ``oracle/`` judge at the end
+of a history. The rest is checked at each start: no worker is overcommitted, and no task
+starts before the steps that it depends on are done, or though its job was shown as
+completed. A job is shown as failed only with cause (``evidence.py``), and no final
+state changes. Violations are recorded, not raised.
 """
 
 import dataclasses
@@ -18,8 +18,12 @@
 from bulrushspur_scheduler.order_results import StartResult
 from bulrushspur_scheduler.reports import RunEnd, RunStatus, WorkerReport
 from fuzz.evidence import FailureEvidence
+from oracle.observations import Observations
+from oracle.rules import find_violations
 
 GANG_TIMEOUT_S: t.Final = 3.0
+# A run of a checkpointing step makes a checkpoint after so much work.
+SAVE_INTERVAL_S: t.Final = 1.0
 
 
 @dataclasses.dataclass
@@ -27,7 +31,8 @@
     """A run on a worker; ``end_s`` is the simulated time at which its work is done.
 
     While members of its gang have not started, ``end_s`` is infinite, and the run ends
-    at ``gang_deadline_s``.
+    at ``gang_deadline_s``. ``saved`` is its last checkpoint, or the one that it started
+    from, which stands for ``worked_s`` of work.
     """
 
     key: TaskKey
@@ -36,6 +41,9 @@
     end_s: float
     outcome: RunOutcome
     gang_deadline_s: float = float("inf")
+    next_save_s: float = float("inf")
+    saved: str = ""
+    worked_s: float = 0.0
 
 
 @dataclasses.dataclass
@@ -43,14 +51,16 @@
     """Record what has happened in the simulation, and the violations found."""
 
     jobs: dict[str, t.Any] = dataclasses.field(default_factory=dict)
-    acknowledged_done: set[TaskKey] = dataclasses.field(default_factory=set)
+    observations: Observations = dataclasses.field(
+        default_factory=lambda: Observations(gangs_end_together=True)
+    )
     evidence: FailureEvidence = dataclasses.field(default_factory=FailureEvidence)
-    cancelled_s: dict[str, float] = dataclasses.field(default_factory=dict)
     refused_jobs: set[str] = dataclasses.field(default_factory=set)
     published_final_states: dict[str, str] = dataclasses.field(default_factory=dict)
     done_tasks: set[TaskKey] = dataclasses.field(default_factory=set)
+    # The work that each checkpoint stands for, in seconds.
+    saved_work_s: dict[str, float] = dataclasses.field(default_factory=dict)
     start_count: int = 0
-    newest_term: int = 0
     trace: list[str] = dataclasses.field(default_factory=list)
     violations: list[str] = dataclasses.field(default_factory=list)
 
@@ -58,14 +68,21 @@
         """Add a violation, as one sentence."""
         self.violations.append(violation)
 
+    def judge(self, now_s: float) -> None:
+        """Record what was observed until now and breaks a clause."""
+        self.observations.end_at(now_s)
+        self.violations += map(str, find_violations(self.observations))
+
     def publish_final_state(self, job_id: str, state: str, now_s: float) -> None:
         """Record the final state of a job that a leader has stored, and check it."""
         previous = self.published_final_states.setdefault(job_id, state)
         if previous != state:
             self.record_violation(f"{job_id} is shown as {previous}, then as {state}")
         self.published_final_states[job_id] = state
+        if state != "failed":
+            return
         fault = self.evidence.find_fault(self.jobs[job_id])
-        if state == "failed" and fault:
+        if fault:
             self.record_violation(
                 f"{job_id} is shown as failed at {now_s:.2f} without cause: {fault}"
             )
@@ -88,6 +105,10 @@
     unacknowledged_ends: list[RunEnd] = dataclasses.field(default_factory=list)
     last_end_sequence: int = 0
     lease_expiry_count: int = 0
+    # When the lease lapsed last, on the worker's clock; whether or not it had runs.
+    lapsed_ms: int = 0
+    ended_s: dict[int, float] = dataclasses.field(default_factory=dict)
+    advanced_s: float = 0.0
     unreachable_until_s: float = 0.0
     alive: bool = True
     # Whether starts are checked elsewhere, against the capacity at other times, too.
@@ -105,11 +126,13 @@
         Nothing may have looked at the worker for a while: runs that were done before
         the lease expired have ended so.
         """
+        self.advanced_s = now_s
         if self.runs and self.clock_ms(now_s) > self.lease_until_ms:
-            self._end_due_runs(self._time_s(self.lease_until_ms))
+            lapsed_s = self._time_s(self.lease_until_ms)
+            self._end_due_runs(lapsed_s)
             self.lease_expiry_count += 1
             for run in list(self.runs.values()):
-                self._end_run(run, RunOutcome.LEASE_EXPIRED)
+                self._end_run(run, RunOutcome.LEASE_EXPIRED, lapsed_s)
         self._end_due_runs(now_s)
 
     def _time_s(self, clock_ms: int) -> float:
@@ -118,17 +141,32 @@
 
     def _end_due_runs(self, now_s: float) -> None:
         for run in list(self.runs.values()):
+            self._save_progress(run, now_s)
             if run.gang_deadline_s <= now_s and (run.key, run.number) in self.runs:
-                self._end_run(run, RunOutcome.GANG_INCOMPLETE)
+                self._end_run(run, RunOutcome.GANG_INCOMPLETE, run.gang_deadline_s)
             if run.end_s <= now_s and (run.key, run.number) in self.runs:
-                self._end_run(run, run.outcome)
+                self._end_run(run, run.outcome, run.end_s)
                 if self._step_spec(run.key).gang:
-                    self._end_gang(run)
+                    self._end_gang(run, run.end_s)
+
+    def _save_progress(self, run: SimRun, now_s: float) -> None:
+        """Make the checkpoints that are due."""
+        while run.next_save_s <= min(now_s, run.end_s):
+            run.worked_s += SAVE_INTERVAL_S
+            self._make_checkpoint(run, run.next_save_s)
+            run.next_save_s += SAVE_INTERVAL_S
+
+    def _make_checkpoint(self, run: SimRun, now_s: float) -> None:
+        run.saved = f"c{len(self.oracle.saved_work_s) + 1}"
+        self.oracle.saved_work_s[run.saved] = run.worked_s
+        self.oracle.observations.record_checkpoint(
+            run.key, run.number, run.saved, now_s
+        )
 
     def _step_spec(self, key: TaskKey) -> t.Any:
         return self.oracle.jobs[key.job].steps[key.step]
 
-    def _end_gang(self, run: SimRun) -> None:
+    def _end_gang(self, run: SimRun, ended_s: float) -> None:
         """End the other members as the platform does: all as done, or all as broken."""
         outcome = (
             RunOutcome.DONE
@@ -138,7 +176,7 @@
         for worker in self.peers.values():
             for other in list(worker.runs.values()):
                 if other.key[:3] == run.key[:3] and other.number == run.number:
-                    worker._end_run(other, outcome)
+                    worker._end_run(other, outcome, ended_s)
 
     def crash(self) -> None:
         """End the incarnation by a crash.
@@ -153,11 +191,22 @@
         for run in list(self.runs.values()):
             if self._step_spec(run.key).gang:
                 run.outcome = RunOutcome.GANG_BROKEN
-                self._end_gang(run)
+                self._end_gang(run, self.advanced_s)
         self.runs.clear()
+        self.oracle.observations.record_incarnation_end(
+            self.id, self.incarnation, self.advanced_s
+        )
 
-    def _end_run(self, run: SimRun, outcome: RunOutcome) -> None:
+    @property
+    def incarnation(self) -> int:
+        """Return what tells the incarnations of a worker apart: its start in ms."""
+        return int(self.started_s * 1000) + 1
+
+    def _end_run(self, run: SimRun, outcome: RunOutcome, ended_s: float) -> None:
         del self.runs[run.key, run.number]
+        self.oracle.observations.record_end(
+            run.key, run.number, self.id, self.incarnation, ended_s, outcome.value
+        )
         if outcome is RunOutcome.DONE:
             self.oracle.done_tasks.add(run.key)
         elif outcome is RunOutcome.FAILED:
@@ -166,36 +215,78 @@
         self.last_end_sequence += 1
         name = ".".join(map(str, run.key))
         self.oracle.trace.append(f"end {name} run {run.number} on {self.id} {outcome}")
+        self.ended_s[self.last_end_sequence] = ended_s
         self.unacknowledged_ends.append(
-            RunEnd(self.last_end_sequence, run.key, run.number, outcome, "")
+            RunEnd(self.last_end_sequence, run.key, run.number, outcome, run.saved)
         )
 
     def start(
-        self, key: TaskKey, number: int, until_ms: int, term: int, now_s: float
+        self,
+        key: TaskKey,
+        number: int,
+        until_ms: int,
+        term: int,
+        now_s: float,
+        payload: str = "p",
+        checkpoint: str = "",
+        arrived_s: float = float("inf"),
     ) -> StartResult:
-        """Execute a start order, or return why it is refused."""
+        """Execute a start order, or return why it is refused.
+
+        ``arrived_s`` is when it had come, if it is executed late.
+        """
         self.advance(now_s)
+        refusal, is_there = None, (key, number) in self.runs
         if term < self.fence:
-            return StartResult.FENCED
-        self.fence = term
-        if (key, number) in self.runs:
-            return StartResult.STARTED
-        if until_ms <= self.clock_ms(now_s):
-            return StartResult.ORDER_EXPIRED
+            refusal = StartResult.FENCED
+        elif not is_there and until_ms <= self.clock_ms(now_s):
+            refusal = StartResult.ORDER_EXPIRED
+        elif not is_there and number <= self.highest_run_numbers.get(key, 0):
+            refusal = StartResult.STALE_RUN
+        if refusal is not StartResult.FENCED:
+            self.fence = term
+        if refusal in (None, StartResult.STALE_RUN) and not is_there:
+            self._extend_lease(until_ms, now_s)
+        self.oracle.observations.record_start(
+            key,
+            number,
+            self.id,
+            self.incarnation,
+            now_s,
+            payload,
+            checkpoint=checkpoint,
+            term=term,
+            arrived_s=arrived_s,
+            is_started=refusal is None and not is_there,
+        )
+        if refusal is None and not is_there:
+            self._add_run(key, number, checkpoint, now_s)
+        return refusal or StartResult.STARTED
+
+    def _extend_lease(self, until_ms: int, now_s: float) -> None:
+        if self.clock_ms(now_s) > self.lease_until_ms:
+            self.lapsed_ms = self.lease_until_ms
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
-        if number <= self.highest_run_numbers.get(key, 0):
-            return StartResult.STALE_RUN
+
+    def _add_run(
+        self, key: TaskKey, number: int, checkpoint: str, now_s: float
+    ) -> None:
+        """Start a run; with a checkpoint it goes on from there."""
         self._check_start(key, number, now_s)
         spec = self._step_spec(key)
         self.highest_run_numbers[key] = number
         run_time_s = spec.estimate_s * self.rng.uniform(0.6, 1.6)
         fails = self.rng.random() < self.failure_share
         outcome = RunOutcome.FAILED if fails else RunOutcome.DONE
-        run = SimRun(key, number, spec.resources.cpu_milli, now_s + run_time_s, outcome)
+        worked_s = self.oracle.saved_work_s.get(checkpoint, 0.0)
+        end_s = now_s + max(run_time_s - worked_s, 0.0)
+        run = SimRun(key, number, spec.resources.cpu_milli, end_s, outcome)
+        run.saved, run.worked_s = checkpoint, worked_s
+        if spec.checkpointing:
+            run.next_save_s = now_s + SAVE_INTERVAL_S
         self.runs[key, number] = run
         if spec.gang:
             self._join_gang(run, spec.count, now_s)
-        return StartResult.STARTED
 
     def _join_gang(self, run: SimRun, count: int, now_s: float) -> None:
         """Add a run to its gang, whose work starts once all members have started.
@@ -212,6 +303,10 @@
         complete = len({member.key for member in members}) == count
         for member in members:
             member.end_s = end_s if complete else float("inf")
+            if self._step_spec(run.key).checkpointing:
+                # A gang works once it is complete.
+                wait_s = SAVE_INTERVAL_S if complete else float("inf")
+                member.next_save_s = now_s + wait_s
             member.outcome = run.outcome
             member.gang_deadline_s = (
                 float("inf")
@@ -230,16 +325,6 @@
             oracle.record_violation(f"overcommitted: {name}")
         for worker in self.peers.values():
             worker.advance(now_s)
-            if any(run.key == key for run in worker.runs.values()):
-                oracle.record_violation(f"runs twice: {name}, also on {worker.id}")
-        if key in oracle.acknowledged_done:
-            oracle.record_violation(f"starts again after it was done: {name}")
-        if key.job in oracle.refused_jobs:
-            oracle.record_violation(f"starts though its job was refused: {name}")
-        # A leader of an earlier term that is cut off may not know of the cancellation.
-        is_newest_term = self.fence >= oracle.newest_term
-        if is_newest_term and now_s - oracle.cancelled_s.get(key.job, now_s) > 3.0:
-            oracle.record_violation(f"starts though its job was cancelled: {name}")
         if oracle.published_final_states.get(key.job) == "completed":
             oracle.record_violation(
                 f"starts though its job was published as completed: {name}"
@@ -260,6 +345,7 @@
     def stop(self, key: TaskKey, number: int, term: int, now_s: float) -> bool:
         """Execute a stop order; return False if the fencing token is too low."""
         self.advance(now_s)
+        self.oracle.observations.record_stop(key, number, self.id, now_s, term)
         if term < self.fence:
             return False
         self.fence = term
@@ -268,10 +354,12 @@
         )
         run = self.runs.get((key, number))
         if run is not None:
-            self._end_run(run, RunOutcome.STOPPED)
+            if run.next_save_s < float("inf"):
+                self._make_checkpoint(run, now_s)
+            self._end_run(run, RunOutcome.STOPPED, now_s)
             if self._step_spec(key).gang:
                 run.outcome = RunOutcome.GANG_BROKEN
-                self._end_gang(run)
+                self._end_gang(run, now_s)
         return True
 
     def renew_lease(
@@ -291,16 +379,10 @@
             return None
         self.fence = term
         if until_ms is not None and self.runs:
-            self.lease_until_ms = max(self.lease_until_ms, until_ms)
+            self._extend_lease(until_ms, now_s)
         for end in self.unacknowledged_ends:
-            if (
-                end.sequence <= acknowledged_upto
-                and end.outcome is RunOutcome.DONE
-                and not self.lease_expiry_count
-            ):
-                self.oracle.acknowledged_done.add(end.key)
-                name = ".".join(map(str, end.key))
-                self.oracle.trace.append(f"{now_s:.2f} {name} acknowledged as done")
+            if end.sequence <= acknowledged_upto:
+                self._record_note(end, now_s)
         self.unacknowledged_ends = [
             end for end in self.unacknowledged_ends if end.sequence > acknowledged_upto
         ]
@@ -308,6 +390,22 @@
             sent_s,
             self.clock_ms(now_s),
             int(self.started_s * 1000) + 1,
-            [RunStatus(run.key, run.number, "", 100) for run in self.runs.values()],
+            [
+                RunStatus(run.key, run.number, run.saved, 100)
+                for run in self.runs.values()
+            ],
             list(self.unacknowledged_ends),
         )
+
+    def _record_note(self, end: RunEnd, now_s: float) -> None:
+        """Record that a leader has taken note of an end."""
+        is_void = (
+            self.clock_ms(now_s) > self.lease_until_ms
+            or self._time_s(self.lapsed_ms) >= self.ended_s[end.sequence]
+        )
+        self.oracle.observations.record_note(
+            end.key, end.number, self.id, self.incarnation, now_s, is_void
+        )
+        if end.outcome is RunOutcome.DONE and not self.lease_expiry_count:
+            name = ".".join(map(str, end.key))
+            self.oracle.trace.append(f"{now_s:.2f} {name} acknowledged as done")
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -143,7 +143,7 @@
         simulation.advance(1.0)
         late_starts = simulation.oracle.start_count - start_count
         simulation.advance(60.0)
-        return simulation.oracle.violations, late_starts
+        return simulation.judge().oracle.violations, late_starts
 
     def test_no_start_by_a_list_that_is_too_old_where_capacities_change(self):
         self.assertEqual(self.play(has_shrunk_before=True), ([], 0))
--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -21,7 +21,7 @@
 
     def check(self, timeout_s=60.0):
         self.simulation.check_jobs(timeout_s)
-        self.assertEqual(self.simulation.oracle.violations, [])
+        self.assertEqual(self.simulation.judge().oracle.violations, [])
 
     def wait_for(self, condition, timeout_s=20.0):
         """Let time pass until a condition holds, or for so long."""
@@ -96,7 +96,7 @@
         cell = simulation.leaders[-1].cell
         self.assertFalse([t for t in cell.suspects.values() if is_suspect(t)])
         simulation.check_jobs(60.0)
-        self.assertEqual(simulation.oracle.violations, [])
+        self.assertEqual(simulation.judge().oracle.violations, [])
         self.assertEqual(simulation.sound_failed_ids, [])
 
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -6,6 +6,7 @@
 
 import unittest
 
+from fuzz.cancels import run_cancels_history
 from fuzz.crash_series import run_crash_series_history
 from fuzz.deadly import run_deadly_history
 from fuzz.repeating import run_repeating_history
@@ -45,6 +46,9 @@
 REPEATING_SEEDS = (*range(1, 6), *range(7, 15), *range(16, 20), *range(25, 35))
 REPEATING_WORKER_GONE_SEEDS = (6, 22)
 
+# Histories of many cancels and checkpoints.
+CANCELS_SEEDS = range(6, 26)
+
 # Histories of tasks that crash their workers.
 DEADLY_SEEDS = (
     *range(1, 13),
@@ -132,6 +136,14 @@
         self.assert_no_violations((16,))
 
 
+class CancelsFuzzTest(unittest.TestCase):
+    def test_cancelled_jobs_and_checkpoints_violate_no_guarantee(self):
+        for seed in CANCELS_SEEDS:
+            with self.subTest(seed=seed):
+                simulation = run_cancels_history(seed)
+                self.assertEqual(simulation.oracle.violations, [])
+
+
 class DeadlyFuzzTest(unittest.TestCase):
     def assert_no_violations(self, seeds):
         for seed in seeds:
--- /dev/null
+++ b/tests/test_oracle_mutants.py
@@ -0,0 +1,211 @@
+"""Test that each clause of the oracle names a fault of the product.
+
+Each mutant changes one line of the product. The histories and plays that the oracle
+judges are those of the fuzzer, and of a cluster in this process. With the mutant the
+oracle names the clause, and without it the same seeds and plays break none.
+"""
+
+import asyncio
+import unittest
+import unittest.mock
+
+from bulrushspur_daemon.leader_requests import LeaderRequestHandler
+from bulrushspur_kernel.messages import Outcome, Reply
+from bulrushspur_scheduler.cell import StartOrder, StopOrder
+from fuzz.cancels import run_cancels_history
+from tests.cluster import InProcessCluster, job_id
+
+SEEDS = (2, 4, 5)
+
+
+def alter_payload(run, worker_id, payload, checkpoint, ticket):
+    return StartOrder(run, worker_id, payload + " ", checkpoint, ticket)
+
+
+def make_checkpoint_swap():
+    """Return a start order that has the checkpoint of the order before it."""
+    last = [""]
+
+    def swap(run, worker_id, payload, checkpoint, ticket):
+        if checkpoint:
+            checkpoint, last[0] = last[0], checkpoint
+        return StartOrder(run, worker_id, payload, checkpoint, ticket)
+
+    return swap
+
+
+def drop_checkpoint(run, worker_id, payload, checkpoint, ticket):
+    """Return a start order without the checkpoint, for one member of a gang."""
+    kept = "" if run.task.key.index == 1 else checkpoint
+    return StartOrder(run, worker_id, payload, kept, ticket)
+
+
+def stop_another_run(worker_id, key, number, run):
+    return StopOrder(worker_id, key, number - 1, run)
+
+
+# By name: what is patched, the replacement, and the clause that it breaks.
+MUTANTS = {
+    "steps have a task too many": (
+        "bulrushspur_scheduler.jobs.range",
+        lambda count: range(count + 1),
+        "UNASKED (unsubmitted)",
+    ),
+    "starts have another payload": (
+        "bulrushspur_scheduler.runs.StartOrder",
+        alter_payload,
+        "UNASKED (payload)",
+    ),
+    "starts have the checkpoint of another run": (
+        "bulrushspur_scheduler.runs.StartOrder",
+        make_checkpoint_swap(),
+        "UNASKED (checkpoint)",
+    ),
+    "one member of a gang starts without the checkpoint": (
+        "bulrushspur_scheduler.runs.StartOrder",
+        drop_checkpoint,
+        "UNASKED (checkpoint)",
+    ),
+    "a cancel is acknowledged and changes nothing": (
+        "fuzz.simulation.finish_job",
+        lambda *args: None,
+        "UNASKED (start after cancel)",
+    ),
+    "stops name another run": (
+        "bulrushspur_scheduler.runs.StopOrder",
+        stop_another_run,
+        "UNASKED (run after cancel)",
+    ),
+    "tasks of earlier terms start at once": (
+        "bulrushspur_scheduler.jobs.Task.may_be_at_work",
+        False,
+        "TWICE (parallel)",
+    ),
+    "progress is stored where no leader looks": (
+        "fuzz.simulation.PROGRESS_KEY_PREFIX",
+        "lost",
+        "TWICE (done)",
+    ),
+    "progress is stored where no leader looks for it": (
+        "fuzz.simulation.PROGRESS_KEY_PREFIX",
+        "lost",
+        "TWICE (noted)",
+    ),
+}
+
+
+def list_broken(violations):
+    """Return the clauses that violations name."""
+    return {violation.partition(":")[0] for violation in violations}
+
+
+class HistoryMutantTest(unittest.TestCase):
+    def test_histories_break_no_rule(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                simulation = run_cancels_history(seed)
+                self.assertEqual(simulation.oracle.violations, [])
+                seen = simulation.oracle.observations
+                self.assertGreater(len(seen.cancels), 5)
+                self.assertTrue(any(order.checkpoint for order in seen.orders))
+
+    def test_each_mutant_breaks_its_clause(self):
+        for name, (target, replacement, clause) in MUTANTS.items():
+            with self.subTest(mutant=name):
+                broken = set()
+                with unittest.mock.patch(target, replacement, create=True):
+                    for seed in SEEDS:
+                        simulation = run_cancels_history(seed)
+                        broken |= list_broken(simulation.oracle.violations)
+                self.assertIn(clause, broken)
+
+
+class ClusterPlayTest(unittest.IsolatedAsyncioTestCase):
+    """Plays that need what is not in the fuzzer: waiting orders, requests, replies."""
+
+    async def asyncSetUp(self):
+        self.cluster = InProcessCluster()
+
+    async def play(self, workers, play):
+        """Play with an own cluster; return the clauses that were broken."""
+        cluster = self.cluster
+        await cluster.start(nodes=1, workers=workers)
+        try:
+            await play(cluster)
+            return list_broken(cluster.find_violations())
+        finally:
+            # It raises what was broken.
+            cluster.observations.orders.clear()
+            cluster.observations.runs.clear()
+            await cluster.stop()
+
+    async def check(self, workers, play, target, replacement, clause):
+        self.assertEqual(await self.play(workers, play), set())
+        self.cluster = InProcessCluster()
+        with unittest.mock.patch(target, replacement):
+            self.assertIn(clause, await self.play(workers, play))
+
+    async def test_waiting_start_that_ignores_the_cancel(self):
+        await self.check(
+            1,
+            play_waiting_starts,
+            "bulrushspur_daemon.worker_orders.find_obsolete_reason",
+            lambda cell, run: "",
+            "UNASKED (start after cancel)",
+        )
+
+    async def test_submission_that_is_accepted_after_the_cancel(self):
+        submit = LeaderRequestHandler._submit
+
+        async def accept(handler, message):
+            handler.cell.finished_jobs.pop(message.job, None)
+            return await submit(handler, message)
+
+        await self.check(
+            2,
+            play_late_submission,
+            "bulrushspur_daemon.leader_requests.LeaderRequestHandler._submit",
+            accept,
+            "UNASKED (start after cancel)",
+        )
+
+    async def test_job_that_is_stored_and_rejected(self):
+        store = LeaderRequestHandler._admit_and_store
+
+        async def store_and_reject(handler, message):
+            await store(handler, message)
+            return Reply(0, Outcome.REJECTED, "", "", 1.0)
+
+        await self.check(
+            2,
+            play_submission,
+            "bulrushspur_daemon.leader_requests.LeaderRequestHandler._admit_and_store",
+            store_and_reject,
+            "REFUSED (refused)",
+        )
+
+
+async def play_waiting_starts(cluster):
+    """Cancel a job of which many starts wait for their turn at a slow worker."""
+    cluster.workers[0].faults.delay_s = 0.25
+    await cluster.submit(job_id(1), count=60, cpu_milli=200, run_time_ms=3000)
+    await asyncio.sleep(0.5)
+    await cluster.call("DELETE", f"/assess/{job_id(1)}", wait_s=4.0)
+    await asyncio.sleep(4.5)
+
+
+async def play_late_submission(cluster):
+    """Cancel a job whose submission comes later than tasks may start after that."""
+    await cluster.call("DELETE", f"/assess/{job_id(1)}")
+    await asyncio.sleep(3.1)
+    await cluster.submit(job_id(1))
+    await asyncio.sleep(0.3)
+
+
+async def play_submission(cluster):
+    await cluster.submit(job_id(1))
+    await asyncio.sleep(0.5)
+
+
+if __name__ == "__main__":
+    unittest.main()
