Let stand-in services leave an order unanswered and carry it out late

Change: Faults.is_late_unanswered leaves the request open without an answer; a service that has ended carries nothing out any more.

--- a/standins/bulrushspur_standins/serving.py
+++ b/standins/bulrushspur_standins/serving.py
@@ -22,6 +22,7 @@
 
 # A request that is handled so long after it has arrived is handled late.
 LATE_S: t.Final = 0.1
+UNRESPONSIVE_S: t.Final = 30.0
 # When the request had arrived that is being handled, on the monotonic clock.
 _arrived_s: contextvars.ContextVar[float] = contextvars.ContextVar("arrived_s")
 
@@ -34,7 +35,8 @@
     answer, and ``forced_status`` answers every request with that status (0 is off).
     ``lost_answer_share`` of the POST requests are executed without an answer;
     ``late_execution_share`` are executed ``late_execution_delay_s`` after the
-    connection was aborted.
+    connection was aborted, or after they came if ``is_late_unanswered`` is set: these
+    get no answer, on an open connection.
     """
 
     down: bool = False
@@ -44,6 +46,7 @@
     lost_answer_share: float = 0.0
     late_execution_share: float = 0.0
     late_execution_delay_s: float = 1.0
+    is_late_unanswered: bool = False
     refused_peers: set[str] = dataclasses.field(default_factory=set)
 
 
@@ -70,13 +73,18 @@
 ) -> HttpServer:
     """Make a server that passes requests to a handler and applies the faults."""
 
+    async def execute_late(request: Request, body: bytes) -> None:
+        # A service that has ended since does nothing; the next one is another server.
+        if server.server is not None and server.server.is_serving():
+            await handle(request, body)
+
     async def serve(request: Request, exchange: Exchange) -> None:
         body = await request.read_full_body(4_000_000)
         _arrived_s.set(time.monotonic())
         if faults.down:
             raise CallerDisconnectedError
         if faults.unresponsive:
-            await asyncio.sleep(30)
+            await asyncio.sleep(UNRESPONSIVE_S)
             raise CallerDisconnectedError
         if faults.forced_status:
             await exchange.send_json(faults.forced_status, b"{}")
@@ -86,8 +94,10 @@
         if request.method == "POST" and rng.random() < faults.late_execution_share:
             asyncio.get_running_loop().call_later(
                 faults.late_execution_delay_s,
-                lambda: asyncio.ensure_future(handle(request, body)),
+                lambda: asyncio.ensure_future(execute_late(request, body)),
             )
+            if faults.is_late_unanswered:
+                await asyncio.sleep(UNRESPONSIVE_S)
             raise CallerDisconnectedError
         status, answer_body = await handle(request, body)
         if request.method == "POST" and rng.random() < faults.lost_answer_share:
@@ -95,4 +105,5 @@
         await exchange.send_json(status, answer_body)
 
     bounds = Bounds(connections=500, body_bytes=4_000_000, idle_wait_s=120.0)
-    return make_http_server(serve, send_refusal, bounds)
+    server = make_http_server(serve, send_refusal, bounds)
+    return server
