Let the soak press wide jobs, slow workers, cut links and repeated submissions

Its jobs had 1 to 4 tasks, its workers rarely hung, no link from clients was cut, nothing was sent again, and a job was cancelled only after its submission was answered. It looked for starts after a cancel alone. Change: run.py is split: profile (size and emphasis by seed), jobs, clients, calls, disruptions, recording, and the faults by what they disrupt. Jobs are wide, have dependent steps, make checkpoints or last; workers hang, answer slowly, lose answers and carry orders out late, several at a time; links from clients are cut too, and open connections fall silent for good; submissions are repeated before and after the answer, with and after the cancel; cancels come before the submission is answered, are repeated or given up; a submission waits at an entry process that is suspended while another one takes the cancel. One seed in eight has 8 entry processes and 24 workers. All that workers are told and run is judged by oracle/, with what was disrupted when; a leader is excused for a time after it was suspended, stopped or killed, and an order that a link held back. What was observed is written beside the logs.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,4 +1,7 @@
-"""Check what became of the jobs of a soak, once all faults have ended."""
+"""Check what became of the jobs of a soak, once all faults have ended.
+
+What workers were told to start and what they ran is for the oracle.
+"""
 
 import asyncio
 import time
@@ -6,6 +9,12 @@
 
 import msgspec
 
+from oracle.observations import Bounds
+from oracle.rules import find_violations
+from soak.calls import cancel
+from soak.clients import list_accepted_jobs
+from soak.jobs import SoakJob
+from soak.recording import complete_observations
 from tests.cluster import API_KEY, CONFIG, HOST
 
 if t.TYPE_CHECKING:
@@ -13,10 +22,11 @@
 
 MAX_ATTEMPTS: t.Final = {row["name"]: row["max_attempts"] for row in CONFIG["routes"]}
 COMPLETION_TIMEOUT_S: t.Final = 40.0
-# A task of a cancelled job may start for so long after the acknowledgement.
-MAX_CANCEL_S: t.Final = 3.0
+POLL_INTERVAL_S: t.Final = 0.1
 # A job may be given up from so many crashes under one of its tasks on.
 MIN_CRASHES: t.Final = 2
+# Runs of cancelled jobs have to be gone after a steady stretch of this length.
+STEADY_S: t.Final = Bounds().contact_s + Bounds().cancel_s + Bounds().stop_s + 0.5
 
 
 def check_evacuations(soak: "Soak") -> None:
@@ -30,81 +40,92 @@
                 soak.violations.append(f"{task} started in {domain}, evacuated")
 
 
+async def cancel_long_running_jobs(soak: "Soak") -> None:
+    """Cancel the jobs that last until the cancel of each is acknowledged."""
+    until_s = time.monotonic() + COMPLETION_TIMEOUT_S
+    jobs = [job for job in soak.jobs.values() if job.is_long_running]
+    await asyncio.gather(*(_cancel_until(soak, job, until_s) for job in jobs))
+
+
+async def _cancel_until(soak: "Soak", job: SoakJob, until_s: float) -> None:
+    client = soak.clients[0]
+    while time.monotonic() < until_s:
+        entry = soak.rng.choice(soak.cluster.entries)
+        if await cancel(soak, client, job, entry):
+            return
+        await asyncio.sleep(POLL_INTERVAL_S)
+    soak.violations.append(f"cancel of {job.id} was not acknowledged")
+
+
+async def check_runs(soak: "Soak") -> None:
+    """Wait for a steady stretch, and let the oracle judge all that was observed."""
+    ends_s = [row.until_s for row in soak.observations.disruptions]
+    wait_s = max(ends_s, default=0.0) + STEADY_S - time.monotonic()
+    await asyncio.sleep(max(wait_s, 0.0))
+    complete_observations(soak)
+    soak.violations += map(str, find_violations(soak.observations))
+
+
 async def check_jobs(soak: "Soak") -> None:
-    """Check that accepted jobs complete and that no refused job was started.
+    """Check that accepted jobs complete, fail with cause or are cancelled.
 
-    Call it after all faults have ended. Accepted jobs have to complete within
-    ``COMPLETION_TIMEOUT_S``, or to fail with cause.
+    Call it after all faults have ended. They have ``COMPLETION_TIMEOUT_S`` to do so.
     """
-    headers = [("bulrushspur-credential", API_KEY)]
-    unfinished_jobs = {
-        job for job, submission in soak.submissions.items() if submission.accepted
-    }
+    unfinished_jobs = set(list_accepted_jobs(soak))
     until_s = time.monotonic() + COMPLETION_TIMEOUT_S
     while unfinished_jobs and time.monotonic() < until_s:
         for job in sorted(unfinished_jobs):
-            entry = soak.rng.choice(soak.cluster.entries)
-            path = f"/assess/{job}"
-            answer = await soak.cluster.call(entry, "GET", path, headers, host=HOST)
-            if answer is None or answer.status == 503:
-                continue
-            if answer.status != 200:
-                soak.violations.append(
-                    f"state request for accepted job {job} returned {answer.status}"
-                )
-                unfinished_jobs.discard(job)
-            elif _has_ended(soak, job, msgspec.json.decode(answer.body)):
+            if await _check_job(soak, soak.jobs[job]):
                 unfinished_jobs.discard(job)
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(POLL_INTERVAL_S)
     soak.violations += [
         f"accepted job {job} did not complete" for job in sorted(unfinished_jobs)
     ]
-    _check_refused_jobs(soak)
-    _check_cancelled_jobs(soak)
 
 
-def _has_ended(soak: "Soak", job: str, told: dict[str, t.Any]) -> bool:
-    """Return whether a final state is told of a job, and check it."""
-    state, reason = told["state"], told.get("reason")
+async def _check_job(soak: "Soak", job: SoakJob) -> bool:
+    """Request the state of a job; return whether it is final or wrong."""
+    headers = [("bulrushspur-credential", API_KEY)]
+    entry = soak.rng.choice(soak.cluster.entries)
+    # A job that is shown as completed is recorded by that.
+    answer = await soak.cluster.call(entry, "GET", job.path, headers, host=HOST)
+    if answer is None or answer.status == 503:
+        return False
+    if answer.status != 200:
+        soak.violations.append(
+            f"state request for accepted job {job.id} returned {answer.status}"
+        )
+        return True
+    return _has_ended(soak, job, msgspec.json.decode(answer.body))
+
+
+def _has_ended(soak: "Soak", job: SoakJob, answer: dict[str, t.Any]) -> bool:
+    """Return whether a final state is reported of a job, and check it."""
+    state, reason = answer["state"], answer.get("reason")
     if state == "failed" and _may_fail(soak, job):
-        soak.failed_jobs.add(job)
-    elif state == "cancelled" and soak.submissions[job].cancel_sent:
+        soak.failed_jobs.add(job.id)
+    elif state == "cancelled" and soak.observations.cancels.get(job.id):
         return True
     elif state in ("failed", "cancelled"):
-        soak.violations.append(f"accepted job {job} is shown as {state}: {reason}")
+        soak.violations.append(f"accepted job {job.id} is shown as {state}: {reason}")
     return state in ("completed", "failed", "cancelled")
 
 
-def _may_fail(soak: "Soak", job: str) -> bool:
+def _may_fail(soak: "Soak", job: SoakJob) -> bool:
     """Return whether runs or workers failed often enough for a job to fail."""
-    oracle, submission = soak.cluster.oracle, soak.submissions[job]
+    oracle = soak.cluster.oracle
     failed_runs = [
         numbers
         for task, numbers in oracle.failed_runs.items()
-        if task.startswith(f"{job}.")
+        if task.startswith(f"{job.id}.")
     ]
-    if submission.gang:
+    if job.steps[0].gang:
         failed_runs = [set().union(*failed_runs)]
     crash_counts = [
         count
         for task, count in oracle.lost_counts.items()
-        if task.startswith(f"{job}.")
+        if task.startswith(f"{job.id}.")
     ]
     most_failed = max(map(len, failed_runs), default=0)
-    has_used_attempts = most_failed >= MAX_ATTEMPTS[submission.queue]
+    has_used_attempts = most_failed >= MAX_ATTEMPTS[job.queue]
     return has_used_attempts or max(crash_counts, default=0) >= MIN_CRASHES
-
-
-def _check_cancelled_jobs(soak: "Soak") -> None:
-    for started_s, task, _, worker_id in soak.cluster.oracle.starts:
-        submission = soak.submissions[task.split(".")[0]]
-        if started_s - submission.cancelled_s > MAX_CANCEL_S:
-            soak.violations.append(f"{task} started on {worker_id} though cancelled")
-
-
-def _check_refused_jobs(soak: "Soak") -> None:
-    started_jobs = {row[1].split(".")[0] for row in soak.cluster.oracle.starts}
-    for job, submission in soak.submissions.items():
-        refused = not submission.accepted and not submission.outcome_unknown
-        if refused and job in started_jobs:
-            soak.violations.append(f"job {job} ran although it was refused")
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,7 +1,8 @@
 """Forward loopback TCP connections to a target, with faults injected on the way.
 
-The proxy can delay data, limit its rate, block one or both directions, and reset
-connections. It never drops, changes or reorders the data of a connection that stays
+The proxy can delay data, limit its rate, block one or both directions, reset
+connections, and silence those that are open: these carry nothing any more, while new
+ones work. It never drops, changes or reorders the data of another connection that stays
 open.
 """
 
@@ -37,17 +38,23 @@
     """
 
     target: str
+    # What it is called as the subject of a disruption.
+    name: str = ""
     fault: LinkFault = LinkFault.NONE
     delay_s: float = 0.1
     bytes_per_s: float = 0.0
     # Until when the link is busy, by direction.
     busy_until_s: dict[LinkFault, float] = dataclasses.field(default_factory=dict)
     server: asyncio.Server | None = None
+    # The open connections that are silent; new ones have a higher number.
+    silent_upto: int = 0
+    connection_count: int = 0
     writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
     tasks: set[asyncio.Task[t.Any]] = dataclasses.field(default_factory=set)
 
     async def start(self) -> str:
         """Start listening and return the address as ``host:port``."""
+        self.name = self.name or f"link to {self.target}"
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         port = self.server.sockets[0].getsockname()[1]
         return f"127.0.0.1:{port}"
@@ -65,11 +72,15 @@
             writer.transport.abort()
             return
         self.writers.add(target_writer)
+        self.connection_count += 1
+        number = self.connection_count
         for source, sink, blocking_fault in (
             (reader, target_writer, LinkFault.BLOCK_REQUESTS),
             (target_reader, writer, LinkFault.BLOCK_ANSWERS),
         ):
-            task = asyncio.create_task(self._forward(source, sink, blocking_fault))
+            task = asyncio.create_task(
+                self._forward(source, sink, blocking_fault, number)
+            )
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
@@ -78,6 +89,7 @@
         source: asyncio.StreamReader,
         sink: asyncio.StreamWriter,
         blocking_fault: LinkFault,
+        number: int,
     ) -> None:
         with contextlib.suppress(OSError):
             chunk_bytes = LIMITED_CHUNK_BYTES if self.bytes_per_s else CHUNK_BYTES
@@ -88,8 +100,13 @@
                 if self.fault is LinkFault.DELAY:
                     await asyncio.sleep(self.delay_s)
                 await self._wait_for_link(len(data), blocking_fault)
+                if number <= self.silent_upto:
+                    # Nothing of it arrives, not even that it is closed.
+                    await asyncio.Event().wait()
                 sink.write(data)
                 await sink.drain()
+        if number <= self.silent_upto:
+            return
         sink.close()
         self.writers.discard(sink)
 
@@ -102,6 +119,10 @@
         self.busy_until_s[direction] = busy_until_s + size_bytes / self.bytes_per_s
         await asyncio.sleep(self.busy_until_s[direction] - now_s)
 
+    def silence(self) -> None:
+        """Silence the connections that are open, for good."""
+        self.silent_upto = self.connection_count
+
     def reset(self) -> None:
         """Reset all open connections; the proxy keeps listening."""
         for writer in list(self.writers):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,11 +1,14 @@
 """Run the soak briefly with a fixed seed; ``make soak`` starts longer runs.
 
-Guards against accepted jobs that do not complete, refused jobs that run, and concurrent
-runs of a task, while processes, links and the store fail at random.
+Guards against accepted jobs that do not complete, and against what the oracle judges,
+such as refused jobs that run, cancelled ones that start, and concurrent runs of a task,
+while processes, links, workers and the store fail at random.
 """
 
 import unittest
 
+from oracle.rules import find_violations
+from soak.clients import list_accepted_jobs
 from soak.run import REGRESSION_SEEDS, run_seed
 
 SEED = 7
@@ -16,9 +19,18 @@
     def test_short_run_has_no_violations(self):
         violations, soak = run_seed(SEED, RUN_DURATION_S)
         self.assertEqual(violations, [])
-        self.assertGreater(
-            sum(submission.accepted for submission in soak.submissions.values()), 0
-        )
+        self.assertGreater(len(list_accepted_jobs(soak)), 0)
+        self.check_observations(soak)
+
+    def check_observations(self, soak):
+        """Check that the oracle sees the starts, whose senders are all known."""
+        observations = soak.observations
+        self.assertGreater(len(observations.runs), 0)
+        terms = {run.term for run in observations.runs}
+        self.assertLessEqual(terms, soak.term_holders.keys())
+        observations.runs[0].payload += " altered"
+        [violation] = find_violations(observations)
+        self.assertEqual((violation.rule, violation.clause), ("UNASKED", "payload"))
 
     def test_regression_seeds_have_no_violations(self):
         for seed in REGRESSION_SEEDS:
--- /dev/null
+++ b/tests/test_soak_parts.py
@@ -0,0 +1,171 @@
+"""Test what the soak draws, and the faults that it can inject, without processes.
+
+Guards against a seed that does not fix the draws, and against faults that do not do
+what the oracle is told of them.
+"""
+
+import asyncio
+import random
+import time
+import types
+import unittest
+
+import msgspec
+
+from bulrushspur_kernel.http_client import ResponseLostError
+from bulrushspur_kernel.http_pool import HttpPool
+from bulrushspur_standins.serving import Faults, json_answer, make_server
+from oracle.observations import Observations
+from oracle.requests import declare_job
+from oracle.runs import Run
+from soak.clients import Repeat, draw_plan
+from soak.disruptions import LINK_FLUSH_S, Disruptions
+from soak.jobs import MAX_WIDE_TASKS, MIN_WIDE_TASKS, draw_job, draw_work
+from soak.profile import Emphasis, draw_profile
+from soak.proxy import FaultProxy, LinkFault
+from soak.recording import _is_in_touch
+
+JOB = "00000000000000aa"
+
+
+def draw_all(seed):
+    rng = random.Random(seed)
+    profile = draw_profile(seed, rng)
+    plans = [draw_plan(rng, profile) for _ in range(50)]
+    # Repeating jobs have the present time in their bodies.
+    jobs = [draw_job(rng, JOB, is_wide=number % 2 == 0) for number in range(50)]
+    return profile, plans, [(job.queue, job.payload, job.steps) for job in jobs]
+
+
+class DrawTest(unittest.TestCase):
+    def test_seed_fixes_the_draws(self):
+        self.assertEqual(draw_all(3), draw_all(3))
+        self.assertNotEqual(draw_all(3), draw_all(6))
+
+    def test_seeds_in_a_row_have_all_emphases(self):
+        emphases = {draw_all(seed)[0].emphasis for seed in (10, 11, 12)}
+        self.assertEqual(emphases, set(Emphasis))
+
+    def test_some_runs_are_large(self):
+        sizes = {draw_all(seed)[0].entry_count for seed in range(40)}
+        self.assertIn(8, sizes)
+        self.assertGreater(len(sizes), 1)
+
+    def test_plans_cover_cancels_and_repeats(self):
+        plans = [plan for seed in range(6) for plan in draw_all(seed)[1]]
+        self.assertEqual({plan.repeat for plan in plans}, set(Repeat))
+        for is_early in (False, True):
+            with self.subTest(is_early=is_early):
+                self.assertTrue(
+                    any(p.is_cancelled and p.is_cancel_early is is_early for p in plans)
+                )
+        self.assertTrue(any(plan.suspension_s > 0 for plan in plans))
+        self.assertTrue(any(plan.cancel_count > 1 for plan in plans))
+
+    def test_body_declares_what_the_oracle_is_told(self):
+        rng = random.Random(1)
+        for number in range(200):
+            job = draw_job(rng, f"{number:016x}", is_wide=number % 4 == 0)
+            declared = declare_job(msgspec.json.decode(job.body))
+            with self.subTest(body=job.body):
+                self.assertEqual(declared["payload"], job.payload)
+                self.assertEqual(declared["steps"], job.steps)
+                self.assertEqual(declared["occurrence_count"], job.occurrence_count)
+                self.assertIn(job.id, job.payload)
+
+    def test_jobs_are_of_all_kinds(self):
+        rng = random.Random(1)
+        jobs = [draw_job(rng, JOB, is_wide=False) for _ in range(300)]
+        steps = [step for job in jobs for step in job.steps]
+        for kind in ("gang", "checkpointing", "long_running", "depends_on"):
+            with self.subTest(kind=kind):
+                self.assertTrue(any(getattr(step, kind) for step in steps))
+        wide = draw_job(rng, JOB, is_wide=True)
+        self.assertTrue(MIN_WIDE_TASKS <= wide.task_count <= MAX_WIDE_TASKS)
+
+    def test_work_is_that_of_the_payload(self):
+        rng = random.Random(1)
+        job = draw_job(rng, JOB, is_wide=True)
+        cpu_milli, run_time_s, outcome = draw_work(
+            rng, job, f"{JOB}.0.0.1", f"300 250 done:{JOB}"
+        )
+        self.assertEqual((cpu_milli, run_time_s, outcome), (300, 0.25, "done"))
+
+
+class ContactTest(unittest.TestCase):
+    def setUp(self):
+        self.disruptions = Disruptions(Observations())
+        self.soak = types.SimpleNamespace(
+            disruptions=self.disruptions,
+            term_holders={4: "n1"},
+            worker_link_by_machine={"w2": "link to w2"},
+        )
+
+    def is_in_touch(self, arrived_s, term=4):
+        run = Run((JOB, 0, 0, 0), 1, "w2-3", 1, arrived_s, "", term=term)
+        return _is_in_touch(self.soak, run)
+
+    def disrupt(self, subject):
+        """Disrupt a subject for a moment; return when that was."""
+        self.disruptions.record_moment("fault", subject)
+        return self.disruptions.observations.disruptions[-1].until_s
+
+    def test_sender_is_out_of_touch_for_a_while(self):
+        end_s = self.disrupt("n1")
+        self.assertFalse(self.is_in_touch(end_s + 2.9))
+        self.assertTrue(self.is_in_touch(end_s + 3.1))
+
+    def test_other_processes_do_not_matter(self):
+        end_s = self.disrupt("n2")
+        self.assertTrue(self.is_in_touch(end_s + 0.1))
+
+    def test_order_that_a_link_held_back_is_excused(self):
+        end_s = self.disrupt("link to w2")
+        self.assertFalse(self.is_in_touch(end_s + LINK_FLUSH_S - 0.1))
+        self.assertTrue(self.is_in_touch(end_s + LINK_FLUSH_S + 0.1))
+
+
+class ProxyTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.handled = []
+        self.faults = Faults()
+        self.server = make_server(self.handle, self.faults, random.Random(1))
+        await self.server.listen("127.0.0.1", 0)
+        self.proxy = FaultProxy(f"127.0.0.1:{self.server.port}")
+        self.pool = HttpPool(await self.proxy.start())
+
+    async def asyncTearDown(self):
+        await self.pool.close()
+        await self.proxy.stop()
+        await self.server.close(0.0)
+
+    async def handle(self, request, body):
+        self.handled.append((request.path, time.monotonic()))
+        return json_answer(200)
+
+    async def request(self, path):
+        return (await self.pool.request("POST", path, b"{}", timeout_s=0.3)).status
+
+    async def test_open_connections_are_silent_and_new_ones_work(self):
+        self.assertEqual(await self.request("/1"), 200)
+        self.proxy.silence()
+        with self.assertRaises(ResponseLostError):
+            await self.request("/2")
+        self.assertEqual(await self.request("/3"), 200)
+        self.assertEqual([path for path, _ in self.handled], ["/1", "/3"])
+
+    async def test_blocked_request_arrives_late(self):
+        self.assertEqual(await self.request("/1"), 200)
+        self.proxy.fault = LinkFault.BLOCK_REQUESTS
+        with self.assertRaises(ResponseLostError):
+            await self.request("/2")
+        end_s = time.monotonic()
+        self.proxy.fault = LinkFault.NONE
+        await asyncio.sleep(0.3)
+        path, handled_s = self.handled[-1]
+        self.assertEqual(path, "/2")
+        self.assertLess(handled_s - end_s, LINK_FLUSH_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
