Rename what the soak's test imports to a public name

Cause: a test imported a private function. Change: is_in_touch of soak/recording.py has no underscore.

--- a/soak/recording.py
+++ b/soak/recording.py
@@ -35,7 +35,7 @@
     """Record which leaders were out of touch, and when the observation ends."""
     record_claims(soak)
     for run in soak.observations.orders:
-        run.in_touch = _is_in_touch(soak, run)
+        run.in_touch = is_in_touch(soak, run)
     for term, name in soak.term_holders.items():
         for subject in (STORE, soak.store_link_by_entry[name]):
             for row in soak.disruptions.by_subject.get(subject, ()):
@@ -43,7 +43,7 @@
     soak.observations.end_at(time.monotonic())
 
 
-def _is_in_touch(soak: "Soak", run: Run) -> bool:
+def is_in_touch(soak: "Soak", run: Run) -> bool:
     """Return whether neither the sender of an order nor its link was disrupted."""
     until_s = run.arrived_s
     link = soak.worker_link_by_machine[run.worker.partition("-")[0]]
--- a/tests/test_soak_parts.py
+++ b/tests/test_soak_parts.py
@@ -23,7 +23,7 @@
 from soak.jobs import MAX_WIDE_TASKS, MIN_WIDE_TASKS, draw_job, draw_work
 from soak.profile import Emphasis, draw_profile
 from soak.proxy import FaultProxy, LinkFault
-from soak.recording import _is_in_touch
+from soak.recording import is_in_touch
 
 JOB = "00000000000000aa"
 
@@ -103,7 +103,7 @@
 
     def is_in_touch(self, arrived_s, term=4):
         run = Run((JOB, 0, 0, 0), 1, "w2-3", 1, arrived_s, "", term=term)
-        return _is_in_touch(self.soak, run)
+        return is_in_touch(self.soak, run)
 
     def disrupt(self, subject):
         """Disrupt a subject for a moment; return when that was."""
