Test that a worker that is back under its id at another address gets work

What callers see: with such a worker alone, jobs stay queued; its last run is not started again. The stand-in worker can start again at another port.

--- a/standins/bulrushspur_standins/worker.py
+++ b/standins/bulrushspur_standins/worker.py
@@ -87,23 +87,24 @@
     # After a crash the next incarnation starts, under a new id if ``renamed`` is set.
     down_s: float = 0.5
     renamed: bool = True
+    # The next incarnation listens at another address.
+    moved: bool = False
     on_restart: t.Callable[["WorkerStandin", str], None] = lambda worker, old_id: None
     machine: str = ""
     incarnation_count: int = 1
     # When the capacity was reduced, and what it was before.
     earlier_cpu_milli: list[tuple[float, int]] = dataclasses.field(default_factory=list)
 
-    async def start(self) -> str:
-        """Listen at a free port of 127.0.0.1 and return the address."""
+    async def start(self, port: int = 0) -> str:
+        """Listen at a port of 127.0.0.1, or a free one, and return the address."""
         self.machine = self.machine or self.id
-        await self._listen(0)
-        assert self.server is not None
-        self.address = f"127.0.0.1:{self.server.port}"
+        await self._listen(port)
         return self.address
 
     async def _listen(self, port: int) -> None:
         self.server = make_server(self._handle, self.faults, self.rng)
         await self.server.listen("127.0.0.1", port)
+        self.address = f"127.0.0.1:{self.server.port}"
         self.tick_task = asyncio.create_task(self._tick_loop())
 
     async def stop(self) -> None:
@@ -153,7 +154,7 @@
         self.started_s = time.monotonic()
         self.incarnation_start_ms = int(time.time() * 1000)
         self.alive = True
-        await self._listen(port)
+        await self._listen(0 if self.moved else port)
         self.on_restart(self, old_id)
 
     def resize(self, cpu_milli: int) -> None:
--- a/tests/test_worker_connections.py
+++ b/tests/test_worker_connections.py
@@ -12,6 +12,7 @@
 from bulrushspur_daemon.worker_connections import REPORT_TIMEOUT_S
 from bulrushspur_scheduler.cell import TimingLimits
 from bulrushspur_scheduler.workers import MIN_CLOCK_RATE
+from bulrushspur_standins.worker import RunOracle, WorkerStandin
 from tests.cluster import InProcessCluster, job_id
 
 TOLERANCE_S = 1.0
@@ -75,6 +76,49 @@
         self.assertLess(statistics.quantiles(took_s, n=10)[7], 0.9)
 
 
+class MovedWorkerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.cluster = InProcessCluster()
+        self.addAsyncCleanup(self.cluster.stop)
+        await self.cluster.start(nodes=1, workers=1)
+        (self.worker,) = self.cluster.workers
+        await self.run_job(1)
+
+    async def run_job(self, number):
+        await self.cluster.submit(job_id(number))
+        await self.cluster.wait_job_state(job_id(number), "completed", wait_s=6.0)
+
+    async def move_worker(self, down_s):
+        """Let the worker start again under its id at another address."""
+        worker = self.worker
+        worker.renamed, worker.moved, worker.down_s = False, True, down_s
+        old_address = worker.address
+        worker.crash()
+        await self.cluster.wait_for(lambda: worker.address != old_address)
+        return int(old_address.rpartition(":")[2])
+
+    async def test_worker_that_is_back_at_another_address_gets_work(self):
+        await self.move_worker(0.1)
+        await self.run_job(2)
+        self.assertEqual(self.cluster.oracle.violations, [])
+
+    async def test_run_of_a_worker_that_moved_starts_again(self):
+        await self.cluster.submit(job_id(2), count=1, run_time_ms=1000)
+        await self.cluster.wait_for(lambda: self.cluster.oracle.running_on)
+        await self.move_worker(0.1)
+        await self.cluster.wait_job_state(job_id(2), "completed", wait_s=10.0)
+        self.assertEqual(self.cluster.oracle.violations, [])
+
+    async def test_other_worker_at_the_old_address_gets_none_of_its_work(self):
+        port = await self.move_worker(0.1)
+        other = WorkerStandin("other", service="others", oracle=RunOracle())
+        await other.start(port)
+        self.cluster.workers.append(other)
+        self.cluster.store.put("keyed.servers", "other", other.encode_entry())
+        await self.run_job(2)
+        self.assertEqual(other.oracle.starts, [])
+
+
 class UnreachableWorkerTest(unittest.IsolatedAsyncioTestCase):
     async def test_start_that_was_not_sent_goes_to_another_worker_at_once(self):
         cluster = InProcessCluster()
