Call a worker that is back under its id at its new address

Callers saw: jobs that stayed queued beside such a worker, until the next change of the leader. Cause: a term connects to a worker when its entry first comes; later entries with another address changed the entry alone. Orders and polls went on to the old address, where another worker refuses them (421) or nothing listens. The recorded list for the next leader kept the old address, too. Change: a new address in the entry is recorded, and the term connects to it (worker_moved). What the worker lists there decides, as for one that starts again at its address.

--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -304,6 +304,7 @@
         term.worker_records.add,
         term.request_plan,
         term.worker_records.update,
+        term.worker_connections.reopen,
     )
     term.past_use = TermPastUse(cell, writer)
     term.speeds = TermSpeeds(cell, writer)
--- a/packages/daemon/bulrushspur_daemon/worker_connections.py
+++ b/packages/daemon/bulrushspur_daemon/worker_connections.py
@@ -96,6 +96,12 @@
         self.by_worker_id[worker.id] = connection
         connection.poll_task = asyncio.create_task(self._poll_loop(connection))
 
+    def reopen(self, worker: Worker) -> None:
+        """Connect to a worker at its new address, if it is connected to."""
+        if worker.id in self.by_worker_id:
+            self.close(worker.id)
+            self.open(worker)
+
     def close(self, worker_id: str) -> None:
         """Close the connection to a worker."""
         connection = self.by_worker_id.pop(worker_id, None)
--- a/packages/daemon/bulrushspur_daemon/worker_records.py
+++ b/packages/daemon/bulrushspur_daemon/worker_records.py
@@ -48,9 +48,9 @@
         self.spawn(self._open_when_durable(worker))
 
     def update(self, worker: Worker) -> None:
-        """Store the new capacity of a recorded worker.
+        """Store the new capacity or address of a recorded worker.
 
-        The most that it ever had is kept: its runs may be older than a change.
+        The most capacity that it ever had is kept: its runs may be older than a change.
         """
         record = self.by_id.get(worker.id)
         if record is not None:
--- a/packages/daemon/bulrushspur_daemon/worker_watch.py
+++ b/packages/daemon/bulrushspur_daemon/worker_watch.py
@@ -44,6 +44,7 @@
     on_new_worker: t.Callable[[Worker], None]
     on_change: t.Callable[[], None]
     on_new_capacity: t.Callable[[Worker], None] = lambda worker: None
+    on_new_address: t.Callable[[Worker], None] = lambda worker: None
     next_offset: int | None = None
     store_unavailable: bool = False
     grace_until_s: float = 0.0
@@ -129,6 +130,7 @@
                 self.on_new_worker,
                 self.on_new_capacity,
                 ids_by_machine,
+                self.on_new_address,
             )
         except Exception as exc:
             # Whatever the fault: the next leader would fail with it, too.
@@ -168,9 +170,11 @@
     on_new_worker: t.Callable[[Worker], None],
     on_new_capacity: t.Callable[[Worker], None] = lambda worker: None,
     ids_by_machine: dict[str, set[str]] | None = None,
+    on_new_address: t.Callable[[Worker], None] = lambda worker: None,
 ) -> None:
     """Add a worker to the cell, or update it from its entry.
 
+    ``on_new_capacity`` is called for a new address, too, as both are recorded.
     ``ids_by_machine`` has the ids of all workers of the cell by machine, and gets that
     of a new one. It is made here if it is not given.
     """
@@ -223,10 +227,15 @@
             free_milli=worker.free.cpu_milli,
             runs=len(worker.runs),
         )
+    has_moved = entry.address != worker.entry.address
     worker.entry = entry
     worker.max_capacity = worker.max_capacity.maximum(entry.capacity)
-    if changed:
+    if changed or has_moved:
         on_new_capacity(worker)
+    if has_moved:
+        # Its next incarnation has the same id.
+        cell.log("worker_moved", worker=entry.id, runs=len(worker.runs))
+        on_new_address(worker)
 
 
 def index_machines(cell: Cell) -> dict[str, set[str]]:
--- a/tests/test_term_recovery.py
+++ b/tests/test_term_recovery.py
@@ -178,6 +178,19 @@
         capacity = recovery.cell.workers["w1"].entry.capacity
         self.assertEqual(capacity, grown.capacity)
 
+    async def test_next_leader_calls_a_worker_at_its_last_address(self):
+        entry = WorkerEntry("w1", "svc", "a:1", "z", Resources(2000, 500, 1))
+        moved = dataclasses.replace(entry, address="b:2")
+        recovery = self.make_recovery(SlowStore({}))
+        records = recovery.worker_records
+        for row in (entry, moved):
+            apply_entry(recovery.cell, row, 0.0, records.add, records.update)
+        await asyncio.sleep(0)
+        stored = {WORKERS_KEY: recovery.writer.pending_records[WORKERS_KEY]}
+        recovery = self.make_recovery(SlowStore(stored))
+        await recovery.run()
+        self.assertEqual(recovery.cell.workers["w1"].entry.address, "b:2")
+
     async def test_record_of_an_earlier_version_gets_what_the_entry_shows(self):
         entry = WorkerEntry(
             "w1", "svc", "a:1", "z", Resources(2000, 500, 1), machine="m1"
