Take no checkpoint of an adopted run whose step does not checkpoint

Workers saw: a start of such a step with the checkpoint that the run before had listed. Cause: adoption took what the worker listed; reports and ends look at the step first. Change: so does adoption.

--- a/packages/scheduler/bulrushspur_scheduler/adoption.py
+++ b/packages/scheduler/bulrushspur_scheduler/adoption.py
@@ -29,8 +29,9 @@
     if task is not None and not is_orphan and _is_adoptable(task, number):
         run = Run(task, number, worker.id, RunState.RUNNING, now_s, now_s)
         run.last_progress_s = now_s
-        run.checkpoint = checkpoint
-        run.resumed_from = checkpoint or "adopted"
+        if task.step.spec.checkpointing:
+            run.checkpoint = checkpoint
+        run.resumed_from = run.checkpoint or "adopted"
         _adopt(cell, worker, run)
         return
     if not is_orphan:
