Judge overcommitted workers by the oracle, too

Change: workers record their capacity, and LIMIT is one clause. The copies are gone; the soak asks for the clauses of workers alone until its clients are recorded. The clause has a mutant.

--- a/fuzz/capacity.py
+++ b/fuzz/capacity.py
@@ -5,45 +5,35 @@
 that restart, changes of the leader and outages of the store. A worker writes its new
 capacity to the store, once that is available, and leaders read it from there.
 
-Checked is each start: it must not bring a worker over the most capacity that it had
-within the last CAPACITY_GRACE_S. Afterwards all jobs complete, and none stands still.
+Checked is each start: it must not bring a worker over the most capacity that it has had
+lately (``oracle/limits.py``). Afterwards all jobs complete, and none stands still.
 """
 
 import random
-import typing as t
 
 from bulrushspur_scheduler.resources import Resources
 from fuzz.histories import play_history, submit_random_job
-from fuzz.leaders import SimLeader
 from fuzz.series import REGISTRATION_DELAY_S, SeriesSimulation
 from fuzz.simulation import WORKER_CPU_MILLI
-from fuzz.workers import SimWorker
-
-# A capacity that has shrunk counts after this time.
-CAPACITY_GRACE_S: t.Final = 4.5
 
 
 class CapacitySimulation(SeriesSimulation):
     """A cell whose workers change their capacity."""
 
     def __init__(self, seed: int) -> None:
-        # By worker: when it had which capacity from, in order.
-        self.capacity_history: dict[str, list[tuple[float, int]]] = {}
         super().__init__(seed, has_incarnation_list=True)
 
     def add_worker(self, name: str, machine: str = "") -> None:
         """Start an incarnation of a worker with its full capacity."""
         super().add_worker(name, machine)
         self.workers[name].failure_share = 0.0
-        self.workers[name].changes_capacity = True
-        self.capacity_history[name] = [(self.now_s, WORKER_CPU_MILLI)]
 
     def resize_worker(self, name: str, cpu_milli: int) -> None:
         """Change the capacity of a worker, and write it to the store."""
         self.add_trace(f"fault: {name} has {cpu_milli} mCPU")
         worker = self.workers[name]
         worker.cpu_milli = cpu_milli
-        self.capacity_history[name].append((self.now_s, cpu_milli))
+        self.record_capacity(name)
         entry = self.entries[name]
         self.entries[name] = self.past_entries[name] = type(entry)(
             entry.id,
@@ -56,20 +46,6 @@
         )
         self.schedule(REGISTRATION_DELAY_S, lambda: self._announce(name))
 
-    def on_started(self, leader: SimLeader, worker: SimWorker, run: t.Any) -> None:
-        """Check that a start keeps a worker within the capacity that counts."""
-        used_milli = sum(other.cpu_milli for other in worker.runs.values())
-        history = self.capacity_history[worker.id]
-        since_s = self.now_s - CAPACITY_GRACE_S
-        older = [cpu for start_s, cpu in history if start_s <= since_s]
-        recent = [cpu for start_s, cpu in history if start_s > since_s]
-        if used_milli > max([*older[-1:], *recent]):
-            key = ".".join(map(str, run.task.key))
-            self.oracle.record_violation(
-                f"{key} brings {worker.id} to {used_milli} of {worker.cpu_milli} mCPU "
-                f"at {self.now_s:.2f}"
-            )
-
 
 class CapacityHistory:
     """The random actions of a history."""
--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -137,6 +137,14 @@
         self.workers[name] = SimWorker(
             name, WORKER_CPU_MILLI, self.oracle, self.workers, self.rng, self.now_s
         )
+        self.record_capacity(name)
+
+    def record_capacity(self, name: str) -> None:
+        """Record the capacity that a worker has from now on."""
+        worker = self.workers[name]
+        self.oracle.observations.record_capacity(
+            name, worker.incarnation, self.now_s, worker.cpu_milli
+        )
 
     def restart_worker(self, name: str) -> None:
         """Crash a worker and start its next incarnation under the same id."""
--- a/fuzz/workers.py
+++ b/fuzz/workers.py
@@ -3,10 +3,10 @@
 Takes start orders, stop orders and lease renewals at simulated times; returns the
 results and reports that a worker would answer. All orders, ends and checkpoints are
 recorded in ``Oracle.observations``, which the clauses of ``oracle/`` judge at the end
-of a history. The rest is checked at each start: no worker is overcommitted, and no task
-starts before the steps that it depends on are done, or though its job was shown as
-completed. A job is shown as failed only with cause (``evidence.py``), and no final
-state changes. Violations are recorded, not raised.
+of a history. The rest is checked at each start: no task starts before the steps that it
+depends on are done, or though its job was shown as completed. A job is shown as failed
+only with cause (``evidence.py``), and no final state changes. Violations are recorded,
+not raised.
 """
 
 import dataclasses
@@ -111,8 +111,6 @@
     advanced_s: float = 0.0
     unreachable_until_s: float = 0.0
     alive: bool = True
-    # Whether starts are checked elsewhere, against the capacity at other times, too.
-    changes_capacity: bool = False
     # Share of the runs that fail by themselves.
     failure_share: float = 0.08
 
@@ -257,6 +255,7 @@
             checkpoint=checkpoint,
             term=term,
             arrived_s=arrived_s,
+            cpu_milli=self._step_spec(key).resources.cpu_milli,
             is_started=refusal is None and not is_there,
         )
         if refusal is None and not is_there:
@@ -319,10 +318,6 @@
         oracle.start_count += 1
         name = f"{'.'.join(map(str, key))} run {number} on {self.id} at {now_s:.2f}"
         oracle.trace.append(f"{now_s:.2f} start {name}, fence {self.fence}")
-        used_milli = sum(run.cpu_milli for run in self.runs.values())
-        is_over = used_milli + spec.resources.cpu_milli > self.cpu_milli
-        if is_over and not self.changes_capacity:
-            oracle.record_violation(f"overcommitted: {name}")
         for worker in self.peers.values():
             worker.advance(now_s)
         if oracle.published_final_states.get(key.job) == "completed":
--- a/oracle/observations.py
+++ b/oracle/observations.py
@@ -29,6 +29,8 @@
     contact_s: float = 3.0
     # By how long after a noted end, or a job shown as completed, nothing more starts.
     noted_s: float = 1.0
+    # From when on a capacity that has shrunk counts.
+    capacity_s: float = 4.5
 
 
 @dataclasses.dataclass
@@ -58,6 +60,10 @@
     contact_losses: dict[int, list[Disruption]] = dataclasses.field(
         default_factory=dict
     )
+    # By worker and incarnation: from when on it has had which CPU, in order of time.
+    capacities: dict[tuple[str, int], list[tuple[float, int]]] = dataclasses.field(
+        default_factory=dict
+    )
     # When a job was first shown as completed.
     completed_s: dict[str, float] = dataclasses.field(default_factory=dict)
     # When the observation ended; until then the runs without an end went on.
@@ -146,6 +152,13 @@
             run.noted_s, run.is_note_void = noted_s, is_void
             self._extend(noted_s)
 
+    def record_capacity(
+        self, worker: str, incarnation: int, from_s: float, cpu_milli: int
+    ) -> None:
+        """Record the CPU that a worker has from a time on."""
+        rows = self.capacities.setdefault((worker, incarnation), [])
+        rows.append((from_s, cpu_milli))
+
     def record_incarnation_end(
         self, worker: str, incarnation: int, ended_s: float
     ) -> None:
--- a/oracle/twice.py
+++ b/oracle/twice.py
@@ -1,8 +1,9 @@
 """Find tasks that run twice at once, or again after they were done: the rule TWICE.
 
-An end counts once the leader has taken note of it, unless the worker's lease lapsed
-before that. Steps whose copies may run in parallel are judged only by what was known,
-and long-running ones, which start again however they end, only by parallel runs.
+An end counts once the leader has taken note of it, then also for what began before the
+note, unless the worker's lease had lapsed by then. Steps whose copies may run in
+parallel are judged only by what was known, and long-running ones, which start again
+however they end, only by parallel runs.
 """
 
 import itertools
@@ -48,15 +49,8 @@
         step = observations.declared_step(task) or ANY_STEP
         if step.speculative or step.long_running:
             continue
-        # Stand-ins may end a member of a gang as done though another one fails.
-        counts_at_end = not step.gang or observations.gangs_end_together
         done_s = min(
-            (
-                row.ended_s if counts_at_end else row.noted_s
-                for row in runs
-                if _is_noted(row)
-            ),
-            default=math.inf,
+            (_find_done_s(observations, step, row) for row in runs), default=math.inf
         )
         for run in runs:
             if run.told_s > done_s:
@@ -83,6 +77,19 @@
     return violations
 
 
+def _find_done_s(observations: Observations, step: DeclaredStep, run: Run) -> float:
+    """Return from when on a run counts as done; infinite if it does not.
+
+    An end that is noted only after the worker's lease had lapsed says nothing of what
+    began before the note. Nor does that of a gang's member where another one may fail:
+    stand-ins do not let them end together.
+    """
+    if run.outcome != "done" or run.noted_s == math.inf:
+        return math.inf
+    is_alone = step.gang and not observations.gangs_end_together
+    return run.noted_s if run.is_note_void or is_alone else run.ended_s
+
+
 def _is_noted(run: Run) -> bool:
     return run.outcome == "done" and run.noted_s < math.inf and not run.is_note_void
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -86,7 +86,7 @@
             await asyncio.gather(*clients)
             await check_jobs(self)
             check_evacuations(self)
-            return self.violations + self.cluster.oracle.violations
+            return self.violations + self.cluster.find_worker_violations()
         finally:
             await self.cluster.stop()
             for proxy in [*self.store_proxies, *self.worker_proxies]:
--- a/standins/bulrushspur_standins/runs.py
+++ b/standins/bulrushspur_standins/runs.py
@@ -38,8 +38,7 @@
 class RunOracle:
     """Hold the runs of all workers that share it, for checks across workers.
 
-    ``starts`` has time, task, run number and worker of each start; ``done_counts`` has
-    the number of acknowledged ends with outcome done of each task. ``crash_counts`` has
+    ``starts`` has time, task, run number and worker of each start. ``crash_counts`` has
     the crashes that a task caused, ``lost_counts`` all those of workers that ran it,
     and ``failed_runs`` the numbers of its runs that ended as failed. ``record`` takes
     what a worker was told or did: its kind, and fields by name. ``saved_work_s`` has
@@ -47,9 +46,7 @@
     """
 
     record: t.Callable[..., None] = ignore_event
-
     running_on: dict[str, str] = dataclasses.field(default_factory=dict)
-    done_counts: dict[str, int] = dataclasses.field(default_factory=dict)
     starts: list[tuple[float, str, int, str]] = dataclasses.field(default_factory=list)
     crash_counts: dict[str, int] = dataclasses.field(default_factory=dict)
     lost_counts: dict[str, int] = dataclasses.field(default_factory=dict)
--- a/standins/bulrushspur_standins/worker.py
+++ b/standins/bulrushspur_standins/worker.py
@@ -5,10 +5,9 @@
 ends with the outcome of its work model, by a stop order, or when the worker's lease
 expires. A run with the outcome crash ends the incarnation without a word; the next one
 starts after ``down_s``. Requests with a fencing token below the highest one seen are
-refused. Each start is checked: the worker's CPU is not overcommitted, also after it has
-shrunk for a while, no worker runs the task already, no end of it with outcome done has
-been acknowledged, and a task that has crashed three workers starts twice more at most.
-All orders are recorded with what was told, and so are checkpoints and ends.
+refused. All orders are recorded with what was told, and so are capacities, checkpoints,
+ends, and when a leader took note of them. One thing is checked here: a task that has
+crashed three workers starts twice more at most.
 """
 
 import asyncio
@@ -38,8 +37,6 @@
 
 CLOCK_START_MS: t.Final = 1000
 CRASH: t.Final = "crash"
-# A capacity that has shrunk counts after this time.
-CAPACITY_GRACE_S: t.Final = 4.5
 # A task under which so many workers have crashed may start so many times more.
 CRASHES_BEFORE_LIMIT: t.Final = 3
 MAX_FURTHER_STARTS: t.Final = 2
@@ -90,8 +87,6 @@
     on_restart: t.Callable[["WorkerStandin", str], None] = lambda worker, old_id: None
     machine: str = ""
     incarnation_count: int = 1
-    # When the capacity was reduced, and what it was before.
-    earlier_cpu_milli: list[tuple[float, int]] = dataclasses.field(default_factory=list)
 
     async def start(self) -> str:
         """Listen at a free port of 127.0.0.1 and return the address."""
@@ -102,6 +97,7 @@
         return self.address
 
     async def _listen(self, port: int) -> None:
+        self._record("capacity", from_s=self.started_s, cpu_milli=self.cpu_milli)
         self.server = make_server(self._handle, self.faults, self.rng)
         await self.server.listen("127.0.0.1", port)
         self.tick_task = asyncio.create_task(self._tick_loop())
@@ -158,14 +154,8 @@
 
     def resize(self, cpu_milli: int) -> None:
         """Change the CPU; what runs goes on."""
-        self.earlier_cpu_milli.append((time.monotonic(), self.cpu_milli))
         self.cpu_milli = cpu_milli
-
-    def _counted_cpu_milli(self) -> int:
-        """Return the most CPU that the worker has had lately."""
-        since_s = time.monotonic() - CAPACITY_GRACE_S
-        recent = [cpu for until_s, cpu in self.earlier_cpu_milli if until_s > since_s]
-        return max(self.cpu_milli, *recent, 0)
+        self._record("capacity", from_s=time.monotonic(), cpu_milli=cpu_milli)
 
     def encode_entry(self, state: str = "ready") -> bytes:
         """Encode the worker's entry for the store."""
@@ -262,7 +252,7 @@
         data = msgspec.json.decode(body) if body else {}
         if data.get("fence", 0) < self.fence:
             if request.path == "/-/run-start":
-                self._record_order(data, False)
+                self._record_order(data, 0, False)
             return self._refuse("fence")
         self.fence = max(self.fence, data.get("fence", 0))
         if request.path == "/-/run-start":
@@ -276,7 +266,9 @@
     def _refuse(self, reason: str) -> StatusAndBody:
         return json_answer(409, {"clock_ms": self.clock_ms(), "reason": reason})
 
-    def _record_order(self, data: dict[str, t.Any], is_started: bool) -> None:
+    def _record_order(
+        self, data: dict[str, t.Any], cpu_milli: int, is_started: bool
+    ) -> None:
         """Record what a start order told, and whether a run was started on it."""
         now_s = time.monotonic()
         self._record(
@@ -288,6 +280,7 @@
             term=data.get("fence", 0),
             told_s=now_s,
             arrived_s=find_arrival_s(now_s),
+            cpu_milli=cpu_milli,
             is_started=is_started,
         )
 
@@ -299,7 +292,8 @@
     def _start_run(self, data: dict[str, t.Any]) -> StatusAndBody:
         refusal = self._find_refusal(data)
         is_there = (data["task"], data["run"]) in self.running
-        self._record_order(data, not refusal and not is_there)
+        if refusal or is_there:
+            self._record_order(data, 0, False)
         if refusal:
             return self._refuse(refusal)
         if not is_there:
@@ -320,7 +314,8 @@
         """Start a run; with a checkpoint it goes on from there."""
         task, number, checkpoint = data["task"], data["run"], data.get("checkpoint", "")
         cpu_milli, run_time_s, outcome = self.work_model(task, data["spec"])
-        self._check_start(task, number, cpu_milli)
+        self._record_order(data, cpu_milli, True)
+        self._check_start(task, number)
         self.highest_run_numbers[task] = number
         now_s, worked_s = (
             time.monotonic(),
@@ -336,15 +331,7 @@
         self.oracle.running_on[task] = self.id
         self.oracle.starts.append((now_s, task, number, self.id))
 
-    def _check_start(self, task: str, number: int, cpu_milli: int) -> None:
-        used_milli = sum(run.cpu_milli for run in self.running.values())
-        if used_milli + cpu_milli > self._counted_cpu_milli():
-            self.oracle.violations.append(f"{self.id} is overcommitted by {task}")
-        if task in self.oracle.running_on:
-            other_worker = self.oracle.running_on[task]
-            self.oracle.violations.append(
-                f"{task} run {number} starts while it runs on {other_worker}"
-            )
+    def _check_start(self, task: str, number: int) -> None:
         if self.oracle.crash_counts.get(task, 0) >= CRASHES_BEFORE_LIMIT:
             further_starts = self.oracle.further_starts.get(task, 0) + 1
             self.oracle.further_starts[task] = further_starts
@@ -353,10 +340,6 @@
                     f"{task} run {number} starts after {CRASHES_BEFORE_LIMIT} crashes "
                     f"for the {further_starts}. time"
                 )
-        if self.oracle.done_counts.get(task):
-            self.oracle.violations.append(
-                f"{task} run {number} starts after an end with done was acknowledged"
-            )
 
     def _stop_run(self, data: dict[str, t.Any]) -> StatusAndBody:
         task, number = data["task"], data["run"]
@@ -380,25 +363,18 @@
             self._end_run(run, "stopped", now_s)
         return json_answer(200, {"clock_ms": self.clock_ms()})
 
-    def _count_acknowledged_ends(self, acknowledged_upto: int) -> None:
-        """Count acknowledged ends with outcome done, unless the lease has expired.
-
-        The leader may start the task again once the lease has expired, so such an end
-        does not count.
-        """
+    def _record_notes(self, acknowledged_upto: int) -> None:
+        """Record which ends the leader has taken note of."""
         lease_expired = self.clock_ms() > self.lease_until_ms
-        for sequence, task, number, outcome, _ in self.unacknowledged_ends:
-            if sequence > acknowledged_upto:
-                continue
-            self._record(
-                "note",
-                task=task,
-                number=number,
-                noted_s=time.monotonic(),
-                is_void=lease_expired or self.lapsed_ms >= self.ended_ms[sequence],
-            )
-            if outcome == "done" and not lease_expired:
-                self.oracle.done_counts[task] = self.oracle.done_counts.get(task, 0) + 1
+        for sequence, task, number, *_ in self.unacknowledged_ends:
+            if sequence <= acknowledged_upto:
+                self._record(
+                    "note",
+                    task=task,
+                    number=number,
+                    noted_s=time.monotonic(),
+                    is_void=lease_expired or self.lapsed_ms >= self.ended_ms[sequence],
+                )
 
     async def _renew_lease(self, data: dict[str, t.Any]) -> StatusAndBody:
         """Extend the lease, drop acknowledged ends, and report runs and ends."""
@@ -406,7 +382,7 @@
         if until_ms is not None and self.running:
             self._extend_lease(until_ms)
         acknowledged_upto = data.get("seen_upto", 0)
-        self._count_acknowledged_ends(acknowledged_upto)
+        self._record_notes(acknowledged_upto)
         self.unacknowledged_ends = [
             row for row in self.unacknowledged_ends if row[0] > acknowledged_upto
         ]
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -17,8 +17,9 @@
 from bulrushspur_scheduler.resources import Resources
 from bulrushspur_scheduler.unobserved_usage import count_unobserved_usage
 from bulrushspur_scheduler.workers import WorkerEntry, make_worker
-from fuzz.capacity import CAPACITY_GRACE_S, CapacitySimulation, run_capacity_history
+from fuzz.capacity import CapacitySimulation, run_capacity_history
 from fuzz.deadly import make_job
+from oracle.observations import Bounds
 from tests.cell_fixtures import (
     acknowledge_starts,
     add_test_job,
@@ -138,7 +139,7 @@
         simulation.make_store_unavailable(6.0)
         for name in sorted(simulation.workers):
             simulation.resize_worker(name, 800)
-        simulation.advance(CAPACITY_GRACE_S)
+        simulation.advance(Bounds().capacity_s)
         start_count = simulation.oracle.start_count
         simulation.advance(1.0)
         late_starts = simulation.oracle.start_count - start_count
--- a/tests/test_oracle.py
+++ b/tests/test_oracle.py
@@ -424,9 +424,12 @@
         self.submit()
         self.start(T + 1)
         self.end(T + 2)
+        self.start(T + 2.5, number=2)
+        self.end(T + 2.6, "stopped", number=2)
         self.note(T + 3, is_void=True)
-        self.start(T + 4, number=2)
         self.check()
+        self.start(T + 3.1, number=3)
+        self.check("TWICE (done)")
 
     def test_member_of_a_gang(self):
         self.submit(GANG)
@@ -471,6 +474,44 @@
         self.check()
 
 
+class LimitTest(OracleTest):
+    CLAUSE = "LIMIT (overcommitted)"
+
+    def setUp(self):
+        super().setUp()
+        self.submit(DeclaredStep(9))
+        self.seen.record_capacity("w", 1, T, 2000)
+
+    def start_all(self, *told_s, cpu_milli=1000):
+        for index, start_s in enumerate(told_s):
+            self.start(start_s, task=(0, 0, index), cpu_milli=cpu_milli)
+
+    def test_start_over_the_capacity(self):
+        self.start_all(T + 1, T + 1, T + 2)
+        self.check(self.CLAUSE)
+
+    def test_start_at_the_capacity_after_an_end(self):
+        self.start_all(T + 1, T + 1)
+        self.end(T + 2, "stopped")
+        self.start(T + 2, task=(0, 0, 2), cpu_milli=1000)
+        self.check()
+
+    def test_capacity_that_has_shrunk(self):
+        self.seen.record_capacity("w", 1, T + 10, 1000)
+        self.start_all(T + 1, T + 14.49)
+        self.check()
+        self.end(T + 14.5, "stopped", task=(0, 0, 1))
+        self.start(T + 14.51, task=(0, 0, 2), cpu_milli=1000)
+        self.check(self.CLAUSE)
+
+    def test_runs_of_another_incarnation(self):
+        self.start_all(T + 1, T + 1)
+        self.seen.record_start(
+            (JOB, 0, 0, 2), 1, "w", 2, T + 2, payload="p", cpu_milli=1000
+        )
+        self.check()
+
+
 class CalmTest(unittest.TestCase):
     def test_steady_stretches(self):
         seen = Observations()
@@ -491,7 +532,7 @@
 
 class RulesTest(unittest.TestCase):
     def test_clauses_have_the_names_of_their_violations(self):
-        self.assertEqual(len(CLAUSES), 9)
+        self.assertEqual(len(CLAUSES), 10)
 
 
 if __name__ == "__main__":
--- a/tests/test_oracle_mutants.py
+++ b/tests/test_oracle_mutants.py
@@ -91,6 +91,11 @@
         "lost",
         "TWICE (noted)",
     ),
+    "a start takes nothing from what is free on its worker": (
+        "bulrushspur_scheduler.resources.Usage.subtract",
+        lambda usage, amount: None,
+        "LIMIT (overcommitted)",
+    ),
 }
 
 
