--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -48,6 +48,8 @@
 
 # Histories of many cancels and checkpoints.
 CANCELS_SEEDS = range(6, 26)
+# Seeds in which an account has more running than its cap allows, by the cause.
+UNOBSERVED_CANCELLED_SEEDS = (257,)
 
 # Histories of tasks that crash their workers.
 DEADLY_SEEDS = (
@@ -137,12 +139,18 @@
 
 
 class CancelsFuzzTest(unittest.TestCase):
-    def test_cancelled_jobs_and_checkpoints_violate_no_guarantee(self):
-        for seed in CANCELS_SEEDS:
+    def assert_no_violations(self, seeds):
+        for seed in seeds:
             with self.subTest(seed=seed):
                 simulation = run_cancels_history(seed)
                 self.assertEqual(simulation.oracle.violations, [])
 
+    def test_cancelled_jobs_and_checkpoints_violate_no_guarantee(self):
+        self.assert_no_violations(CANCELS_SEEDS)
+
+    def test_unobserved_runs_of_a_cancelled_job_count_under_the_cap(self):
+        self.assert_no_violations(UNOBSERVED_CANCELLED_SEEDS)
+
 
 class DeadlyFuzzTest(unittest.TestCase):
     def assert_no_violations(self, seeds):
