--- a/tests/test_oracle_mutants.py
+++ b/tests/test_oracle_mutants.py
@@ -174,6 +174,15 @@
             "UNASKED (start after cancel)",
         )
 
+    async def test_tasks_that_go_on_from_the_checkpoint_of_another_one(self):
+        await self.check(
+            2,
+            play_crash_with_checkpoints,
+            "bulrushspur_scheduler.runs.StartOrder",
+            make_checkpoint_swap(),
+            "UNASKED (checkpoint)",
+        )
+
     async def test_job_that_is_stored_and_rejected(self):
         store = LeaderRequestHandler._admit_and_store
 
@@ -207,6 +216,16 @@
     await asyncio.sleep(0.3)
 
 
+async def play_crash_with_checkpoints(cluster):
+    """Crash a worker with tasks that have made checkpoints; they go on elsewhere."""
+    await cluster.submit(job_id(1), count=4, run_time_ms=1600, save_ms=200)
+    await asyncio.sleep(1.0)
+    cluster.workers[0].crash()
+    await cluster.wait_job_state(job_id(1), "completed", wait_s=15.0)
+    orders = cluster.observations.orders
+    assert any(order.checkpoint for order in orders), "no task went on"
+
+
 async def play_submission(cluster):
     await cluster.submit(job_id(1))
     await asyncio.sleep(0.5)
