--- a/packages/scheduler/bulrushspur_scheduler/progress.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress.py
@@ -10,6 +10,7 @@
 import math
 
 from bulrushspur_scheduler.cell import Cell, FinishedJob
+from bulrushspur_scheduler.content_digests import digest_content, digest_record
 from bulrushspur_scheduler.estimates import predict_duration
 from bulrushspur_scheduler.job_bounds import max_open_occurrences
 from bulrushspur_scheduler.job_specs import critical_path_s
@@ -129,24 +130,16 @@
 
 
 def mark_task_done(cell: Cell, task: Task, now_s: float) -> None:
-    """Mark a task as done, and stop its other runs if it is speculative.
+    """Mark a task as done.
 
     The successful end of one gang member completes all tasks of the gang.
     """
     step = task.step
-    tasks = step.tasks if step.spec.gang else [task]
-    for done_task in tasks:
-        if done_task.done:
-            continue
-        done_task.done = True
-        done_task.unreconciled = False
-        step.done_count += 1
-        for run in list(done_task.runs):
-            if done_task is not task and not step.spec.gang:
-                stop_run(cell, run, "done elsewhere")
-    for run in list(task.runs):
-        if step.spec.speculative and not step.spec.gang:
-            stop_run(cell, run, "done elsewhere")
+    for done_task in _list_done_tasks(task):
+        if not done_task.done:
+            done_task.done = True
+            done_task.unreconciled = False
+            step.done_count += 1
     mark_job_running(cell, step.job)
     cell.dirty_jobs.add(step.job.id)
     if step.done:
@@ -154,6 +147,22 @@
         _handle_step_done(cell, step, now_s)
 
 
+def _list_done_tasks(task: Task) -> list[Task]:
+    """List the tasks that a successful end completes."""
+    return task.step.tasks if task.step.spec.gang else [task]
+
+
+def stop_other_runs(cell: Cell, task: Task, number: int) -> None:
+    """Stop the runs of a done task, or gang, but those of the number that is done.
+
+    The other members of a gang run have ended with it, though not all may be reported.
+    """
+    for done_task in _list_done_tasks(task):
+        for run in list(done_task.runs):
+            if run.number != number:
+                stop_run(cell, run, "done elsewhere")
+
+
 def _handle_step_done(cell: Cell, step: Step, now_s: float) -> None:
     """Make dependent steps ready, or complete the job if this was its last step."""
     job = step.job
@@ -194,7 +203,12 @@
                     stop_run(cell, run, state.value)
     del cell.jobs[job.id]
     cell.finished_jobs[job.id] = FinishedJob(
-        state, job.account, job.queue, now_s, reason
+        state,
+        job.account,
+        job.queue,
+        now_s,
+        reason,
+        content_digest=digest_content(job.spec),
     )
     cell.dirty_jobs.add(job.id)
     failure: dict[str, int] = {}
@@ -224,10 +238,16 @@
 
 
 def record_late_submission(
-    cell: Cell, job_id: str, account: str, queue: str, now_s: float
+    cell: Cell, job_id: str, account: str, queue: str, record: bytes, now_s: float
 ) -> None:
     """Record the submission of a job that was cancelled before it; it does not run."""
-    cell.finished_jobs[job_id] = FinishedJob(JobState.CANCELLED, account, queue, now_s)
+    cell.finished_jobs[job_id] = FinishedJob(
+        JobState.CANCELLED,
+        account,
+        queue,
+        now_s,
+        content_digest=digest_record(job_id, record),
+    )
     cell.dirty_jobs.add(job_id)
 
 
