--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -308,15 +308,18 @@
         if is_unavailable or not self.leaders or self.leaders[-1].loading:
             return 503
         leader = self.leaders[-1]
+        accepted_queue = self.config.queue_by_name[queue]
+        job = Job(spec, queue, "svc", account, self.now_s, self.now_s)
+        job.accepted_queue = accepted_queue
+        record = encode_job(job)
         if spec.id in leader.cell.finished_jobs:
-            record_late_submission(leader.cell, spec.id, account, queue, self.now_s)
+            record_late_submission(
+                leader.cell, spec.id, account, queue, record, self.now_s
+            )
             self._store_progress(leader)
             return 200
-        accepted_queue = self.config.queue_by_name[queue]
         self.oracle.evidence.max_attempts[spec.id] = accepted_queue.max_attempts
-        job = Job(spec, queue, "svc", account, self.now_s, self.now_s)
-        job.accepted_queue = accepted_queue
-        self.store.records[JOB_KEY_PREFIX + spec.id] = encode_job(job)
+        self.store.records[JOB_KEY_PREFIX + spec.id] = record
         self.add_trace(f"{spec.id} is accepted in {queue}: {spec.steps}")
         add_job(leader.cell, job, self.now_s, self.now_s)
         return 200
--- a/soak/run.py
+++ b/soak/run.py
@@ -99,7 +99,7 @@
             await check_jobs(self)
             await check_runs(self)
             check_evacuations(self)
-            return self.violations + self.cluster.find_worker_violations()
+            return self.violations + self.cluster.oracle.violations
         finally:
             if watch is not None:
                 watch.cancel()
