--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -137,6 +137,14 @@
         self.workers[name] = SimWorker(
             name, WORKER_CPU_MILLI, self.oracle, self.workers, self.rng, self.now_s
         )
+        self.record_capacity(name)
+
+    def record_capacity(self, name: str) -> None:
+        """Record the capacity that a worker has from now on."""
+        worker = self.workers[name]
+        self.oracle.observations.record_capacity(
+            name, worker.incarnation, self.now_s, worker.cpu_milli
+        )
 
     def restart_worker(self, name: str) -> None:
         """Crash a worker and start its next incarnation under the same id."""
@@ -303,15 +311,15 @@
         accepted_queue = self.config.queue_by_name[queue]
         job = Job(spec, queue, "svc", account, self.now_s, self.now_s)
         job.accepted_queue = accepted_queue
+        record = encode_job(job)
         if is_cancelled_early(leader.cell, spec.id, account):
-            record = encode_job(job)
             record_late_submission(
                 leader.cell, spec.id, account, queue, record, self.now_s
             )
             self._store_progress(leader)
             return 200
         self.oracle.evidence.max_attempts[spec.id] = accepted_queue.max_attempts
-        self.store.records[JOB_KEY_PREFIX + spec.id] = encode_job(job)
+        self.store.records[JOB_KEY_PREFIX + spec.id] = record
         self.add_trace(f"{spec.id} is accepted in {queue}: {spec.steps}")
         add_job(leader.cell, job, self.now_s, self.now_s)
         return 200
