Count the unobserved runs of a cancelled job against its account's cap

Cause: a new leader counts the tasks that workers it has not heard from may run; those of a job that was cancelled meanwhile were not looked at any more. As for cancels that meet no job: what the leader does not see is taken not to be there. Change: what such a job may have running counts until the workers have reported.

--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -147,6 +147,10 @@
     usage: dict[str, Usage] = dataclasses.field(default_factory=dict)
     # Usage by account that this term has not observed; computed by each planning pass.
     unobserved_usage: dict[str, Usage] = dataclasses.field(default_factory=dict)
+    # The part of it that is of jobs which have their final state.
+    finished_unobserved_usage: dict[str, Usage] = dataclasses.field(
+        default_factory=dict
+    )
     # Usage by account of the runs that this term has adopted, also of those that have
     # ended since, but not of those that were lost.
     adopted_usage: dict[str, Usage] = dataclasses.field(default_factory=dict)
--- a/packages/scheduler/bulrushspur_scheduler/progress.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress.py
@@ -24,6 +24,7 @@
     make_occurrence,
 )
 from bulrushspur_scheduler.runs import stop_run
+from bulrushspur_scheduler.unobserved_usage import keep_usage_of_finished_job
 
 MAX_OCCURRENCE_LEAD_S = 0.05
 
@@ -201,6 +202,7 @@
             for run in list(task.runs):
                 if not task.done:
                     stop_run(cell, run, state.value)
+    keep_usage_of_finished_job(cell, job)
     del cell.jobs[job.id]
     cell.finished_jobs[job.id] = FinishedJob(
         state,
--- a/packages/scheduler/bulrushspur_scheduler/takeover.py
+++ b/packages/scheduler/bulrushspur_scheduler/takeover.py
@@ -221,6 +221,7 @@
                 cell.waiting_steps[step.key] = step
     cell.log("settled", tasks=released_count, dark=len(cell.unobserved_workers))
     cell.unobserved_workers.clear()
+    cell.finished_unobserved_usage.clear()
     return True
 
 
--- a/packages/scheduler/bulrushspur_scheduler/unobserved_usage.py
+++ b/packages/scheduler/bulrushspur_scheduler/unobserved_usage.py
@@ -11,7 +11,10 @@
 runs that this term has adopted, also after these have ended.
 """
 
+import dataclasses
+
 from bulrushspur_scheduler.cell import Cell
+from bulrushspur_scheduler.jobs import Job
 from bulrushspur_scheduler.resources import Resources, Usage
 from bulrushspur_scheduler.workers import Worker
 
@@ -27,14 +30,26 @@
     return rv
 
 
+def keep_usage_of_finished_job(cell: Cell, job: Job) -> None:
+    """Go on to count the runs of a job that workers may have, until they report."""
+    if not cell.reconciled:
+        _add_unreconciled_tasks(job, cell.finished_unobserved_usage)
+
+
+def _add_unreconciled_tasks(job: Job, usage_by_account: dict[str, Usage]) -> None:
+    for step in job.steps():
+        for task in step.tasks:
+            if task.unreconciled:
+                usage = usage_by_account.setdefault(job.account, Usage())
+                usage.add(step.spec.resources)
+
+
 def _count_unreconciled_tasks(cell: Cell, usage_by_account: dict[str, Usage]) -> None:
     """Count unreconciled tasks, up to the capacity of the unobserved workers."""
+    for account, kept in cell.finished_unobserved_usage.items():
+        usage_by_account[account] = dataclasses.replace(kept)
     for job in cell.jobs.values():
-        for step in job.steps():
-            for task in step.tasks:
-                if task.unreconciled:
-                    usage = usage_by_account.setdefault(job.account, Usage())
-                    usage.add(step.spec.resources)
+        _add_unreconciled_tasks(job, usage_by_account)
     for account, usage in usage_by_account.items():
         _limit_to_cap(cell, account, usage)
     unobserved = [
