Acknowledge the cancel of a job whose queue was removed

Callers saw: 404 to the cancel of an accepted job once a configuration had removed its queue, for good, while the job worked on and its waiting tasks started. Cause: a request on a path of no queue was refused before its method was looked at.

--- a/packages/daemon/bulrushspur_daemon/gateway.py
+++ b/packages/daemon/bulrushspur_daemon/gateway.py
@@ -157,6 +157,22 @@
 
         return await self._request("cancel", job_id, make_request, deadline_s)
 
+    async def cancel_without_queue(
+        self, key: str, job_id: str, deadline_s: float
+    ) -> Result:
+        """Cancel a job whose queue no configuration has any more.
+
+        It must be known, and belong to the account of the API key.
+        """
+        current = self.config_watch.current
+        account = current.account_by_api_key.get(key) if current is not None else None
+        name = (account or ANONYMOUS_ACCOUNT).name
+
+        def make_request(request_id: int) -> Cancel:
+            return Cancel(request_id, job_id, name, must_own=True)
+
+        return await self._request("cancel", job_id, make_request, deadline_s)
+
     async def _request(
         self,
         operation: str,
--- a/packages/daemon/bulrushspur_daemon/leader_cancels.py
+++ b/packages/daemon/bulrushspur_daemon/leader_cancels.py
@@ -46,6 +46,8 @@
         if job_id in cell.unreadable_jobs:
             return Reply(0, Outcome.NOT_READY)
         job = cell.jobs.get(job_id)
+        if message.must_own and not self._is_owned(message):
+            return Reply(0, Outcome.UNKNOWN_JOB)
         if job is not None:
             finish_job(cell, job, JobState.CANCELLED, monotonic_s())
         finished = cell.finished_jobs.get(job_id)
@@ -58,6 +60,12 @@
         self._log_cancel(job_id, job, finished, received_s)
         return Reply(0, Outcome.OK, finished.state.value, finished.reason)
 
+    def _is_owned(self, message: Cancel) -> bool:
+        """Return whether a job is known and belongs to the account of a cancel."""
+        cell, job_id = self.cell, message.job
+        job = cell.jobs.get(job_id) or cell.finished_jobs.get(job_id)
+        return job is not None and job.account == message.account
+
     async def _cancel_unknown_job(self, message: Cancel) -> Reply:
         cell, job_id, received_s = self.cell, message.job, monotonic_s()
         add_early_cancel(cell, job_id, message.account, received_s)
--- a/packages/kernel/bulrushspur_kernel/messages.py
+++ b/packages/kernel/bulrushspur_kernel/messages.py
@@ -46,11 +46,16 @@
 
 
 class Cancel(_Message, tag=3):
-    """Cancel a job; the account is that of the caller, empty from older processes."""
+    """Cancel a job.
+
+    The account is that of the caller, empty from older processes. With ``must_own`` the
+    job must be known and belong to it.
+    """
 
     request_id: int
     job: str
     account: str = ""
+    must_own: bool = False
 
 
 class Reply(_Message, tag=4):
