Test that the next leader stops what the last one could not stop

Change: a cancel is acknowledged while no worker answers, the leader is killed, and the workers answer again: each run is listed to the next leader, which stops it within 3.9 s.

--- a/tests/test_cancel_links.py
+++ b/tests/test_cancel_links.py
@@ -37,6 +37,8 @@
 # By then a renewal of a lease has shown that the connections are silent.
 SILENCE_S = 2.0
 CONCURRENT_ORDERS = 3
+# After a disruption the runs of a cancelled job may go on for cancel_ms + stop_ms.
+MAX_STOP_AFTER_S = 3.9
 
 
 class SecondRunTest(unittest.IsolatedAsyncioTestCase):
@@ -143,5 +145,28 @@
         self.assertLess(time.monotonic() - cancelled_s, MAX_STOP_S)
 
 
+class UndeliveredStopTest(unittest.IsolatedAsyncioTestCase):
+    async def test_next_leader_stops_the_runs_that_the_last_one_could_not_stop(self):
+        cluster = InProcessCluster()
+        self.addAsyncCleanup(cluster.stop)
+        await cluster.start(nodes=3, workers=2)
+        await cluster.submit(job_id(1), count=20, run_time_ms=30_000)
+        running = cluster.oracle.running_on
+        await cluster.wait_for(lambda: len(running) == 20)
+        # A lease that outlasts the test: only a stop ends the runs.
+        await asyncio.sleep(1.0)
+        for worker in cluster.workers:
+            worker.faults.down = True
+        answer = await cluster.call("DELETE", f"/assess/{job_id(1)}")
+        self.assertEqual((answer.status, len(running)), (200, 20))
+        await cluster.kill(cluster.find_leader())
+        for worker in cluster.workers:
+            worker.faults.down = False
+        await cluster.wait_for(lambda: not running, MAX_STOP_AFTER_S)
+        outcomes = {row[3] for w in cluster.workers for row in w.unacknowledged_ends}
+        self.assertLessEqual(outcomes, {"stopped"})
+        self.assertEqual(len(cluster.oracle.starts), 20)
+
+
 if __name__ == "__main__":
     unittest.main()
