Let the soak's signals come as often as before, beside faults of links and workers

Signals went to a process that was disrupted already, and then to none. Change: two series run beside each other, of operations and of failures, with intervals by emphasis. A signal goes to a process that is not disrupted, in 4 of 10 cases to the leader.

--- a/soak/entry_faults.py
+++ b/soak/entry_faults.py
@@ -5,16 +5,36 @@
 import typing as t
 
 from bench.processes import EntryProcess
+from soak.recording import record_claims
 
 if t.TYPE_CHECKING:
     from soak.run import Soak
 
 MAX_PAUSE_S: t.Final = 3.0
+# Share of the signals that go to the leader, if it is not disrupted already.
+LEADER_SHARE: t.Final = 0.4
+
+
+def _draw_entry(soak: "Soak") -> EntryProcess | None:
+    """Draw an entry process that is not disrupted; the newest leader more often."""
+    entries = [
+        entry
+        for entry in soak.cluster.entries
+        if entry.name not in soak.faulted_entries and entry.process is not None
+    ]
+    if not entries:
+        return None
+    record_claims(soak)
+    leader_name = soak.term_holders.get(max(soak.term_holders, default=0))
+    leaders = [entry for entry in entries if entry.name == leader_name]
+    if leaders and soak.rng.random() < LEADER_SHARE:
+        return leaders[0]
+    return soak.rng.choice(entries)
 
 
 async def _signal_entry(soak: "Soak", action: str) -> None:
-    entry = soak.rng.choice(soak.cluster.entries)
-    if entry.name in soak.faulted_entries or entry.process is None:
+    entry = _draw_entry(soak)
+    if entry is None:
         return
     soak.faulted_entries.add(entry.name)
     soak.log_fault(f"{action} {entry.name}")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,5 +1,8 @@
 """Inject random faults into a cluster of real processes, alone and overlapping.
 
+Two series run beside each other: what operators and the platform do to entry processes,
+the store and the configuration, and what befalls links and workers.
+
 Each fault ends by itself after a while; what was injected goes into the soak's log, and
 what the oracle has to know of into its disruptions.
 """
@@ -17,52 +20,66 @@
 Injector = t.Callable[["Soak"], t.Coroutine[t.Any, t.Any, None]]
 
 MIN_INTERVAL_S: t.Final = 0.3
-MAX_INTERVAL_S: t.Final = 1.5
 
-# How often each is drawn, relative to the others.
-_WEIGHTS: t.Final[dict[Injector, int]] = {
-    entry_faults.kill_entry: 2,
-    entry_faults.restart_entry_gracefully: 2,
-    entry_faults.pause_entry: 2,
-    entry_faults.reload_entry: 1,
-    entry_faults.signal_entries_in_series: 1,
+Weights = dict[Injector, int]
+
+# How often each is drawn, relative to the others of its series.
+_OPERATION_WEIGHTS: t.Final[Weights] = {
+    entry_faults.kill_entry: 3,
+    entry_faults.restart_entry_gracefully: 3,
+    entry_faults.pause_entry: 3,
+    entry_faults.reload_entry: 2,
+    entry_faults.signal_entries_in_series: 2,
+    store_faults.inject_store_fault: 2,
+    store_faults.compact_store: 1,
+    store_faults.evacuate_domain: 2,
+    store_faults.remove_queue: 2,
+}
+_FAILURE_WEIGHTS: t.Final[Weights] = {
     link_faults.inject_link_fault: 4,
     link_faults.cut_several_workers: 1,
     link_faults.cut_clients: 1,
     link_faults.reset_link: 2,
     link_faults.silence_link: 2,
-    store_faults.inject_store_fault: 2,
-    store_faults.compact_store: 1,
-    store_faults.evacuate_domain: 2,
-    store_faults.remove_queue: 2,
     worker_faults.crash_workers: 3,
     worker_faults.hang_workers: 3,
     worker_faults.slow_workers: 3,
     worker_faults.delay_orders: 3,
     worker_faults.lose_answers: 2,
 }
-_EMPHASIZED_WEIGHTS: t.Final[dict[Emphasis, dict[Injector, int]]] = {
+_EMPHASIZED_WEIGHTS: t.Final[dict[Emphasis, Weights]] = {
     Emphasis.MIXED: {},
     Emphasis.WIDE_JOBS: {
-        worker_faults.hang_workers: 20,
-        worker_faults.slow_workers: 50,
+        worker_faults.hang_workers: 15,
+        worker_faults.slow_workers: 40,
         worker_faults.delay_orders: 6,
-        link_faults.cut_several_workers: 6,
+        link_faults.cut_several_workers: 4,
     },
     Emphasis.REPEATS: {
-        link_faults.cut_clients: 12,
-        link_faults.silence_link: 8,
-        link_faults.inject_link_fault: 8,
+        link_faults.cut_clients: 6,
+        link_faults.silence_link: 5,
+        link_faults.inject_link_fault: 6,
     },
 }
 
 
 async def inject_faults(soak: "Soak") -> None:
     """Inject faults until the run is over, and wait until all of them have ended."""
-    weights = _WEIGHTS | _EMPHASIZED_WEIGHTS[soak.profile.emphasis]
-    until_s = time.monotonic() + soak.duration_s
+    profile = soak.profile
+    failure_weights = _FAILURE_WEIGHTS | _EMPHASIZED_WEIGHTS[profile.emphasis]
     async with asyncio.TaskGroup() as group:
-        while time.monotonic() < until_s:
-            await asyncio.sleep(soak.rng.uniform(MIN_INTERVAL_S, MAX_INTERVAL_S))
-            [inject] = soak.rng.choices(list(weights), weights=list(weights.values()))
-            group.create_task(inject(soak))
+        for weights, max_interval_s in (
+            (_OPERATION_WEIGHTS, profile.max_operation_interval_s),
+            (failure_weights, profile.max_failure_interval_s),
+        ):
+            group.create_task(_inject_series(soak, group, weights, max_interval_s))
+
+
+async def _inject_series(
+    soak: "Soak", group: asyncio.TaskGroup, weights: Weights, max_interval_s: float
+) -> None:
+    until_s = time.monotonic() + soak.duration_s
+    while time.monotonic() < until_s:
+        await asyncio.sleep(soak.rng.uniform(MIN_INTERVAL_S, max_interval_s))
+        [inject] = soak.rng.choices(list(weights), weights=list(weights.values()))
+        group.create_task(inject(soak))
--- a/soak/profile.py
+++ b/soak/profile.py
@@ -40,6 +40,10 @@
     # Share of the jobs that are submitted through an entry process that is suspended.
     suspended_share: float = 0.03
     max_pause_s: float = 0.4
+    # Between signals, changes by operators and faults of the store.
+    max_operation_interval_s: float = 1.5
+    # Between faults of links and workers.
+    max_failure_interval_s: float = 1.5
 
 
 _PROFILES: t.Final = {
@@ -51,6 +55,8 @@
         wide_share=0.7,
         cancel_share=0.7,
         max_pause_s=1.0,
+        # A leader that is left alone for a while counts as in touch.
+        max_operation_interval_s=6.0,
     ),
     Emphasis.REPEATS: Profile(
         Emphasis.REPEATS,
@@ -58,7 +64,8 @@
         cancel_share=0.6,
         early_cancel_share=0.7,
         repeat_share=0.6,
-        suspended_share=0.1,
+        suspended_share=0.06,
+        max_operation_interval_s=2.5,
     ),
 }
 
