Make a mutant's play and the models' sizes certain

Cause: beside a load of 26 a worker that answers after 0.25 s seemed silent, so that no start waited, and the mutant of the waiting start was not caught, once of three runs; the test of the models had lost the bound on the model of takeovers. Change: the worker answers after 0.1 s, and 150 tasks wait; each model has a bound.

--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -12,21 +12,19 @@
 from bulrushspur_kernel import plugins
 from models.run import MODEL_MODULES, check_spec
 
-# The smallest model has 55; the largest one alone reaches most faults.
-MIN_STATES = 50
-MIN_STATES_OF_LARGEST = 1000
+# A model with fewer is too small to reach the fault that it is for.
+MIN_STATES = {"takeover": 1000, "succession": 100, "failures": 500, "cancellation": 50}
 
 
 class ModelsTest(unittest.TestCase):
     def test_models_hold_and_mutants_are_refuted(self):
         for name in MODEL_MODULES:
             importlib.import_module(f"models.{name}")
-        counts = []
+        names = set()
         for name, make_spec in plugins.list_plugins("model").items():
             with self.subTest(model=name), contextlib.redirect_stdout(io.StringIO()):
                 states, refuted, surviving = check_spec(make_spec())
-                counts.append(states)
-                self.assertGreater(states, MIN_STATES)
+                names.add(name)
+                self.assertGreater(states, MIN_STATES[name])
                 self.assertEqual((refuted, surviving), (0, 0))
-        self.assertEqual(len(counts), len(MODEL_MODULES))
-        self.assertGreater(max(counts), MIN_STATES_OF_LARGEST)
+        self.assertEqual(names, set(MODEL_MODULES))
--- a/tests/test_oracle_mutants.py
+++ b/tests/test_oracle_mutants.py
@@ -194,9 +194,12 @@
 
 
 async def play_waiting_starts(cluster):
-    """Cancel a job of which many starts wait for their turn at a slow worker."""
-    cluster.workers[0].faults.delay_s = 0.25
-    await cluster.submit(job_id(1), count=60, cpu_milli=200, run_time_ms=3000)
+    """Cancel a job of which many starts wait for their turn at a slow worker.
+
+    It answers well before an order counts as unanswered, also on a busy machine.
+    """
+    cluster.workers[0].faults.delay_s = 0.1
+    await cluster.submit(job_id(1), count=150, cpu_milli=100, run_time_ms=3000)
     await asyncio.sleep(0.5)
     await cluster.call("DELETE", f"/assess/{job_id(1)}", wait_s=4.0)
     await asyncio.sleep(4.5)
