Test that stops do not wait behind the starts of another job

What callers see: a wide job is cancelled, and its runs go on for longer than a stop takes, while another wide job starts on the same worker.

--- a/tests/test_cancel_links.py
+++ b/tests/test_cancel_links.py
@@ -2,21 +2,27 @@
 
 A worker that was cut off for longer than its lease tells the end of a run later, when
 another run of the task is at work. Connections may be silent for good, and new ones
-work. The tests guard against runs that go on after the cancel of their job was
-acknowledged.
+work. A worker may take orders slowly. The tests guard against runs that go on after the
+cancel of their job was acknowledged.
 """
 
 import asyncio
 import time
+import types
 import unittest
 
+from bulrushspur_daemon.clock import monotonic_s
+from bulrushspur_daemon.worker_connections import WorkerConnections
 from bulrushspur_kernel.adapter import WorkerUnresponsiveError
 from bulrushspur_kernel.messages import Cancel, Outcome
+from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_platform.workers import make_worker_client
 from bulrushspur_scheduler.jobs import JobState, RunState
 from bulrushspur_scheduler.leases import expire_leases
+from bulrushspur_scheduler.order_results import StartResult
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.resources import Resources
+from bulrushspur_scheduler.runs import stop_job
 from bulrushspur_scheduler.workers import WorkerEntry
 from bulrushspur_standins.worker import WorkerStandin
 from soak.proxy import FaultProxy
@@ -28,6 +34,7 @@
     task_key,
 )
 from tests.cluster import InProcessCluster, job_id
+from tests.test_config_watch import NullEventLog
 from tests.test_late_submissions import StoringWriter
 from tests.test_leader_requests import make_handler
 
@@ -145,6 +152,59 @@
         self.assertLess(time.monotonic() - cancelled_s, MAX_STOP_S)
 
 
+class SlowClient:
+    """A client of a worker that answers each order after a while, and no renewal."""
+
+    def __init__(self):
+        self.orders = []
+
+    async def start_run(self, key, *rest):
+        await self.answer("start", key)
+        return StartResult.STARTED, None
+
+    async def stop_run(self, key, *rest):
+        await self.answer("stop", key)
+        return True
+
+    async def answer(self, kind, key):
+        self.orders.append((kind, key.job))
+        await asyncio.sleep(0.01)
+
+    async def renew_lease(self, *rest):
+        raise WorkerUnresponsiveError("no answer")
+
+    def close(self):
+        pass
+
+
+class SlowWorkerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_stops_of_a_job_do_not_wait_behind_the_starts_of_another_one(self):
+        cell, client = make_test_cell(1), SlowClient()
+        adapter = types.SimpleNamespace(make_worker_client=lambda entry: client)
+        connections = WorkerConnections(
+            cell, adapter, None, NullEventLog(), Metrics(), int, lambda: True
+        )
+        connections.open(cell.workers["w0"])
+        self.addCleanup(connections.close_all)
+        small = Resources(100, 10)
+        for job in ("j1", "j2"):
+            now_s = monotonic_s()
+            apply_worker_report(cell, "w0", now_s, list(cell.workers["w0"].runs))
+            add_test_job(cell, job, now_s=now_s, count=20, resources=small)
+            plan(cell, now_s)
+            if job == "j1":
+                acknowledge_starts(cell, now_s)
+        connections.orders.send_all()
+        await asyncio.sleep(0)
+        stop_job(cell, "j1", "cancelled")
+        connections.orders.send_all()
+        while connections.orders.tasks:
+            await asyncio.wait(list(connections.orders.tasks))
+        expected = [("start", "j2")] * CONCURRENT_ORDERS + [("stop", "j1")] * 20
+        self.assertEqual(client.orders[: len(expected)], expected)
+        self.assertEqual(client.orders[len(expected) :], [("start", "j2")] * 17)
+
+
 class UndeliveredStopTest(unittest.IsolatedAsyncioTestCase):
     async def test_next_leader_stops_the_runs_that_the_last_one_could_not_stop(self):
         cluster = InProcessCluster()
