Send stops to a worker before the starts that wait

Cause: three orders to a worker are in flight at a time, and the others wait in turn, whatever they are. Change: order_slots.py; a free slot goes to a stop before all starts that wait. A run whose start still waits needs no stop, as before: its start is dropped on its turn. Two tests make their target with OrderSlots; what they ask is unchanged.

--- a/packages/daemon/bulrushspur_daemon/worker_connections.py
+++ b/packages/daemon/bulrushspur_daemon/worker_connections.py
@@ -12,6 +12,7 @@
 import typing as t
 
 from bulrushspur_daemon.clock import monotonic_s
+from bulrushspur_daemon.order_slots import OrderSlots
 from bulrushspur_daemon.record_writer import RecordWriter
 from bulrushspur_daemon.worker_orders import (
     MAX_CONCURRENT_ORDERS,
@@ -50,7 +51,7 @@
 
     worker: Worker
     client: WorkerClient
-    order_slots: asyncio.Semaphore
+    order_slots: OrderSlots
     poll_task: asyncio.Task[None] | None = None
     # Run ends up to this sequence number are stored. The number is acknowledged only
     # once: the worker's next incarnation numbers its ends from the start, so a repeated
@@ -90,9 +91,7 @@
     def open(self, worker: Worker) -> None:
         """Connect to a worker and begin to poll it."""
         client = self.adapter.make_worker_client(worker.entry)
-        connection = WorkerConnection(
-            worker, client, asyncio.Semaphore(MAX_CONCURRENT_ORDERS)
-        )
+        connection = WorkerConnection(worker, client, OrderSlots(MAX_CONCURRENT_ORDERS))
         self.by_worker_id[worker.id] = connection
         connection.poll_task = asyncio.create_task(self._poll_loop(connection))
 
--- a/packages/daemon/bulrushspur_daemon/worker_orders.py
+++ b/packages/daemon/bulrushspur_daemon/worker_orders.py
@@ -12,11 +12,12 @@
 import typing as t
 
 from bulrushspur_daemon.clock import monotonic_s
+from bulrushspur_daemon.order_slots import OrderSlots
 from bulrushspur_kernel.adapter import WorkerClient
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_scheduler.cell import Cell, StartOrder, StopOrder
 from bulrushspur_scheduler.evacuation import must_drop_start
-from bulrushspur_scheduler.jobs import RunState
+from bulrushspur_scheduler.jobs import Run, RunState
 from bulrushspur_scheduler.latency import LatencyEstimate
 from bulrushspur_scheduler.leases import extend_lease
 from bulrushspur_scheduler.order_results import (
@@ -44,7 +45,7 @@
 
     worker: Worker
     client: WorkerClient
-    slots: asyncio.Semaphore
+    slots: OrderSlots
 
 
 @dataclasses.dataclass
@@ -63,12 +64,15 @@
         default_factory=lambda: LatencyEstimate(START_TIMEOUT_S)
     )
     tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
+    # Runs whose start waits for its turn; a stop before it ends them without an order.
+    unsent_runs: set[Run] = dataclasses.field(default_factory=set)
 
     def send_all(self) -> None:
         """Send all start and stop orders that the planner has left in the cell."""
         starts, self.cell.start_orders = self.cell.start_orders, []
         stops, self.cell.stop_orders = self.cell.stop_orders, []
         for start in starts:
+            self.unsent_runs.add(start.run)
             self._spawn(self._send_start(start))
         for stop in stops:
             self._spawn(self._send_stop(stop))
@@ -90,6 +94,8 @@
             # It may have been sent: the reports show what became of it.
             self._log_fault(order.run.task.key.job, order.worker_id, exc)
             result = StartResult.UNANSWERED
+        finally:
+            self.unsent_runs.discard(order.run)
         handle_start_result(self.cell, order.run, result, monotonic_s())
         if result is not StartResult.STARTED:
             self.request_plan()
@@ -104,8 +110,9 @@
         if target is None:
             return StartResult.INCARNATION_MISMATCH
         incarnation_start_ms = target.worker.incarnation_start_ms
-        async with target.slots:
+        async with target.slots.take_for_start():
             # Nothing is awaited between this check and the sending.
+            self.unsent_runs.discard(order.run)
             if self._must_drop(target.worker, order):
                 return StartResult.DROPPED
             self._log_late_start(order)
@@ -198,8 +205,11 @@
         target = self.find_target(order.worker_id)
         acknowledged = False
         if target is not None:
-            async with target.slots:
-                if order.run is not None and order.run not in order.run.task.runs:
+            async with target.slots.take_for_stop():
+                if order.run is not None and (
+                    order.run not in order.run.task.runs
+                    or order.run in self.unsent_runs
+                ):
                     # It is not at work: it has ended meanwhile, or was never ordered.
                     return
                 acknowledged = await self._order_stop(target, order)
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from bulrushspur_daemon.order_slots import OrderSlots
 from bulrushspur_daemon.worker_orders import OrderTarget, WorkerOrders
 from bulrushspur_daemon.worker_watch import apply_entry
 from bulrushspur_kernel import messages
@@ -250,7 +251,7 @@
         worker = cell.workers["w0"]
         # As if it had just reported.
         worker.last_report_s = asyncio.get_running_loop().time()
-        target = OrderTarget(worker, FaultyClient(), asyncio.Semaphore(3))
+        target = OrderTarget(worker, FaultyClient(), OrderSlots(3))
         orders = WorkerOrders(
             cell, Metrics(), lambda: None, lambda: True, lambda _: target
         )
--- a/tests/test_start_checks.py
+++ b/tests/test_start_checks.py
@@ -9,6 +9,7 @@
 import unittest
 
 from bulrushspur_daemon.clock import monotonic_s
+from bulrushspur_daemon.order_slots import OrderSlots
 from bulrushspur_daemon.worker_orders import OrderTarget, WorkerOrders
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_scheduler.config import Account, make_config
@@ -65,7 +66,7 @@
         plan(self.cell, now_s)
         self.assertEqual(len(self.cell.start_orders), count)
         worker, self.client = self.cell.workers["w0"], FakeClient()
-        target = OrderTarget(worker, self.client, asyncio.Semaphore(3))
+        target = OrderTarget(worker, self.client, OrderSlots(3))
         return WorkerOrders(
             self.cell, Metrics(), lambda: None, has_authority, lambda _: target
         )
