--- a/tests/test_late_submissions.py
+++ b/tests/test_late_submissions.py
@@ -124,6 +124,9 @@
         await self.cluster.start(3, 4, "platform", CONFIG)
         await self.cluster.wait_ready()
 
+    async def asyncTearDown(self):
+        self.assertEqual(self.cluster.find_violations(), [])
+
     async def call(self, entry, method, body=None):
         path = f"/assess/{job_id(1)}"
         return await self.cluster.call(
