--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -15,6 +15,10 @@
 from bulrushspur_scheduler import takeover
 from bulrushspur_scheduler.cell import StartOrder, StopOrder, make_cell
 from bulrushspur_scheduler.config import Account, CellConfig, Queue, make_config
+from bulrushspur_scheduler.early_cancels import (
+    is_cancelled_early,
+    record_late_submission,
+)
 from bulrushspur_scheduler.eviction import evict_runs
 from bulrushspur_scheduler.job_specs import JobSpec, TaskKey
 from bulrushspur_scheduler.jobs import Job, JobState
@@ -25,11 +29,7 @@
     handle_stop_result,
 )
 from bulrushspur_scheduler.planning import plan
-from bulrushspur_scheduler.progress import (
-    add_job,
-    finish_job,
-    record_late_submission,
-)
+from bulrushspur_scheduler.progress import add_job, finish_job
 from bulrushspur_scheduler.progress_records import PROGRESS_KEY_PREFIX, encode_progress
 from bulrushspur_scheduler.records import JOB_KEY_PREFIX, encode_job
 from bulrushspur_scheduler.reports import apply_report
@@ -312,7 +312,7 @@
         job = Job(spec, queue, "svc", account, self.now_s, self.now_s)
         job.accepted_queue = accepted_queue
         record = encode_job(job)
-        if spec.id in leader.cell.finished_jobs:
+        if is_cancelled_early(leader.cell, spec.id, account):
             record_late_submission(
                 leader.cell, spec.id, account, queue, record, self.now_s
             )
