--- a/tests/test_cancel_links.py
+++ b/tests/test_cancel_links.py
@@ -21,8 +21,8 @@
 from bulrushspur_scheduler.leases import expire_leases
 from bulrushspur_scheduler.order_results import StartResult
 from bulrushspur_scheduler.planning import plan
+from bulrushspur_scheduler.progress import finish_job
 from bulrushspur_scheduler.resources import Resources
-from bulrushspur_scheduler.runs import stop_job
 from bulrushspur_scheduler.workers import WorkerEntry
 from bulrushspur_standins.worker import WorkerStandin
 from soak.proxy import FaultProxy
@@ -196,7 +196,7 @@
                 acknowledge_starts(cell, now_s)
         connections.orders.send_all()
         await asyncio.sleep(0)
-        stop_job(cell, "j1", "cancelled")
+        finish_job(cell, cell.jobs["j1"], JobState.CANCELLED, 3.0)
         connections.orders.send_all()
         while connections.orders.tasks:
             await asyncio.wait(list(connections.orders.tasks))
