--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -13,36 +13,30 @@
 import typing as t
 
 from bulrushspur_scheduler import takeover
-from bulrushspur_scheduler.cell import StartOrder, StopOrder, make_cell
+from bulrushspur_scheduler.cell import make_cell
 from bulrushspur_scheduler.config import Account, CellConfig, Queue, make_config
 from bulrushspur_scheduler.early_cancels import (
     is_cancelled_early,
     record_late_submission,
 )
 from bulrushspur_scheduler.eviction import evict_runs
-from bulrushspur_scheduler.job_specs import JobSpec, TaskKey
+from bulrushspur_scheduler.job_specs import JobSpec
 from bulrushspur_scheduler.jobs import Job, JobState
-from bulrushspur_scheduler.leases import expire_leases, extend_lease
-from bulrushspur_scheduler.order_results import (
-    StartResult,
-    handle_start_result,
-    handle_stop_result,
-)
+from bulrushspur_scheduler.leases import expire_leases
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import add_job, finish_job
 from bulrushspur_scheduler.progress_records import PROGRESS_KEY_PREFIX, encode_progress
 from bulrushspur_scheduler.records import JOB_KEY_PREFIX, encode_job
-from bulrushspur_scheduler.reports import apply_report
 from bulrushspur_scheduler.resources import Resources
 from bulrushspur_scheduler.suspects import judge_suspects
-from bulrushspur_scheduler.workers import Worker, WorkerEntry, make_worker
+from bulrushspur_scheduler.workers import WorkerEntry, make_worker
 from fuzz.clients import observe_submission
 from fuzz.leaders import SimLeader, SimStore
+from fuzz.links import WorkerLinks
 from fuzz.standing import CHECK_INTERVAL_S, StandingCheck
 from fuzz.workers import Oracle, SimWorker
 
 AUTHORITY_TIMEOUT_S: t.Final = 6.0
-RENEWAL_INTERVAL_S: t.Final = 0.4
 TICK_INTERVAL_S: t.Final = 0.1
 RESTART_DOWNTIME_S: t.Final = 1.0
 ACCOUNT_CAP_CPU_MILLI: t.Final = 24_000
@@ -58,14 +52,10 @@
 )
 
 
-class Simulation:
+class Simulation(WorkerLinks):
     """The simulated cell; it starts with four workers and a leader of term 1."""
 
     config = CONFIG
-    # Shares of the start orders: those that arrive late, and of the others those whose
-    # answer is lost.
-    late_start_share = 0.05
-    lost_answer_share = 0.03
 
     def __init__(self, seed: int, slow_loading: bool = False) -> None:
         self.rng = random.Random(seed)
@@ -249,7 +239,7 @@
                 return
             self.store.worker_ids.add(name)
             leader.recorded_worker_ids.add(name)
-        self._renew_lease(leader, name)
+        self.renew_lease(leader, name)
 
     def _can_write(self, leader: SimLeader) -> bool:
         return (
@@ -316,7 +306,7 @@
             record_late_submission(
                 leader.cell, spec.id, account, queue, record, self.now_s
             )
-            self._store_progress(leader)
+            self.store_progress(leader)
             return 200
         self.oracle.evidence.max_attempts[spec.id] = accepted_queue.max_attempts
         self.store.records[JOB_KEY_PREFIX + spec.id] = record
@@ -332,7 +322,7 @@
             return
         self.add_trace(f"{job_id} is cancelled")
         finish_job(leader.cell, job, JobState.CANCELLED, self.now_s)
-        self._store_progress(leader)
+        self.store_progress(leader)
         self.record_cancel(job_id, 200)
 
     def record_cancel(self, job_id: str, status: int) -> None:
@@ -351,7 +341,7 @@
             and self.now_s - leader.authority_confirmed_s < AUTHORITY_TIMEOUT_S
         )
 
-    def _store_progress(self, leader: SimLeader) -> bool:
+    def store_progress(self, leader: SimLeader) -> bool:
         """Store the changed jobs and return whether no change is left to store.
 
         A write to a store with a newer epoch shows the leader that its term has ended.
@@ -389,11 +379,11 @@
         evict_runs(cell, self.now_s)
         judge_suspects(cell, self.now_s)
         takeover.reconcile(cell, leader.authority_confirmed_s)
-        self._store_progress(leader)
+        self.store_progress(leader)
         if self.has_authority(leader):
             plan(cell, self.now_s)
             self._check_account_cap()
-            self._send_orders(leader)
+            self.send_orders(leader)
         self.schedule(TICK_INTERVAL_S, lambda: self._tick(leader))
 
     def _check_account_cap(self) -> None:
@@ -409,161 +399,3 @@
                 self.oracle.record_violation(
                     f"account {account} has {used_milli} mCPU running"
                 )
-
-    def _send_orders(self, leader: SimLeader) -> None:
-        cell = leader.cell
-        starts, cell.start_orders = cell.start_orders, []
-        stops, cell.stop_orders = cell.stop_orders, []
-        for start in starts:
-            self._send_start(leader, start)
-        for stop in stops:
-            self._send_stop(leader, stop)
-
-    def _reaches(self, leader: SimLeader, name: str) -> bool:
-        return (
-            name not in leader.unreachable_workers
-            and self.now_s >= self.workers[name].unreachable_until_s
-        )
-
-    def takes_work(self, leader: SimLeader, name: str) -> bool:
-        """Return whether a leader may start work on a worker."""
-        return self._reaches(leader, name)
-
-    def _delay_s(self) -> float:
-        return self.rng.choice((0.002, 0.005, 0.02, 0.1))
-
-    def _send_start(self, leader: SimLeader, order: StartOrder) -> None:
-        cell, run = leader.cell, order.run
-        until_ms = extend_lease(cell, cell.workers[order.worker_id], self.now_s, 2.0)
-        key: TaskKey = run.task.key
-        number = run.number
-        late = self.rng.random() < self.late_start_share
-        sent_s = self.now_s
-        delay_s = self.rng.uniform(1, 5) if late else self._delay_s()
-        if late:
-            self.standing_check.disturb_job(key.job, self.now_s + delay_s)
-        sent_to = self.workers[order.worker_id]
-
-        def arrive() -> None:
-            # A late order is lost if its worker has restarted since.
-            worker = sent_to if late else self.workers[order.worker_id]
-            if worker is not self.workers[order.worker_id]:
-                return
-            if self.refuses_connections(order.worker_id):
-                self._handle_start(leader, run, StartResult.NOT_SENT)
-                return
-            if not self._reaches(leader, order.worker_id):
-                return
-            result = worker.start(
-                key,
-                number,
-                until_ms,
-                leader.term,
-                self.now_s,
-                order.payload,
-                order.checkpoint,
-                sent_s if late else self.now_s,
-            )
-            if result is StartResult.STARTED:
-                self.on_started(leader, worker, run)
-            if not late and self.rng.random() > self.lost_answer_share:
-                self.schedule(
-                    self._delay_s(), lambda: self._handle_start(leader, run, result)
-                )
-
-        self.schedule(delay_s, arrive)
-        self.schedule(
-            0.6, lambda: self._handle_start(leader, run, StartResult.UNANSWERED, True)
-        )
-
-    def refuses_connections(self, name: str) -> bool:
-        """Return whether a worker is known at once not to get an order."""
-        return False
-
-    def on_started(self, leader: SimLeader, worker: SimWorker, run: t.Any) -> None:
-        """React to a start that a worker has executed; it may be a repeated one."""
-
-    def _handle_start(
-        self, leader: SimLeader, run: t.Any, result: StartResult, timeout: bool = False
-    ) -> None:
-        if leader.ended or (timeout and run.state.value != "starting"):
-            return
-        handle_start_result(leader.cell, run, result, self.now_s)
-
-    def _send_stop(self, leader: SimLeader, order: StopOrder) -> None:
-        answered: list[bool] = []
-
-        def arrive() -> None:
-            if not self._reaches(leader, order.worker_id):
-                return
-            worker = self.workers[order.worker_id]
-            executed = worker.stop(order.key, order.number, leader.term, self.now_s)
-            if executed and self.rng.random() > 0.05:
-                answered.append(True)
-                self.schedule(
-                    self._delay_s(),
-                    lambda: handle_stop_result(leader.cell, order, True, self.now_s),
-                )
-
-        def time_out() -> None:
-            if not answered and not leader.ended:
-                handle_stop_result(leader.cell, order, False, self.now_s)
-
-        self.schedule(self._delay_s(), arrive)
-        self.schedule(0.6, time_out)
-
-    def _may_extend_lease(self, leader: SimLeader, worker: Worker) -> bool:
-        return (
-            worker.clock.is_known and bool(worker.runs) and self.has_authority(leader)
-        )
-
-    def _renew_lease(self, leader: SimLeader, name: str) -> None:
-        if leader.ended or leader.cell.superseded:
-            return
-        cell = leader.cell
-        worker = cell.workers.get(name)
-        if worker is None:
-            return
-        until_ms = None
-        if self._may_extend_lease(leader, worker):
-            until_ms = extend_lease(
-                cell, worker, self.now_s, cell.timing_limits.lease_s
-            )
-        sent_s, ack_upto = self.now_s, leader.durable_end_sequences.get(name, 0)
-        if (
-            ack_upto <= leader.acknowledged_end_sequences.get(name, 0)
-            or name in leader.unverified_workers
-        ):
-            ack_upto = 0
-        leader.unverified_workers.add(name)
-
-        def arrive() -> None:
-            if not self._reaches(leader, name):
-                return
-            sim_worker = self.workers[name]
-            report = sim_worker.renew_lease(
-                until_ms, leader.term, ack_upto, sent_s, self.now_s
-            )
-            if report is None:
-                cell.superseded = True
-                return
-            self.schedule(self._delay_s(), lambda: handle_report(report))
-
-        def handle_report(report: t.Any) -> None:
-            if leader.ended:
-                return
-            previous_start_ms = worker.incarnation_start_ms
-            apply_report(cell, worker, report, self.now_s)
-            leader.unverified_workers.discard(name)
-            leader.acknowledged_end_sequences[name] = max(
-                leader.acknowledged_end_sequences.get(name, 0), ack_upto
-            )
-            if previous_start_ms and previous_start_ms != worker.incarnation_start_ms:
-                leader.durable_end_sequences[name] = leader.acknowledged_end_sequences[
-                    name
-                ] = 0
-            if self._store_progress(leader):
-                leader.durable_end_sequences[name] = worker.applied_end_sequence
-
-        self.schedule(self._delay_s(), arrive)
-        self.schedule(RENEWAL_INTERVAL_S, lambda: self._renew_lease(leader, name))
