--- a/soak/profile.py
+++ b/soak/profile.py
@@ -57,6 +57,7 @@
         max_pause_s=1.0,
         # A leader that is left alone for a while counts as in touch.
         max_operation_interval_s=6.0,
+        max_failure_interval_s=0.8,
     ),
     Emphasis.REPEATS: Profile(
         Emphasis.REPEATS,
