Cancel jobs of removed queues through the callers' own interface, too

Callers saw: as on the users' platform, 404 for good to the cancel of a job whose kind the operators have removed, while it works on. The same cause, looked for elsewhere. Change: a DELETE on such a path, with the id of a known job of the key's account, cancels it and is answered 200, as there is no older configuration to tell apart here. All else is refused.

--- a/packages/daemon/bulrushspur_daemon/leader_requests.py
+++ b/packages/daemon/bulrushspur_daemon/leader_requests.py
@@ -63,7 +63,6 @@
     pending_submissions: dict[str, PendingSubmission] = dataclasses.field(
         default_factory=dict
     )
-
     cancels: LeaderCancels = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
--- a/packages/daemon/bulrushspur_daemon/native_interface.py
+++ b/packages/daemon/bulrushspur_daemon/native_interface.py
@@ -202,12 +202,12 @@
         await _refuse(exchange, ErrorKind.NO_TEXT, "No text is in force.")
         return
     queue = gateway.find_queue("", request.path)
+    key = request.headers.get(API_KEY_HEADER, "").removeprefix("Bearer ").strip()
+    hashed_key = hash_api_key(key) if key else ""
     if queue is None:
-        sentence = "There is no such path or queue; see docs/CALLERS.md."
-        await _refuse(exchange, ErrorKind.UNKNOWN_PATH, sentence)
+        await _handle_without_queue(gateway, request, exchange, hashed_key)
         return
-    key = request.headers.get(API_KEY_HEADER, "").removeprefix("Bearer ").strip()
-    account = gateway.authenticate(queue, hash_api_key(key) if key else "")
+    account = gateway.authenticate(queue, hashed_key)
     if account is None:
         await _refuse(exchange, ErrorKind.UNKNOWN_KEY, "The key is not in force.")
         return
@@ -219,7 +219,7 @@
             return
         await exchange.send_json(200, msgspec.json.encode({"waiting": count}))
         return
-    if not job_id.isalnum() or len(job_id) > MAX_JOB_ID_LENGTH:
+    if not _is_job_id(job_id):
         sentence = (
             f"A job id is 1 to {MAX_JOB_ID_LENGTH} letters and digits of your choice."
         )
@@ -228,6 +228,25 @@
     await _handle_job(gateway, request, exchange, queue, account, job_id, body)
 
 
+def _is_job_id(text: str) -> bool:
+    return text.isalnum() and len(text) <= MAX_JOB_ID_LENGTH
+
+
+async def _handle_without_queue(
+    gateway: t.Any, request: Request, exchange: Exchange, hashed_key: str
+) -> None:
+    """Refuse a request on a path of no queue, unless it cancels a known job."""
+    job_id = request.path.rpartition("/")[2]
+    if request.method == "DELETE" and _is_job_id(job_id):
+        deadline_s = _read_deadline_s(request)
+        result = await gateway.cancel_without_queue(hashed_key, job_id, deadline_s)
+        if result.outcome != "unknown_job":
+            await _send_result(exchange, job_id, result)
+            return
+    sentence = "There is no such path or queue; see docs/CALLERS.md."
+    await _refuse(exchange, ErrorKind.UNKNOWN_PATH, sentence)
+
+
 async def _handle_job(
     gateway: t.Any,
     request: Request,
@@ -252,6 +271,10 @@
     else:
         await _refuse(exchange, ErrorKind.BAD_REQUEST, "Use POST, GET or DELETE.")
         return
+    await _send_result(exchange, job_id, result)
+
+
+async def _send_result(exchange: Exchange, job_id: str, result: t.Any) -> None:
     if result.outcome == "ok":
         answer = {"id": job_id, "state": result.state or "queued"}
         if result.reason:
--- a/tests/test_removed_queues.py
+++ b/tests/test_removed_queues.py
@@ -5,9 +5,15 @@
 """
 
 import asyncio
+import types
 import unittest
 
-from tests.cluster import CONFIG, InProcessCluster, job_id
+import msgspec
+
+from bulrushspur_daemon.gateway import Result
+from bulrushspur_daemon.native_interface import handle_native_request
+from bulrushspur_kernel.api_keys import hash_api_key
+from tests.cluster import API_KEY, CONFIG, InProcessCluster, job_id
 
 OTHER_KEY = "key-of-others"
 # The queue "assess" is missing.
@@ -68,5 +74,56 @@
         self.assertEqual((await self.cluster.submit(job_id(2))).status, 404)
 
 
+class FakeGateway:
+    """A gateway without queues; it knows one job of the account of one key."""
+
+    max_body_bytes = 1000
+    has_config = True
+
+    async def catch_up(self):
+        pass
+
+    def find_queue(self, host, path):
+        return None
+
+    async def cancel_without_queue(self, key, job_id, deadline_s):
+        if (key, job_id) == (hash_api_key(API_KEY), "job17"):
+            return Result("ok", "cancelled")
+        return Result("unknown_job")
+
+
+class FakeExchange:
+    """An exchange that keeps the answer."""
+
+    async def send_json(self, status, data, headers=()):
+        self.answer = (status, msgspec.json.decode(data))
+
+
+class NativeInterfaceTest(unittest.IsolatedAsyncioTestCase):
+    async def call(self, method, job, key=API_KEY):
+        async def read_full_body(limit):
+            return b""
+
+        request = types.SimpleNamespace(
+            method=method,
+            path=f"/v1/jobs/coursework/handbook/{job}",
+            headers={"authorization": f"Bearer {key}"},
+            read_full_body=read_full_body,
+        )
+        exchange = FakeExchange()
+        await handle_native_request(FakeGateway(), request, exchange)
+        return exchange.answer
+
+    async def test_known_job_of_the_key_is_cancelled(self):
+        answer = (200, {"id": "job17", "state": "cancelled"})
+        self.assertEqual(await self.call("DELETE", "job17"), answer)
+
+    async def test_all_else_is_refused(self):
+        calls = (("DELETE", "job18"), ("GET", "job17"), ("POST", "job17"))
+        statuses = [(await self.call(*call))[0] for call in calls]
+        statuses.append((await self.call("DELETE", "job17", "another key"))[0])
+        self.assertEqual(statuses, [404] * 4)
+
+
 if __name__ == "__main__":
     unittest.main()
