--- a/models/cancellation.py
+++ b/models/cancellation.py
@@ -1,10 +1,10 @@
 """Model cancels: no leader starts a job once its cancel is acknowledged.
 
 Two leaders (of terms 1 and 2) and a store. The submission of one job is under way
-twice, as it is repeated; each copy arrives at any time, also after the cancel. A cancel
-goes to either leader, and is repeated until it is acknowledged. A leader that was
-replaced, as the store has a later epoch, may not know it: it answers, but can neither
-store nor start anything.
+twice, as it is repeated; each copy arrives at any time, also after the cancel, and is
+stored or refused some time later. A cancel goes to either leader, and is repeated until
+it is acknowledged. A leader that was replaced, as the store has a later epoch, may not
+know it: it answers, but can neither store nor start anything.
 
 A mutant is the protocol without one of its rules, and must violate an invariant.
 """
@@ -26,6 +26,7 @@
 KEPT_IN_MEMORY: t.Final = "a cancel of an unknown job is kept in memory alone"
 NOT_CONFIRMED: t.Final = "a job is denied without asking the store for a later term"
 NOT_STORED: t.Final = "a cancel is acknowledged before it is stored"
+NOT_WAITING: t.Final = "a cancel does not wait for a submission that is pending"
 
 
 class Known(enum.IntEnum):
@@ -37,10 +38,11 @@
 
 
 class CancelLeader(t.NamedTuple):
-    """A leader: whether it serves, and what it knows of the job."""
+    """A leader: whether it serves, what it knows, and whether a submission is pending."""
 
     loaded: bool = False
     known: Known = Known.NOTHING
+    pending: bool = False
 
 
 class CancelState(t.NamedTuple):
@@ -54,31 +56,38 @@
     started_after: bool = False
 
 
-def with_known(state: CancelState, term: int, known: Known) -> CancelState:
-    """Return the state with what the leader of a term knows of the job."""
-    leader = state.leaders[term - 1]._replace(known=known)
+def with_leader(state: CancelState, term: int, **changes: t.Any) -> CancelState:
+    """Return the state with changed fields of the leader of a term."""
+    leader = state.leaders[term - 1]._replace(**changes)
     return state._replace(leaders=replace_item(state.leaders, term - 1, leader))
 
 
 def submission_transitions(
     state: CancelState, term: int
 ) -> t.Iterator[tuple[str, CancelState]]:
-    """Yield the arrival of a copy of the submission at the leader of a term."""
-    if not state.copies_left:
-        return
-    after = state._replace(copies_left=state.copies_left - 1)
-    is_fenced = state.store_epoch > term
-    if state.leaders[term - 1].known is Known.NOTHING and not is_fenced:
-        after = with_known(after, term, Known.ACCEPTED)
-        after = after._replace(stored=Known.ACCEPTED)
-    yield f"submission arrives at leader {term}", after
+    """Yield the arrival of a copy at the leader of a term, and what becomes of it."""
+    leader = state.leaders[term - 1]
+    if leader.pending:
+        refused = with_leader(state, term, pending=False)
+        yield f"leader {term} refuses the submission", refused
+        if state.store_epoch == term:
+            after = with_leader(state, term, pending=False, known=Known.ACCEPTED)
+            after = after._replace(stored=Known.ACCEPTED)
+            yield f"leader {term} stores the submission", after
+    if state.copies_left:
+        after = state._replace(copies_left=state.copies_left - 1)
+        if leader.known is Known.NOTHING:
+            after = with_leader(after, term, pending=True)
+        yield f"submission arrives at leader {term}", after
 
 
 def cancel_transitions(
     state: CancelState, term: int, mutant: str
 ) -> t.Iterator[tuple[str, CancelState]]:
     """Yield what the leader of a term makes of the cancel, one step at a time."""
-    known = state.leaders[term - 1].known
+    known, pending = state.leaders[term - 1].known, state.leaders[term - 1].pending
+    if pending and mutant != NOT_WAITING:
+        return
     is_fenced = state.store_epoch > term
     acknowledged = state._replace(is_acknowledged=True)
     if known is Known.NOTHING:
@@ -86,12 +95,12 @@
         if mutant == denying:
             yield f"leader {term} denies the job", acknowledged
         elif not is_fenced:
-            after = with_known(state, term, Known.CANCELLED)
+            after = with_leader(state, term, known=Known.CANCELLED)
             if mutant == KEPT_IN_MEMORY:
                 after = after._replace(is_acknowledged=True)
             yield f"leader {term} cancels an unknown job", after
     elif known is Known.ACCEPTED:
-        after = with_known(state, term, Known.CANCELLED)
+        after = with_leader(state, term, known=Known.CANCELLED)
         if mutant == NOT_STORED:
             after = after._replace(is_acknowledged=True)
         yield f"leader {term} cancels", after
@@ -154,6 +163,7 @@
             KEPT_IN_MEMORY,
             NOT_CONFIRMED,
             NOT_STORED,
+            NOT_WAITING,
         ],
     }
     return Spec(make_protocol(), make_mutants(make_protocol, mutants_by_invariant))
