--- a/models/cancellation.py
+++ b/models/cancellation.py
@@ -38,7 +38,7 @@
 
 
 class CancelLeader(t.NamedTuple):
-    """A leader: whether it serves, what it knows, and whether a submission is pending."""
+    """A leader: whether it serves, what it knows, and if a submission is pending."""
 
     loaded: bool = False
     known: Known = Known.NOTHING
