--- a/oracle/observations.py
+++ b/oracle/observations.py
@@ -212,13 +212,13 @@
         self.contact_losses.setdefault(term, []).append(loss)
         return loss
 
-    def is_in_touch(self, run: Run, bounds: Bounds) -> bool:
+    def is_in_contact(self, run: Run, bounds: Bounds) -> bool:
         """Return whether the starter of a run may know what happened ``contact_s`` ago.
 
         The users' rule asks for contact in all of that time: it excuses more.
         """
         from_s = run.arrived_s - bounds.contact_s
-        return run.in_touch and not any(
+        return run.in_contact and not any(
             loss.from_s <= from_s and loss.until_s >= run.arrived_s
             for loss in self.contact_losses.get(run.term, [])
         )
--- a/oracle/runs.py
+++ b/oracle/runs.py
@@ -18,7 +18,7 @@
     ``is_started`` is False if the worker did not start it on this order: it refused, or
     the run was there. ``term`` is the fencing token of the order. ``told_s`` is when
     the worker carried the order out, ``arrived_s`` when it had got it, if that was
-    earlier. ``in_touch`` says that the starter was in touch with the platform.
+    earlier. ``in_contact`` says that the starter was in contact with the platform.
     ``noted_s`` is when the leader first took note of the end; ``is_note_void`` says
     that the worker's lease lapsed before that. The outcome is ``lost`` if the worker
     crashed or left.
@@ -33,7 +33,7 @@
     checkpoint: str = ""
     term: int = 0
     arrived_s: float = math.inf
-    in_touch: bool = True
+    in_contact: bool = True
     cpu_milli: int = 0
     is_started: bool = True
     ended_s: float = math.inf
--- a/oracle/twice.py
+++ b/oracle/twice.py
@@ -71,7 +71,7 @@
             known_s = min([known_s, *(row.noted_s for row in runs if _is_noted(row))])
         for run in runs:
             late_s = run.arrived_s - known_s
-            if late_s > bounds.noted_s and observations.is_in_touch(run, bounds):
+            if late_s > bounds.noted_s and observations.is_in_contact(run, bounds):
                 sentence = f"{run} starts {late_s:.2f} s after it was known as done"
                 violations.append(Violation(RULE, "noted", sentence))
     return violations
--- a/oracle/unasked.py
+++ b/oracle/unasked.py
@@ -108,14 +108,14 @@
     """Find starts later than ``cancel_s`` after the cancel of their job counts.
 
     What a worker carried out late counts by when it got the order. The start of a
-    starter that was out of touch does not count; the run has to end all the same
+    starter that was out of contact does not count; the run has to end all the same
     (``find_runs_after_cancel``).
     """
     violations = []
     cancelled_s = find_cancel_times(observations, bounds)
     for run in observations.runs:
         late_s = run.arrived_s - cancelled_s.get(run.task.job, math.inf)
-        if late_s > bounds.cancel_s and observations.is_in_touch(run, bounds):
+        if late_s > bounds.cancel_s and observations.is_in_contact(run, bounds):
             sentence = f"{run} starts {late_s:.2f} s after its job was cancelled"
             violations.append(Violation(RULE, "start after cancel", sentence))
     return violations
--- a/packages/daemon/bulrushspur_daemon/leader_cancels.py
+++ b/packages/daemon/bulrushspur_daemon/leader_cancels.py
@@ -69,9 +69,8 @@
     async def _cancel_unknown_job(self, message: Cancel) -> Reply:
         cell, job_id, received_s = self.cell, message.job, monotonic_s()
         add_early_cancel(cell, job_id, message.account, received_s)
-        record = encode_early_cancel(
-            cell.early_cancels[job_id], monotonic_s(), unix_s()
-        )
+        cancel = cell.early_cancels[job_id]
+        record = encode_early_cancel(cancel, received_s, unix_s())
         self.writer.pending_records[EARLY_CANCEL_KEY_PREFIX + job_id] = record
         await self.writer.wait_durable()
         cell.log(
--- a/packages/daemon/bulrushspur_daemon/worker_orders.py
+++ b/packages/daemon/bulrushspur_daemon/worker_orders.py
@@ -144,11 +144,10 @@
         run = order.run
         age_s = monotonic_s() - run.ordered_s
         if age_s > LATE_START_AGE_S:
-            key = run.task.key
             self.cell.log(
                 "start_late",
-                key.job,
-                task=f"{key.occurrence}.{key.step}.{key.index}",
+                run.task.key.job,
+                task=run.task.key.path,
                 run=run.number,
                 worker=order.worker_id,
                 fence=self.cell.fencing_token,
--- a/packages/scheduler/bulrushspur_scheduler/adoption.py
+++ b/packages/scheduler/bulrushspur_scheduler/adoption.py
@@ -48,7 +48,7 @@
     cell.log(
         "stray",
         key.job,
-        task=f"{key.occurrence}.{key.step}.{key.index}",
+        task=key.path,
         worker=worker.id,
         run=number,
         fence=cell.fencing_token,
--- a/packages/scheduler/bulrushspur_scheduler/crashes.py
+++ b/packages/scheduler/bulrushspur_scheduler/crashes.py
@@ -252,7 +252,7 @@
     """Return job, task, run number, counts of crashes and age of a run, as text."""
     key, task = run.task.key, run.task
     return (
-        f"{key.job}.{key.occurrence}.{key.step}.{key.index} run {run.number}, "
+        f"{key.job}.{key.path} run {run.number}, "
         f"suspected in {task.suspected_crash_count} of {task.crash_count} crashes, "
         f"ordered {round((now_s - run.ordered_s) * 1000)} ms ago"
     )
--- a/packages/scheduler/bulrushspur_scheduler/job_specs.py
+++ b/packages/scheduler/bulrushspur_scheduler/job_specs.py
@@ -15,6 +15,11 @@
     step: int
     index: int
 
+    @property
+    def path(self) -> str:
+        """Return occurrence, step and index, as in the log."""
+        return f"{self.occurrence}.{self.step}.{self.index}"
+
 
 class StepKey(t.NamedTuple):
     """Identify a step of one occurrence of a job."""
--- a/packages/scheduler/bulrushspur_scheduler/leases.py
+++ b/packages/scheduler/bulrushspur_scheduler/leases.py
@@ -41,7 +41,7 @@
     cell.log(
         "run_lost",
         task.key.job,
-        task=f"{task.key.occurrence}.{task.key.step}.{task.key.index}",
+        task=task.key.path,
         run=run.number,
         worker=run.worker_id,
         reason=reason,
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -237,7 +237,7 @@
     cell.log(
         "end",
         end.key.job,
-        task=f"{end.key.occurrence}.{end.key.step}.{end.key.index}",
+        task=end.key.path,
         run=end.number,
         worker=worker.id,
         how=end.outcome.value,
--- a/packages/scheduler/bulrushspur_scheduler/runs.py
+++ b/packages/scheduler/bulrushspur_scheduler/runs.py
@@ -31,7 +31,7 @@
     cell.log(
         "start",
         task.key.job,
-        task=f"{task.key.occurrence}.{task.key.step}.{task.key.index}",
+        task=task.key.path,
         run=number,
         worker=worker.id,
         payload=job.spec.payload_crc,
@@ -104,7 +104,7 @@
     cell.log(
         "stop",
         key.job,
-        task=f"{key.occurrence}.{key.step}.{key.index}",
+        task=key.path,
         run=run.number,
         worker=run.worker_id,
         reason=reason,
--- a/packages/scheduler/bulrushspur_scheduler/suspects.py
+++ b/packages/scheduler/bulrushspur_scheduler/suspects.py
@@ -239,7 +239,7 @@
     cell.log(
         "job_given_up",
         job.id,
-        task=f"{key.occurrence}.{key.step}.{key.index}",
+        task=key.path,
         crashes=task.crash_count,
         suspected_crashes=task.suspected_crash_count,
         evidence=task.crash_evidence,
--- a/soak/profile.py
+++ b/soak/profile.py
@@ -55,7 +55,7 @@
         wide_share=0.7,
         cancel_share=0.7,
         max_pause_s=1.0,
-        # A leader that is left alone for a while counts as in touch.
+        # A leader that is left alone for a while counts as in contact.
         max_operation_interval_s=6.0,
         max_failure_interval_s=0.8,
     ),
--- a/soak/recording.py
+++ b/soak/recording.py
@@ -32,10 +32,10 @@
 
 
 def complete_observations(soak: "Soak") -> None:
-    """Record which leaders were out of touch, and when the observation ends."""
+    """Record which leaders were out of contact, and when the observation ends."""
     record_claims(soak)
     for run in soak.observations.orders:
-        run.in_touch = is_in_touch(soak, run)
+        run.in_contact = is_in_contact(soak, run)
     for term, name in soak.term_holders.items():
         for subject in (STORE, soak.store_link_by_entry[name]):
             for row in soak.disruptions.by_subject.get(subject, ()):
@@ -43,7 +43,7 @@
     soak.observations.end_at(time.monotonic())
 
 
-def is_in_touch(soak: "Soak", run: Run) -> bool:
+def is_in_contact(soak: "Soak", run: Run) -> bool:
     """Return whether neither the sender of an order nor its link was disrupted."""
     until_s = run.arrived_s
     link = soak.worker_link_by_machine[run.worker.partition("-")[0]]
--- a/tests/test_oracle.py
+++ b/tests/test_oracle.py
@@ -252,7 +252,7 @@
         self.submit()
         self.cancel(T + 1, T + 1.5)
         self.start(T + 9, arrived_s=T + 4.49)
-        self.start(T + 9, in_touch=False, task=(0, 0, 1))
+        self.start(T + 9, in_contact=False, task=(0, 0, 1))
         self.end(T + 9.1)
         self.end(T + 9.1, task=(0, 0, 1))
         self.check()
@@ -275,7 +275,7 @@
         self.end(T + 4.8, number=2)
         self.check(self.CLAUSE)
 
-    def test_starter_that_was_in_touch_for_a_while(self):
+    def test_starter_that_was_in_contact_for_a_while(self):
         for from_s, until_s in ((T + 1.52, T + 9), (T, T + 4.4)):
             with self.subTest(from_s=from_s):
                 self.seen = Observations()
@@ -340,7 +340,7 @@
         self.check(self.CLAUSE)
 
     def test_run_that_started_late_counts_from_its_start(self):
-        for field in ({"arrived_s": T + 4}, {"in_touch": False}):
+        for field in ({"arrived_s": T + 4}, {"in_contact": False}):
             with self.subTest(field=field):
                 self.seen.runs.clear()
                 self.start(T + 10, **field)
--- a/tests/test_soak_parts.py
+++ b/tests/test_soak_parts.py
@@ -23,7 +23,7 @@
 from soak.jobs import MAX_WIDE_TASKS, MIN_WIDE_TASKS, draw_job, draw_work
 from soak.profile import Emphasis, draw_profile
 from soak.proxy import FaultProxy, LinkFault
-from soak.recording import is_in_touch
+from soak.recording import is_in_contact
 
 JOB = "00000000000000aa"
 
@@ -101,9 +101,9 @@
             worker_link_by_machine={"w2": "link to w2"},
         )
 
-    def is_in_touch(self, arrived_s, term=4):
+    def is_in_contact(self, arrived_s, term=4):
         run = Run((JOB, 0, 0, 0), 1, "w2-3", 1, arrived_s, "", term=term)
-        return is_in_touch(self.soak, run)
+        return is_in_contact(self.soak, run)
 
     def disrupt(self, subject):
         """Disrupt a subject for a moment; return when that was."""
@@ -112,17 +112,17 @@
 
     def test_sender_is_out_of_touch_for_a_while(self):
         end_s = self.disrupt("n1")
-        self.assertFalse(self.is_in_touch(end_s + 2.9))
-        self.assertTrue(self.is_in_touch(end_s + 3.1))
+        self.assertFalse(self.is_in_contact(end_s + 2.9))
+        self.assertTrue(self.is_in_contact(end_s + 3.1))
 
     def test_other_processes_do_not_matter(self):
         end_s = self.disrupt("n2")
-        self.assertTrue(self.is_in_touch(end_s + 0.1))
+        self.assertTrue(self.is_in_contact(end_s + 0.1))
 
     def test_order_that_a_link_held_back_is_excused(self):
         end_s = self.disrupt("link to w2")
-        self.assertFalse(self.is_in_touch(end_s + LINK_FLUSH_S - 0.1))
-        self.assertTrue(self.is_in_touch(end_s + LINK_FLUSH_S + 0.1))
+        self.assertFalse(self.is_in_contact(end_s + LINK_FLUSH_S - 0.1))
+        self.assertTrue(self.is_in_contact(end_s + LINK_FLUSH_S + 0.1))
 
 
 class ProxyTest(unittest.IsolatedAsyncioTestCase):
