Part the fuzzer's record from its workers

Change: Oracle is in fuzz/recorder.py. The incarnation of a report is the worker's property, not the same sum a second time.

--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -33,8 +33,9 @@
 from fuzz.clients import observe_submission
 from fuzz.leaders import SimLeader, SimStore
 from fuzz.links import WorkerLinks
+from fuzz.recorder import Oracle
 from fuzz.standing import CHECK_INTERVAL_S, StandingCheck
-from fuzz.workers import Oracle, SimWorker
+from fuzz.workers import SimWorker
 
 AUTHORITY_TIMEOUT_S: t.Final = 6.0
 TICK_INTERVAL_S: t.Final = 0.1
--- a/fuzz/workers.py
+++ b/fuzz/workers.py
@@ -1,12 +1,9 @@
-"""Simulate the workers of a fuzzed cell, and check the scheduler's guarantees.
+"""Simulate the workers of a fuzzed cell.
 
 Takes start orders, stop orders and lease renewals at simulated times; returns the
 results and reports that a worker would answer. All orders, ends and checkpoints are
-recorded in ``Oracle.observations``, which the clauses of ``oracle/`` judge at the end
-of a history. The rest is checked at each start: no task starts before the steps that it
-depends on are done, or though its job was shown as completed. A job is shown as failed
-only with cause (``evidence.py``), and no final state changes. Violations are recorded,
-not raised.
+recorded (``recorder.py``). Checked at each start: no task starts before the steps that
+it depends on are done, or though its job was shown as completed.
 """
 
 import dataclasses
@@ -17,9 +14,7 @@
 from bulrushspur_scheduler.jobs import RunOutcome
 from bulrushspur_scheduler.order_results import StartResult
 from bulrushspur_scheduler.reports import RunEnd, RunStatus, WorkerReport
-from fuzz.evidence import FailureEvidence
-from oracle.observations import Observations
-from oracle.rules import find_violations
+from fuzz.recorder import Oracle
 
 GANG_TIMEOUT_S: t.Final = 3.0
 # A run of a checkpointing step makes a checkpoint after so much work.
@@ -46,48 +41,6 @@
     worked_s: float = 0.0
 
 
-@dataclasses.dataclass
-class Oracle:
-    """Record what has happened in the simulation, and the violations found."""
-
-    jobs: dict[str, t.Any] = dataclasses.field(default_factory=dict)
-    observations: Observations = dataclasses.field(
-        default_factory=lambda: Observations(gangs_end_together=True)
-    )
-    evidence: FailureEvidence = dataclasses.field(default_factory=FailureEvidence)
-    refused_jobs: set[str] = dataclasses.field(default_factory=set)
-    published_final_states: dict[str, str] = dataclasses.field(default_factory=dict)
-    done_tasks: set[TaskKey] = dataclasses.field(default_factory=set)
-    # The work that each checkpoint stands for, in seconds.
-    saved_work_s: dict[str, float] = dataclasses.field(default_factory=dict)
-    start_count: int = 0
-    trace: list[str] = dataclasses.field(default_factory=list)
-    violations: list[str] = dataclasses.field(default_factory=list)
-
-    def record_violation(self, violation: str) -> None:
-        """Add a violation, as one sentence."""
-        self.violations.append(violation)
-
-    def judge(self, now_s: float) -> None:
-        """Record what was observed until now and breaks a clause."""
-        self.observations.end_at(now_s)
-        self.violations += map(str, find_violations(self.observations))
-
-    def publish_final_state(self, job_id: str, state: str, now_s: float) -> None:
-        """Record the final state of a job that a leader has stored, and check it."""
-        previous = self.published_final_states.setdefault(job_id, state)
-        if previous != state:
-            self.record_violation(f"{job_id} is shown as {previous}, then as {state}")
-        self.published_final_states[job_id] = state
-        if state != "failed":
-            return
-        fault = self.evidence.find_fault(self.jobs[job_id])
-        if fault:
-            self.record_violation(
-                f"{job_id} is shown as failed at {now_s:.2f} without cause: {fault}"
-            )
-
-
 @dataclasses.dataclass
 class SimWorker:
     """Simulate one incarnation of a worker; ``peers`` has all workers by id."""
@@ -384,7 +337,7 @@
         return WorkerReport(
             sent_s,
             self.clock_ms(now_s),
-            int(self.started_s * 1000) + 1,
+            self.incarnation,
             [
                 RunStatus(run.key, run.number, run.saved, 100)
                 for run in self.runs.values()
--- a/tests/test_failure_evidence.py
+++ b/tests/test_failure_evidence.py
@@ -9,7 +9,8 @@
 
 from bulrushspur_scheduler.job_specs import TaskKey
 from fuzz.deadly import make_job
-from fuzz.workers import Oracle, SimWorker
+from fuzz.recorder import Oracle
+from fuzz.workers import SimWorker
 
 TASK = TaskKey("j", 0, 0, 0)
 OTHER_TASK = TaskKey("j", 0, 0, 1)
