--- a/packages/scheduler/bulrushspur_scheduler/leases.py
+++ b/packages/scheduler/bulrushspur_scheduler/leases.py
@@ -61,7 +61,15 @@
     tasks wait until the store confirms that there was none.
     """
     if worker.runs or worker.orphan_runs:
-        cell.log("worker_lost", worker=worker.id, reason=reason, runs=len(worker.runs))
+        cell.log(
+            "worker_lost",
+            worker=worker.id,
+            reason=reason,
+            runs=len(worker.runs),
+            incarnation_ms=worker.incarnation_start_ms,
+            lease_until_ms=worker.lease_until_ms,
+            clock_ms=worker.clock.value_ms,
+        )
     for run in list(worker.runs.values()):
         if seen_s is not None and not run.task.done:
             await_confirmation(cell, run.task, seen_s)
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -107,8 +107,14 @@
     )
     worker.clock.record_reading(report.clock_ms, now_s)
     if not worker.has_reported:
-        cell.log("worker_reached", worker=worker.id, runs=len(report.running))
         _assume_previous_lease(cell, worker, report)
+        cell.log(
+            "worker_reached",
+            worker=worker.id,
+            runs=len(report.running),
+            incarnation_ms=worker.incarnation_start_ms,
+            lease_ms=worker.lease_until_ms - report.clock_ms,
+        )
     for end in report.ended:
         if end.sequence > worker.applied_end_sequence:
             _apply_end(cell, worker, end, now_s)
@@ -161,7 +167,7 @@
             run.state = RunState.UNCONFIRMED
     for key in list(worker.orphan_runs):
         remove_lost_orphan(cell, worker, key, now_s)
-    cell.log("worker_restarted", worker=worker.id, under_way=len(worker.runs))
+    silent_s = now_s - worker.last_report_s
     worker.applied_end_sequence = 0
     worker.clock.is_known = False
     worker.has_reported = False
@@ -169,6 +175,14 @@
     # it can last up to the longest lease that there is.
     max_lease_ms = int(cell.timing_limits.max_lease_s * 1000) if worker.runs else 0
     worker.lease_until_ms = report.clock_ms + max_lease_ms
+    cell.log(
+        "worker_restarted",
+        worker=worker.id,
+        under_way=len(worker.runs),
+        incarnation_ms=report.incarnation_start_ms,
+        silent_ms=round(silent_s * 1000),
+        lease_ms=max_lease_ms,
+    )
 
 
 def _update_listed_run(cell: Cell, run: Run, status: RunStatus, now_s: float) -> None:
