--- /dev/null
+++ b/tests/test_incarnations.py
@@ -0,0 +1,137 @@
+"""Test how long a worker that restarted under its id may go on with its runs.
+
+The tests guard against runs that start elsewhere while a worker is silent and still has
+them: the end of a lease in an order for its former incarnation is far ahead on the new
+clock, so that the worker holds the longest lease that there is.
+"""
+
+import asyncio
+import unittest
+import unittest.mock
+
+from bulrushspur_daemon.order_slots import OrderSlots
+from bulrushspur_daemon.worker_orders import OrderTarget, WorkerOrders
+from bulrushspur_kernel.metrics import Metrics
+from bulrushspur_scheduler import takeover
+from bulrushspur_scheduler.leases import expire_leases, extend_lease
+from bulrushspur_scheduler.order_results import StartResult
+from bulrushspur_scheduler.planning import plan
+from bulrushspur_scheduler.reports import WorkerReport, apply_report
+from tests.cell_fixtures import (
+    acknowledge_starts,
+    add_test_job,
+    add_worker,
+    apply_worker_report,
+    make_test_cell,
+    task_key,
+)
+from tests.test_takeover import make_recovered_cell
+
+# What a worker's clock shows at the start of an incarnation.
+FIRST_CLOCK_MS = 1
+LONGEST_LEASE_S = 10.0
+
+
+def restart(cell, name, now_s, running=()):
+    """Apply the first report of the next incarnation of a worker, which began then."""
+    report = WorkerReport(now_s, FIRST_CLOCK_MS, 99, list(running), [])
+    apply_report(cell, cell.workers[name], report, now_s)
+
+
+class LeaseTest(unittest.TestCase):
+    def assert_kept_until(self, cell, last_s):
+        """Assert that the runs of a silent worker are lost only after a time."""
+        (run,) = cell.workers["w0"].runs.values()
+        expire_leases(cell, last_s)
+        self.assertEqual(run.task.runs, [run])
+        expire_leases(cell, last_s + 2.0)
+        self.assertEqual(run.task.runs, [])
+
+    # The order that began the run had a lease by the clock of the former incarnation.
+    def test_next_leader_outwaits_the_longest_lease_of_a_run_it_adopted(self):
+        cell = make_recovered_cell(workers=("w0",))
+        apply_worker_report(cell, "w0", 1.0, [(task_key(), 1)])
+        self.assert_kept_until(cell, 1.0 + LONGEST_LEASE_S)
+
+    def test_lease_that_reached_an_idle_next_incarnation_is_outwaited(self):
+        cell = make_test_cell(1)
+        restart(cell, "w0", 1.0)
+        add_test_job(cell)
+        plan(cell, 1.1)
+        acknowledge_starts(cell, 1.1)
+        extend_lease(cell, cell.workers["w0"], 1.1, 2.0)
+        self.assert_kept_until(cell, 1.0 + LONGEST_LEASE_S)
+
+
+class RecoveryTest(unittest.TestCase):
+    def recover(self, **changes):
+        """Return a cell whose workers do not answer, after the usual leases."""
+        cell = make_recovered_cell(workers=("w0",))
+        cell.reconcile_by_s, cell.reconcile_restarted_by_s = 8.0, 12.0
+        for name, value in changes.items():
+            setattr(cell.workers["w0"], name, value)
+        return takeover.reconcile(cell, 9.0), takeover.reconcile(cell, 12.5)
+
+    def test_silent_worker_that_had_restarted_is_outwaited(self):
+        self.assertEqual(self.recover(has_restarted=True), (False, True))
+
+    def test_silent_worker_that_never_restarted_is_not_outwaited_longer(self):
+        self.assertEqual(self.recover(), (True, True))
+
+
+class FakeClient:
+    """A worker that answers each start with a clock, after ``meanwhile``."""
+
+    def __init__(self, clock_ms, meanwhile=lambda: None):
+        self.clock_ms = clock_ms
+        self.meanwhile = meanwhile
+
+    async def start_run(self, *args):
+        self.meanwhile()
+        return StartResult.STARTED, self.clock_ms
+
+
+class OrderClockTest(unittest.IsolatedAsyncioTestCase):
+    """A worker whose clock showed 100 s to 110 s when the test began."""
+
+    async def asyncSetUp(self):
+        self.now_s = 1000.0
+        self.cell = make_test_cell(0)
+        add_worker(self.cell, "w0", has_reported=False)
+        self.worker = self.cell.workers["w0"]
+        report = WorkerReport(self.now_s, 100_000, 1, [], [])
+        apply_report(self.cell, self.worker, report, self.now_s)
+        add_test_job(self.cell)
+        plan(self.cell, self.now_s)
+
+    async def send_start(self, client):
+        target = OrderTarget(self.worker, client, OrderSlots(1))
+        orders = WorkerOrders(
+            self.cell, Metrics(), lambda: None, lambda: True, lambda worker_id: target
+        )
+        with unittest.mock.patch(
+            "bulrushspur_daemon.worker_orders.monotonic_s", lambda: self.now_s
+        ):
+            orders.send_all()
+            await asyncio.gather(*orders.tasks)
+
+    async def test_answer_of_the_former_incarnation_does_not_set_the_clock_back(self):
+        def restart_worker():
+            restart(self.cell, "w0", self.now_s)
+
+        await self.send_start(FakeClient(100_000, restart_worker))
+        self.assertEqual(self.worker.clock.value_ms, FIRST_CLOCK_MS)
+
+    async def test_start_that_the_next_incarnation_answered_has_the_longest_lease(self):
+        await self.send_start(FakeClient(FIRST_CLOCK_MS))
+        (run,) = self.worker.runs.values()
+        expire_leases(self.cell, self.now_s + LONGEST_LEASE_S)
+        self.assertEqual(run.task.runs, [run])
+        expire_leases(self.cell, self.now_s + LONGEST_LEASE_S + 2.0)
+        self.assertEqual(run.task.runs, [])
+
+    async def test_worker_with_a_new_clock_gets_no_more_starts_until_it_reports(self):
+        await self.send_start(FakeClient(FIRST_CLOCK_MS))
+        add_test_job(self.cell, "j2")
+        plan(self.cell, self.now_s)
+        self.assertEqual(self.cell.start_orders, [])
