--- a/packages/daemon/bulrushspur_daemon/worker_orders.py
+++ b/packages/daemon/bulrushspur_daemon/worker_orders.py
@@ -17,6 +17,7 @@
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_scheduler.cell import Cell, StartOrder, StopOrder
 from bulrushspur_scheduler.evacuation import must_drop_start
+from bulrushspur_scheduler.incarnations import describe_order, record_answer_clock
 from bulrushspur_scheduler.jobs import Run, RunState
 from bulrushspur_scheduler.latency import LatencyEstimate
 from bulrushspur_scheduler.leases import extend_lease
@@ -158,8 +159,7 @@
         self, target: OrderTarget, order: StartOrder, timeout_s: float
     ) -> StartResult:
         worker, sent_s = target.worker, monotonic_s()
-        incarnation_start_ms = worker.incarnation_start_ms
-        sent_clock_ms = worker.clock.min_ms(sent_s)
+        sent = describe_order(worker, sent_s)
         lease_until_ms = extend_lease(self.cell, worker, sent_s, START_LEASE_S)
         result, clock_ms = await target.client.start_run(
             order.run.task.key,
@@ -176,20 +176,7 @@
         if result not in (StartResult.UNANSWERED, StartResult.NOT_SENT):
             self.latency.observe(now_s - sent_s)
         if clock_ms is not None:
-            if (
-                clock_ms < sent_clock_ms
-                or worker.incarnation_start_ms != incarnation_start_ms
-            ):
-                self.cell.log(
-                    "order_clock_differs",
-                    order.run.task.key.job,
-                    task=order.run.task.key.path,
-                    run=order.run.number,
-                    worker=worker.id,
-                    clock_ms=clock_ms,
-                    expected_ms=sent_clock_ms,
-                )
-            worker.clock.record_reading(clock_ms, now_s)
+            record_answer_clock(self.cell, worker, sent, clock_ms, now_s)
         return result
 
     async def _repeat_start(
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -16,7 +16,11 @@
 from bulrushspur_scheduler.crashes import record_crash
 from bulrushspur_scheduler.job_specs import TaskKey
 from bulrushspur_scheduler.jobs import Run, RunOutcome, RunState, Step
-from bulrushspur_scheduler.leases import mark_run_lost
+from bulrushspur_scheduler.leases import (
+    assume_longest_lease,
+    mark_restarted,
+    mark_run_lost,
+)
 from bulrushspur_scheduler.orphans import (
     await_confirmation,
     remove_lost_orphan,
@@ -45,8 +49,6 @@
 # A worker reports at most this many ends at once. A report that reaches the limit may
 # be incomplete: a run that it does not list may have an end that is not reported yet.
 MAX_REPORTED_ENDS: t.Final = 500
-# The last order of an earlier term may have been in transit until the first report.
-PREVIOUS_TERM_LEASE_MARGIN_S: t.Final = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,7 +109,7 @@
     )
     worker.clock.record_reading(report.clock_ms, now_s)
     if not worker.has_reported:
-        _assume_previous_lease(cell, worker, report)
+        assume_longest_lease(cell, worker, report.clock_ms)
         cell.log(
             "worker_reached",
             worker=worker.id,
@@ -115,6 +117,9 @@
             incarnation_ms=worker.incarnation_start_ms,
             lease_ms=worker.lease_until_ms - report.clock_ms,
         )
+    elif report.running and worker.is_lease_expired(now_s):
+        cell.log("lease_underestimated", worker=worker.id, runs=len(report.running))
+        assume_longest_lease(cell, worker, report.clock_ms)
     for end in report.ended:
         if end.sequence > worker.applied_end_sequence:
             _apply_end(cell, worker, end, now_s)
@@ -141,12 +146,6 @@
         cell.unobserved_workers.discard(worker.id)
 
 
-def _assume_previous_lease(cell: Cell, worker: Worker, report: WorkerReport) -> None:
-    """Assume the longest lease that an earlier term can have granted."""
-    lease_ms = int((cell.timing_limits.lease_s + PREVIOUS_TERM_LEASE_MARGIN_S) * 1000)
-    worker.lease_until_ms = max(worker.lease_until_ms, report.clock_ms + lease_ms)
-
-
 def handle_worker_restart(
     cell: Cell, worker: Worker, report: WorkerReport, now_s: float
 ) -> None:
@@ -169,19 +168,14 @@
         remove_lost_orphan(cell, worker, key, now_s)
     silent_s = now_s - worker.last_report_s
     worker.applied_end_sequence = 0
-    worker.clock.is_known = False
-    worker.has_reported = False
-    # The lease of an order in transit was computed for the old clock. On the new clock
-    # it can last up to the longest lease that there is.
-    max_lease_ms = int(cell.timing_limits.max_lease_s * 1000) if worker.runs else 0
-    worker.lease_until_ms = report.clock_ms + max_lease_ms
+    mark_restarted(cell, worker, report.clock_ms, now_s)
     cell.log(
         "worker_restarted",
         worker=worker.id,
         under_way=len(worker.runs),
         incarnation_ms=report.incarnation_start_ms,
         silent_ms=round(silent_s * 1000),
-        lease_ms=max_lease_ms,
+        lease_ms=worker.lease_until_ms - report.clock_ms,
     )
 
 
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -13,7 +13,11 @@
 from bulrushspur_daemon.worker_orders import OrderTarget, WorkerOrders
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_scheduler import takeover
-from bulrushspur_scheduler.leases import expire_leases, extend_lease
+from bulrushspur_scheduler.leases import (
+    MAX_ORDER_DELAY_S,
+    expire_leases,
+    extend_lease,
+)
 from bulrushspur_scheduler.order_results import StartResult
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.reports import WorkerReport, apply_report
@@ -62,18 +66,37 @@
         extend_lease(cell, cell.workers["w0"], 1.1, 2.0)
         self.assert_kept_until(cell, 1.0 + LONGEST_LEASE_S)
 
+    # An order that gets no answer may be carried out seconds later.
+    def test_lease_of_a_delayed_order_for_the_former_incarnation_is_outwaited(self):
+        cell = make_test_cell(1)
+        extend_lease(cell, cell.workers["w0"], 0.9, 6.5)
+        restart(cell, "w0", 1.0)
+        add_test_job(cell)
+        plan(cell, 1.1)
+        acknowledge_starts(cell, 1.1)
+        self.assert_kept_until(cell, 0.9 + MAX_ORDER_DELAY_S + LONGEST_LEASE_S)
+
+    # Guards against: runs that a worker has just reported are taken for over.
+    def test_worker_that_lists_runs_after_its_lease_still_has_one(self):
+        cell = make_test_cell(1)
+        add_test_job(cell)
+        plan(cell, 0.1)
+        (order,) = acknowledge_starts(cell, 0.1)
+        apply_worker_report(cell, "w0", 30.0, [order.run.key])
+        self.assert_kept_until(cell, 30.0 + LONGEST_LEASE_S)
+
 
 class RecoveryTest(unittest.TestCase):
     def recover(self, **changes):
-        """Return a cell whose workers do not answer, after the usual leases."""
+        """Recover a cell whose worker does not answer, after the usual leases."""
         cell = make_recovered_cell(workers=("w0",))
-        cell.reconcile_by_s, cell.reconcile_restarted_by_s = 8.0, 12.0
+        cell.reconcile_by_s = 8.0
         for name, value in changes.items():
             setattr(cell.workers["w0"], name, value)
         return takeover.reconcile(cell, 9.0), takeover.reconcile(cell, 12.5)
 
     def test_silent_worker_that_had_restarted_is_outwaited(self):
-        self.assertEqual(self.recover(has_restarted=True), (False, True))
+        self.assertEqual(self.recover(former_lease_until_s=12.0), (False, True))
 
     def test_silent_worker_that_never_restarted_is_not_outwaited_longer(self):
         self.assertEqual(self.recover(), (True, True))
@@ -125,9 +148,10 @@
     async def test_start_that_the_next_incarnation_answered_has_the_longest_lease(self):
         await self.send_start(FakeClient(FIRST_CLOCK_MS))
         (run,) = self.worker.runs.values()
-        expire_leases(self.cell, self.now_s + LONGEST_LEASE_S)
+        longest_s = MAX_ORDER_DELAY_S + LONGEST_LEASE_S
+        expire_leases(self.cell, self.now_s + longest_s)
         self.assertEqual(run.task.runs, [run])
-        expire_leases(self.cell, self.now_s + LONGEST_LEASE_S + 2.0)
+        expire_leases(self.cell, self.now_s + longest_s + 2.0)
         self.assertEqual(run.task.runs, [])
 
     async def test_worker_with_a_new_clock_gets_no_more_starts_until_it_reports(self):
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -126,7 +126,10 @@
         expire_leases(cell, 1.01)
         self.assertEqual(len(cell.workers["w0"].runs), 1)
         self.assertEqual(cell.workers["w0"].free.cpu_milli, 15_000)
-        expire_leases(cell, 1.0 + cell.timing_limits.lease_s + 1.0)
+        longest_s = cell.timing_limits.max_lease_s
+        expire_leases(cell, 1.0 + longest_s)
+        self.assertEqual(len(cell.workers["w0"].runs), 1)
+        expire_leases(cell, 1.0 + longest_s + 1.0)
         self.assertEqual(len(cell.workers["w0"].runs), 0)
 
     def test_task_waits_until_every_worker_has_reported(self):
@@ -304,12 +307,12 @@
         plan(cell, 1.0)
         (order,) = acknowledge_starts(cell, 1.0)
         other = next(name for name in cell.workers if name != order.worker_id)
-        apply_worker_report(cell, other, 9.0)
+        apply_worker_report(cell, other, 11.0)
         expire_leases(cell, confirmed_s=1.5)
-        plan(cell, 9.0)
+        plan(cell, 11.0)
         self.assertEqual(cell.start_orders, [])
-        expire_leases(cell, confirmed_s=9.0)
-        plan(cell, 9.0)
+        expire_leases(cell, confirmed_s=11.0)
+        plan(cell, 11.0)
         self.assertEqual([order.worker_id for order in cell.start_orders], [other])
 
     def test_run_of_a_step_with_unfinished_dependencies_is_adopted(self):
