--- a/fuzz/links.py
+++ b/fuzz/links.py
@@ -8,6 +8,7 @@
 import typing as t
 
 from bulrushspur_scheduler.cell import StartOrder, StopOrder
+from bulrushspur_scheduler.incarnations import describe_order, record_answer_clock
 from bulrushspur_scheduler.job_specs import TaskKey
 from bulrushspur_scheduler.leases import extend_lease
 from bulrushspur_scheduler.order_results import (
@@ -31,6 +32,8 @@
     # answer is lost.
     late_start_share = 0.05
     lost_answer_share = 0.03
+    # Renewals that get no answer and are carried out later.
+    late_renewal_share = 0.0
     now_s: float
     rng: random.Random
     workers: dict[str, SimWorker]
@@ -73,6 +76,7 @@
 
     def _send_start(self, leader: SimLeader, order: StartOrder) -> None:
         cell, run = leader.cell, order.run
+        sent = describe_order(cell.workers[order.worker_id], self.now_s)
         until_ms = extend_lease(cell, cell.workers[order.worker_id], self.now_s, 2.0)
         key: TaskKey = run.task.key
         number = run.number
@@ -106,9 +110,14 @@
             if result is StartResult.STARTED:
                 self.on_started(leader, worker, run)
             if not late and self.rng.random() > self.lost_answer_share:
-                self.schedule(
-                    self._delay_s(), lambda: self._handle_start(leader, run, result)
-                )
+                clock_ms = worker.clock_ms(self.now_s)
+                self.schedule(self._delay_s(), lambda: answer(result, clock_ms))
+
+        def answer(result: StartResult, clock_ms: int) -> None:
+            known = cell.workers.get(order.worker_id)
+            if known is not None and not leader.ended:
+                record_answer_clock(cell, known, sent, clock_ms, self.now_s)
+            self._handle_start(leader, run, result)
 
         self.schedule(delay_s, arrive)
         self.schedule(
@@ -169,7 +178,8 @@
             until_ms = extend_lease(
                 cell, worker, self.now_s, cell.timing_limits.lease_s
             )
-        sent_s, ack_upto = self.now_s, leader.durable_end_sequences.get(name, 0)
+        sent_to, sent_s = self.workers[name], self.now_s
+        ack_upto = leader.durable_end_sequences.get(name, 0)
         if (
             ack_upto <= leader.acknowledged_end_sequences.get(name, 0)
             or name in leader.unverified_workers
@@ -189,6 +199,10 @@
                 return
             self.schedule(self._delay_s(), lambda: handle_report(report))
 
+        def execute_late() -> None:
+            if sent_to is self.workers[name] and self._reaches(leader, name):
+                sent_to.renew_lease(until_ms, leader.term, 0, sent_s, self.now_s)
+
         def handle_report(report: t.Any) -> None:
             if leader.ended:
                 return
@@ -205,5 +219,10 @@
             if self.store_progress(leader):
                 leader.durable_end_sequences[name] = worker.applied_end_sequence
 
-        self.schedule(self._delay_s(), arrive)
+        share = self.late_renewal_share
+        is_late = share > 0 and self.rng.random() < share
+        if is_late:
+            self.schedule(self.rng.uniform(2, 12), execute_late)
+        else:
+            self.schedule(self._delay_s(), arrive)
         self.schedule(RENEWAL_INTERVAL_S, lambda: self.renew_lease(leader, name))
--- a/fuzz/workers.py
+++ b/fuzz/workers.py
@@ -19,6 +19,8 @@
 GANG_TIMEOUT_S: t.Final = 3.0
 # A run of a checkpointing step makes a checkpoint after so much work.
 SAVE_INTERVAL_S: t.Final = 1.0
+# A longer lease is shortened to this.
+MAX_LEASE_MS: t.Final = 10_000
 
 
 @dataclasses.dataclass
@@ -216,9 +218,11 @@
         return refusal or StartResult.STARTED
 
     def _extend_lease(self, until_ms: int, now_s: float) -> None:
-        if self.clock_ms(now_s) > self.lease_until_ms:
+        clock_ms = self.clock_ms(now_s)
+        if clock_ms > self.lease_until_ms:
             self.lapsed_ms = self.lease_until_ms
-        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+        granted_until_ms = min(until_ms, clock_ms + MAX_LEASE_MS)
+        self.lease_until_ms = max(self.lease_until_ms, granted_until_ms)
 
     def _add_run(
         self, key: TaskKey, number: int, checkpoint: str, now_s: float
