--- a/fuzz/restarts.py
+++ b/fuzz/restarts.py
@@ -15,8 +15,13 @@
 from fuzz.series import SeriesSimulation
 
 DOWNTIMES_S: t.Final = (0.05, 0.3, 0.6, 1.0)
-CUT_DELAYS_S: t.Final = (0.02, 0.2, 0.8, 2.0)
-CUTS_S: t.Final = (3.0, 9.0, 12.0)
+CUT_DELAYS_S: t.Final = (0.02, 0.2, 0.8, 1.2, 2.0)
+CUTS_S: t.Final = (3.0, 12.0, 20.0)
+# The leader changes so long after the cut, before it, or not at all.
+CHANGE_DELAYS_S: t.Final = (-0.6, -0.6, 0.0, 0.05, None)
+SHORT_TASKS_S: t.Final = (0.3, 0.8)
+# About as long as the longest lease.
+LONG_TASKS_S: t.Final = (11.0, 16.0)
 
 
 class RestartsSimulation(SeriesSimulation):
@@ -58,33 +63,40 @@
     def _act(self) -> None:
         simulation, rng = self.simulation, self.rng
         draw = rng.random()
-        if draw < 0.5:
-            self._submit()
-        elif draw < 0.6:
+        if draw < 0.2:
+            self._submit(SHORT_TASKS_S)
+        elif draw < 0.23:
             self._restart_and_cut()
-        elif draw < 0.63:
+        elif draw < 0.24:
             simulation.take_over(rng.random() < 0.3, rng.choice((0.0, 0.3, 2.0)))
-        elif draw < 0.64:
+        elif draw < 0.25:
             simulation.make_store_unavailable(rng.choice((0.5, 2.0)))
 
     def _restart_and_cut(self) -> None:
-        """Restart some workers and cut them off; often the leader changes, too."""
+        """Restart workers, start long tasks there, and cut them off.
+
+        The leader changes before that, soon after it, or not at all.
+        """
         simulation, rng = self.simulation, self.rng
         names = sorted(simulation.workers)
-        names = rng.sample(names, rng.randint(1, len(names) // 2))
+        names = rng.sample(names, rng.choice((1, len(names) // 2, len(names) - 1)))
         down_s, cut_delay_s = rng.choice(DOWNTIMES_S), rng.choice(CUT_DELAYS_S)
         simulation.restart_and_cut(names, down_s, cut_delay_s, rng.choice(CUTS_S))
-        if rng.random() < 0.6:
-            change_s = down_s + rng.uniform(0.0, 1.5 * cut_delay_s)
+        for _ in range(3):
+            submit_s = down_s - rng.choice((0.0, 0.05, 0.1))
+            simulation.schedule(submit_s, lambda: self._submit(LONG_TASKS_S))
+        change_delay_s = rng.choice(CHANGE_DELAYS_S)
+        if change_delay_s is not None:
+            change_s = down_s + max(cut_delay_s + change_delay_s, 0.0)
             simulation.schedule(change_s, lambda: simulation.take_over(False))
 
-    def _submit(self) -> None:
+    def _submit(self, run_times_s: t.Sequence[float]) -> None:
         simulation, rng = self.simulation, self.rng
         simulation.job_count += 1
         step = StepSpec(
-            rng.choice((1, 2, 4)),
-            Resources(rng.choice((500, 1000, 2500)), 10),
-            rng.choice((0.8, 6.0, 9.0, 12.0)),
+            rng.choice((1, 4, 8)),
+            Resources(rng.choice((500, 1000)), 10),
+            rng.choice(run_times_s),
             gang=rng.random() < 0.15,
         )
         spec = JobSpec(f"j{simulation.job_count}", "p", (step,))
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -10,6 +10,7 @@
 from fuzz.crash_series import run_crash_series_history
 from fuzz.deadly import run_deadly_history
 from fuzz.repeating import run_repeating_history
+from fuzz.restarts import run_restarts_history
 from fuzz.run import run_history
 from fuzz.series import run_series_history
 from fuzz.terms import run_terms_history
@@ -59,6 +60,9 @@
 # Seeds in which an account has more running than its cap allows, by the cause.
 UNOBSERVED_CANCELLED_SEEDS = (257,)
 
+# Histories of workers that restart under their id; 5, 15, 88 and 104 broke TWICE.
+RESTARTS_SEEDS = (*range(1, 16), 88, 104)
+
 # Histories of tasks that crash their workers.
 DEADLY_SEEDS = (
     *range(1, 13),
@@ -163,6 +167,15 @@
         self.assert_no_violations(UNOBSERVED_CANCELLED_SEEDS)
 
 
+class RestartsFuzzTest(unittest.TestCase):
+    # Guards against: leases by the clock of a former incarnation are not outwaited.
+    def test_long_tasks_run_once_on_workers_that_restart_under_their_id(self):
+        for seed in RESTARTS_SEEDS:
+            with self.subTest(seed=seed):
+                simulation = run_restarts_history(seed)
+                self.assertEqual(simulation.oracle.violations, [])
+
+
 class DeadlyFuzzTest(unittest.TestCase):
     def assert_no_violations(self, seeds):
         for seed in seeds:
--- a/tests/test_oracle_mutants.py
+++ b/tests/test_oracle_mutants.py
@@ -13,6 +13,7 @@
 from bulrushspur_kernel.messages import Outcome, Reply
 from bulrushspur_scheduler.cell import StartOrder, StopOrder
 from fuzz.cancels import run_cancels_history
+from fuzz.restarts import run_restarts_history
 from tests.cluster import InProcessCluster, job_id
 
 SEEDS = (2, 4, 5)
@@ -99,6 +100,12 @@
 }
 
 
+def assume_short_lease(cell, worker, clock_ms):
+    """Assume no more than a leader grants by the clock of the present incarnation."""
+    lease_ms = int(cell.timing_limits.lease_s * 1000)
+    worker.lease_until_ms = max(worker.lease_until_ms, clock_ms + lease_ms + 500)
+
+
 def list_broken(violations):
     """Return the clauses that violations name."""
     return {violation.partition(":")[0] for violation in violations}
@@ -125,6 +132,15 @@
                 self.assertIn(clause, broken)
 
 
+class RestartMutantTest(unittest.TestCase):
+    # Guards against: a lease by the clock of a former incarnation is not outwaited.
+    def test_short_lease_after_a_takeover_runs_tasks_twice(self):
+        target = "bulrushspur_scheduler.reports.assume_longest_lease"
+        with unittest.mock.patch(target, assume_short_lease):
+            simulation = run_restarts_history(5)
+        self.assertIn("TWICE (parallel)", list_broken(simulation.oracle.violations))
+
+
 class ClusterPlayTest(unittest.IsolatedAsyncioTestCase):
     """Plays that need what is not in the fuzzer: waiting orders, requests, replies."""
 
