--- a/packages/daemon/bulrushspur_daemon/native_interface.py
+++ b/packages/daemon/bulrushspur_daemon/native_interface.py
@@ -29,7 +29,7 @@
 )
 from bulrushspur_kernel.work_types import RequestSize, WorkClass
 from bulrushspur_scheduler.config import Account, CellConfig, Queue, make_config
-from bulrushspur_scheduler.job_bounds import find_fault
+from bulrushspur_scheduler.job_bounds import decode_steps, find_fault
 from bulrushspur_scheduler.job_specs import JobSpec, StepSpec
 from bulrushspur_scheduler.resources import Resources
 
@@ -66,10 +66,12 @@
 
 class _Job(msgspec.Struct, forbid_unknown_fields=True):
     payload: str = ""
-    steps: list[_Step] = []
+    # Of type ``_Step``; decoded one by one, once there are not too many.
+    steps: list[msgspec.Raw] = []
 
 
 _decode_job = make_json_decoder(_Job)
+_decode_step = make_json_decoder(_Step)
 
 
 def build_config_from_text(
@@ -145,7 +147,7 @@
     raw = _decode_job(body or b"{}")
     if len(raw.payload.encode()) > MAX_PAYLOAD_BYTES:
         raise ValueError(f"payload is longer than {MAX_PAYLOAD_BYTES} bytes")
-    steps = raw.steps or [_Step()]
+    steps = decode_steps(raw.steps, _decode_step) or [_Step()]
     spec = JobSpec(job_id, raw.payload, tuple(map(_make_step_spec, steps)))
     fault = find_fault(spec)
     if fault:
--- a/packages/scheduler/bulrushspur_scheduler/job_bounds.py
+++ b/packages/scheduler/bulrushspur_scheduler/job_bounds.py
@@ -8,6 +8,10 @@
 import math
 import typing as t
 
+import msgspec
+
+Step = t.TypeVar("Step")
+
 if t.TYPE_CHECKING:
     from bulrushspur_scheduler.job_specs import JobSpec, StepSpec
 
@@ -23,6 +27,24 @@
 MAX_LABEL_LENGTH: t.Final = 256
 
 
+def decode_steps(
+    rows: list[msgspec.Raw], decode: t.Callable[[msgspec.Raw], Step]
+) -> list[Step]:
+    """Decode the steps of a job one by one, unless there are too many.
+
+    Raises msgspec.DecodeError, which names the step.
+    """
+    if len(rows) > MAX_STEPS:
+        raise msgspec.DecodeError(f"it has more than {MAX_STEPS} steps")
+    rv = []
+    for index, row in enumerate(rows):
+        try:
+            rv.append(decode(row))
+        except msgspec.DecodeError as exc:
+            raise msgspec.DecodeError(f"step {index}: {exc}") from exc
+    return rv
+
+
 def find_fault(spec: "JobSpec") -> str:
     """Return what is wrong with a declaration, as a clause; empty if nothing is."""
     if len(spec.steps) > MAX_STEPS:
