--- a/packages/daemon/bulrushspur_daemon/lifecycle.py
+++ b/packages/daemon/bulrushspur_daemon/lifecycle.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import math
 import os
 import signal
 import typing as t
@@ -162,4 +163,7 @@
 async def send_refusal(exchange: Exchange, refusal: Refusal) -> None:
     """Send an error of the HTTP server itself as JSON, without the sentence."""
     body = f'{{"error":"{refusal.kind.value}"}}'.encode()
-    await exchange.send_json(refusal.details.status, body)
+    headers = []
+    if refusal.retry_after_s:
+        headers.append((b"retry-after", b"%d" % math.ceil(refusal.retry_after_s)))
+    await exchange.send_json(refusal.details.status, body, headers)
--- a/packages/daemon/bulrushspur_daemon/operator_interface.py
+++ b/packages/daemon/bulrushspur_daemon/operator_interface.py
@@ -71,6 +71,9 @@
     lines.append(f"bulrushspur_leads {int(process.term is not None)}")
     lines.append(f"bulrushspur_term {process.leader_client.term}")
     lines.append(f"bulrushspur_ready {int(process.is_ready())}")
+    bodies = process.servers[0].limits.bodies
+    lines.append(f"bulrushspur_body_bytes {bodies.held_bytes}")
+    lines.append(f"bulrushspur_bodies_given_up_total {bodies.given_up_count}")
     lines.append(f"bulrushspur_log_lines_dropped {process.log.sink.dropped_lines}")
     for name, histogram in process.metrics.dump()["histograms_ms"].items():
         for statistic, value in histogram.items():
--- a/packages/kernel/bulrushspur_kernel/errors.py
+++ b/packages/kernel/bulrushspur_kernel/errors.py
@@ -46,6 +46,7 @@
     NO_OWNER = "no_owner"
     STOPPING = "stopping"
     TOO_MANY_CONNECTIONS = "too_many_connections"
+    NO_MEMORY = "no_memory"
     WORKER_REFUSED = "worker_refused"
     WORKER_FAILED = "worker_failed"
     WORKER_LOST = "worker_lost"
@@ -98,6 +99,7 @@
     ErrorKind.NO_OWNER: ErrorDetails(503, 4, _RETRY_ADVICE),
     ErrorKind.STOPPING: ErrorDetails(503, 4, _RETRY_ADVICE),
     ErrorKind.TOO_MANY_CONNECTIONS: ErrorDetails(503, 4, _RETRY_ADVICE),
+    ErrorKind.NO_MEMORY: ErrorDetails(503, 4, _RETRY_ADVICE),
     ErrorKind.WORKER_REFUSED: ErrorDetails(503, 4, _RETRY_ADVICE),
     ErrorKind.WORKER_FAILED: ErrorDetails(502, 4, "Look at the answer of the worker."),
     ErrorKind.WORKER_LOST: ErrorDetails(
--- a/packages/kernel/bulrushspur_kernel/http_exchange.py
+++ b/packages/kernel/bulrushspur_kernel/http_exchange.py
@@ -1,8 +1,9 @@
 """Read requests and send responses on one HTTP/1.1 connection of a server.
 
 An ``Exchange`` wraps the streams of a connection and its h11 state. Every wait for the
-caller has a time limit and every request body a size limit. ``HttpError`` carries the
-refusal to send; ``CallerDisconnectedError`` means that no response can be sent.
+caller has a time limit and every request body a size limit; what connections share is
+in ``SharedLimits``. ``HttpError`` carries the refusal to send;
+``CallerDisconnectedError`` means that no response can be sent.
 """
 
 import asyncio
@@ -13,10 +14,14 @@
 
 import h11
 
+from bulrushspur_kernel.body_memory import BodyMemory, HeldBody
 from bulrushspur_kernel.errors import ErrorKind, Refusal
 from bulrushspur_kernel.settings import Bounds
 
-READ_CHUNK_BYTES: t.Final = 65_536
+READ_CHUNK_BYTES: t.Final = 8192
+# A connection that has parsed so many parts of a request lets others go on.
+EVENTS_PER_TURN: t.Final = 64
+GIVEN_UP_RETRY_AFTER_S: t.Final = 1.0
 LINGER_TIMEOUT_S: t.Final = 1.0
 
 Headers = list[tuple[bytes, bytes]]
@@ -82,7 +87,21 @@
             self.on_eof()
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(eq=False)
+class SharedLimits:
+    """What the connections of one server share.
+
+    ``waiting`` are the connections that wait for the rest of a request, the one that
+    has waited longest first. ``turn`` is held by the one that parses on: a crowd of
+    requests in very small parts takes one turn of the event loop each.
+    """
+
+    bodies: BodyMemory
+    waiting: dict["Exchange", None] = dataclasses.field(default_factory=dict)
+    turn: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+
+
+@dataclasses.dataclass(eq=False)
 class Exchange:
     """One connection with its current request and response."""
 
@@ -91,26 +110,77 @@
     bounds: Bounds
     is_closing: t.Callable[[], bool]
     connection: h11.Connection
+    limits: SharedLimits
     response_started: bool = False
+    event_count: int = 0
+    body: HeldBody | None = None
+    # Why the rest of the request is not waited for.
+    given_up: Refusal | None = None
+    read_timeout: asyncio.Timeout | None = None
 
     async def next_event(self, timeout_s: float) -> t.Any:
         """Return the next event of h11, reading as needed.
 
         Raises TimeoutError, or h11.RemoteProtocolError for malformed input.
         """
+        await self._take_turn()
         event = self.connection.next_event()
         if event is not h11.NEED_DATA:
             return event
-        async with asyncio.timeout(timeout_s):
-            while True:
-                if self.connection.they_are_waiting_for_100_continue:
-                    head = h11.InformationalResponse(status_code=100, headers=[])
-                    await self._write(self.connection.send(head))
-                data = await self.reader.read(READ_CHUNK_BYTES)
-                self.connection.receive_data(data)
-                event = self.connection.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
+        try:
+            async with asyncio.timeout(timeout_s) as self.read_timeout:
+                return await self._read_event()
+        finally:
+            self.read_timeout = None
+
+    async def _read_event(self) -> t.Any:
+        while True:
+            if self.connection.they_are_waiting_for_100_continue:
+                head = h11.InformationalResponse(status_code=100, headers=[])
+                await self._write(self.connection.send(head))
+            self.connection.receive_data(await self._wait_data())
+            event = self.connection.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+
+    async def _take_turn(self) -> None:
+        """Let other connections go on after a number of parts of a request."""
+        self.event_count += 1
+        if self.event_count % EVENTS_PER_TURN == 0:
+            with self._counted_as_waiting():
+                async with self.limits.turn:
+                    await asyncio.sleep(0)
+
+    async def _wait_data(self) -> bytes:
+        with self._counted_as_waiting():
+            return await self.reader.read(READ_CHUNK_BYTES)
+
+    @contextlib.contextmanager
+    def _counted_as_waiting(self) -> t.Iterator[None]:
+        self.limits.waiting[self] = None
+        try:
+            yield
+        finally:
+            self.limits.waiting.pop(self, None)
+
+    def give_up(self, refusal: Refusal) -> None:
+        """Refuse the request without waiting for the rest of it."""
+        self.given_up = refusal
+        self.limits.waiting.pop(self, None)
+        if self.read_timeout is not None:
+            self.read_timeout.reschedule(asyncio.get_running_loop().time())
+
+    def begin_request(self) -> None:
+        """Forget the request before."""
+        self.response_started = False
+        self.event_count = 0
+        self.given_up = None
+
+    def release_body(self) -> None:
+        """Count the body of the current request no more."""
+        if self.body is not None:
+            self.limits.bodies.release(self.body)
+            self.body = None
 
     async def wait_first_byte(self, timeout_s: float) -> bool:
         """Wait for the next request; return False on a timeout or end of stream."""
@@ -128,22 +198,27 @@
     async def iter_body(self) -> t.AsyncIterator[bytes]:
         """Yield the body of the current request in chunks.
 
-        Raises HttpError if the body is malformed, too large or too slow, and
-        CallerDisconnectedError if the caller disconnects.
+        Raises HttpError if the body is malformed, too large, too slow, or given up,
+        and CallerDisconnectedError if the caller disconnects.
         """
         total = 0
+        self.body = body = self.limits.bodies.open(
+            lambda: self.give_up(make_no_memory_refusal())
+        )
         while True:
             try:
                 event = await self.next_event(self.bounds.body_wait_s)
             except TimeoutError as exc:
-                raise HttpError(
-                    make_slow_sender_refusal(self.bounds.body_wait_s)
-                ) from exc
+                refusal = make_slow_sender_refusal(self.bounds.body_wait_s)
+                raise HttpError(self.given_up or refusal) from exc
             except h11.RemoteProtocolError as exc:
                 if self.reader.at_eof():
                     raise CallerDisconnectedError from exc
                 raise HttpError(make_malformed_refusal(exc)) from exc
+            if self.given_up is not None:
+                raise HttpError(self.given_up)
             if isinstance(event, h11.EndOfMessage):
+                self.limits.bodies.finish(body)
                 return
             if not isinstance(event, h11.Data):
                 raise CallerDisconnectedError
@@ -151,6 +226,8 @@
             if total > self.bounds.body_bytes:
                 sentence = f"The body is larger than {self.bounds.body_bytes} bytes."
                 raise HttpError(Refusal(ErrorKind.BODY_TOO_LARGE, sentence))
+            if not self.limits.bodies.add(body, len(event.data)):
+                raise HttpError(make_no_memory_refusal())
             yield bytes(event.data)
 
     async def start_response(self, status: int, headers: Headers) -> None:
@@ -234,6 +311,15 @@
     return Refusal(ErrorKind.SLOW_SENDER, f"Nothing came for {timeout_s:g} s.")
 
 
+def make_no_memory_refusal() -> Refusal:
+    """Make the refusal for a body that has no room beside the others."""
+    return Refusal(
+        ErrorKind.NO_MEMORY,
+        "The bodies of other requests leave no room for this one.",
+        retry_after_s=GIVEN_UP_RETRY_AFTER_S,
+    )
+
+
 def make_malformed_refusal(exc: h11.RemoteProtocolError) -> Refusal:
     """Make the refusal for input that is not valid HTTP."""
     if exc.error_status_hint == 431:
--- a/packages/kernel/bulrushspur_kernel/http_server.py
+++ b/packages/kernel/bulrushspur_kernel/http_server.py
@@ -8,17 +8,21 @@
 import asyncio
 import contextlib
 import dataclasses
+import socket
 import typing as t
 
 import h11
 
+from bulrushspur_kernel.body_memory import BodyMemory
 from bulrushspur_kernel.errors import ErrorKind, Ran, Refusal
 from bulrushspur_kernel.http_exchange import (
+    EVENTS_PER_TURN,
     CallerDisconnectedError,
     EofNotifyingReader,
     Exchange,
     HttpError,
     Request,
+    SharedLimits,
     make_malformed_refusal,
     make_request,
     make_slow_sender_refusal,
@@ -30,6 +34,8 @@
 
 # Multiple of the connection limit above which connections are closed without a refusal.
 MAX_CONNECTIONS_FACTOR: t.Final = 2
+# Multiple of the read buffer of a connection that its socket may hold besides.
+SOCKET_BUFFER_FACTOR: t.Final = 1
 DRAIN_POLL_INTERVAL_S: t.Final = 0.02
 CONNECTION_CLOSE_TIMEOUT_S: t.Final = 0.5
 
@@ -52,9 +58,15 @@
     active_requests: int = 0
     handler_errors: int = 0
     closing: bool = False
+    limits: SharedLimits = dataclasses.field(init=False)
     # While it returns False, each connection is closed after its next response.
     is_ready: t.Callable[[], bool] = lambda: True
 
+    def __post_init__(self) -> None:
+        # One request of legal size has room on its own.
+        max_bytes = max(self.bounds.bodies_bytes, self.bounds.body_bytes)
+        self.limits = SharedLimits(BodyMemory(max_bytes))
+
     async def listen(self, host: str, port: int) -> None:
         """Start to listen on an address; raises OSError."""
         loop = asyncio.get_running_loop()
@@ -65,7 +77,14 @@
                 reader, self._handle_connection, loop=loop
             )
 
-        self.server = await loop.create_server(make_protocol, host, port, backlog=1024)
+        self.server = await loop.create_server(
+            make_protocol, host, port, backlog=1024, start_serving=False
+        )
+        for sock in self.server.sockets:
+            # What the system holds of each connection; accepted sockets inherit it.
+            size = self.bounds.buffer_bytes * SOCKET_BUFFER_FACTOR
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+        await self.server.start_serving()
 
     @property
     def port(self) -> int:
@@ -83,7 +102,9 @@
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.bounds.head_bytes
         )
-        exchange = Exchange(reader, writer, self.bounds, self._is_closing, connection)
+        exchange = Exchange(
+            reader, writer, self.bounds, self._is_closing, connection, self.limits
+        )
         try:
             await self._serve_requests(exchange)
         except (CallerDisconnectedError, ConnectionError):
@@ -103,11 +124,10 @@
         ):
             # With so many connections, even sending refusals would cost too much.
             raise CallerDisconnectedError
-        if len(self.connection_tasks) > self.bounds.connections:
-            sentence = f"There are {self.bounds.connections} connections already."
-            refusal = Refusal(
-                ErrorKind.TOO_MANY_CONNECTIONS, sentence, retry_after_s=1.0
-            )
+        refusal = self._make_crowded_refusal()
+        if len(
+            self.connection_tasks
+        ) > self.bounds.connections and not self._give_up_waiting(refusal):
             await self._refuse(exchange, refusal)
             await exchange.linger()
             return
@@ -121,11 +141,23 @@
                 await self._handle_request(request, exchange)
             finally:
                 self.active_requests -= 1
+                exchange.release_body()
             if not self._prepare_next_request(exchange):
                 break
             timeout_s = self.bounds.idle_wait_s
         await exchange.linger()
 
+    def _make_crowded_refusal(self) -> Refusal:
+        sentence = f"There are {self.bounds.connections} connections already."
+        return Refusal(ErrorKind.TOO_MANY_CONNECTIONS, sentence, retry_after_s=1.0)
+
+    def _give_up_waiting(self, refusal: Refusal) -> bool:
+        """Refuse the request whose rest is waited for longest; return False if none."""
+        longest = next(iter(self.limits.waiting), None)
+        if longest is not None:
+            longest.give_up(refusal)
+        return longest is not None
+
     async def _handle_request(self, request: Request, exchange: Exchange) -> None:
         try:
             await self.handler(request, exchange)
@@ -141,13 +173,12 @@
             await self._refuse(exchange, refusal)
 
     async def _read_request(self, exchange: Exchange) -> Request | None:
-        exchange.response_started = False
+        exchange.begin_request()
         try:
             event = await exchange.next_event(self.bounds.head_wait_s)
         except TimeoutError:
-            await self._refuse(
-                exchange, make_slow_sender_refusal(self.bounds.head_wait_s)
-            )
+            refusal = make_slow_sender_refusal(self.bounds.head_wait_s)
+            await self._refuse(exchange, exchange.given_up or refusal)
             return None
         except h11.RemoteProtocolError as exc:
             await self._refuse(exchange, make_malformed_refusal(exc))
@@ -161,7 +192,9 @@
         if connection.our_state is not h11.DONE:
             return False
         try:
-            while connection.their_state is h11.SEND_BODY:
+            for _ in range(EVENTS_PER_TURN):
+                if connection.their_state is not h11.SEND_BODY:
+                    break
                 if connection.next_event() is h11.NEED_DATA:
                     return False
             connection.start_next_cycle()
--- a/packages/kernel/bulrushspur_kernel/settings.py
+++ b/packages/kernel/bulrushspur_kernel/settings.py
@@ -34,7 +34,9 @@
     connections: PositiveInt = 1500
     head_bytes: PositiveInt = 16_384
     body_bytes: PositiveInt = 262_144
-    buffer_bytes: PositiveInt = 65_536
+    # Of all requests together, until they are answered.
+    bodies_bytes: PositiveInt = 8_388_608
+    buffer_bytes: PositiveInt = 8192
     head_wait_s: PositiveFloat = 5.0
     body_wait_s: PositiveFloat = 5.0
     idle_wait_s: PositiveFloat = 30.0
--- a/standins/bulrushspur_standins/serving.py
+++ b/standins/bulrushspur_standins/serving.py
@@ -104,6 +104,12 @@
             raise CallerDisconnectedError
         await exchange.send_json(status, answer_body)
 
-    bounds = Bounds(connections=500, body_bytes=4_000_000, idle_wait_s=120.0)
+    bounds = Bounds(
+        connections=500,
+        body_bytes=4_000_000,
+        bodies_bytes=400_000_000,
+        buffer_bytes=65_536,
+        idle_wait_s=120.0,
+    )
     server = make_http_server(serve, send_refusal, bounds)
     return server
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import unittest
+import unittest.mock
 
 from bulrushspur_kernel.errors import ErrorKind, Refusal
 from bulrushspur_kernel.http_exchange import CallerDisconnectedError, HttpError
@@ -17,6 +18,9 @@
 )
 
 
+SMALL_BODY = "bulrushspur_kernel.body_memory.SMALL_BODY_BYTES"
+
+
 async def send_refusal(exchange, refusal):
     await exchange.send_json(refusal.details.status, refusal.kind.value.encode())
 
@@ -147,6 +151,48 @@
         for _, writer in held:
             writer.close()
 
+    async def open_unfinished(self, size):
+        """Send a body of a size without its last byte, and return the connection."""
+        pair = await asyncio.open_connection("127.0.0.1", self.server.port)
+        head = b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+        pair[1].write(head % size + b"x" * (size - 1))
+        await asyncio.sleep(0.05)
+        return pair
+
+    # Guards against: clients that do not go on take the place of others.
+    async def test_request_that_waits_for_its_rest_makes_room_for_a_connection(self):
+        first = await self.open_unfinished(10)
+        others = [await self.open_unfinished(10) for _ in range(2)]
+        await self.assert_serves()
+        answer = await first[0].read(-1)
+        self.assertIn(b"503", answer.split(b"\r\n")[0])
+        self.assertIn(b"too_many_connections", answer)
+        for _, writer in (first, *others):
+            writer.close()
+
+    async def test_largest_unfinished_body_makes_room_for_an_ordinary_one(self):
+        self.server.limits.bodies.max_bytes = 9000
+        large = await self.open_unfinished(4900)
+        self.server.limits.bodies.max_bytes = 100
+        with unittest.mock.patch(SMALL_BODY, 50):
+            await self.assert_serves_body(60)
+        answer = await large[0].read(-1)
+        self.assertIn(b"503", answer.split(b"\r\n")[0])
+        self.assertIn(b"no_memory", answer)
+        self.assertEqual(self.server.limits.bodies.held_bytes, 0)
+        large[1].close()
+
+    async def assert_serves_body(self, size):
+        head = b"POST /ok HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % size
+        answer = await self.exchange_bytes(head + b"x" * size, end=True)
+        self.assertIn(b"/ok %d" % size, answer)
+
+    async def test_body_in_very_many_chunks_is_served(self):
+        head = b"POST /ok HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        body = b"1\r\nx\r\n" * BOUNDS.body_bytes + b"0\r\n\r\n"
+        answer = await self.exchange_bytes(head + body, end=True)
+        self.assertIn(b"/ok %d" % BOUNDS.body_bytes, answer)
+
     async def test_connection_made_before_the_close_is_answered(self):
         pairs = [
             await asyncio.open_connection("127.0.0.1", self.server.port)
