--- a/packages/daemon/bulrushspur_daemon/worker_connections.py
+++ b/packages/daemon/bulrushspur_daemon/worker_connections.py
@@ -61,6 +61,8 @@
     silent: bool = False
     # The last call has not succeeded: another incarnation may answer the next one.
     incarnation_unverified: bool = True
+    # The worker has left the connection open after its last answer.
+    was_left_open: bool = False
     # Waits until the reported run ends are stored.
     store_task: asyncio.Task[None] | None = None
 
@@ -152,6 +154,16 @@
                 self.metrics.count("worker_faults")
                 await asyncio.sleep(FAULT_RETRY_INTERVAL_S)
 
+    def _must_verify(self, connection: WorkerConnection) -> bool:
+        """Return whether another incarnation may answer the next renewal.
+
+        It must not extend a lease then, nor acknowledge ends of the present one.
+        """
+        was_closed = connection.was_left_open and (
+            not connection.client.has_open_connection()
+        )
+        return connection.incarnation_unverified or was_closed
+
     async def _poll(self, connection: WorkerConnection) -> None:
         """Renew the lease, acknowledge stored ends and apply the worker's report.
 
@@ -160,36 +172,20 @@
         request is a long poll.
         """
         worker, cell = connection.worker, self.cell
-        now_s = monotonic_s()
-        lease_until_ms: int | None = None
-        wait_ms = 0
-        if worker.has_reported and worker.clock.is_known:
-            wait_ms = (
-                BUSY_LONG_POLL_TIMEOUT_MS if worker.runs else IDLE_LONG_POLL_TIMEOUT_MS
-            )
-            # A worker without a recent report is polled without extending its lease,
-            # which otherwise could never expire.
-            reported_recently = now_s - worker.last_report_s < REPORT_TIMEOUT_S
-            if worker.runs and reported_recently and self.has_authority():
-                lease_until_ms = extend_lease(
-                    cell, worker, now_s, cell.timing_limits.lease_s
-                )
-        if (
-            worker.applied_end_sequence > connection.durable_end_sequence
-            or connection.incarnation_unverified
-        ):
-            wait_ms = 0
+        must_verify = self._must_verify(connection)
+        lease_until_ms = None if must_verify else self._extend_lease(worker)
+        wait_ms = 0 if must_verify else _find_wait_ms(connection)
         acknowledged_sequence = 0
-        if (
-            connection.durable_end_sequence > connection.acknowledged_end_sequence
-            and not connection.incarnation_unverified
-        ):
-            acknowledged_sequence = connection.durable_end_sequence
+        if connection.durable_end_sequence > connection.acknowledged_end_sequence:
+            acknowledged_sequence = (
+                0 if must_verify else connection.durable_end_sequence
+            )
         connection.incarnation_unverified = True
         report = await connection.client.renew_lease(
             lease_until_ms, cell.fencing_token, acknowledged_sequence, wait_ms
         )
         connection.incarnation_unverified = False
+        connection.was_left_open = connection.client.has_open_connection()
         connection.acknowledged_end_sequence = max(
             connection.acknowledged_end_sequence, acknowledged_sequence
         )
@@ -205,6 +201,20 @@
         if worker.applied_end_sequence > connection.durable_end_sequence:
             await self._wait_ends_stored(connection)
 
+    def _extend_lease(self, worker: Worker) -> int | None:
+        """Extend the lease of a worker with runs, unless it has been silent.
+
+        Its lease could never expire otherwise.
+        """
+        now_s = monotonic_s()
+        has_clock = worker.has_reported and worker.clock.is_known
+        reported_recently = now_s - worker.last_report_s < REPORT_TIMEOUT_S
+        if not (worker.runs and has_clock and reported_recently):
+            return None
+        if not self.has_authority():
+            return None
+        return extend_lease(self.cell, worker, now_s, self.cell.timing_limits.lease_s)
+
     async def _wait_ends_stored(self, connection: WorkerConnection) -> None:
         """Wait until run ends are stored, but not so long that leases expire."""
         if connection.store_task is None:
@@ -247,3 +257,13 @@
         if connection is None:
             return None
         return OrderTarget(connection.worker, connection.client, connection.order_slots)
+
+
+def _find_wait_ms(connection: WorkerConnection) -> int:
+    """Return how long a worker may wait for an end before it answers a renewal."""
+    worker = connection.worker
+    if not worker.has_reported or not worker.clock.is_known:
+        return 0
+    if worker.applied_end_sequence > connection.durable_end_sequence:
+        return 0
+    return BUSY_LONG_POLL_TIMEOUT_MS if worker.runs else IDLE_LONG_POLL_TIMEOUT_MS
--- a/packages/kernel/bulrushspur_kernel/adapter.py
+++ b/packages/kernel/bulrushspur_kernel/adapter.py
@@ -81,6 +81,13 @@
         """
         ...
 
+    def has_open_connection(self) -> bool:
+        """Return whether the next renewal goes over the connection of the last one.
+
+        Otherwise the next incarnation of the worker may answer it.
+        """
+        ...
+
     def close(self) -> None:
         """Close all connections."""
         ...
--- a/packages/kernel/bulrushspur_kernel/http_pool.py
+++ b/packages/kernel/bulrushspur_kernel/http_pool.py
@@ -114,6 +114,13 @@
         _set_socket_options(connection.writer.get_extra_info("socket"))
         return connection
 
+    def has_open_connection(self) -> bool:
+        """Return whether the next request goes over a connection that was answered."""
+        return any(
+            not connection.reader.at_eof() and not connection.writer.is_closing()
+            for connection in self.idle_connections
+        )
+
     def close_idle(self) -> None:
         """Close all idle connections, for example after the peer was unresponsive."""
         while self.idle_connections:
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -2,17 +2,21 @@
 
 The tests guard against runs that start elsewhere while a worker is silent and still has
 them: the end of a lease in an order for its former incarnation is far ahead on the new
-clock, so that the worker holds the longest lease that there is.
+clock, so that the worker holds the longest lease that there is. An acknowledgement of
+ends that reaches the next incarnation drops ends that nobody has read.
 """
 
 import asyncio
 import unittest
 import unittest.mock
 
+from bulrushspur_daemon.clock import monotonic_s
 from bulrushspur_daemon.order_slots import OrderSlots
+from bulrushspur_daemon.worker_connections import WorkerConnection, WorkerConnections
 from bulrushspur_daemon.worker_orders import OrderTarget, WorkerOrders
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_scheduler import takeover
+from bulrushspur_scheduler.jobs import RunOutcome
 from bulrushspur_scheduler.leases import (
     MAX_ORDER_DELAY_S,
     expire_leases,
@@ -20,7 +24,12 @@
 )
 from bulrushspur_scheduler.order_results import StartResult
 from bulrushspur_scheduler.planning import plan
-from bulrushspur_scheduler.reports import WorkerReport, apply_report
+from bulrushspur_scheduler.reports import (
+    RunEnd,
+    RunStatus,
+    WorkerReport,
+    apply_report,
+)
 from tests.cell_fixtures import (
     acknowledge_starts,
     add_test_job,
@@ -30,6 +39,7 @@
     task_key,
 )
 from tests.test_takeover import make_recovered_cell
+from tests.test_worker_records import FakeWriter
 
 # What a worker's clock shows at the start of an incarnation.
 FIRST_CLOCK_MS = 1
@@ -66,6 +76,11 @@
         extend_lease(cell, cell.workers["w0"], 1.1, 2.0)
         self.assert_kept_until(cell, 1.0 + LONGEST_LEASE_S)
 
+    # No leader has sent it an order before.
+    def test_new_worker_has_no_lease_before_its_first_order(self):
+        cell = make_test_cell(1)
+        self.assertEqual(cell.workers["w0"].lease_until_ms, 0)
+
     # An order that gets no answer may be carried out seconds later.
     def test_lease_of_a_delayed_order_for_the_former_incarnation_is_outwaited(self):
         cell = make_test_cell(1)
@@ -159,3 +174,58 @@
         add_test_job(self.cell, "j2")
         plan(self.cell, self.now_s)
         self.assertEqual(self.cell.start_orders, [])
+
+
+class RenewalClient:
+    """A worker that answers renewals, and keeps its connection open if it is told."""
+
+    def __init__(self):
+        self.is_open = False
+        self.renewals = []
+
+    def has_open_connection(self):
+        return self.is_open
+
+    async def renew_lease(self, lease_until_ms, term, acknowledged_upto, wait_ms):
+        self.renewals.append((lease_until_ms is not None, acknowledged_upto))
+        if len(self.renewals) > 6:
+            await asyncio.sleep(10)
+        running = [RunStatus(task_key(), 1, "", 100)]
+        ended = [RunEnd(1, task_key("j2"), 1, RunOutcome.DONE, "")]
+        return WorkerReport(monotonic_s(), 5000, 1, running, ended)
+
+
+class RenewalTest(unittest.IsolatedAsyncioTestCase):
+    async def poll(self, *open_states):
+        """Renew with the connection open or not; return what each renewal carried.
+
+        That is whether it extends the lease, and up to which end it acknowledges.
+        """
+        cell = make_test_cell(1)
+        add_test_job(cell)
+        plan(cell, 0.1)
+        acknowledge_starts(cell, 0.1)
+        client = RenewalClient()
+        connections = WorkerConnections(
+            cell, None, FakeWriter(), None, Metrics(), lambda: None, lambda: True
+        )
+        connection = WorkerConnection(cell.workers["w0"], client, OrderSlots(1))
+        connection.durable_end_sequence = 1
+        for is_open in open_states:
+            client.is_open = is_open
+            connection.acknowledged_end_sequence = 0
+            await connections._poll(connection)
+        return client.renewals
+
+    async def test_renewal_on_the_same_connection_carries_lease_and_ends(self):
+        renewals = await self.poll(False, True, True)
+        self.assertEqual(renewals, [(False, 0), (True, 1), (True, 1)])
+
+    # A connection that was closed may have been that of the former incarnation.
+    async def test_renewal_on_a_new_connection_carries_neither(self):
+        renewals = await self.poll(False, True, False, True)
+        self.assertEqual(renewals[2:], [(False, 0), (True, 1)])
+
+    async def test_renewals_of_a_worker_that_keeps_no_connection_carry_both(self):
+        renewals = await self.poll(False, False, False)
+        self.assertEqual(renewals, [(False, 0), (True, 1), (True, 1)])
