--- a/fuzz/series.py
+++ b/fuzz/series.py
@@ -147,6 +147,7 @@
             cell.workers[name] = worker
             worker.listed = False
         for worker in cell.workers.values():
+            worker.is_recovered = worker.id in leader.recorded_worker_ids
             if worker.id in self.restarted_ids:
                 worker.has_restarted = True
                 worker.former_lease_until_s = find_former_lease_end(
--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -258,6 +258,7 @@
                 name, "svc", "", "z", Resources(WORKER_CPU_MILLI, 99_999)
             )
             cell.workers[name] = make_worker(entry, self.now_s)
+            cell.workers[name].is_recovered = name in leader.recorded_worker_ids
             if name in leader.recorded_worker_ids:
                 cell.unobserved_workers.add(name)
         return names
--- a/packages/daemon/bulrushspur_daemon/worker_records.py
+++ b/packages/daemon/bulrushspur_daemon/worker_records.py
@@ -107,10 +107,12 @@
             self.cell.workers[record.id] = worker
             worker.listed = False
             self.open_connection(worker)
+        worker.is_recovered = True
         recorded = make_recorded_entry(record)
         worker.max_capacity = worker.max_capacity.maximum(recorded.capacity)
-        start_ms = worker.entry.incarnation_start_ms
-        has_new_start = start_ms != record.incarnation_start_ms
+        entry_start_ms = worker.entry.incarnation_start_ms
+        start_ms = max(entry_start_ms, record.incarnation_start_ms)
+        has_new_start = entry_start_ms != record.incarnation_start_ms
         worker.has_restarted = record.has_restarted or has_new_start
         if worker.has_restarted:
             age_s = max(unix_s - start_ms / 1000 - MAX_CLOCK_STEP_S, 0.0)
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -109,15 +109,16 @@
     )
     worker.clock.record_reading(report.clock_ms, now_s)
     if not worker.has_reported:
-        assume_longest_lease(cell, worker, report.clock_ms)
+        if worker.is_recovered or worker.last_report_s:
+            assume_longest_lease(cell, worker, report.clock_ms)
         cell.log(
             "worker_reached",
             worker=worker.id,
             runs=len(report.running),
             incarnation_ms=worker.incarnation_start_ms,
-            lease_ms=worker.lease_until_ms - report.clock_ms,
+            lease_ms=max(worker.lease_until_ms - report.clock_ms, 0),
         )
-    elif report.running and worker.is_lease_expired(now_s):
+    if report.running and worker.is_lease_expired(now_s):
         cell.log("lease_underestimated", worker=worker.id, runs=len(report.running))
         assume_longest_lease(cell, worker, report.clock_ms)
     for end in report.ended:
--- a/packages/scheduler/bulrushspur_scheduler/workers.py
+++ b/packages/scheduler/bulrushspur_scheduler/workers.py
@@ -84,6 +84,8 @@
     unlisted_s: float = 0.0
     # Whether the present incarnation has reported to this term.
     has_reported: bool = False
+    # Whether an earlier leader may have sent it orders.
+    is_recovered: bool = False
     # Whether a former incarnation had its id, and until when a lease by the clock of
     # that one may be in force, as known before a report.
     has_restarted: bool = False
