--- a/soak/clients.py
+++ b/soak/clients.py
@@ -92,7 +92,8 @@
     while time.monotonic() < until_s:
         count += 1
         is_wide = soak.rng.random() < soak.profile.wide_share
-        job = draw_job(soak.rng, job_id(number * 100_000 + count), is_wide)
+        id_ = job_id(number * 100_000 + count)
+        job = draw_job(soak.rng, id_, is_wide, soak.profile.long_share)
         soak.jobs[job.id] = job
         plan = draw_plan(soak.rng, soak.profile)
         plans.append(asyncio.create_task(_play(soak, client, job, plan)))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -46,6 +46,7 @@
     worker_faults.slow_workers: 3,
     worker_faults.delay_orders: 3,
     worker_faults.lose_answers: 2,
+    worker_faults.cut_restarted_workers: 1,
 }
 _EMPHASIZED_WEIGHTS: t.Final[dict[Emphasis, Weights]] = {
     Emphasis.MIXED: {},
@@ -60,6 +61,9 @@
         link_faults.silence_link: 5,
         link_faults.inject_link_fault: 6,
     },
+    Emphasis.RESTARTS: {
+        worker_faults.cut_restarted_workers: 20,
+    },
 }
 
 
--- a/soak/jobs.py
+++ b/soak/jobs.py
@@ -26,6 +26,8 @@
 LONG_RUNNING_SHARE: t.Final = 0.06
 CHECKPOINTING_SHARE: t.Final = 0.15
 MANY_STEPS_SHARE: t.Final = 0.2
+# About as long as the longest lease.
+LONG_RUN_MS: t.Final = 9500
 CHECKPOINT_INTERVAL_MS: t.Final = 300
 
 
@@ -56,15 +58,18 @@
         return sum(step.count for step in self.steps)
 
 
-def draw_job(rng: random.Random, job_id: str, is_wide: bool) -> SoakJob:
-    """Draw a job: wide, or with few tasks that are larger."""
+def draw_job(
+    rng: random.Random, job_id: str, is_wide: bool, long_share: float = 0.0
+) -> SoakJob:
+    """Draw a job: wide, or with few tasks that are larger, and some of them long."""
     if is_wide:
         cpu_milli = rng.choice((100, 100, 200))
         run_time_ms = rng.choice((50, 200, 600))
         steps = [_draw_wide_step(rng)]
     else:
         cpu_milli = rng.choice((500, 2000, 4000))
-        run_time_ms = rng.choice((100, 400, 1500))
+        is_long = rng.random() < long_share
+        run_time_ms = LONG_RUN_MS if is_long else rng.choice((100, 400, 1500))
         steps = _draw_narrow_steps(rng)
     # The outcome of a task of the index after the colon: no task has this one.
     payload = f"{cpu_milli} {run_time_ms} done:{job_id}"
--- a/soak/profile.py
+++ b/soak/profile.py
@@ -21,6 +21,8 @@
     WIDE_JOBS = "wide jobs"
     # Submissions that are repeated or cancelled on their way, and cut links.
     REPEATS = "repeats"
+    # Workers that restart under their id and hang soon, while long tasks work.
+    RESTARTS = "restarts"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -32,6 +34,8 @@
     worker_count: int = 6
     client_count: int = 4
     wide_share: float = 0.1
+    # Of jobs that are not wide: those with tasks that work for most of a lease.
+    long_share: float = 0.02
     cancel_share: float = 0.3
     # Share of the cancelled jobs whose cancel is sent before their submission is
     # answered.
@@ -68,6 +72,14 @@
         suspended_share=0.06,
         max_operation_interval_s=2.5,
     ),
+    Emphasis.RESTARTS: Profile(
+        Emphasis.RESTARTS,
+        long_share=0.3,
+        cancel_share=0.1,
+        # The leader changes about as often as workers are cut off.
+        max_operation_interval_s=3.0,
+        max_failure_interval_s=3.0,
+    ),
 }
 
 
--- a/soak/worker_faults.py
+++ b/soak/worker_faults.py
@@ -10,6 +10,11 @@
 
 MIN_HANG_S: t.Final = 1.0
 MAX_HANG_S: t.Final = 4.5
+# A worker that has restarted hangs after this time at most.
+MAX_RESTARTED_S: t.Final = 2.0
+# Longer than any lease but the longest.
+MIN_CUT_S: t.Final = 7.0
+MAX_CUT_S: t.Final = 11.0
 # Orders to a worker that answers slowly wait for each other for seconds.
 MIN_SLOW_S: t.Final = 3.0
 MAX_SLOW_S: t.Final = 7.0
@@ -52,6 +57,27 @@
         worker.faults.unresponsive = False
 
 
+async def cut_restarted_workers(soak: "Soak") -> None:
+    """Restart workers under their id, and let each hang soon for most of a lease."""
+    workers = [worker for worker in soak.cluster.workers if not worker.renamed]
+    async with asyncio.TaskGroup() as group:
+        for worker in workers:
+            group.create_task(_restart_and_hang(soak, worker))
+
+
+async def _restart_and_hang(soak: "Soak", worker: WorkerStandin) -> None:
+    if not worker.alive or worker.faults.unresponsive:
+        return
+    down_s, worker.down_s = worker.down_s, soak.rng.uniform(0.05, 0.8)
+    soak.log_fault(f"{worker.machine} restarts under its id, and hangs soon")
+    with soak.disruptions.record("crash", worker.machine):
+        worker.crash()
+        await asyncio.sleep(worker.down_s)
+    worker.down_s = down_s
+    await asyncio.sleep(soak.rng.uniform(0.05, MAX_RESTARTED_S))
+    await _hang(soak, worker, soak.rng.uniform(MIN_CUT_S, MAX_CUT_S))
+
+
 async def slow_workers(soak: "Soak") -> None:
     """Let some or all workers answer each call slowly, for a random time."""
     count = soak.rng.randint(1, len(soak.cluster.workers))
--- a/standins/bulrushspur_standins/worker.py
+++ b/standins/bulrushspur_standins/worker.py
@@ -36,6 +36,8 @@
 )
 
 CLOCK_START_MS: t.Final = 1000
+# A longer lease is shortened to this.
+MAX_LEASE_MS: t.Final = 10_000
 CRASH: t.Final = "crash"
 # A task under which so many workers have crashed may start so many times more.
 CRASHES_BEFORE_LIMIT: t.Final = 3
@@ -286,9 +288,11 @@
         )
 
     def _extend_lease(self, until_ms: int) -> None:
-        if self.clock_ms() > self.lease_until_ms:
+        clock_ms = self.clock_ms()
+        if clock_ms > self.lease_until_ms:
             self.lapsed_ms = self.lease_until_ms
-        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+        granted_until_ms = min(until_ms, clock_ms + MAX_LEASE_MS)
+        self.lease_until_ms = max(self.lease_until_ms, granted_until_ms)
 
     def _start_run(self, data: dict[str, t.Any]) -> StatusAndBody:
         refusal = self._find_refusal(data)
