--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -296,7 +296,6 @@
         term._spawn,
         lambda: term.ended,
     )
-    term.worker_connections.on_restart = term.worker_records.update
     term.worker_watch = WorkerWatch(
         store,
         adapter,
--- a/packages/daemon/bulrushspur_daemon/term_recovery.py
+++ b/packages/daemon/bulrushspur_daemon/term_recovery.py
@@ -68,7 +68,7 @@
             self._recover_or_skip(SPEEDS_KEY, self.speeds.recover, speeds_data)
         cell, now_s = self.cell, monotonic_s()
         if worker_data:
-            self.worker_records.recover(worker_data, now_s, unix_s())
+            self.worker_records.recover(worker_data, now_s)
         cell.unobserved_workers = {
             worker.id for worker in cell.workers.values() if not worker.has_reported
         }
--- a/packages/daemon/bulrushspur_daemon/worker_connections.py
+++ b/packages/daemon/bulrushspur_daemon/worker_connections.py
@@ -78,7 +78,6 @@
     metrics: Metrics
     request_plan: t.Callable[[], None]
     has_authority: t.Callable[[], bool]
-    on_restart: t.Callable[[Worker], None] = lambda worker: None
     by_worker_id: dict[str, WorkerConnection] = dataclasses.field(default_factory=dict)
     orders: WorkerOrders = dataclasses.field(init=False)
 
@@ -193,7 +192,6 @@
         apply_report(cell, worker, report, monotonic_s())
         if incarnation_start_ms and worker.incarnation_start_ms != incarnation_start_ms:
             connection.durable_end_sequence = connection.acknowledged_end_sequence = 0
-            self.on_restart(worker)
         if connection.silent:
             connection.silent = False
             self.log.event("worker_regained", worker=worker.id)
--- a/packages/daemon/bulrushspur_daemon/worker_orders.py
+++ b/packages/daemon/bulrushspur_daemon/worker_orders.py
@@ -170,6 +170,7 @@
             order.checkpoint,
             order.ticket,
             timeout_s,
+            worker.incarnation_start_ms,
         )
         now_s = monotonic_s()
         self.metrics.record_duration("start_order", now_s - sent_s)
--- a/packages/daemon/bulrushspur_daemon/worker_records.py
+++ b/packages/daemon/bulrushspur_daemon/worker_records.py
@@ -12,7 +12,6 @@
 
 from bulrushspur_daemon.record_writer import RecordWriter
 from bulrushspur_scheduler.cell import Cell
-from bulrushspur_scheduler.leases import find_former_lease_end
 from bulrushspur_scheduler.worker_list_records import (
     WORKERS_KEY,
     WorkerRecord,
@@ -25,14 +24,6 @@
 from bulrushspur_scheduler.workers import Worker, make_worker, replaces
 
 UNKNOWN_WORKER_ID: t.Final = "?"
-# By how much the time of day of two machines may differ.
-MAX_CLOCK_STEP_S: t.Final = 5.0
-
-
-def _describe(worker: Worker) -> WorkerRecord:
-    return make_worker_record(
-        worker.entry, worker.incarnation_start_ms, worker.has_restarted
-    )
 
 
 @dataclasses.dataclass
@@ -52,18 +43,18 @@
         if worker.id in self.by_id:
             self.open_connection(worker)
             return
-        self.by_id[worker.id] = _describe(worker)
+        self.by_id[worker.id] = make_worker_record(worker.entry)
         self._queue()
         self.spawn(self._open_when_durable(worker))
 
     def update(self, worker: Worker) -> None:
-        """Store the new capacity or address of a recorded worker, or that it restarted.
+        """Store the new capacity or address of a recorded worker.
 
         The most capacity that it ever had is kept: its runs may be older than a change.
         """
         record = self.by_id.get(worker.id)
         if record is not None:
-            merged = merge_worker_records(record, _describe(worker))
+            merged = merge_worker_records(record, make_worker_record(worker.entry))
             if merged != record:
                 self.by_id[worker.id] = merged
                 self._queue()
@@ -73,7 +64,7 @@
         if self.by_id.pop(worker_id, None) is not None:
             self._queue()
 
-    def recover(self, data: bytes, now_s: float, unix_s: float) -> None:
+    def recover(self, data: bytes, now_s: float) -> None:
         """Add the workers on which earlier terms may have left runs.
 
         A worker whose machine has started another one since has ended. If the list
@@ -86,49 +77,32 @@
             entry = make_recorded_entry(WorkerRecord(UNKNOWN_WORKER_ID, "", 0))
             unknown = make_worker(entry, now_s)
             unknown.listed = False
-            unknown.former_lease_until_s = find_former_lease_end(self.cell, now_s)
             self.cell.workers[unknown.id] = unknown
             records = []
         for record in records:
-            self._recover_worker(record, now_s, unix_s)
+            self.by_id[record.id] = record
+            worker = self.cell.workers.get(record.id)
+            if worker is not None:
+                worker.is_recovered = True
+                recorded = make_recorded_entry(record).capacity
+                worker.max_capacity = worker.max_capacity.maximum(recorded)
+                self.update(worker)
+            else:
+                worker = make_worker(make_recorded_entry(record), now_s)
+                if any(
+                    replaces(other.entry, worker)
+                    and self.cell.config.may_have_workers(other.entry.service)
+                    for other in self.cell.workers.values()
+                ):
+                    del self.by_id[record.id]
+                    continue
+                self.cell.workers[record.id] = worker
+                worker.is_recovered = True
+                worker.listed = False
+                self.open_connection(worker)
         # The list queued while the workers' entries were loaded lacks these records.
         self._queue()
 
-    def _recover_worker(
-        self, record: WorkerRecord, now_s: float, unix_s: float
-    ) -> None:
-        self.by_id[record.id] = record
-        worker = self.cell.workers.get(record.id)
-        if worker is None:
-            worker = make_worker(make_recorded_entry(record), now_s)
-            if self._is_replaced(worker):
-                del self.by_id[record.id]
-                return
-            self.cell.workers[record.id] = worker
-            worker.listed = False
-            self.open_connection(worker)
-        worker.is_recovered = True
-        recorded = make_recorded_entry(record)
-        worker.max_capacity = worker.max_capacity.maximum(recorded.capacity)
-        entry_start_ms = worker.entry.incarnation_start_ms
-        start_ms = max(entry_start_ms, record.incarnation_start_ms)
-        has_new_start = entry_start_ms != record.incarnation_start_ms
-        worker.has_restarted = record.has_restarted or has_new_start
-        if worker.has_restarted:
-            age_s = max(unix_s - start_ms / 1000 - MAX_CLOCK_STEP_S, 0.0)
-            worker.former_lease_until_s = find_former_lease_end(
-                self.cell, now_s - age_s
-            )
-        self.update(worker)
-
-    def _is_replaced(self, worker: Worker) -> bool:
-        """Return whether the worker's machine has started another one since."""
-        return any(
-            replaces(other.entry, worker)
-            and self.cell.config.may_have_workers(other.entry.service)
-            for other in self.cell.workers.values()
-        )
-
     def _queue(self) -> None:
         """Let the list be written; it is encoded once for all changes of a moment."""
         if not self.is_queued:
--- a/packages/daemon/bulrushspur_daemon/worker_watch.py
+++ b/packages/daemon/bulrushspur_daemon/worker_watch.py
@@ -20,10 +20,7 @@
     StoreUnavailableError,
 )
 from bulrushspur_scheduler.cell import Cell
-from bulrushspur_scheduler.leases import (
-    find_former_lease_end,
-    mark_incarnation_ended,
-)
+from bulrushspur_scheduler.leases import mark_incarnation_ended
 from bulrushspur_scheduler.workers import Worker, WorkerEntry, make_worker, replaces
 
 POLL_INTERVAL_S: t.Final = 0.4
@@ -46,7 +43,7 @@
     log: EventLog
     on_new_worker: t.Callable[[Worker], None]
     on_change: t.Callable[[], None]
-    on_record_change: t.Callable[[Worker], None] = lambda worker: None
+    on_new_capacity: t.Callable[[Worker], None] = lambda worker: None
     on_new_address: t.Callable[[Worker], None] = lambda worker: None
     next_offset: int | None = None
     store_unavailable: bool = False
@@ -131,7 +128,7 @@
                 entry,
                 monotonic_s(),
                 self.on_new_worker,
-                self.on_record_change,
+                self.on_new_capacity,
                 ids_by_machine,
                 self.on_new_address,
             )
@@ -171,13 +168,13 @@
     entry: WorkerEntry,
     now_s: float,
     on_new_worker: t.Callable[[Worker], None],
-    on_record_change: t.Callable[[Worker], None] = lambda worker: None,
+    on_new_capacity: t.Callable[[Worker], None] = lambda worker: None,
     ids_by_machine: dict[str, set[str]] | None = None,
     on_new_address: t.Callable[[Worker], None] = lambda worker: None,
 ) -> None:
     """Add a worker to the cell, or update it from its entry.
 
-    ``on_record_change`` is called if something has changed that is recorded.
+    ``on_new_capacity`` is called for a new address, too, as both are recorded.
     ``ids_by_machine`` has the ids of all workers of the cell by machine, and gets that
     of a new one. It is made here if it is not given.
     """
@@ -231,16 +228,10 @@
             runs=len(worker.runs),
         )
     has_moved = entry.address != worker.entry.address
-    start_ms = entry.incarnation_start_ms
-    has_restarted = start_ms != worker.entry.incarnation_start_ms
-    if has_restarted:
-        worker.has_restarted = True
-        # It may have begun just now.
-        worker.former_lease_until_s = find_former_lease_end(cell, now_s)
     worker.entry = entry
     worker.max_capacity = worker.max_capacity.maximum(entry.capacity)
-    if changed or has_moved or has_restarted:
-        on_record_change(worker)
+    if changed or has_moved:
+        on_new_capacity(worker)
     if has_moved:
         # Its next incarnation has the same id.
         cell.log("worker_moved", worker=entry.id, runs=len(worker.runs))
--- a/packages/kernel/bulrushspur_kernel/adapter.py
+++ b/packages/kernel/bulrushspur_kernel/adapter.py
@@ -57,8 +57,13 @@
         checkpoint: str,
         ticket: str,
         timeout_s: float,
+        incarnation_start_ms: int,
     ) -> tuple["StartResult", int | None]:
-        """Start a run; return the result and the worker's clock in ms if known."""
+        """Start a run; return the result and the worker's clock in ms if known.
+
+        The order reaches only the incarnation that started at the given Unix time; 0
+        stands for any.
+        """
         ...
 
     async def stop_run(self, key: "TaskKey", run_number: int, term: int) -> bool:
--- a/packages/kernel/bulrushspur_kernel/http_pool.py
+++ b/packages/kernel/bulrushspur_kernel/http_pool.py
@@ -28,6 +28,12 @@
 MIN_BULK_BYTES: t.Final = 32_768
 
 
+# Sends a request with a body over one connection: method, path, body, headers.
+Send = t.Callable[
+    [str, str, bytes, t.Sequence[tuple[str, str]]], t.Awaitable[HttpResponse]
+]
+
+
 @dataclasses.dataclass
 class HttpPool:
     """A pool of idle connections to one address."""
@@ -47,24 +53,24 @@
         headers: t.Sequence[tuple[str, str]] = (),
         timeout_s: float = 1.0,
         on_received: t.Callable[[int], None] | None = None,
+        verify: t.Callable[[Send], t.Awaitable[None]] | None = None,
     ) -> HttpResponse:
         """Make one request; raises NotSentError or ResponseLostError.
 
         ``timeout_s`` limits the wait for the response; while the parts of a large body
         keep arriving, the wait continues. ``on_received`` gets the number of bytes of
-        each part of the body when it arrives.
+        each part of the body when it arrives. ``verify`` is called before a request
+        over a new connection; the request is not sent if it raises an error.
         """
-        connection = await self._acquire(timeout_s)
+        connection, is_new = await self._acquire(timeout_s)
         complete = False
         try:
+            if is_new and verify is not None:
+                await self._verify(connection, verify, timeout_s)
             async with asyncio.timeout(timeout_s) as timeout:
-                all_headers = [("host", self.host or self.address), *headers]
-                if body:
-                    all_headers.append(("content-type", "application/json"))
-                await connection.send_request(method, path, all_headers, body)
-                status = await connection.read_response_head()
-                data = await self._read_body(connection, timeout, on_received)
-                response = HttpResponse(status, dict(connection.headers), data)
+                response = await self._exchange(
+                    connection, method, path, body, headers, timeout, on_received
+                )
             complete = True
         except TimeoutError as exc:
             raise ResponseLostError(f"no answer in {timeout_s:g} s") from exc
@@ -79,6 +85,51 @@
                 connection.abort()
         return response
 
+    async def _verify(
+        self,
+        connection: ClientConnection,
+        verify: t.Callable[[Send], t.Awaitable[None]],
+        timeout_s: float,
+    ) -> None:
+        """Verify a new connection; raises NotSentError, also if there is no answer."""
+        try:
+            async with asyncio.timeout(timeout_s) as timeout:
+
+                async def send(
+                    method: str,
+                    path: str,
+                    body: bytes,
+                    headers: t.Sequence[tuple[str, str]],
+                ) -> HttpResponse:
+                    return await self._exchange(
+                        connection, method, path, body, headers, timeout, None
+                    )
+
+                await verify(send)
+        except (TimeoutError, ResponseLostError) as exc:
+            raise NotSentError(f"{self.address} does not answer") from exc
+        if not connection.prepare_reuse():
+            raise NotSentError(f"{self.address} has closed the connection")
+
+    async def _exchange(
+        self,
+        connection: ClientConnection,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: t.Sequence[tuple[str, str]],
+        timeout: asyncio.Timeout,
+        on_received: t.Callable[[int], None] | None,
+    ) -> HttpResponse:
+        """Send one request over a connection and read the response whole."""
+        all_headers = [("host", self.host or self.address), *headers]
+        if body:
+            all_headers.append(("content-type", "application/json"))
+        await connection.send_request(method, path, all_headers, body)
+        status = await connection.read_response_head()
+        data = await self._read_body(connection, timeout, on_received)
+        return HttpResponse(status, dict(connection.headers), data)
+
     async def _read_body(
         self,
         connection: ClientConnection,
@@ -101,18 +152,19 @@
                 )
         return b"".join(parts)
 
-    async def _acquire(self, timeout_s: float) -> ClientConnection:
+    async def _acquire(self, timeout_s: float) -> tuple[ClientConnection, bool]:
+        """Return an idle connection, or a new one and True."""
         while self.idle_connections:
             connection = self.idle_connections.pop()
             if not connection.reader.at_eof() and not connection.writer.is_closing():
-                return connection
+                return connection, False
             connection.abort()
         connection = await open_client_connection(
             self.address, min(CONNECT_TIMEOUT_S, timeout_s)
         )
         self.opened_connections += 1
         _set_socket_options(connection.writer.get_extra_info("socket"))
-        return connection
+        return connection, True
 
     def has_open_connection(self) -> bool:
         """Return whether the next request goes over a connection that was answered."""
--- a/packages/scheduler/bulrushspur_scheduler/incarnations.py
+++ b/packages/scheduler/bulrushspur_scheduler/incarnations.py
@@ -50,7 +50,7 @@
     cell: Cell, worker: Worker, clock_ms: int, now_s: float
 ) -> None:
     """Start nothing on a restarted worker until its report shows what it runs."""
-    mark_restarted(cell, worker, clock_ms, now_s)
+    mark_restarted(cell, worker, clock_ms)
     worker.clock.record_reading(clock_ms, now_s)
 
 
--- a/packages/scheduler/bulrushspur_scheduler/leases.py
+++ b/packages/scheduler/bulrushspur_scheduler/leases.py
@@ -17,10 +17,6 @@
 from bulrushspur_scheduler.workers import Worker
 
 UNLISTED_GRACE_S: t.Final = 1.0
-# An order that was not answered may be carried out so much later.
-MAX_ORDER_DELAY_S: t.Final = 12.0
-# No order with a lease is sent to a worker that has been silent for longer.
-MAX_SILENT_ORDER_S: t.Final = 2.0
 
 
 def extend_lease(cell: Cell, worker: Worker, now_s: float, lease_s: float) -> int:
@@ -31,42 +27,28 @@
     """
     lease_until_ms = worker.clock.estimated_ms(now_s) + int(lease_s * 1000)
     worker.lease_until_ms = max(worker.lease_until_ms, lease_until_ms)
-    worker.lease_sent_s = now_s
     return lease_until_ms
 
 
 def assume_longest_lease(cell: Cell, worker: Worker, clock_ms: int) -> None:
     """Assume that a worker got the longest lease when its clock showed ``clock_ms``.
 
-    An order of an earlier leader may have had an end of the lease by the clock of a
-    former incarnation; workers shorten that to the longest lease.
+    Who sent it orders may have reckoned with another clock: an older version does. A
+    worker shortens a lease that ends too late to the longest one.
     """
     lease_until_ms = clock_ms + int(cell.timing_limits.max_lease_s * 1000)
     worker.lease_until_ms = max(worker.lease_until_ms, lease_until_ms)
 
 
-def mark_restarted(cell: Cell, worker: Worker, clock_ms: int, now_s: float) -> None:
-    """Forget the clock of a worker that restarted under its id, and what it has told.
+def mark_restarted(cell: Cell, worker: Worker, clock_ms: int) -> None:
+    """Forget what is known of the former incarnation of a worker; it has to report.
 
-    Orders for its former incarnation may reach it later, with an end of the lease by
-    the former clock; ``clock_ms`` is the new one.
+    ``clock_ms`` is the clock of the present one.
     """
-    worker.has_restarted = True
     worker.has_reported = False
     worker.clock.is_known = False
     worker.lease_until_ms = 0
-    order_delay_s = max(worker.lease_sent_s + MAX_ORDER_DELAY_S - now_s, 0.0)
-    assume_longest_lease(cell, worker, clock_ms + int(order_delay_s * 1000))
-
-
-def find_former_lease_end(cell: Cell, started_s: float) -> float:
-    """Return until when a restarted worker may have a lease by its former clock.
-
-    ``started_s`` is when its incarnation started, on the monotonic clock. Orders by the
-    former clock were sent until the former incarnation had been silent for a while.
-    """
-    last_order_s = started_s + MAX_SILENT_ORDER_S + MAX_ORDER_DELAY_S
-    return last_order_s + cell.timing_limits.max_lease_s * 1.05
+    assume_longest_lease(cell, worker, clock_ms)
 
 
 def mark_run_lost(cell: Cell, run: Run, reason: str) -> None:
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -169,7 +169,7 @@
         remove_lost_orphan(cell, worker, key, now_s)
     silent_s = now_s - worker.last_report_s
     worker.applied_end_sequence = 0
-    mark_restarted(cell, worker, report.clock_ms, now_s)
+    mark_restarted(cell, worker, report.clock_ms)
     cell.log(
         "worker_restarted",
         worker=worker.id,
--- a/packages/scheduler/bulrushspur_scheduler/takeover.py
+++ b/packages/scheduler/bulrushspur_scheduler/takeover.py
@@ -203,7 +203,7 @@
         and not worker.is_lease_expired(confirmed_s)
         for worker in cell.workers.values()
     )
-    if may_run_unobserved and confirmed_s < _find_reconcile_time(cell):
+    if may_run_unobserved and confirmed_s < cell.reconcile_by_s:
         return False
     if confirmed_s < cell.worker_end_seen_s:
         # Before its end the worker may have reported to a later term.
@@ -225,15 +225,6 @@
     return True
 
 
-def _find_reconcile_time(cell: Cell) -> float:
-    """Return when the leases of the workers that do not report have expired."""
-    unobserved = [
-        cell.workers[id_] for id_ in cell.unobserved_workers if id_ in cell.workers
-    ]
-    former_ends_s = [worker.former_lease_until_s for worker in unobserved]
-    return max([cell.reconcile_by_s, *former_ends_s])
-
-
 def _confirm_losses(cell: Cell, confirmed_s: float) -> None:
     """Allow tasks to start again whose run was lost before ``confirmed_s``."""
     while cell.unconfirmed_losses and cell.unconfirmed_losses[0][0] <= confirmed_s:
--- a/packages/scheduler/bulrushspur_scheduler/worker_list_records.py
+++ b/packages/scheduler/bulrushspur_scheduler/worker_list_records.py
@@ -27,28 +27,23 @@
     cpu_milli: Amount = 0
     memory_mb: Amount = 0
     gpus: Amount = 0
-    # Whether a former incarnation had its id.
-    has_restarted: bool = False
 
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode_workers = make_msgpack_decoder(list[WorkerRecord])
 
 
-def make_worker_record(
-    entry: WorkerEntry, incarnation_start_ms: int = 0, has_restarted: bool = False
-) -> WorkerRecord:
-    """Make the record of a worker, whose report may tell a later start."""
+def make_worker_record(entry: WorkerEntry) -> WorkerRecord:
+    """Make the record of a worker."""
     capacity = entry.capacity
     return WorkerRecord(
         entry.id,
         entry.address,
-        max(entry.incarnation_start_ms, incarnation_start_ms),
+        entry.incarnation_start_ms,
         entry.machine,
         capacity.cpu_milli,
         capacity.memory_mb,
         capacity.gpus,
-        has_restarted,
     )
 
 
@@ -62,7 +57,6 @@
         max(old.cpu_milli, new.cpu_milli),
         max(old.memory_mb, new.memory_mb),
         max(old.gpus, new.gpus),
-        old.has_restarted or new.has_restarted,
     )
 
 
--- a/packages/scheduler/bulrushspur_scheduler/workers.py
+++ b/packages/scheduler/bulrushspur_scheduler/workers.py
@@ -86,10 +86,6 @@
     has_reported: bool = False
     # Whether an earlier leader may have sent it orders.
     is_recovered: bool = False
-    # Whether a former incarnation had its id, and until when a lease by the clock of
-    # that one may be in force, as known before a report.
-    has_restarted: bool = False
-    former_lease_until_s: float = -1e9
     # Whether the incarnation was seen to have ended.
     ended: bool = False
     last_report_s: float = 0.0
@@ -98,8 +94,6 @@
     incarnation_start_ms: int = 0
     clock: WorkerClock = dataclasses.field(default_factory=WorkerClock)
     lease_until_ms: int = 0
-    # When the last order with a lease was sent.
-    lease_sent_s: float = -1e9
     runs: dict[tuple[TaskKey, int], Run] = dataclasses.field(default_factory=dict)
     # Runs that no task of this term owns, with their task where it is known.
     orphan_runs: dict[tuple[TaskKey, int], Task | None] = dataclasses.field(
