--- a/packages/scheduler/bulrushspur_scheduler/leases.py
+++ b/packages/scheduler/bulrushspur_scheduler/leases.py
@@ -36,7 +36,25 @@
     Who sent it orders may have reckoned with another clock: an older version does. A
     worker shortens a lease that ends too late to the longest one.
     """
-    lease_until_ms = clock_ms + int(cell.timing_limits.max_lease_s * 1000)
+    _assume_lease(worker, clock_ms, cell.timing_limits.max_lease_s)
+
+
+def assume_first_lease(
+    cell: Cell, worker: Worker, clock_ms: int, has_runs: bool
+) -> None:
+    """Assume the lease that a worker may have got before its first report.
+
+    No leader has sent orders to a new one; but if it crashes under its first run, that
+    is seen, and counted, only after the 2 s that a start grants.
+    """
+    if worker.is_recovered or worker.last_report_s or has_runs:
+        assume_longest_lease(cell, worker, clock_ms)
+    else:
+        _assume_lease(worker, clock_ms, cell.timing_limits.lease_s)
+
+
+def _assume_lease(worker: Worker, clock_ms: int, lease_s: float) -> None:
+    lease_until_ms = clock_ms + int(lease_s * 1000)
     worker.lease_until_ms = max(worker.lease_until_ms, lease_until_ms)
 
 
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -17,6 +17,7 @@
 from bulrushspur_scheduler.job_specs import TaskKey
 from bulrushspur_scheduler.jobs import Run, RunOutcome, RunState, Step
 from bulrushspur_scheduler.leases import (
+    assume_first_lease,
     assume_longest_lease,
     mark_restarted,
     mark_run_lost,
@@ -109,8 +110,7 @@
     )
     worker.clock.record_reading(report.clock_ms, now_s)
     if not worker.has_reported:
-        if worker.is_recovered or worker.last_report_s:
-            assume_longest_lease(cell, worker, report.clock_ms)
+        assume_first_lease(cell, worker, report.clock_ms, bool(report.running))
         cell.log(
             "worker_reached",
             worker=worker.id,
@@ -118,7 +118,7 @@
             incarnation_ms=worker.incarnation_start_ms,
             lease_ms=max(worker.lease_until_ms - report.clock_ms, 0),
         )
-    if report.running and worker.is_lease_expired(now_s):
+    elif report.running and worker.is_lease_expired(now_s):
         cell.log("lease_underestimated", worker=worker.id, runs=len(report.running))
         assume_longest_lease(cell, worker, report.clock_ms)
     for end in report.ended:
