--- a/packages/kernel/bulrushspur_kernel/http_exchange.py
+++ b/packages/kernel/bulrushspur_kernel/http_exchange.py
@@ -16,12 +16,16 @@
 
 from bulrushspur_kernel.body_memory import BodyMemory, HeldBody
 from bulrushspur_kernel.errors import ErrorKind, Refusal
+from bulrushspur_kernel.http_refusals import (
+    make_malformed_refusal,
+    make_no_memory_refusal,
+    make_slow_sender_refusal,
+)
 from bulrushspur_kernel.settings import Bounds
 
 READ_CHUNK_BYTES: t.Final = 8192
 # A connection that has parsed so many parts of a request lets others go on.
 EVENTS_PER_TURN: t.Final = 64
-GIVEN_UP_RETRY_AFTER_S: t.Final = 1.0
 LINGER_TIMEOUT_S: t.Final = 1.0
 
 Headers = list[tuple[bytes, bytes]]
@@ -306,27 +310,6 @@
                     pass
 
 
-def make_slow_sender_refusal(timeout_s: float) -> Refusal:
-    """Make the refusal for a caller that sent nothing for ``timeout_s`` seconds."""
-    return Refusal(ErrorKind.SLOW_SENDER, f"Nothing came for {timeout_s:g} s.")
-
-
-def make_no_memory_refusal() -> Refusal:
-    """Make the refusal for a body that has no room beside the others."""
-    return Refusal(
-        ErrorKind.NO_MEMORY,
-        "The bodies of other requests leave no room for this one.",
-        retry_after_s=GIVEN_UP_RETRY_AFTER_S,
-    )
-
-
-def make_malformed_refusal(exc: h11.RemoteProtocolError) -> Refusal:
-    """Make the refusal for input that is not valid HTTP."""
-    if exc.error_status_hint == 431:
-        return Refusal(ErrorKind.HEAD_TOO_LARGE, "The head is too large.")
-    return Refusal(ErrorKind.BAD_REQUEST, f"This is no valid HTTP request: {exc}.")
-
-
 def make_request(event: h11.Request, exchange: Exchange) -> Request:
     """Make a request from the event for its head."""
     target = event.target.decode("latin-1")
--- a/packages/kernel/bulrushspur_kernel/http_server.py
+++ b/packages/kernel/bulrushspur_kernel/http_server.py
@@ -23,8 +23,11 @@
     HttpError,
     Request,
     SharedLimits,
-    make_malformed_refusal,
     make_request,
+)
+from bulrushspur_kernel.http_refusals import (
+    make_crowded_refusal,
+    make_malformed_refusal,
     make_slow_sender_refusal,
 )
 from bulrushspur_kernel.logs import make_logger
@@ -124,7 +127,7 @@
         ):
             # With so many connections, even sending refusals would cost too much.
             raise CallerDisconnectedError
-        refusal = self._make_crowded_refusal()
+        refusal = make_crowded_refusal(self.bounds.connections)
         if len(
             self.connection_tasks
         ) > self.bounds.connections and not self._give_up_waiting(refusal):
@@ -147,10 +150,6 @@
             timeout_s = self.bounds.idle_wait_s
         await exchange.linger()
 
-    def _make_crowded_refusal(self) -> Refusal:
-        sentence = f"There are {self.bounds.connections} connections already."
-        return Refusal(ErrorKind.TOO_MANY_CONNECTIONS, sentence, retry_after_s=1.0)
-
     def _give_up_waiting(self, refusal: Refusal) -> bool:
         """Refuse the request whose rest is waited for longest; return False if none."""
         longest = next(iter(self.limits.waiting), None)
