--- a/packages/daemon/bulrushspur_daemon/worker_connections.py
+++ b/packages/daemon/bulrushspur_daemon/worker_connections.py
@@ -174,11 +174,9 @@
         must_verify = self._must_verify(connection)
         lease_until_ms = None if must_verify else self._extend_lease(worker)
         wait_ms = 0 if must_verify else _find_wait_ms(connection)
-        acknowledged_sequence = 0
-        if connection.durable_end_sequence > connection.acknowledged_end_sequence:
-            acknowledged_sequence = (
-                0 if must_verify else connection.durable_end_sequence
-            )
+        end_sequence = connection.durable_end_sequence
+        has_news = end_sequence > connection.acknowledged_end_sequence
+        acknowledged_sequence = end_sequence if has_news and not must_verify else 0
         connection.incarnation_unverified = True
         report = await connection.client.renew_lease(
             lease_until_ms, cell.fencing_token, acknowledged_sequence, wait_ms
--- a/packages/kernel/bulrushspur_kernel/http_server.py
+++ b/packages/kernel/bulrushspur_kernel/http_server.py
@@ -128,9 +128,8 @@
             # With so many connections, even sending refusals would cost too much.
             raise CallerDisconnectedError
         refusal = make_crowded_refusal(self.bounds.connections)
-        if len(
-            self.connection_tasks
-        ) > self.bounds.connections and not self._give_up_waiting(refusal):
+        is_crowded = len(self.connection_tasks) > self.bounds.connections
+        if is_crowded and not self._give_up_waiting(refusal):
             await self._refuse(exchange, refusal)
             await exchange.linger()
             return
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -117,7 +117,7 @@
 
 
 class OrderClockTest(unittest.IsolatedAsyncioTestCase):
-    """A worker whose clock showed 100 s to 110 s when the test began."""
+    """A worker whose clock showed 100 s when the test began."""
 
     async def asyncSetUp(self):
         self.now_s = 1000.0
