--- a/packages/scheduler/bulrushspur_scheduler/job_bounds.py
+++ b/packages/scheduler/bulrushspur_scheduler/job_bounds.py
@@ -41,10 +41,18 @@
         try:
             rv.append(decode(row))
         except msgspec.DecodeError as exc:
-            raise msgspec.DecodeError(f"step {index}: {exc}") from exc
+            raise msgspec.DecodeError(_place_in_step(str(exc), index)) from exc
     return rv
 
 
+def _place_in_step(sentence: str, index: int) -> str:
+    """Let the place that an error names, if any, begin at the job."""
+    place = f"`$.steps[{index}]"
+    if "`$" in sentence:
+        return sentence.replace("`$", place, 1)
+    return f"{sentence} - at {place}`"
+
+
 def find_fault(spec: "JobSpec") -> str:
     """Return what is wrong with a declaration, as a clause; empty if nothing is."""
     if len(spec.steps) > MAX_STEPS:
--- a/soak/jobs.py
+++ b/soak/jobs.py
@@ -66,10 +66,13 @@
         cpu_milli = rng.choice((100, 100, 200))
         run_time_ms = rng.choice((50, 200, 600))
         steps = [_draw_wide_step(rng)]
+    elif rng.random() < long_share:
+        cpu_milli = rng.choice((500, 2000))
+        run_time_ms = LONG_RUN_MS
+        steps = [DeclaredStep(rng.choice((1, 2, 4)))]
     else:
         cpu_milli = rng.choice((500, 2000, 4000))
-        is_long = rng.random() < long_share
-        run_time_ms = LONG_RUN_MS if is_long else rng.choice((100, 400, 1500))
+        run_time_ms = rng.choice((100, 400, 1500))
         steps = _draw_narrow_steps(rng)
     # The outcome of a task of the index after the colon: no task has this one.
     payload = f"{cpu_milli} {run_time_ms} done:{job_id}"
@@ -150,6 +153,7 @@
     if job.is_long_running:
         return cpu_milli, rng.uniform(1.0, 20.0), "failed"
     is_wide = job.task_count >= MIN_WIDE_TASKS
-    failure_share = WIDE_FAILURE_SHARE if is_wide else FAILURE_SHARE
+    is_long = run_time_s * 1000 >= LONG_RUN_MS
+    failure_share = WIDE_FAILURE_SHARE if is_wide or is_long else FAILURE_SHARE
     has_failed = rng.random() < failure_share
     return cpu_milli, run_time_s, "failed" if has_failed else outcome
--- a/tests/test_job_bounds.py
+++ b/tests/test_job_bounds.py
@@ -15,7 +15,11 @@
 from bulrushspur_daemon import native_interface
 from bulrushspur_platform import callers
 from bulrushspur_scheduler.admission import check_admission
-from bulrushspur_scheduler.job_bounds import MAX_REPEAT_COUNT, MAX_TASKS
+from bulrushspur_scheduler.job_bounds import (
+    MAX_REPEAT_COUNT,
+    MAX_STEPS,
+    MAX_TASKS,
+)
 from bulrushspur_scheduler.job_specs import JobSpec, StepSpec
 from bulrushspur_scheduler.jobs import Job, make_occurrence
 from bulrushspur_scheduler.planning import plan
@@ -176,3 +180,22 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class StepCountTest(unittest.TestCase):
+    def read_fault(self, parse, steps):
+        with self.assertRaises(ValueError) as caught:
+            parse("0" * 16, json.dumps({"steps": steps}).encode())
+        return str(caught.exception)
+
+    # Guards against: steps of which there are far too many are all built.
+    def test_steps_are_counted_before_they_are_read(self):
+        for parse in (native_interface.parse_job, callers.parse_job):
+            fault = self.read_fault(parse, [{"count": "x"}] * (MAX_STEPS + 1))
+            self.assertIn(f"more than {MAX_STEPS} steps", fault)
+
+    def test_fault_of_a_step_tells_its_place(self):
+        fault = self.read_fault(callers.parse_job, [{}, {"cpu": "x"}])
+        self.assertIn("`$.steps[1].cpu`", fault)
+        fault = self.read_fault(native_interface.parse_job, [{}, {"x": 1}])
+        self.assertIn("`$.steps[1]`", fault)
