--- a/packages/kernel/bulrushspur_kernel/http_exchange.py
+++ b/packages/kernel/bulrushspur_kernel/http_exchange.py
@@ -171,7 +171,7 @@
         """Refuse the request without waiting for the rest of it."""
         self.given_up = refusal
         self.limits.waiting.pop(self, None)
-        if self.read_timeout is not None:
+        if self.read_timeout is not None and not self.read_timeout.expired():
             self.read_timeout.reschedule(asyncio.get_running_loop().time())
 
     def begin_request(self) -> None:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -8,8 +8,15 @@
 import unittest
 import unittest.mock
 
+from bulrushspur_kernel.body_memory import BodyMemory
 from bulrushspur_kernel.errors import ErrorKind, Refusal
-from bulrushspur_kernel.http_exchange import CallerDisconnectedError, HttpError
+from bulrushspur_kernel.http_exchange import (
+    CallerDisconnectedError,
+    Exchange,
+    HttpError,
+    SharedLimits,
+)
+from bulrushspur_kernel.http_refusals import make_no_memory_refusal
 from bulrushspur_kernel.http_server import make_http_server
 from bulrushspur_kernel.settings import Bounds
 
@@ -187,6 +194,17 @@
         answer = await self.exchange_bytes(head + b"x" * size, end=True)
         self.assertIn(b"/ok %d" % size, answer)
 
+    # Guards against: an error in the request for which another one is given up.
+    async def test_request_whose_wait_is_just_over_can_be_given_up(self):
+        limits = SharedLimits(BodyMemory(1))
+        exchange = Exchange(None, None, BOUNDS, lambda: False, None, limits)
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0) as exchange.read_timeout:
+                await asyncio.sleep(1)
+        refusal = make_no_memory_refusal()
+        exchange.give_up(refusal)
+        self.assertIs(exchange.given_up, refusal)
+
     async def test_body_in_very_many_chunks_is_served(self):
         head = b"POST /ok HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
         body = b"1\r\nx\r\n" * BOUNDS.body_bytes + b"0\r\n\r\n"
