--- a/fuzz/links.py
+++ b/fuzz/links.py
@@ -80,7 +80,7 @@
         cell, run = leader.cell, order.run
         known = cell.workers[order.worker_id]
         sent = describe_order(known, self.now_s)
-        until_ms = extend_lease(cell, cell.workers[order.worker_id], self.now_s, 2.0)
+        until_ms = extend_lease(cell, known, self.now_s, 2.0)
         key: TaskKey = run.task.key
         number = run.number
         late = self.rng.random() < self.late_start_share
--- a/fuzz/restarts.py
+++ b/fuzz/restarts.py
@@ -2,8 +2,8 @@
 
 Takes a seed; returns the simulation with its violations. Most tasks work for about as
 long as the longest lease, so that a task that starts elsewhere too soon runs twice.
-Workers are down so briefly that orders for the former incarnation reach the next one;
-soon after, they are cut off, and the leader changes, at once or some time later.
+Workers are down so briefly that orders for the former incarnation come when the next
+one is up; soon after, they are cut off, and the leader changes, at once or later.
 """
 
 import random
--- a/packages/daemon/bulrushspur_daemon/worker_connections.py
+++ b/packages/daemon/bulrushspur_daemon/worker_connections.py
@@ -175,8 +175,10 @@
         lease_until_ms = None if must_verify else self._extend_lease(worker)
         wait_ms = 0 if must_verify else _find_wait_ms(connection)
         end_sequence = connection.durable_end_sequence
-        has_news = end_sequence > connection.acknowledged_end_sequence
-        acknowledged_sequence = end_sequence if has_news and not must_verify else 0
+        has_unacknowledged = end_sequence > connection.acknowledged_end_sequence
+        acknowledged_sequence = (
+            end_sequence if has_unacknowledged and not must_verify else 0
+        )
         connection.incarnation_unverified = True
         report = await connection.client.renew_lease(
             lease_until_ms, cell.fencing_token, acknowledged_sequence, wait_ms
--- a/packages/kernel/bulrushspur_kernel/http_refusals.py
+++ b/packages/kernel/bulrushspur_kernel/http_refusals.py
@@ -7,7 +7,7 @@
 from bulrushspur_kernel.errors import ErrorKind, Refusal
 
 # When a request that was refused for others may come again.
-CROWDED_RETRY_AFTER_S: t.Final = 1.0
+OVERLOAD_RETRY_AFTER_S: t.Final = 1.0
 
 
 def make_slow_sender_refusal(timeout_s: float) -> Refusal:
@@ -20,7 +20,7 @@
     return Refusal(
         ErrorKind.NO_MEMORY,
         "The bodies of other requests leave no room for this one.",
-        retry_after_s=CROWDED_RETRY_AFTER_S,
+        retry_after_s=OVERLOAD_RETRY_AFTER_S,
     )
 
 
@@ -31,10 +31,10 @@
     return Refusal(ErrorKind.BAD_REQUEST, f"This is no valid HTTP request: {exc}.")
 
 
-def make_crowded_refusal(max_connections: int) -> Refusal:
+def make_too_many_connections_refusal(max_connections: int) -> Refusal:
     """Make the refusal for a connection beside which there are too many others."""
     return Refusal(
         ErrorKind.TOO_MANY_CONNECTIONS,
         f"There are {max_connections} connections already.",
-        retry_after_s=CROWDED_RETRY_AFTER_S,
+        retry_after_s=OVERLOAD_RETRY_AFTER_S,
     )
--- a/packages/kernel/bulrushspur_kernel/http_server.py
+++ b/packages/kernel/bulrushspur_kernel/http_server.py
@@ -26,9 +26,9 @@
     make_request,
 )
 from bulrushspur_kernel.http_refusals import (
-    make_crowded_refusal,
     make_malformed_refusal,
     make_slow_sender_refusal,
+    make_too_many_connections_refusal,
 )
 from bulrushspur_kernel.logs import make_logger
 from bulrushspur_kernel.settings import Bounds
@@ -127,9 +127,9 @@
         ):
             # With so many connections, even sending refusals would cost too much.
             raise CallerDisconnectedError
-        refusal = make_crowded_refusal(self.bounds.connections)
-        is_crowded = len(self.connection_tasks) > self.bounds.connections
-        if is_crowded and not self._give_up_waiting(refusal):
+        refusal = make_too_many_connections_refusal(self.bounds.connections)
+        is_over_limit = len(self.connection_tasks) > self.bounds.connections
+        if is_over_limit and not self._give_up_waiting(refusal):
             await self._refuse(exchange, refusal)
             await exchange.linger()
             return
