--- a/review/harness.py
+++ b/review/harness.py
@@ -118,6 +118,11 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
 
+    def read_last_line(self) -> str:
+        """Return the last line that the process has written."""
+        path = self.folder / f"{self.name}-{self.start_count}.log"
+        return (path.read_text(errors="replace").splitlines() or [""])[-1][:300]
+
     async def kill(self) -> None:
         """Kill the process and wait for its end."""
         if self.process is not None:
@@ -126,8 +131,11 @@
             self.process = None
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return free ports of 127.0.0.1 that no outgoing connection gets meanwhile."""
+def find_free_ports(count: int, taken: t.Container[int]) -> list[int]:
+    """Return free ports of 127.0.0.1 that are not taken for another process.
+
+    No outgoing connection gets one of them meanwhile.
+    """
     ports: list[int] = []
     while len(ports) < count:
         port = random.randrange(*LISTENING_PORTS)
@@ -136,7 +144,7 @@
                 sock.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        if port not in ports:
+        if port not in ports and port not in taken:
             ports.append(port)
     return ports
 
@@ -191,6 +199,7 @@
         self.workers: list[WorkerStandin] = []
         self.entries: list[Entry] = []
         self.tasks: list[asyncio.Task[None]] = []
+        self.taken_ports: set[int] = set()
         self.store_address = ""
         self.machines_address = ""
 
@@ -251,7 +260,8 @@
                     self.register(worker)
 
     def _make_entry(self, index: int, site: dict[str, t.Any]) -> Entry:
-        ports = find_free_ports(4)
+        ports = find_free_ports(4, self.taken_ports)
+        self.taken_ports.update(ports)
         callers, ready, peers, operators = (f"127.0.0.1:{port}" for port in ports)
         settings = {
             "name": f"front-{index}",
@@ -288,7 +298,10 @@
                 if (await fetch("GET", address, "/-/ready")).status == 200:
                     break
                 if time.monotonic() > until_s:
-                    raise CannotRunError(f"{entry.name} does not become ready")
+                    raise CannotRunError(
+                        f"{entry.name} does not become ready; exit code "
+                        f"{entry.process.returncode}, log {entry.read_last_line()}"
+                    )
                 await asyncio.sleep(0.1)
 
     async def find_leader(self) -> Entry:
@@ -360,8 +373,7 @@
         for entry in self.entries:
             entry.send_signal(signal.SIGCONT)
             await entry.kill()
-        for worker in self.workers:
-            await worker.stop()
+        await asyncio.gather(*(worker.stop() for worker in self.workers))
         for standin in (self.store, self.machines):
             if standin.server is not None:
                 await standin.server.close(0.0)
