--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,116 +1,85 @@
-"""Play a queue that is sent to another service while accepted jobs wait for room.
+"""Play a worker that crashes twice, and a job that comes when all is calm again.
 
-After the change of the configuration the workers of the former service are emptied and
-taken away, one after the other. The jobs that were accepted before must still run.
+Each worker runs a lasting task of a first job. The second job also wants one lasting
+task on each worker; no worker has ever crashed under a task of it.
 """
 
 import asyncio
 import pathlib
-import typing as t
-
-import msgspec
 
 from bulrushspur_standins.worker import WorkerStandin
-from harness import SERVICE, Cell, is_trouble_on, make_config, run_case
-
-OTHER_SERVICE = "handbook"
-JOBS = 14
-TASKS = 4
-WORK_MS = 2000
-FORMER_WORKERS = 3
-OTHER_WORKERS = 13
-# A worker that leaves says so, goes on for a while, and exits.
-LEAVE_S = 4.0
-LEAVE_INTERVAL_S = 2.5
-# Jobs are asked for so long after the end of the traffic.
-FINISH_S = 14.0
+from harness import Cell, is_trouble_on, make_config, run_case
+
+FIRST_JOB = "7a00000000000001"
+JOB = "7b00000000000001"
+WORKERS = 8
+CPU_MILLI = 1000
+CRASHES = 2
+UP_S = 6.0
+DOWN_S = 3.0
+# Between the return of the worker and the second job.
+PAUSE_S = 4.0
+# The rule looks at 3 s, with 4 s of calm before.
+CALM_BEFORE_S = 4.0
 STANDSTILL_S = 3.0
+# Longer than what a task has to run until its crashes are forgotten (60 s).
+WATCH_S = 68.0
 
 
-class LeavingWorker(WorkerStandin):
-    """Tell in the entry of a worker that drains how much longer it stays."""
+async def disrupt(cell: Cell, worker: WorkerStandin) -> None:
+    """Crash a worker twice; it is back under a new id each time."""
+    for _ in range(CRASHES):
+        await asyncio.sleep(UP_S)
+        cell.record.add("crash", worker=worker.id, runs=len(worker.running))
+        worker.crash()
+        await worker.is_up.wait()
 
-    def encode_entry(self, state: str = "ready") -> bytes:
-        """Encode the entry, with the time that is left."""
-        entry = msgspec.json.decode(super().encode_entry(state))
-        if state == "draining":
-            entry["remaining_ms"] = round(LEAVE_S * 1000)
-        return msgspec.json.encode(entry)
 
-
-def make_both_services(version: int, service: str) -> dict[str, t.Any]:
-    """Make a configuration whose one queue is sent to a service."""
-    config = make_config(version, service=service)
-    config["services"] = [
-        {"name": name, "admission_check": False} for name in (SERVICE, OTHER_SERVICE)
+def find_standing_still(cell: Cell, accepted_at: float, end_at: float) -> list[str]:
+    """List the tasks of the second job without a run, with what is free."""
+    used = {
+        worker.id: sum(run.cpu_milli for run in worker.running.values())
+        for worker in cell.workers
+    }
+    running = {task for worker in cell.workers for task, _ in worker.running}
+    waited = end_at - accepted_at - CALM_BEFORE_S
+    return [
+        f"LOST: lasting task {JOB}.0.0.{index} has no run; {waited:.1f} s count; "
+        f"in use on the workers, of 16000: {used}"
+        for index in range(WORKERS)
+        if f"{JOB}.0.0.{index}" not in running and waited > STANDSTILL_S
     ]
-    return config
-
-
-async def take_away(cell: Cell, worker: WorkerStandin) -> None:
-    """Empty a worker and take it away."""
-    cell.record.add("draining", worker=worker.id, runs=len(worker.running))
-    cell.workers.remove(worker)
-    cell.store.put("keyed.servers", worker.id, worker.encode_entry("draining"))
-    await asyncio.sleep(LEAVE_S)
-    cell.record.add("left", worker=worker.id, runs=len(worker.running))
-    del cell.machines.worker_by_machine[worker.machine]
-    cell.unregister(worker.id)
-    await worker.stop()
-
-
-async def move_queue(cell: Cell, former: list[WorkerStandin]) -> None:
-    """Send the queue to the other service, and take the former workers away."""
-    cell.put_config(make_both_services(20, OTHER_SERVICE))
-    await asyncio.sleep(LEAVE_INTERVAL_S)
-    leaving = []
-    for worker in former:
-        leaving.append(asyncio.create_task(take_away(cell, worker)))
-        await asyncio.sleep(LEAVE_INTERVAL_S)
-    await asyncio.gather(*leaving)
 
 
 async def play(cell: Cell) -> list[str]:
-    """Submit the jobs, move their queue, and ask for them at the end."""
-    former = [LeavingWorker(f"w{i}", labels=("a", "r0")) for i in range(FORMER_WORKERS)]
-    others = [
-        WorkerStandin(f"x{i}", labels=("a", f"r{1 + i // 6}"), service=OTHER_SERVICE)
-        for i in range(OTHER_WORKERS)
+    """Start the first job, crash a worker twice, and start the second job."""
+    workers = [
+        WorkerStandin(f"w{i}", labels=("a", f"r{i // 4}"), down_s=DOWN_S)
+        for i in range(WORKERS)
     ]
-    await cell.start(make_both_services(10, SERVICE), [*former, *others])
-    step = {"count": TASKS, "cpu": 4000, "mem_mb": 1024, "estimate_ms": WORK_MS}
-    spec = f"4000 {WORK_MS} done"
-    jobs = [f"8a{index:014x}" for index in range(JOBS)]
-    for job in jobs:
-        await cell.submit(job, spec, [step])
-    if is_trouble_on():
-        await move_queue(cell, former)
-    # A job that comes now shows that the queue is served where it is sent.
-    later = f"8b{0:014x}"
-    await cell.submit(later, spec, [step])
-    await asyncio.sleep(FINISH_S)
-    first = {job: await cell.get_state(job) for job in [*jobs, later]}
-    began = len(cell.record.rows)
-    await asyncio.sleep(STANDSTILL_S)
-    second = {job: await cell.get_state(job) for job in [*jobs, later]}
-    started = {
-        row["task"].partition(".")[0]
-        for row in cell.record.rows[began:]
-        if row["kind"] in ("start", "end")
-    }
-    running = {
-        run.task.partition(".")[0]
-        for worker in cell.workers
-        for run in worker.running.values()
+    await cell.start(make_config(), workers, stop_ms=400, save_s=2)
+    step = {
+        "count": WORKERS,
+        "cpu": CPU_MILLI,
+        "mem_mb": 512,
+        "estimate_ms": 1000,
+        "long_running": True,
+        "anti_affinity": 1,
     }
-    cell.record.add("seen", first=first, second=second, running=sorted(running))
-    return [
-        f"LOST: job {job} is {second[job] or 'unknown'} {FINISH_S + STANDSTILL_S:g} s "
-        f"after the end of the traffic, had nothing running for {STANDSTILL_S:g} s, "
-        f"and all {OTHER_WORKERS} workers of its queue are idle"
-        for job in jobs
-        if second[job] != "completed" and job not in started | running
-    ]
+    spec = f"{CPU_MILLI} 86400000 done"
+    await cell.submit(FIRST_JOB, spec, [step])
+    await asyncio.sleep(2.0)
+    if is_trouble_on():
+        await disrupt(cell, workers[0])
+    cell.record.add("calm")
+    await asyncio.sleep(PAUSE_S)
+    await cell.submit(JOB, spec, [step])
+    accepted_at = cell.record.add("accepted")["at"]
+    await asyncio.sleep(WATCH_S)
+    end_at = cell.record.add("end_of_watch")["at"]
+    for job in (FIRST_JOB, JOB):
+        await cell.get_state(job)
+    return find_standing_still(cell, accepted_at, end_at)
 
 
 if __name__ == "__main__":
