--- a/review/7/case.py
+++ b/review/7/case.py
@@ -80,13 +80,13 @@
     await cell.start(make_both_services(10, SERVICE), [*former, *others])
     step = {"count": TASKS, "cpu": 4000, "mem_mb": 1024, "estimate_ms": WORK_MS}
     spec = f"4000 {WORK_MS} done"
-    jobs = [f"8a{index:014x}" for index in range(JOBS)]
+    jobs = [f"7a{index:014x}" for index in range(JOBS)]
     for job in jobs:
         await cell.submit(job, spec, [step])
     if is_trouble_on():
         await move_queue(cell, former)
     # A job that comes now shows that the queue is served where it is sent.
-    later = f"8b{0:014x}"
+    later = f"7b{0:014x}"
     await cell.submit(later, spec, [step])
     await asyncio.sleep(FINISH_S)
     first = {job: await cell.get_state(job) for job in [*jobs, later]}
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -10,8 +10,8 @@
 from bulrushspur_standins.worker import WorkerStandin
 from harness import Cell, is_trouble_on, make_config, run_case
 
-FIRST_JOB = "7a00000000000001"
-JOB = "7b00000000000001"
+FIRST_JOB = "8a00000000000001"
+JOB = "8b00000000000001"
 WORKERS = 8
 CPU_MILLI = 1000
 CRASHES = 2
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -10,8 +10,8 @@
 from bulrushspur_standins.worker import WorkerStandin
 from harness import Cell, is_trouble_on, make_config, run_case
 
-FIRST_JOB = "aa00000000000001"
-JOB = "ab00000000000001"
+FIRST_JOB = "9a00000000000001"
+JOB = "9b00000000000001"
 WORKERS = 12
 CPU_MILLI = 1000
 FAILS_AFTER_S = 0.3
