Let a suspect without certain crashes share a worker that is isolated for another

Such a suspect could share workers with runs that last, but none that is isolated; and its certainty was judged by a count in which an end that was not reported counts as a certain crash. It goes by evidence now, as giving a job up does: with that of two crashes that were seen it waits alone.

--- a/packages/scheduler/bulrushspur_scheduler/isolation.py
+++ b/packages/scheduler/bulrushspur_scheduler/isolation.py
@@ -14,7 +14,7 @@
 
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.crash_causes import is_quiet
-from bulrushspur_scheduler.crashes import list_isolated_runs
+from bulrushspur_scheduler.crashes import SEEN_EVIDENCE, list_isolated_runs
 from bulrushspur_scheduler.jobs import RunState, Step, Task
 from bulrushspur_scheduler.limits import is_within_limits
 from bulrushspur_scheduler.placement import assign_tasks, free_slots_on
@@ -58,10 +58,12 @@
             return False
         if waits_for_calm(cell, task, now_s):
             return False
-        alone = required_isolation(task) is Isolation.ALONE and not (
-            _may_have_company(step, task, workers, now_s)
-        )
-        worker = _find_worker(cell, step, workers, alone, pool, now_s)
+        alone, usable = required_isolation(task) is Isolation.ALONE, workers
+        if alone and _may_have_company(step, task, workers, now_s):
+            alone = False
+        else:
+            usable = [row for row in workers if row.isolated_for in (None, step.key)]
+        worker = _find_worker(cell, step, usable, alone, pool, now_s)
         if worker is None:
             return False
         _isolate(cell, worker, step, alone, pool, now_s)
@@ -86,10 +88,11 @@
 ) -> bool:
     """Return whether a suspect need not run alone, as no worker may become empty.
 
-    Two workers certainly crashed under others: these wait, however long runs last.
+    It may then share a worker that is isolated for another step. Two workers certainly
+    crashed under others: these wait, however long runs last.
     """
     return (
-        task.evident_crash_count < MIN_SUSPECTED_CRASHES
+        task.crash_evidence < MIN_SUSPECTED_CRASHES * SEEN_EVIDENCE
         and now_s - step.unplaced_since_s > MAX_QUIET_WAIT_S
         and not any(_may_become_fit(step, worker, True) for worker in workers)
     )
@@ -120,9 +123,13 @@
         for worker in workers
         if worker.isolated_for == step.key and not list_isolated_runs(worker)
     ]
-    if not held and pool.isolated_count >= max_isolated(pool):
-        return None
-    others = [worker for worker in workers if worker.isolated_for is None]
+    may_isolate = bool(held) or pool.isolated_count < max_isolated(pool)
+    others = [
+        worker
+        for worker in workers
+        if worker.isolated_for != step.key
+        and (may_isolate or worker.isolated_for is not None)
+    ]
     candidates = [
         worker for worker in held + others if _may_become_fit(step, worker, alone)
     ]
