End a worker's probation by runs that last, and try them again where they failed

Cause: on probation a worker got work only while nothing ran on it, and left it only by a run that is done; a step never started again on such a worker where it had failed. A run that lasts gives none of these. Gangs reserved workers until such runs were to end, too.

Change: lasting runs from before the last fault don't count as the one run on probation; one that began since and goes on for 3 s is a success; a lasting step tries a worker on which it failed again after 4 s, behind those that did not fail; runs that last have no expected end for reservations. probation_ended tells the end, which was not logged.

--- a/fuzz/lasting.py
+++ b/fuzz/lasting.py
@@ -34,7 +34,8 @@
 # A lasting task may be without a run for so long after its last one.
 RESTART_S: t.Final = 6.0
 FAILING_S: t.Final = 6.5
-FAILS_AFTER_S: t.Final = 0.3
+# A worker that fails all does so after one of these times.
+FAILURE_DELAYS_S: t.Final = (0.3, 0.3, 2.0, 4.0)
 CALM_STRETCH_S: t.Final = 25.0
 LASTING_CPU_MILLI: t.Final = 250
 # Workers that crash and those that fail; the others stay sound in a history.
@@ -61,11 +62,11 @@
         super().__init__(seed)
         self._check_lasting_tasks()
 
-    def fail_all(self, name: str) -> None:
+    def fail_all(self, name: str, delay_s: float) -> None:
         """Let a worker fail all that it starts, for a while."""
-        self._record_fault(f"{name} fails all", FAILING_S)
+        self._record_fault(f"{name} fails all after {delay_s} s", FAILING_S + delay_s)
         worker = self.workers[name]
-        worker.fails_after_s = FAILS_AFTER_S
+        worker.fails_after_s = delay_s
 
         def end() -> None:
             worker.fails_after_s = 0.0
@@ -203,7 +204,7 @@
                 simulation.crash_worker(name)
         elif draw < 0.9 and self.has_failing_workers:
             for name in rng.sample(self._list_unsound(), rng.choice((1, 1, 2))):
-                simulation.fail_all(name)
+                simulation.fail_all(name, rng.choice(FAILURE_DELAYS_S))
         else:
             simulation.take_over(False)
 
--- a/packages/scheduler/bulrushspur_scheduler/eviction.py
+++ b/packages/scheduler/bulrushspur_scheduler/eviction.py
@@ -20,6 +20,8 @@
 def evict_runs(cell: Cell, now_s: float) -> None:
     """Stop the runs that should be restarted on other workers."""
     for worker in cell.workers.values():
+        if worker.failure_score > 0:
+            health.record_lasting_runs(cell, worker)
         if worker.draining and worker.drain_deadline_s is not None and worker.runs:
             _evict_draining(cell, worker, now_s)
         if worker.runs and now_s - worker.last_report_s < MAX_OVERDUE_REPORT_AGE_S:
--- a/packages/scheduler/bulrushspur_scheduler/health.py
+++ b/packages/scheduler/bulrushspur_scheduler/health.py
@@ -3,8 +3,9 @@
 The input is the outcomes and elapsed times of runs. The result is the failure score,
 speed and quarantine of each worker, and the runs that should be restarted on other
 workers. After its quarantine a worker is on probation: until a run succeeds, it gets
-new work only while nothing runs on it. A step that finds no other worker for long does
-not wait for the end of either while much of the service is idle.
+new work only while nothing runs on it but what lasts. A run that lasts has succeeded
+once it has gone on for some time. A step that finds no other worker for long does not
+wait for the end of either (``pools.py``).
 
 A failure counts in full only if the task has not failed on other workers. A worker is
 not judged late as a whole by a step that may itself be slow, which is a step with runs
@@ -15,6 +16,7 @@
 import typing as t
 
 from bulrushspur_scheduler.cell import Cell
+from bulrushspur_scheduler.crash_causes import has_survived_start
 from bulrushspur_scheduler.estimates import (
     completed_fraction,
     predict_step_duration,
@@ -22,13 +24,15 @@
 )
 from bulrushspur_scheduler.job_specs import StepKey
 from bulrushspur_scheduler.jobs import Run, RunState, Step
-from bulrushspur_scheduler.workers import Worker
+from bulrushspur_scheduler.workers import Worker, is_trial
 
 # A worker is quarantined at this failure score. A failure adds at most 1, a success
 # subtracts 1.
 QUARANTINE_THRESHOLD: t.Final = 2.0
 # Failure score after a quarantine. Placement prefers workers with a score below 1.
 PROBATION_FAILURE_SCORE: t.Final = 1.5
+# A run that lasts and goes on for so long has succeeded.
+PROOF_S: t.Final = 3.0
 # Duration of a first quarantine, and the limit for repeated ones.
 QUARANTINE_S: t.Final = 2.0
 MAX_QUARANTINE_S: t.Final = 20.0
@@ -67,7 +71,7 @@
     """
     worker.failure_score = max(worker.failure_score - 1.0, 0.0)
     if worker.on_probation:
-        worker.on_probation = False
+        _end_probation(cell, worker, "success")
         worker.quarantine_count = 0
         worker.failure_score = 0.0
     if run.resumed_from or not run.confirmed_s or run.confirmed_s < worker.warm_at_s:
@@ -86,6 +90,31 @@
     record_duration(cell, run, duration_s)
 
 
+def record_lasting_runs(cell: Cell, worker: Worker) -> None:
+    """Count the runs of a worker that last, and have gone on for long, as successes.
+
+    It has no other ones where nothing else runs. Only runs that began since its last
+    fault count. The next quarantine is not as short as after a real success.
+    """
+    for run in worker.runs.values():
+        if (
+            run.task.step.spec.long_running
+            and not run.is_proven
+            and is_trial(run, worker)
+            and has_survived_start(run, worker, PROOF_S)
+        ):
+            run.is_proven = True
+            worker.failure_score = max(worker.failure_score - 1.0, 0.0)
+            if worker.on_probation:
+                _end_probation(cell, worker, "run goes on")
+                worker.quarantine_count = max(worker.quarantine_count - 1, 0)
+
+
+def _end_probation(cell: Cell, worker: Worker, reason: str) -> None:
+    worker.on_probation = False
+    cell.log("probation_ended", worker=worker.id, reason=reason, runs=len(worker.runs))
+
+
 def record_failure(cell: Cell, worker: Worker, run: Run | None, now_s: float) -> None:
     """Raise a worker's failure score, and quarantine it at the threshold.
 
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -90,6 +90,8 @@
     is_crash_recorded: bool = False
     # Counts towards the urgent CPU of its account; its job's priority may change.
     is_urgent: bool = False
+    # It lasts, and has gone on for long enough to count as a success.
+    is_proven: bool = False
     # A suspect of crashes that its worker was isolated for.
     is_isolated: bool = False
 
--- a/packages/scheduler/bulrushspur_scheduler/pools.py
+++ b/packages/scheduler/bulrushspur_scheduler/pools.py
@@ -24,6 +24,8 @@
 # A suspect that runs alone for so long did not crash its worker by its start; then
 # steps that wait long may start beside it.
 ALONE_SURVIVAL_S: t.Final = 3.5
+# It waits so long, if it lasts, where one of its tasks has failed; others go first.
+MAX_FAILED_WAIT_S: t.Final = 4.0
 # These get no work for so long after a fault, or a task would soon use up its attempts,
 # and none for so long after such a start, or many tasks would fail there at once.
 MIN_FAULT_AGE_S: t.Final = 2.0
@@ -182,8 +184,8 @@
     """List the workers beside those of the pool on which a step may start.
 
     These are workers held for it and, for a step that long found no other, isolated
-    ones that it may share, and those in quarantine and on probation on which none of
-    its tasks has failed.
+    ones that it may share, and those in quarantine and on probation. Where one of its
+    tasks has failed only a step that lasts starts again, as it has no attempts.
     """
     rv = [
         worker
@@ -192,7 +194,13 @@
     ]
     if has_waited_long(step, pool, now_s):
         failed_ids = {id_ for task in step.tasks for id_ in task.failed_worker_ids}
-        rv += [row for row in pool.doubted_workers if row.id not in failed_ids]
+        wait_s = now_s - step.unplaced_since_s
+        may_try_again = step.spec.long_running and wait_s > MAX_FAILED_WAIT_S
+        rv += [
+            worker
+            for worker in pool.doubted_workers
+            if may_try_again or worker.id not in failed_ids
+        ]
     return rv
 
 
--- a/packages/scheduler/bulrushspur_scheduler/reservations.py
+++ b/packages/scheduler/bulrushspur_scheduler/reservations.py
@@ -203,7 +203,10 @@
 def _list_expected_ends(
     cell: Cell, worker: Worker, now_s: float
 ) -> list[tuple[float, Resources]]:
-    """Return when the runs of a worker are expected to end, and their resources."""
+    """Return when the runs of a worker are expected to end, and their resources.
+
+    Runs that last are not among them unless they are being stopped.
+    """
     age_s = now_s - worker.expected_ends_at_s
     if worker.expected_ends is None or age_s > MAX_EXPECTED_ENDS_AGE_S:
         worker.expected_ends = sorted(
@@ -213,6 +216,7 @@
                     run.task.step.spec.resources,
                 )
                 for run in worker.runs.values()
+                if run.state is RunState.STOPPING or not run.task.step.spec.long_running
             ),
             key=lambda row: row[0],
         )
--- a/packages/scheduler/bulrushspur_scheduler/workers.py
+++ b/packages/scheduler/bulrushspur_scheduler/workers.py
@@ -223,7 +223,20 @@
 
 
 def is_doubted(worker: Worker, now_s: float) -> bool:
-    """Return whether a worker is in quarantine, or has its one run on probation."""
+    """Return whether a worker is in quarantine, or has its one run on probation.
+
+    Runs that last don't count if they began before the last fault: whether it is sound
+    does not show by them, and they may never end.
+    """
     return worker.quarantined_until_s > now_s or (
-        worker.on_probation and bool(worker.runs)
+        worker.on_probation
+        and any(
+            not run.task.step.spec.long_running or is_trial(run, worker)
+            for run in worker.runs.values()
+        )
     )
+
+
+def is_trial(run: Run, worker: Worker) -> bool:
+    """Return whether a run began since the last fault of its worker."""
+    return not run.adopted and run.ordered_s >= worker.last_fault_s
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -72,6 +72,18 @@
         plan(cell, 0.5 + MAX_EXPECTED_ENDS_AGE_S)
         self.assertTrue(worker.expected_ends_at_s > 0.5)
 
+    def test_no_worker_is_reserved_until_runs_that_last_have_ended(self):
+        cell = make_test_cell(2)
+        fields = {"resources": Resources(12_000, 10), "long_running": True}
+        add_test_job(cell, "lasting", count=2, **fields)
+        plan(cell, 0.1)
+        acknowledge_starts(cell, 0.1)
+        report_all_workers(cell, 0.5)
+        resources = Resources(8000, 10)
+        add_test_job(cell, "gang", count=2, gang=True, resources=resources)
+        plan(cell, 0.6)
+        self.assertEqual(reserved_keys(cell), set())
+
     def test_reservation_ends_with_the_wait_of_its_gang(self):
         cell = make_full_cell(gangs=1)
         plan(cell, 0.5)
