Take no list of workers for incomplete because idle ones have left

Cause: a platform's list counts only if it has nine in ten of the responding workers, and all that had reported once and run nothing counted as responding. Idle workers that leave with a busy one are such, so the list lacked too many and was ignored.

Change: only workers that have reported within the time after which one is suspected count. A list that lacks workers that report is ignored as before.

--- a/packages/scheduler/bulrushspur_scheduler/liveness.py
+++ b/packages/scheduler/bulrushspur_scheduler/liveness.py
@@ -49,14 +49,13 @@
     is unknown or too recent.
     """
     suspected = find_suspected_workers(cell, requested_s)
-    suspected_ids = {worker.id for worker in suspected}
     # Later incarnations may not be listed yet.
     max_start_ms = (unix_s - MIN_INCARNATION_AGE_S) * 1000
     responding_ids = [
         worker.id
         for worker in cell.workers.values()
         if worker.has_reported
-        and worker.id not in suspected_ids
+        and requested_s - worker.last_report_s <= SUSPECT_TIMEOUT_S
         and worker.incarnation_start_ms < max_start_ms
     ]
     listed_count = sum(worker_id in listed_ids for worker_id in responding_ids)
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -79,6 +79,16 @@
         self.assertEqual(expire_unlisted_workers(cell, {"w1"}, 3.0, NOW_UNIX_S), [])
         self.assertEqual(expire_unlisted_workers(cell, set(), 3.0, NOW_UNIX_S), [])
 
+    def test_idle_workers_that_left_with_it_make_no_list_incomplete(self):
+        cell, order = make_cell_with_unresponsive_worker()
+        for index in range(3):
+            add_worker(cell, f"idle{index}", now_s=0.1)
+        listed_ids = {"w0", "w1", "w2"} - {order.worker_id}
+        self.assertEqual(
+            expire_unlisted_workers(cell, listed_ids, 3.0, NOW_UNIX_S),
+            [order.worker_id],
+        )
+
     def test_leader_without_the_store_restarts_nothing_of_an_unlisted_worker(self):
         cell, order = make_cell_with_unresponsive_worker()
         expire_unlisted_workers(
