Let accepted jobs follow their queue to another service

Cause: the gateway stores the queue's service with the job, and planning looked for workers of it for good, whatever the configuration said later. Nothing logged a job's service: queue_moved does.

Change: like priority, objective and advice, the service is that of the newest configuration that has the queue. Runs go on; later steps, restarts and occurrences start at the new service. Advice on former workers is dropped, a gang is not completed across services, and the service of a moved job is stored for leaders whose configuration lacks the queue.

set_objective is apply_queue now.

--- a/fuzz/series.py
+++ b/fuzz/series.py
@@ -65,13 +65,17 @@
         for index in range(len(self.workers), WORKER_COUNT):
             self.add_worker(f"w{index}")
 
+    def service_of(self, machine: str) -> str:
+        """Return the service of the workers of a machine."""
+        return "svc"
+
     def add_worker(self, name: str, machine: str = "") -> None:
         """Start an incarnation of a worker, and register it."""
         super().add_worker(name)
         start_ms = int(self.now_s * 1000) + 1
         self.entries[name] = self.past_entries[name] = WorkerEntry(
             name,
-            "svc",
+            self.service_of(machine or name),
             "",
             "z",
             Resources(WORKER_CPU_MILLI, 99_999),
--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -313,7 +313,8 @@
             return 503
         leader = self.leaders[-1]
         accepted_queue = self.config.queue_by_name[queue]
-        job = Job(spec, queue, "svc", account, self.now_s, self.now_s)
+        service = accepted_queue.service
+        job = Job(spec, queue, service, account, self.now_s, self.now_s)
         job.accepted_queue = accepted_queue
         record = encode_job(job)
         if is_cancelled_early(leader.cell, spec.id, account):
--- a/fuzz/terms.py
+++ b/fuzz/terms.py
@@ -17,7 +17,7 @@
 
 from bulrushspur_scheduler.config import CellConfig, Queue, make_config
 from bulrushspur_scheduler.job_specs import JobSpec
-from bulrushspur_scheduler.progress import set_objective
+from bulrushspur_scheduler.progress import apply_queue
 from fuzz.histories import play_history, submit_random_job
 from fuzz.leaders import SimLeader
 from fuzz.series import CONFIG, SeriesSimulation
@@ -49,6 +49,9 @@
             for queue in CONFIG.queues
             if attempts[queue.name]
         ]
+        self._publish_queues(queues)
+
+    def _publish_queues(self, queues: t.Sequence[Queue]) -> None:
         self.previous_config = self.config
         self.config = make_config(
             self.config.version + 1, tuple(queues), accounts=CONFIG.accounts
@@ -65,11 +68,15 @@
             if not leader.ended and config.version > leader.cell.config.version:
                 self.add_trace(f"term {leader.term} learns {config.version}")
                 leader.cell.config = config
+                self.on_learned(leader)
                 for job in leader.cell.jobs.values():
-                    set_objective(leader.cell, job)
+                    apply_queue(leader.cell, job)
 
         self.schedule(outage_s + delay_s, learn)
 
+    def on_learned(self, leader: SimLeader) -> None:
+        """React to a leader that has learned of a configuration."""
+
     def _begin_to_serve(self, leader: SimLeader, stored: dict[str, bytes]) -> None:
         if self.learning_rng.random() < 0.3:
             leader.cell.config = leader.cell.first_config = self.previous_config
--- a/packages/daemon/bulrushspur_daemon/leader_requests.py
+++ b/packages/daemon/bulrushspur_daemon/leader_requests.py
@@ -23,7 +23,7 @@
 from bulrushspur_scheduler.content_digests import declares_other_job
 from bulrushspur_scheduler.jobs import Job, JobState, make_occurrence
 from bulrushspur_scheduler.pools import find_recent_pool
-from bulrushspur_scheduler.progress import add_job, set_objective
+from bulrushspur_scheduler.progress import add_job, apply_queue
 from bulrushspur_scheduler.records import decode_job, encode_job, has_accepted_queue
 from bulrushspur_scheduler.takeover import set_aside_unreadable_job
 
@@ -194,7 +194,7 @@
             return self._reject(message, f"unreadable: {exc}", MIN_STORE_RETRY_AFTER_S)
         job.accepted_s = now_s
         job.over_share = ranking.charge_arrival(cell, message.account, now_s)
-        set_objective(cell, job)
+        apply_queue(cell, job)
         rejection = admission.check_admission(cell, queue, message.account, job, now_s)
         if rejection is not None:
             return self._reject(message, rejection.reason, rejection.retry_after_s)
--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -54,7 +54,7 @@
 from bulrushspur_scheduler.machine_speeds import MachineSpeeds
 from bulrushspur_scheduler.overload import Backlog
 from bulrushspur_scheduler.past_use import make_past_use
-from bulrushspur_scheduler.progress import set_objective
+from bulrushspur_scheduler.progress import apply_queue, log_moved_queues
 
 HANDOVER_CHECK_INTERVAL_S: t.Final = 0.02
 # A leader that only wants a larger VM in its place leads on after this time.
@@ -190,7 +190,8 @@
         before, self.cell.config = self.cell.config, config
         log_changes(self.cell, before)
         for job in self.cell.jobs.values():
-            set_objective(self.cell, job)
+            apply_queue(self.cell, job)
+        log_moved_queues(self.cell, before)
         self.request_plan()
 
     async def hand_over(self, timeout_s: float) -> None:
--- a/packages/scheduler/bulrushspur_scheduler/gangs.py
+++ b/packages/scheduler/bulrushspur_scheduler/gangs.py
@@ -10,7 +10,7 @@
 
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.isolation import choose_isolated_gang_workers
-from bulrushspur_scheduler.jobs import RunState, Step, Task
+from bulrushspur_scheduler.jobs import Run, RunState, Step, Task
 from bulrushspur_scheduler.limits import is_within_limits
 from bulrushspur_scheduler.placement import choose_gang_workers
 from bulrushspur_scheduler.pools import Pool
@@ -92,8 +92,8 @@
     """Start the missing members of a partial gang, or stop its runs.
 
     Missing members join only within the join window and only if all runs have the run
-    number of the gang. Otherwise the runs are stopped, and the gang can start again as
-    a whole.
+    number of the gang and are at the service that its queue is sent to. Otherwise the
+    runs are stopped, and the gang can start again as a whole.
     """
     runs = list(step.runs())
     if any(run.state is RunState.STOPPING for run in runs):
@@ -105,14 +105,16 @@
         now_s - first_ordered_s
         < cell.timing_limits.gang_start_timeout_s * GANG_JOIN_WINDOW_SHARE
     )
-    same_number = all(run.number == step.gang_run_number for run in runs)
+    can_join = all(
+        run.number == step.gang_run_number and _is_at_service(cell, run) for run in runs
+    )
     chosen = (
         choose_gang_workers(step, startable, workers)
-        if in_join_window and same_number
+        if in_join_window and can_join
         else None
     )
     if chosen is None or not is_within_limits(cell, step, len(startable)):
-        if not in_join_window or not same_number:
+        if not in_join_window or not can_join:
             stop_step(cell, step, GANG_INCOMPLETE)
         return False
     for task, worker in chosen:
@@ -123,3 +125,9 @@
         start_run(cell, task, worker, step.gang_run_number, now_s)
     cell.waiting_steps.pop(step.key, None)
     return True
+
+
+def _is_at_service(cell: Cell, run: Run) -> bool:
+    """Return whether a run's worker is of the service that its queue is sent to."""
+    worker = cell.workers.get(run.worker_id)
+    return worker is None or worker.entry.service == run.task.step.job.service
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -266,6 +266,8 @@
     # The queue as it was at acceptance, with the attempts that were promised; None if
     # neither the record nor a configuration has told it yet.
     accepted_queue: Queue | None = None
+    # Its queue was sent to another service than the job record has.
+    has_moved: bool = False
     # Arrived beyond its account's share.
     over_share: bool = False
     state: JobState = JobState.QUEUED
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -129,7 +129,9 @@
         if not remaining:
             return
         step = queue.pop()
-        if cell.waiting_steps.get(step.key) is step and may_fit(step, rooms):
+        # Its queue may be sent to another service since.
+        is_due = step.job.service == service and may_fit(step, rooms)
+        if cell.waiting_steps.get(step.key) is step and is_due:
             remaining -= _visit_step_or_set_aside(cell, step, pool, now_s)
 
 
--- a/packages/scheduler/bulrushspur_scheduler/preview.py
+++ b/packages/scheduler/bulrushspur_scheduler/preview.py
@@ -23,7 +23,7 @@
     score_worker,
 )
 from bulrushspur_scheduler.pools import Pool
-from bulrushspur_scheduler.progress import set_objective
+from bulrushspur_scheduler.progress import apply_queue
 from bulrushspur_scheduler.ranking import rank
 from bulrushspur_scheduler.unlike_workers import find_needed_speed
 from bulrushspur_scheduler.waiting import WaitReason, find_wait_reason
@@ -65,7 +65,7 @@
 def preview_job(cell: Cell, queue: Queue, job: Job, now_s: float) -> JobPreview:
     """Return what would become of a job that was sent now."""
     has_usage = job.account in cell.usage
-    set_objective(cell, job)
+    apply_queue(cell, job)
     rejection = check_admission(cell, queue, job.account, job, now_s)
     level = cell.past_use.level_of(job.account) if cell.past_use else 0
     steps = []
--- a/packages/scheduler/bulrushspur_scheduler/progress.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress.py
@@ -10,6 +10,7 @@
 import math
 
 from bulrushspur_scheduler.cell import Cell, FinishedJob
+from bulrushspur_scheduler.config import CellConfig
 from bulrushspur_scheduler.content_digests import digest_content
 from bulrushspur_scheduler.estimates import predict_duration
 from bulrushspur_scheduler.job_bounds import max_open_occurrences
@@ -32,7 +33,9 @@
 def add_job(cell: Cell, job: Job, now_s: float, unix_s: float) -> None:
     """Add a stored job to the cell, and make the steps ready that can start."""
     cell.jobs[job.id] = job
-    set_objective(cell, job)
+    apply_queue(cell, job)
+    if job.has_moved:
+        cell.dirty_jobs.add(job.id)
     if job.is_repeating:
         start_due_occurrences(cell, job, now_s, unix_s)
         return
@@ -42,14 +45,18 @@
         finish_job(cell, job, JobState.COMPLETED, now_s)
 
 
-def set_objective(cell: Cell, job: Job) -> None:
-    """Set a job's priority and its target time from acceptance to completion.
+def apply_queue(cell: Cell, job: Job) -> None:
+    """Set a job's service, its priority and its target time until completion.
 
-    A job whose record does not tell its queue at acceptance takes that of the first
-    configuration that has the queue.
+    The configuration decides them anew, and a job keeps them while that lacks its
+    queue. A job whose record does not tell its queue at acceptance takes that of the
+    first configuration that has the queue.
     """
+    configured = cell.config.queue_by_name.get(job.queue)
     if job.accepted_queue is None:
-        job.accepted_queue = cell.config.queue_by_name.get(job.queue)
+        job.accepted_queue = configured
+    if configured is not None and configured.service != job.service:
+        _move_job(cell, job, configured.service)
     queue = cell.queue_of(job)
     path_s = critical_path_s(
         job.spec.steps,
@@ -60,6 +67,41 @@
     job.priority = queue.priority
 
 
+def _move_job(cell: Cell, job: Job, service: str) -> None:
+    """Let the other tasks of a job start at another service; its runs go on.
+
+    That is stored: a leader whose configuration lacks the queue must know it, too.
+    """
+    job.service, job.has_moved = service, True
+    for step in job.steps():
+        # Of the workers of the former service.
+        step.approved_workers.clear()
+        step.evaluated_workers.clear()
+        step.tickets.clear()
+        step.in_flight_advice_calls.clear()
+        step.unplaced_since_s = step.held_since_s = math.inf
+    cell.dirty_jobs.add(job.id)
+    cell.counters["jobs_moved"] += 1
+
+
+def log_moved_queues(cell: Cell, before: CellConfig) -> None:
+    """Log which queues the configuration in force sends to another service."""
+    for queue in cell.config.queues:
+        former = before.queue_by_name.get(queue.name)
+        if former is None or former.service == queue.service:
+            continue
+        jobs = [job for job in cell.jobs.values() if job.queue == queue.name]
+        cell.log(
+            "queue_moved",
+            queue=queue.name,
+            service=queue.service,
+            former_service=former.service,
+            config=cell.config.version,
+            jobs=len(jobs),
+            running=sum(job.state is JobState.RUNNING for job in jobs),
+        )
+
+
 def start_all_due_occurrences(cell: Cell, now_s: float, unix_s: float) -> None:
     """Start the due occurrences of all repeating jobs."""
     for job in cell.jobs.values():
--- a/packages/scheduler/bulrushspur_scheduler/progress_records.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress_records.py
@@ -59,6 +59,8 @@
     reason: str = ""
     # Empty in records of older processes.
     content_digest: bytes = b""
+    # Where the queue is sent to, if that is not what the job record has.
+    service: str = ""
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -96,7 +98,10 @@
     ]
     state = JOB_STATES.index(job.state)
     completed = sorted(job.completed_occurrences)
-    return _encode(ProgressRecord(state, job.account, job.queue, rows, completed))
+    service = job.service if job.has_moved else ""
+    return _encode(
+        ProgressRecord(state, job.account, job.queue, rows, completed, service=service)
+    )
 
 
 def _encode_done_bits(step: Step) -> bytes:
@@ -167,6 +172,8 @@
     if state in FINAL_STATES:
         return _make_finished(record, state)
     job.state = state
+    if record.service:
+        job.service, job.has_moved = record.service, True
     job.completed_occurrences = set(record.completed_occurrences)
     for row in record.occurrences:
         occurrence = job.occurrences.get(row.number) or make_occurrence(job, row.number)
