--- a/tests/test_lasting.py
+++ b/tests/test_lasting.py
@@ -14,6 +14,8 @@
 SEEDS = (*range(12), 30)
 # Histories in which a suspect waits for others that start before it on its only worker.
 CHAINED_SUSPECTS_SEEDS = (44, 56, 292, 369, 377, 489)
+# The same without workers that fail.
+CHAINED_CRASHES_SEEDS = (71, 191)
 
 
 def with_crashes_alone(seed):
@@ -63,6 +65,7 @@
 
     def test_no_lasting_task_waits_behind_a_series_of_suspects(self):
         self.assert_no_violations(run_lasting_history, CHAINED_SUSPECTS_SEEDS)
+        self.assert_no_violations(with_crashes_alone, CHAINED_CRASHES_SEEDS)
 
     def test_histories_find_each_mutant(self):
         for name, (patches, seeds, run) in MUTANTS.items():
