--- a/packages/daemon/bulrushspur_daemon/introspection.py
+++ b/packages/daemon/bulrushspur_daemon/introspection.py
@@ -27,6 +27,7 @@
     WaitReason.ROOM: "room on workers that may run it",
     WaitReason.EVACUATION: "room outside the failure domains that are evacuated",
     WaitReason.EXCLUDED_WORKERS: "workers that are silent or quarantined",
+    WaitReason.ISOLATED_WORKERS: "workers kept for tasks under which others crashed",
     WaitReason.WORKER_LIST: "the list of workers, whose capacities change",
     WaitReason.TICKETS: "tickets for workers that may run it",
     WaitReason.RESERVATION: "workers that are reserved for others",
