Show requests that a stopping process gives up, in a failing test

Callers saw nothing: the connection ended 1 s after a submission was sent 3.7 s after SIGTERM. Beside appends of 1 s all 12 of 12 clients lose one, on a follower and on the leader.

--- /dev/null
+++ b/tests/test_lifecycle.py
@@ -0,0 +1,100 @@
+"""Test that a process that stops answers each request that it has read.
+
+The tests guard against callers that get nothing for a request sent after SIGTERM.
+"""
+
+import asyncio
+import time
+import unittest
+
+import msgspec
+
+from bulrushspur_daemon.lifecycle import shut_down
+from oracle.clients import observe_request
+from tests.cluster import API_KEY, HOST, InProcessCluster, job_id, make_job_body
+from tests.kept_connections import open_kept_connection
+
+# A connection may end so soon after a request was sent without an answer to it.
+SLACK_S = 0.2
+# Before this much of the grace period is over, all that was read is answered.
+MAX_STOP_S = 5.0
+CLIENT_COUNT = 12
+HEADERS = [
+    ("host", HOST),
+    ("bulrushspur-credential", API_KEY),
+    ("bulrushspur-deadline-ms", "3000"),
+]
+
+
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.cluster = InProcessCluster()
+        self.addAsyncCleanup(self.cluster.stop)
+        await self.cluster.start(nodes=3, workers=4)
+        self.submitted = 0
+        self.stopping = None
+
+    async def submit_until_closed(self, node):
+        """Submit jobs on one connection after the other until none can be opened."""
+        attempts = []
+        while self.stopping is None or not self.stopping.done():
+            try:
+                connection = await open_kept_connection(node.address)
+            except (OSError, TimeoutError):
+                break
+            while connection.is_open:
+                attempts.append(await self.submit(connection))
+            await connection.close()
+        return attempts
+
+    async def submit(self, connection):
+        self.submitted += 1
+        target = f"/assess/{job_id(self.submitted)}"
+        body = make_job_body(count=1)
+        data = msgspec.json.encode(body)
+        attempts = []
+
+        async def send():
+            attempts.append(await connection.send("POST", target, HEADERS, data))
+            return attempts[0] if attempts[0].status else None
+
+        observations = self.cluster.observations
+        await observe_request(observations, "POST", target, body, API_KEY, send)
+        return attempts[0]
+
+    async def stop_beside_clients(self, node, append_delay_s):
+        """Stop an entry process as SIGTERM does; return the attempts, and the time."""
+        self.cluster.store.append_delay_s = append_delay_s
+        clients = [
+            asyncio.create_task(self.submit_until_closed(node))
+            for _ in range(CLIENT_COUNT)
+        ]
+        await asyncio.sleep(2.0)
+        began_s = time.monotonic()
+        self.stopping = asyncio.create_task(shut_down(node.process))
+        await self.stopping
+        took_s = time.monotonic() - began_s
+        del self.cluster.nodes[node.process.settings.name]
+        await node.kill()
+        self.cluster.store.append_delay_s = 0.0
+        attempts = [a for client in await asyncio.gather(*clients) for a in client]
+        return [a for a in attempts if a.ended_s > began_s], took_s
+
+    async def check_stop(self, node, append_delay_s):
+        attempts, took_s = await self.stop_beside_clients(node, append_delay_s)
+        self.assertEqual([a for a in attempts if a.is_given_up(SLACK_S)], [])
+        self.assertLess(took_s, MAX_STOP_S)
+
+    def find_follower(self):
+        leader = self.cluster.find_leader()
+        return next(n for n in self.cluster.nodes.values() if n is not leader)
+
+    async def test_follower_gives_up_no_request_beside_a_slow_store(self):
+        await self.check_stop(self.find_follower(), 1.0)
+
+    async def test_leader_gives_up_no_request_beside_a_slow_store(self):
+        await self.check_stop(self.cluster.find_leader(), 1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
