--- a/packages/client/bulrushspur_client/input_files.py
+++ b/packages/client/bulrushspur_client/input_files.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from bulrushspur_kernel.errors import BadRequestError, BadTextError
-from bulrushspur_kernel.text import parse_text
+from bulrushspur_kernel.text_parsing import parse_text
 
 
 def load_text(file: str) -> dict[str, t.Any]:
--- a/packages/daemon/bulrushspur_daemon/native_interface.py
+++ b/packages/daemon/bulrushspur_daemon/native_interface.py
@@ -18,7 +18,8 @@
 from bulrushspur_kernel.logs import make_logger
 from bulrushspur_kernel.plugins import register
 from bulrushspur_kernel.store import StoredRecord
-from bulrushspur_kernel.text import Text, WorkKind, convert_text
+from bulrushspur_kernel.text import Text, WorkKind
+from bulrushspur_kernel.text_parsing import convert_text
 from bulrushspur_kernel.text_records import (
     API_KEY_PREFIX,
     EVACUATION_PREFIX,
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -46,4 +46,4 @@
         self.check_page("SETTINGS.md", settings._STRUCT_BY_FIELD)
 
     def test_text(self):
-        self.check_page("TEXT.md", text._STRUCT_BY_FIELD)
+        self.check_page("TEXT.md", text.STRUCT_BY_FIELD)
--- a/tests/test_text.py
+++ b/tests/test_text.py
@@ -7,7 +7,8 @@
 import copy
 import unittest
 
-from bulrushspur_kernel.text import convert_text, order_by_dependencies
+from bulrushspur_kernel.text_checks import order_by_dependencies
+from bulrushspur_kernel.text_parsing import convert_text
 
 TEXT = {
     "cell": "hedgerow",
