--- a/packages/scheduler/bulrushspur_scheduler/faulted_jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/faulted_jobs.py
@@ -5,10 +5,11 @@
 one, too.
 """
 
+import contextlib
 import typing as t
 
 from bulrushspur_scheduler.cell import Cell
-from bulrushspur_scheduler.jobs import Job
+from bulrushspur_scheduler.jobs import Job, Step
 from bulrushspur_scheduler.progress import requeue_step
 
 # The pause doubles with each fault, up to the limit.
@@ -35,6 +36,15 @@
     _withdraw_steps(cell, job)
 
 
+@contextlib.contextmanager
+def set_aside_on_error(cell: Cell, step: Step, now_s: float) -> t.Iterator[None]:
+    """Set the job of a step aside if its advice cannot be kept."""
+    try:
+        yield
+    except Exception as exc:
+        set_aside_job(cell, step.job, exc, now_s)
+
+
 def _withdraw_steps(cell: Cell, job: Job) -> None:
     for step in job.steps():
         cell.waiting_steps.pop(step.key, None)
--- a/packages/scheduler/bulrushspur_scheduler/isolation.py
+++ b/packages/scheduler/bulrushspur_scheduler/isolation.py
@@ -240,3 +240,8 @@
         worker.held_until_s = now_s + HOLD_S
     are_stored = [set_trial(cell, task, worker) for task, worker in chosen]
     return chosen + rest if all(are_stored) else None
+
+
+def waits_for_isolation(step: Step) -> bool:
+    """Return whether only suspects of crashes are left to start."""
+    return step.has_suspects and all(map(is_suspect, step.startable_tasks()))
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -11,14 +11,17 @@
 import math
 import typing as t
 
-from bulrushspur_scheduler import advice
 from bulrushspur_scheduler.cell import Cell
-from bulrushspur_scheduler.faulted_jobs import requeue_faulted_jobs, set_aside_job
+from bulrushspur_scheduler.faulted_jobs import (
+    requeue_faulted_jobs,
+    set_aside_job,
+    set_aside_on_error,
+)
 from bulrushspur_scheduler.gangs import plan_gang
 from bulrushspur_scheduler.isolation import (
     is_suspect,
-    max_isolated,
     start_suspects,
+    waits_for_isolation,
 )
 from bulrushspur_scheduler.jobs import Step, Task
 from bulrushspur_scheduler.limits import (
@@ -49,6 +52,13 @@
 )
 from bulrushspur_scheduler.rotation import max_rotated_steps, may_fit, measure_rooms
 from bulrushspur_scheduler.runs import start_run
+from bulrushspur_scheduler.step_advice import (
+    keep_advice,
+    may_use_advice,
+    renew_tickets_without_room,
+    request_first_advice,
+    request_further_advice,
+)
 from bulrushspur_scheduler.suspects import awaits_storage, awaits_verdict
 from bulrushspur_scheduler.unlike_workers import find_needed_speed
 from bulrushspur_scheduler.unobserved_usage import count_unobserved_usage
@@ -60,8 +70,6 @@
 # The same for steps that the limits of their account keep back, which cost little. Also
 # the limit of what a pass takes from the rotation.
 MAX_CHECKED_STEPS: t.Final = 1500
-# Tickets are kept valid for this many waiting gangs, the first in order of rank.
-MAX_TICKETED_GANGS: t.Final = 8
 
 
 def plan(cell: Cell, now_s: float) -> None:
@@ -95,21 +103,11 @@
     for service, pool in pools.items():
         if unreached[service]:
             _plan_in_rotation(cell, service, unreached[service], pool, now_s)
-        _renew_tickets_without_room(cell, pool, now_s)
+        renew_tickets_without_room(cell, pool, now_s)
         for step in pool.kept_back_steps[:MAX_UNPLACED_STEPS]:
-            with _set_aside_on_error(cell, step, now_s):
-                _keep_advice(cell, step, pool, now_s)
-        _renew_tickets_without_room(cell, pool, now_s)
-
-
-def _renew_tickets_without_room(cell: Cell, pool: Pool, now_s: float) -> None:
-    """Keep tickets valid for gangs that wait for room, once others got their lanes."""
-    gangs, pool.gangs_without_room = pool.gangs_without_room, []
-    for step in gangs:
-        if step.key in cell.waiting_steps:
-            queue = cell.queue_of(step.job)
-            with _set_aside_on_error(cell, step, now_s):
-                advice.renew_tickets(cell, step, queue, pool, now_s)
+            with set_aside_on_error(cell, step, now_s):
+                keep_advice(cell, step, pool, now_s)
+        renew_tickets_without_room(cell, pool, now_s)
 
 
 def _plan_in_rotation(
@@ -160,15 +158,6 @@
         return True
 
 
-@contextlib.contextmanager
-def _set_aside_on_error(cell: Cell, step: Step, now_s: float) -> t.Iterator[None]:
-    """Set the job of a step aside if its advice can't be kept."""
-    try:
-        yield
-    except Exception as exc:
-        set_aside_job(cell, step.job, exc, now_s)
-
-
 def _visit_step(cell: Cell, step: Step, pool: Pool, now_s: float) -> bool:
     """Plan a step unless its account's limits keep it back; return whether they don't.
 
@@ -202,7 +191,7 @@
     extra = list_extra_workers(step, pool, now_s)
     with include_workers(pool, extra) if extra else contextlib.nullcontext():
         placed = _plan_step(cell, step, startable, pool, now_s)
-    pool.unplaced_steps += not placed and not _waits_for_isolation(step)
+    pool.unplaced_steps += not placed and not waits_for_isolation(step)
     started = cell.start_orders[order_count:]
     if pool.doubted_workers and started:
         record_trials(pool, {order.worker_id for order in started}, now_s)
@@ -210,35 +199,6 @@
     step.unplaced_since_s = math.inf if started else min(step.unplaced_since_s, now_s)
 
 
-def _waits_for_isolation(step: Step) -> bool:
-    """Return whether only suspects of crashes are left to start."""
-    return step.has_suspects and all(map(is_suspect, step.startable_tasks()))
-
-
-def _may_use_advice(step: Step, pool: Pool) -> bool:
-    """Return whether a step that did not start could do so with further advice.
-
-    Of those that wait for isolation only the first few can: few workers are isolated.
-    """
-    if not _waits_for_isolation(step):
-        return True
-    pool.waiting_suspects += 1
-    return pool.waiting_suspects <= max_isolated(pool)
-
-
-def _keep_advice(cell: Cell, step: Step, pool: Pool, now_s: float) -> None:
-    """Keep the advice of a step that its account's limits keep back.
-
-    This comes last in a pass: steps that can start need the lanes of the service.
-    """
-    if not needs_advice(cell, step):
-        return
-    if not step.evaluated_workers:
-        _request_first_advice(cell, step, pool, now_s)
-    elif step.spec.gang:
-        _request_further_advice(cell, step, pool, now_s)
-
-
 def _plan_step(
     cell: Cell, step: Step, startable: list[Task], pool: Pool, now_s: float
 ) -> bool:
@@ -248,7 +208,7 @@
     """
     ticketed = needs_advice(cell, step)
     if ticketed and not step.evaluated_workers:
-        _request_first_advice(cell, step, pool, now_s)
+        request_first_advice(cell, step, pool, now_s)
         return True
     workers = eligible_workers(cell, step, pool, now_s, ticketed)
     step.needed_speed = find_needed_speed(cell, step, now_s)
@@ -257,36 +217,11 @@
     else:
         max_count = count_unheld_tasks(step, pool)
         started = _plan_tasks(cell, step, startable, workers, max_count, pool, now_s)
-    if ticketed and not started and _may_use_advice(step, pool):
-        _request_further_advice(cell, step, pool, now_s)
+    if ticketed and not started and may_use_advice(step, pool):
+        request_further_advice(cell, step, pool, now_s)
     return started
 
 
-def _request_first_advice(cell: Cell, step: Step, pool: Pool, now_s: float) -> None:
-    """Request advice for a step that has none, unless calls are in flight."""
-    if not step.in_flight_advice_calls and now_s >= step.advice_retry_at_s:
-        queue = cell.queue_of(step.job)
-        advice.request_initial_advice(cell, step, queue, pool)
-
-
-def _request_further_advice(cell: Cell, step: Step, pool: Pool, now_s: float) -> None:
-    """Renew tickets of a step that did not start, or evaluate further workers."""
-    queue = cell.queue_of(step.job)
-    reservation = cell.reservations.get(step.key)
-    if reservation is not None:
-        advice.request_advice_for_reservation(
-            cell, step, queue, pool, reservation, now_s
-        )
-    elif is_within_limits(cell, step, len(step.tasks) if step.spec.gang else 1):
-        advice.refresh_advice(cell, step, queue, pool, now_s)
-    if step.spec.gang and pool.ticketed_gangs < MAX_TICKETED_GANGS:
-        pool.ticketed_gangs += 1
-        if advice.fits_now(cell, step, pool, now_s):
-            advice.renew_tickets(cell, step, queue, pool, now_s)
-        else:
-            pool.gangs_without_room.append(step)
-
-
 def _plan_tasks(
     cell: Cell,
     step: Step,
--- a/tests/test_poisoned_input.py
+++ b/tests/test_poisoned_input.py
@@ -14,7 +14,7 @@
 from bulrushspur_daemon import leader_requests
 from bulrushspur_daemon.peer_sockets import PeerServer
 from bulrushspur_kernel.messages import Resign, encode_message
-from bulrushspur_scheduler import planning, reports, takeover
+from bulrushspur_scheduler import planning, reports, step_advice, takeover
 from bulrushspur_scheduler.config import Account, make_config
 from bulrushspur_scheduler.job_specs import StepSpec
 from bulrushspur_scheduler.jobs import JobState, Step
@@ -73,9 +73,9 @@
         self.bad = add_test_job(cell, "bad", "small")
         add_test_job(cell, "good")
 
-    def fail_planning(self, name):
+    def fail_planning(self, name, module=planning):
         """Let a function of planning fail for the bad job until the test ends."""
-        function = getattr(planning, name)
+        function = getattr(module, name)
 
         def call_or_fail(*args):
             step = next(row for row in args if isinstance(row, Step))
@@ -83,7 +83,7 @@
                 raise ZeroDivisionError
             return function(*args)
 
-        patch = unittest.mock.patch.object(planning, name, call_or_fail)
+        patch = unittest.mock.patch.object(module, name, call_or_fail)
         patch.start()
         self.addCleanup(patch.stop)
         return patch
@@ -117,7 +117,7 @@
         accounts = (*self.cell.config.accounts, capped)
         self.cell.config = make_config(2, QUEUES, accounts=accounts)
         add_test_job(self.cell, "bad", "advised", account="capped")
-        self.fail_planning("_request_first_advice")
+        self.fail_planning("request_first_advice", step_advice)
         self.assertEqual(len(self.list_faults(10, 0.1)), 1)
         self.assertEqual(self.started_jobs(), {"good"})
 
@@ -127,7 +127,7 @@
         (step,) = bad.steps()
         step.evaluated_workers = {"w0", "w1"}
         patch = unittest.mock.patch.object(
-            planning.advice, "renew_tickets", side_effect=ZeroDivisionError
+            step_advice.advice, "renew_tickets", side_effect=ZeroDivisionError
         )
         with patch:
             self.assertEqual(len(self.list_faults(10, 0.1)), 1)
