Say once how a history of crashes is played and checked

DeadlyHistory.run and CrashSeriesHistory.run were the same to the letter: play_and_check is both. Histories 1 to 6 of both kinds end with the same violations, jobs and times as before.

--- a/fuzz/crash_series.py
+++ b/fuzz/crash_series.py
@@ -14,9 +14,8 @@
 import random
 import typing as t
 
-from fuzz.deadly import SETTLING_S, DeadlySimulation, make_job
+from fuzz.deadly import DeadlySimulation, make_job, play_and_check
 from fuzz.draining import DrainingSimulation
-from fuzz.histories import act_at_random, ensure_leader
 
 STEPS: t.Final = 80
 RACK_SIZE: t.Final = 3
@@ -70,12 +69,8 @@
 
     def run(self) -> CrashSeriesSimulation:
         """Run the history until a violation, then check all jobs."""
-        simulation = self.simulation
-        if act_at_random(simulation, self.rng, self._act, STEPS):
-            simulation.advance(SETTLING_S)
-            ensure_leader(simulation)
-            simulation.check_jobs()
-        return simulation
+        play_and_check(self.simulation, self.rng, self._act, STEPS)
+        return self.simulation
 
     def _act(self) -> None:
         simulation, rng = self.simulation, self.rng
--- a/fuzz/deadly.py
+++ b/fuzz/deadly.py
@@ -141,6 +141,19 @@
     return JobSpec(job_id, "p", (step,))
 
 
+def play_and_check(
+    simulation: DeadlySimulation,
+    rng: random.Random,
+    act: t.Callable[[], None],
+    steps: int,
+) -> None:
+    """Act until a violation; if there is none, let all settle and check the jobs."""
+    if act_at_random(simulation, rng, act, steps):
+        simulation.advance(SETTLING_S)
+        ensure_leader(simulation)
+        simulation.check_jobs()
+
+
 class DeadlyHistory:
     """The random actions of a history."""
 
@@ -150,12 +163,8 @@
 
     def run(self) -> DeadlySimulation:
         """Run the history until a violation, then check all jobs."""
-        simulation = self.simulation
-        if act_at_random(simulation, self.rng, self._act, STEPS):
-            simulation.advance(SETTLING_S)
-            ensure_leader(simulation)
-            simulation.check_jobs()
-        return simulation
+        play_and_check(self.simulation, self.rng, self._act, STEPS)
+        return self.simulation
 
     def _act(self) -> None:
         simulation, rng = self.simulation, self.rng
