Drop log lines that decide a job's or a request's fate last

Cause: all lines about jobs shared one limit on the rate and one buffer, in order of arrival, so a flood of starts pushed out what decided. log_dropped told no kinds, nor when or by which process, and came before each line that a flood let through.

Change: each event has an importance, by one closed list (log_importance.py). Decisive lines get new tokens first and have 0.5 s of the rate and 64 KiB of the buffer in reserve; a flood of them keeps to the same rate, and ordinary lines give way. Exempt lines (urgent) are as before, but leave the reserve. The rate is checked before a line is encoded. log_dropped has t, process, ordinary and decisive, and is written once a second at most; its count is kept while the buffer has no room.

--- a/packages/kernel/bulrushspur_kernel/logs.py
+++ b/packages/kernel/bulrushspur_kernel/logs.py
@@ -1,8 +1,8 @@
 """Write structured logs, one JSON object a line, without blocking the process.
 
 A token bucket limits the lines per second, and a buffer of limited size holds what the
-reader has not taken yet. Lines beyond either limit are dropped and counted; the count
-is logged before the next line that is written.
+reader has not taken yet. Both have a reserve for decisive lines. Lines beyond a limit
+are dropped and counted by importance; the counts are logged once a second at most.
 """
 
 import collections
@@ -13,9 +13,13 @@
 import logbook
 import msgspec
 
-# Capacity of the token bucket, in seconds at the average rate.
-BURST_S: t.Final = 2.0
+from bulrushspur_kernel.line_budget import LineBudget
+from bulrushspur_kernel.log_importance import Importance, find_importance
+
 MAX_PENDING_BYTES: t.Final = 262_144
+# Beyond MAX_PENDING_BYTES, for decisive lines alone.
+RESERVED_PENDING_BYTES: t.Final = 65_536
+DROP_REPORT_INTERVAL_S: t.Final = 1.0
 
 _encode_json = msgspec.json.Encoder().encode
 
@@ -25,43 +29,54 @@
 
     def __init__(self, fd: int, lines_per_s: float) -> None:
         self.fd = fd
-        self.lines_per_s = lines_per_s
-        self.tokens = lines_per_s * BURST_S
-        self.last_refill_s = time.monotonic()
+        self.budget = LineBudget(lines_per_s)
         self.pending_lines: collections.deque[bytes] = collections.deque()
         self.pending_bytes = 0
-        self.dropped_lines = 0
+        # Of the lines that no report has counted yet.
+        self.dropped_by_importance: collections.Counter[Importance] = (
+            collections.Counter()
+        )
         os.set_blocking(fd, False)
 
-    def write(self, line: bytes, urgent: bool = False) -> None:
-        """Write a line, or drop it if a limit is reached.
+    @property
+    def dropped_lines(self) -> int:
+        """Return how many lines were dropped that no report has counted yet."""
+        return self.dropped_by_importance.total()
+
+    def admit(self, importance: Importance, urgent: bool) -> bool:
+        """Return whether the rate admits a line; count it as dropped if not.
 
         ``urgent`` lines are exempt from the limit on the rate, not from that on the
         buffer.
         """
-        now_s = time.monotonic()
-        refill = (now_s - self.last_refill_s) * self.lines_per_s
-        self.tokens = min(self.tokens + refill, self.lines_per_s * BURST_S)
-        self.last_refill_s = now_s
-        if self.tokens < 1 and not urgent:
-            self.dropped_lines += 1
-            return
-        self.tokens -= 1
-        if self.dropped_lines:
-            line = b'{"event":"log_dropped","lines":%d}\n%s' % (
-                self.dropped_lines,
-                line,
-            )
-            self.dropped_lines = 0
-        self._enqueue(line)
-        self.flush()
-
-    def _enqueue(self, line: bytes) -> None:
-        if self.pending_bytes + len(line) > MAX_PENDING_BYTES:
-            self.dropped_lines += 1
-            return
+        is_admitted = self.budget.take(importance, time.monotonic(), urgent)
+        if not is_admitted:
+            self.dropped_by_importance[importance] += 1
+        return is_admitted
+
+    def write(self, line: bytes, importance: Importance) -> None:
+        """Write a line that was admitted, or drop it if the buffer has no room."""
+        if self._enqueue(line, importance):
+            self.flush()
+        else:
+            self.dropped_by_importance[importance] += 1
+
+    def write_drop_report(self, line: bytes) -> None:
+        """Write the report of the dropped lines; they count on if it has no room."""
+        if self._enqueue(line, Importance.DECISIVE):
+            self.dropped_by_importance.clear()
+            self.flush()
+
+    def _enqueue(self, line: bytes, importance: Importance) -> bool:
+        """Add a line to the buffer; return False if it has no room."""
+        max_bytes = MAX_PENDING_BYTES
+        if importance is Importance.DECISIVE:
+            max_bytes += RESERVED_PENDING_BYTES
+        if self.pending_bytes + len(line) > max_bytes:
+            return False
         self.pending_lines.append(line)
         self.pending_bytes += len(line)
+        return True
 
     def flush(self) -> None:
         """Write as many pending lines as the file descriptor accepts now."""
@@ -90,9 +105,18 @@
     def __init__(self, process: str, sink: LogSink) -> None:
         self.process_name = process
         self.sink = sink
+        self.next_drop_report_s = 0.0
 
     def event(self, event: str, urgent: bool = False, **fields: t.Any) -> None:
         """Log an event; ``urgent`` events are exempt from the limit on the rate."""
+        importance = find_importance(event, fields)
+        if not self.sink.admit(importance, urgent):
+            return
+        if self.sink.dropped_by_importance:
+            self._report_dropped_lines_at_interval()
+        self.sink.write(self._encode(event, fields), importance)
+
+    def _encode(self, event: str, fields: dict[str, t.Any]) -> bytes:
         row = {"t": round(time.time(), 3), "process": self.process_name, "event": event}
         row.update(fields)
         try:
@@ -100,7 +124,20 @@
         except Exception as exc:
             # A line with a value that cannot be written must not end what logs it.
             line = _encode_json({"event": event, "unwritable": ascii(exc)})
-        self.sink.write(line + b"\n", urgent)
+        return line + b"\n"
+
+    def _report_dropped_lines_at_interval(self) -> None:
+        now_s = time.monotonic()
+        if now_s < self.next_drop_report_s:
+            return
+        self.next_drop_report_s = now_s + DROP_REPORT_INTERVAL_S
+        self._report_dropped_lines()
+
+    def _report_dropped_lines(self) -> None:
+        dropped = self.sink.dropped_by_importance
+        fields = {importance.value: dropped[importance] for importance in Importance}
+        line = self._encode("log_dropped", {"lines": dropped.total(), **fields})
+        self.sink.write_drop_report(line)
 
 
 def make_logger(part: str) -> logbook.Logger:
