Report dropped log lines and write pending ones before a process ends

Operators could not tell what a process that ended had left out since its last log_dropped, and lines that its reader had not taken yet ended with it.

Cause: the count was written with the next line only, and pending lines with the next write. After the last line there is neither.

Change: the log is closed at the end of the process, also after a failure: it writes what is pending and the last count, and waits 0.2 s for its reader at most.

--- a/packages/daemon/bulrushspur_daemon/lifecycle.py
+++ b/packages/daemon/bulrushspur_daemon/lifecycle.py
@@ -49,12 +49,15 @@
         asyncio.create_task(_stop_on_error(coroutine, log, stop)) for coroutine in loops
     ]
     try:
-        await listen(process)
-        await stop.wait()
-        await shut_down(process)
+        try:
+            await listen(process)
+            await stop.wait()
+            await shut_down(process)
+        finally:
+            await end_process(process, tasks)
+        log.event("stop", urgent=True)
     finally:
-        await end_process(process, tasks)
-    log.event("stop", urgent=True)
+        log.close()
 
 
 def make_background_loops(
--- a/packages/kernel/bulrushspur_kernel/logs.py
+++ b/packages/kernel/bulrushspur_kernel/logs.py
@@ -2,11 +2,13 @@
 
 A token bucket limits the lines per second, and a buffer of limited size holds what the
 reader has not taken yet. Both have a reserve for decisive lines. Lines beyond a limit
-are dropped and counted by importance; the counts are logged once a second at most.
+are dropped and counted by importance; the counts are logged once a second at most, and
+at the end of the process.
 """
 
 import collections
 import os
+import select
 import time
 import typing as t
 
@@ -20,6 +22,8 @@
 # Beyond MAX_PENDING_BYTES, for decisive lines alone.
 RESERVED_PENDING_BYTES: t.Final = 65_536
 DROP_REPORT_INTERVAL_S: t.Final = 1.0
+# How long the end of the process waits for the reader of the log.
+CLOSE_TIMEOUT_S: t.Final = 0.2
 
 _encode_json = msgspec.json.Encoder().encode
 
@@ -98,6 +102,17 @@
                 return
             self.pending_lines.popleft()
 
+    def flush_until(self, deadline_s: float) -> None:
+        """Write the pending lines, and wait for the reader until ``deadline_s``."""
+        poll = select.poll()
+        poll.register(self.fd, select.POLLOUT)
+        self.flush()
+        while self.pending_lines:
+            remaining_s = deadline_s - time.monotonic()
+            if remaining_s <= 0 or not poll.poll(remaining_s * 1000):
+                return
+            self.flush()
+
 
 class EventLog:
     """Write the events of one process as structured lines."""
@@ -116,6 +131,14 @@
             self._report_dropped_lines_at_interval()
         self.sink.write(self._encode(event, fields), importance)
 
+    def close(self) -> None:
+        """Write what is pending and the last report, within CLOSE_TIMEOUT_S."""
+        deadline_s = time.monotonic() + CLOSE_TIMEOUT_S
+        self.sink.flush_until(deadline_s)
+        if self.sink.dropped_by_importance:
+            self._report_dropped_lines()
+            self.sink.flush_until(deadline_s)
+
     def _encode(self, event: str, fields: dict[str, t.Any]) -> bytes:
         row = {"t": round(time.time(), 3), "process": self.process_name, "event": event}
         row.update(fields)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,13 +1,17 @@
 """Test which lines of the log are dropped under load, and that their loss is told."""
 
+import asyncio
 import contextlib
 import json
 import os
 import pathlib
 import re
+import signal
 import time
 import unittest
+from unittest import mock
 
+from bulrushspur_daemon import lifecycle
 from bulrushspur_kernel.log_importance import (
     DECISIVE_EVENTS,
     Importance,
@@ -25,6 +29,7 @@
 LOG_CALL = re.compile(r'\b(?:log|event)\(\s*f?"([^"]+)"')
 # Slow enough that no token comes back within a test.
 LINES_PER_S = 0.1
+STOP_CALL = mock.call.event("stop", urgent=True)
 # 400 lines with it fill the buffer of pending lines.
 TEXT = "x" * 1000
 
@@ -167,6 +172,20 @@
         self.assertEqual((report["event"], report["process"]), ("log_dropped", "n0"))
         self.assertAlmostEqual(report["t"], time.time(), delta=60.0)
 
+    # Guards against: a report without room forgets what it counted.
+    def test_count_is_kept_while_the_buffer_is_full(self):
+        log = self.make_log(1e6)
+        for _ in range(1000):
+            log.event("finish", urgent=True, text=TEXT)
+        rows = self.read_rows(log)
+        log.close()
+        rows += self.read_rows(log)
+        finish_count = sum(row["event"] == "finish" for row in rows)
+        reports = [row for row in rows if row["event"] == "log_dropped"]
+        self.assertLess(finish_count, 1000)
+        reported_count = sum(row["decisive"] for row in reports)
+        self.assertEqual(finish_count + reported_count, 1000)
+
     # Guards against: each line that a flood lets through has a report before it.
     def test_reports_of_a_flood_are_few(self):
         log = self.make_log(1000.0)
@@ -178,6 +197,71 @@
         self.assertGreater(events.count("start"), 2000)
         self.assertLessEqual(events.count("log_dropped"), took_s + 1)
 
+    # Guards against: the lines that were dropped last before the end leave no trace.
+    def test_count_is_reported_at_the_end(self):
+        log = self.make_log(LINES_PER_S)
+        self.drop(log, 3, 2)
+        log.event("stop", urgent=True)
+        self.drop(log, 5, 1)
+        log.close()
+        reports = [row for row in self.read_rows(log) if row["event"] == "log_dropped"]
+        self.assertEqual(sum(row["ordinary"] for row in reports), 8)
+        self.assertEqual(sum(row["decisive"] for row in reports), 3)
+
+    # Guards against: a process whose log nobody reads does not end.
+    def test_end_does_not_wait_for_a_reader(self):
+        log = self.make_log(1e6)
+        for _ in range(2000):
+            log.event("finish", urgent=True, text=TEXT)
+        began_s = time.monotonic()
+        log.close()
+        self.assertLess(time.monotonic() - began_s, 2.0)
+
+    # Guards against: the end of a process whose log is closed fails.
+    def test_end_without_a_reader_is_no_error(self):
+        log = self.make_log(LINES_PER_S)
+        self.drop(log, 3, 2)
+        os.close(self.read_fd)
+        log.close()
+
+
+class ProcessEndTest(unittest.IsolatedAsyncioTestCase):
+    def run_process(self, **parts):
+        """Run a process of which only the log is real."""
+        log = mock.Mock()
+        parts = {
+            "configure_logging": mock.Mock(return_value=log),
+            "make_process": mock.Mock(),
+            "make_background_loops": mock.Mock(return_value=[]),
+            "listen": mock.AsyncMock(),
+            "shut_down": mock.AsyncMock(),
+            "end_process": mock.AsyncMock(),
+            **parts,
+        }
+        patch = mock.patch.multiple(lifecycle, **parts)
+        patch.start()
+        self.addCleanup(patch.stop)
+        return log, lifecycle.run_process(mock.Mock(), "")
+
+    # Guards against: a process ends, and what it has dropped last is told nowhere.
+    async def test_log_is_closed_after_its_last_line(self):
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            self.addCleanup(loop.remove_signal_handler, number)
+        log, running = self.run_process()
+        task = asyncio.create_task(running)
+        await asyncio.sleep(0)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await asyncio.wait_for(task, 10.0)
+        self.assertEqual(log.mock_calls[-2:], [STOP_CALL, mock.call.close()])
+
+    # Guards against: the same for a process that can't start.
+    async def test_log_is_closed_after_a_failure(self):
+        log, running = self.run_process(listen=mock.AsyncMock(side_effect=OSError))
+        with self.assertRaises(OSError):
+            await running
+        self.assertEqual(log.mock_calls[-1], mock.call.close())
+
 
 class ImportanceTest(unittest.TestCase):
     # Guards against: an event is renamed, and its lines are ordinary from then on.
