Answer each request that the HTTP server has read before it closes

Callers saw a connection that ended without an answer: behind a request that was handled for longer than the close lasts, behind half a head or half a body, and behind an answer with `Connection: close` to which they had sent the next request already. A server that closed cancelled what was left, and its last announcement ignored what it had received.

Now the server ends each request itself: an incomplete one gets 503 `stopping` (not run), one that is being handled is interrupted and gets 504 `interrupted` (may have run). `Connection: close` is announced on the last answer only, so requests that have come behind it are served. A connection that ends without an answer to a request that was read completely is reported (`on_unanswered`).

Six of the tests in test_http_close fail on: under way, half a head, half a body, both with pipelined requests, and the report.

--- a/packages/kernel/bulrushspur_kernel/errors.py
+++ b/packages/kernel/bulrushspur_kernel/errors.py
@@ -45,6 +45,7 @@
     CANCELLED = "cancelled"
     NO_OWNER = "no_owner"
     STOPPING = "stopping"
+    INTERRUPTED = "interrupted"
     TOO_MANY_CONNECTIONS = "too_many_connections"
     NO_MEMORY = "no_memory"
     WORKER_REFUSED = "worker_refused"
@@ -98,6 +99,9 @@
     ErrorKind.CANCELLED: ErrorDetails(409, 0, "Nothing to do."),
     ErrorKind.NO_OWNER: ErrorDetails(503, 4, _RETRY_ADVICE),
     ErrorKind.STOPPING: ErrorDetails(503, 4, _RETRY_ADVICE),
+    ErrorKind.INTERRUPTED: ErrorDetails(
+        504, 4, "Ask for its state, or send the same id again."
+    ),
     ErrorKind.TOO_MANY_CONNECTIONS: ErrorDetails(503, 4, _RETRY_ADVICE),
     ErrorKind.NO_MEMORY: ErrorDetails(503, 4, _RETRY_ADVICE),
     ErrorKind.WORKER_REFUSED: ErrorDetails(503, 4, _RETRY_ADVICE),
--- a/packages/kernel/bulrushspur_kernel/http_exchange.py
+++ b/packages/kernel/bulrushspur_kernel/http_exchange.py
@@ -20,6 +20,7 @@
     make_malformed_refusal,
     make_no_memory_refusal,
     make_slow_sender_refusal,
+    make_stopping_refusal,
 )
 from bulrushspur_kernel.settings import Bounds
 
@@ -78,6 +79,10 @@
 
     on_eof: t.Callable[[], None] | None = None
 
+    def has_data(self) -> bool:
+        """Return whether there is data that was received and not read yet."""
+        return bool(self._buffer)
+
     def feed_eof(self) -> None:
         """Record the end of the stream and notify."""
         super().feed_eof()
@@ -121,6 +126,14 @@
     # Why the rest of the request is not waited for.
     given_up: Refusal | None = None
     read_timeout: asyncio.Timeout | None = None
+    idle_timeout: asyncio.Timeout | None = None
+    # Ends the handling of the current request; None while there is none.
+    handling_timeout: asyncio.Timeout | None = None
+    # The current request, until its response is complete, and when it was read.
+    request: Request | None = None
+    request_read_s: float = 0.0
+    # Gets the status of each response.
+    count_response: t.Callable[[int], None] = lambda status: None
 
     async def next_event(self, timeout_s: float) -> t.Any:
         """Return the next event of h11, reading as needed.
@@ -128,6 +141,8 @@
         Raises TimeoutError, or h11.RemoteProtocolError for malformed input.
         """
         await self._take_turn()
+        if self.given_up is not None:
+            raise TimeoutError
         event = self.connection.next_event()
         if event is not h11.NEED_DATA:
             return event
@@ -171,8 +186,33 @@
         """Refuse the request without waiting for the rest of it."""
         self.given_up = refusal
         self.limits.waiting.pop(self, None)
-        if self.read_timeout is not None and not self.read_timeout.expired():
-            self.read_timeout.reschedule(asyncio.get_running_loop().time())
+        _expire(self.read_timeout)
+
+    def end_request(self) -> None:
+        """Refuse the current request, if there is one without a response.
+
+        Its rest is not waited for; if it has come, its handling is interrupted.
+        """
+        if self in self.limits.waiting:
+            self.give_up(make_stopping_refusal())
+        elif not self.response_started:
+            _expire(self.handling_timeout)
+
+    def end_idle(self) -> None:
+        """Wait no longer for a next request."""
+        _expire(self.idle_timeout)
+
+    def has_next_request(self) -> bool:
+        """Return whether data of a next request has been received already."""
+        if self.connection.their_state is not h11.DONE:
+            return False
+        return bool(self.connection.trailing_data[0]) or self.reader.has_data()
+
+    def is_unanswered(self) -> bool:
+        """Return whether a complete request has no complete response."""
+        if self.request is None:
+            return False
+        return self.connection.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
     def begin_request(self) -> None:
         """Forget the request before."""
@@ -191,10 +231,14 @@
         if self.connection.trailing_data[0]:
             return True
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as self.idle_timeout:
                 data = await self.reader.read(READ_CHUNK_BYTES)
         except TimeoutError:
-            return False
+            if not self.reader.has_data():
+                return False
+            data = await self.reader.read(READ_CHUNK_BYTES)
+        finally:
+            self.idle_timeout = None
         if data:
             self.connection.receive_data(data)
         return bool(data)
@@ -271,7 +315,9 @@
 
     def _encode_head(self, status: int, headers: Headers) -> bytes:
         self.response_started = True
-        if self.is_closing():
+        self.count_response(status)
+        # Requests that have been received already are answered on this connection.
+        if self.is_closing() and not self.has_next_request():
             headers = [*headers, (b"connection", b"close")]
         return self._encode(h11.Response(status_code=status, headers=headers))
 
@@ -310,6 +356,11 @@
                     pass
 
 
+def _expire(timeout: asyncio.Timeout | None) -> None:
+    if timeout is not None and not timeout.expired():
+        timeout.reschedule(asyncio.get_running_loop().time())
+
+
 def make_request(event: h11.Request, exchange: Exchange) -> Request:
     """Make a request from the event for its head."""
     target = event.target.decode("latin-1")
--- a/packages/kernel/bulrushspur_kernel/http_refusals.py
+++ b/packages/kernel/bulrushspur_kernel/http_refusals.py
@@ -1,12 +1,15 @@
-"""Make the refusals of the HTTP server itself; none of their requests has run."""
+"""Make the refusals of the HTTP server itself.
+
+None of their requests has run, but for one that was interrupted.
+"""
 
 import typing as t
 
 import h11
 
-from bulrushspur_kernel.errors import ErrorKind, Refusal
+from bulrushspur_kernel.errors import ErrorKind, Ran, Refusal
 
-# When a request that was refused for others may come again.
+# When a request that was refused for others, or at a stop, may come again.
 OVERLOAD_RETRY_AFTER_S: t.Final = 1.0
 
 
@@ -24,6 +27,25 @@
     )
 
 
+def make_stopping_refusal() -> Refusal:
+    """Make the refusal for a request that is incomplete when the server closes."""
+    return Refusal(
+        ErrorKind.STOPPING,
+        "The server stops; the rest of the request did not come.",
+        retry_after_s=OVERLOAD_RETRY_AFTER_S,
+    )
+
+
+def make_interrupted_refusal() -> Refusal:
+    """Make the refusal for a request that is handled while the server closes."""
+    return Refusal(
+        ErrorKind.INTERRUPTED,
+        "The server stops; the request may have run.",
+        Ran.MAYBE,
+        retry_after_s=OVERLOAD_RETRY_AFTER_S,
+    )
+
+
 def make_malformed_refusal(exc: h11.RemoteProtocolError) -> Refusal:
     """Make the refusal for input that is not valid HTTP."""
     if exc.error_status_hint == 431:
--- a/packages/kernel/bulrushspur_kernel/http_server.py
+++ b/packages/kernel/bulrushspur_kernel/http_server.py
@@ -2,13 +2,16 @@
 
 Connections, sizes and times all have limits. Invalid requests and errors of the handler
 are answered with a refusal while no response has started; after that, the connection is
-aborted, so that the caller does not take a partial response for a complete one.
+aborted, so that the caller does not take a partial response for a complete one. A
+server that closes answers each request that it has read: it refuses what is incomplete,
+and says of what it interrupts that it may have run.
 """
 
 import asyncio
-import contextlib
+import collections
 import dataclasses
 import socket
+import time
 import typing as t
 
 import h11
@@ -26,6 +29,7 @@
     make_request,
 )
 from bulrushspur_kernel.http_refusals import (
+    make_interrupted_refusal,
     make_malformed_refusal,
     make_slow_sender_refusal,
     make_too_many_connections_refusal,
@@ -41,11 +45,26 @@
 SOCKET_BUFFER_FACTOR: t.Final = 1
 DRAIN_POLL_INTERVAL_S: t.Final = 0.02
 CONNECTION_CLOSE_TIMEOUT_S: t.Final = 0.5
+# For callers to read the last answers.
+LAST_READ_TIMEOUT_S: t.Final = 0.2
 
 Handler = t.Callable[[Request, "Exchange"], t.Awaitable[None]]
 RefusalSender = t.Callable[[Exchange, Refusal], t.Awaitable[None]]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnansweredRequest:
+    """A request that was read completely, and whose connection ended without answer.
+
+    ``age_s`` is the time since its head was read.
+    """
+
+    method: str
+    path: str
+    age_s: float
+    caller_disconnected: bool
+
+
 @dataclasses.dataclass
 class HttpServer:
     """A listening socket with its open connections.
@@ -58,12 +77,19 @@
     bounds: Bounds
     server: asyncio.Server | None = None
     connection_tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
+    exchanges: set[Exchange] = dataclasses.field(default_factory=set)
+    # Responses by status.
+    response_counts: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     active_requests: int = 0
     handler_errors: int = 0
     closing: bool = False
     limits: SharedLimits = dataclasses.field(init=False)
     # While it returns False, each connection is closed after its next response.
     is_ready: t.Callable[[], bool] = lambda: True
+    # Is called while the server closes.
+    on_unanswered: t.Callable[[UnansweredRequest], None] = lambda request: None
 
     def __post_init__(self) -> None:
         # One request of legal size has room on its own.
@@ -106,8 +132,15 @@
             h11.SERVER, max_incomplete_event_size=self.bounds.head_bytes
         )
         exchange = Exchange(
-            reader, writer, self.bounds, self._is_closing, connection, self.limits
+            reader,
+            writer,
+            self.bounds,
+            self._is_closing,
+            connection,
+            self.limits,
+            count_response=self._count_response,
         )
+        self.exchanges.add(exchange)
         try:
             await self._serve_requests(exchange)
         except (CallerDisconnectedError, ConnectionError):
@@ -118,7 +151,10 @@
             pass
         finally:
             self.connection_tasks.discard(task)
+            self.exchanges.discard(exchange)
             writer.close()
+            if self.closing and exchange.is_unanswered():
+                self._report_unanswered(exchange)
 
     async def _serve_requests(self, exchange: Exchange) -> None:
         if (
@@ -139,8 +175,11 @@
             if request is None:
                 break
             self.active_requests += 1
+            exchange.request = request
+            exchange.request_read_s = time.monotonic()
             try:
                 await self._handle_request(request, exchange)
+                exchange.request = None
             finally:
                 self.active_requests -= 1
                 exchange.release_body()
@@ -158,7 +197,7 @@
 
     async def _handle_request(self, request: Request, exchange: Exchange) -> None:
         try:
-            await self.handler(request, exchange)
+            await self._call_handler(request, exchange)
         except HttpError as exc:
             await self._refuse(exchange, exc.refusal)
         except (CallerDisconnectedError, ConnectionError):
@@ -170,6 +209,19 @@
             refusal = Refusal(ErrorKind.INTERNAL, sentence, Ran.MAYBE)
             await self._refuse(exchange, refusal)
 
+    async def _call_handler(self, request: Request, exchange: Exchange) -> None:
+        """Call the handler; raises HttpError if it is interrupted."""
+        try:
+            async with asyncio.timeout(None) as timeout:
+                exchange.handling_timeout = timeout
+                await self.handler(request, exchange)
+        except TimeoutError as exc:
+            if timeout.expired():
+                raise HttpError(make_interrupted_refusal()) from exc
+            raise
+        finally:
+            exchange.handling_timeout = None
+
     async def _read_request(self, exchange: Exchange) -> Request | None:
         exchange.begin_request()
         try:
@@ -206,11 +258,26 @@
             raise CallerDisconnectedError
         await self.send_refusal(exchange, refusal)
 
+    def _count_response(self, status: int) -> None:
+        self.response_counts[status] += 1
+
+    def _report_unanswered(self, exchange: Exchange) -> None:
+        request = exchange.request
+        assert request is not None
+        age_s = time.monotonic() - exchange.request_read_s
+        has_left = exchange.reader.at_eof() or exchange.reader.exception() is not None
+        self.on_unanswered(
+            UnansweredRequest(request.method, request.path, age_s, has_left)
+        )
+
     def _is_closing(self) -> bool:
         return self.closing or not self.is_ready()
 
     def begin_close(self) -> None:
-        """Announce in all further responses that the connection will be closed."""
+        """Announce in all further responses that the connection will be closed.
+
+        A response behind which the next request has come already is not the last one.
+        """
         self.closing = True
 
     def stop_listening(self) -> None:
@@ -219,31 +286,40 @@
             self.server.close()
 
     async def close(self, drain_s: float) -> None:
-        """Stop listening, and close all connections once the open requests have ended.
+        """Stop listening, answer all requests, and close all connections.
 
-        Requests get ``drain_s`` seconds to end. Connections that are open then get
-        CONNECTION_CLOSE_TIMEOUT_S more, so that a caller that connected last can still
-        send its request and be refused.
+        Requests get ``drain_s`` seconds to end, and are then refused or interrupted.
+        Connections that are open then get CONNECTION_CLOSE_TIMEOUT_S more, so that a
+        caller that connected last can still send its request and be refused.
         """
-        self.closing = True
+        self.begin_close()
         # One turn of the event loop accepts connections that are established already.
         await asyncio.sleep(0)
         await asyncio.sleep(0)
         self.stop_listening()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(drain_s):
-                while self.active_requests:
-                    await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-        if self.connection_tasks:
-            await asyncio.wait(
-                list(self.connection_tasks), timeout=CONNECTION_CLOSE_TIMEOUT_S
-            )
+        await self._wait_requests(drain_s)
+        self._end_requests()
+        await self._wait_connections(CONNECTION_CLOSE_TIMEOUT_S)
+        self._end_requests()
+        for exchange in list(self.exchanges):
+            exchange.end_idle()
+        await self._wait_connections(LAST_READ_TIMEOUT_S)
         for task in list(self.connection_tasks):
             task.cancel()
+        await self._wait_connections(CONNECTION_CLOSE_TIMEOUT_S)
+
+    async def _wait_requests(self, timeout_s: float) -> None:
+        deadline_s = time.monotonic() + timeout_s
+        while self.active_requests and time.monotonic() < deadline_s:
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+
+    def _end_requests(self) -> None:
+        for exchange in list(self.exchanges):
+            exchange.end_request()
+
+    async def _wait_connections(self, timeout_s: float) -> None:
         if self.connection_tasks:
-            await asyncio.wait(
-                list(self.connection_tasks), timeout=CONNECTION_CLOSE_TIMEOUT_S
-            )
+            await asyncio.wait(list(self.connection_tasks), timeout=timeout_s)
 
 
 def make_http_server(
--- /dev/null
+++ b/tests/test_http_close.py
@@ -0,0 +1,129 @@
+"""Test that an HTTP server that closes answers each request that it has read.
+
+The tests guard against connections that end without an answer: to a request under way,
+behind another one, or with a slow body.
+"""
+
+import asyncio
+import time
+import unittest
+
+from bulrushspur_kernel.http_server import make_http_server
+from bulrushspur_kernel.settings import Bounds
+from tests.test_http_server import send_refusal
+
+# Longer than a close takes.
+BOUNDS = Bounds(head_wait_s=30.0, body_wait_s=30.0)
+MAX_CLOSE_S = 1.5
+GET_OK = b"GET /ok HTTP/1.1\r\nHost: a\r\n\r\n"
+GET_ENDLESS = b"GET /endless HTTP/1.1\r\nHost: a\r\n\r\n"
+HALF_BODY = b"POST /ok HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf"
+
+
+class HttpCloseTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.handled = asyncio.Event()
+        self.server = make_http_server(self.handle, send_refusal, BOUNDS)
+        self.unanswered = []
+        self.server.on_unanswered = self.unanswered.append
+        await self.server.listen("127.0.0.1", 0)
+        self.addAsyncCleanup(self.server.close, 0.0)
+
+    async def handle(self, request, exchange):
+        await request.read_full_body(BOUNDS.body_bytes)
+        self.handled.set()
+        if request.path == "/slow":
+            await asyncio.sleep(0.2)
+        if request.path == "/endless":
+            await asyncio.sleep(60)
+        await exchange.send_json(200, request.path.encode())
+
+    async def open(self, data):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        self.addCleanup(writer.close)
+        writer.write(data)
+        return reader, writer
+
+    async def read_all(self, reader):
+        async with asyncio.timeout(5):
+            return await reader.read(-1)
+
+    async def test_request_under_way_at_the_end_may_have_run(self):
+        reader, _ = await self.open(GET_ENDLESS)
+        await self.handled.wait()
+        began_s = time.monotonic()
+        await self.server.close(0.1)
+        self.assertLess(time.monotonic() - began_s, MAX_CLOSE_S)
+        answer = await self.read_all(reader)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 504"), answer)
+        self.assertIn(b"connection: close", answer.lower())
+        self.assertIn(b"interrupted", answer)
+        self.assertEqual(self.unanswered, [])
+
+    async def check_incomplete(self, data):
+        reader, _ = await self.open(data)
+        await asyncio.sleep(0.05)
+        began_s = time.monotonic()
+        closing = asyncio.create_task(self.server.close(0.1))
+        answer = await self.read_all(reader)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503"), answer)
+        self.assertIn(b"stopping", answer)
+        await closing
+        self.assertLess(time.monotonic() - began_s, MAX_CLOSE_S)
+
+    async def test_request_without_the_rest_of_its_body_is_refused_at_the_end(self):
+        await self.check_incomplete(HALF_BODY)
+
+    async def test_request_without_the_rest_of_its_head_is_refused_at_the_end(self):
+        await self.check_incomplete(GET_OK[:20])
+
+    async def test_pipelined_requests_are_all_answered_and_the_last_closes(self):
+        get_slow = GET_OK.replace(b"/ok", b"/slow")
+        reader, _ = await self.open(get_slow + GET_OK * 3)
+        await self.handled.wait()
+        self.server.begin_close()
+        answer = await self.read_all(reader)
+        self.assertEqual(answer.count(b"HTTP/1.1 200"), 4)
+        self.assertEqual(answer.lower().count(b"connection: close"), 1)
+        self.assertIn(b"connection: close", answer.lower().split(b"http/1.1 ")[-1])
+
+    async def test_pipelined_request_behind_one_that_is_interrupted_is_answered(self):
+        reader, _ = await self.open(GET_ENDLESS + GET_OK)
+        await self.handled.wait()
+        await self.server.close(0.1)
+        answer = await self.read_all(reader)
+        self.assertIn(b"HTTP/1.1 504", answer)
+        self.assertIn(b"HTTP/1.1 200", answer)
+
+    async def test_idle_connection_ends_without_a_reset(self):
+        reader, writer = await self.open(GET_OK)
+        await reader.readuntil(b"/ok")
+        closing = asyncio.create_task(self.server.close(0.1))
+        self.assertEqual(await self.read_all(reader), b"")
+        writer.close()
+        await closing
+
+    async def test_request_on_an_idle_connection_is_answered_while_it_closes(self):
+        reader, writer = await self.open(GET_OK)
+        await reader.readuntil(b"/ok")
+        closing = asyncio.create_task(self.server.close(0.0))
+        await asyncio.sleep(0.2)
+        writer.write(GET_OK)
+        self.assertIn(b"HTTP/1.1 200", await self.read_all(reader))
+        await closing
+
+    async def test_connection_that_ends_without_an_answer_is_reported(self):
+        _, writer = await self.open(GET_ENDLESS)
+        await self.handled.wait()
+        self.server.begin_close()
+        for task in list(self.server.connection_tasks):
+            task.cancel()
+        await asyncio.sleep(0.05)
+        (request,) = self.unanswered
+        self.assertEqual((request.method, request.path), ("GET", "/endless"))
+        self.assertFalse(request.caller_disconnected)
+        writer.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
