Answer connections in the backlog when the HTTP server stops listening

What nobody had accepted yet was reset.

Now the server first stops accepting, lets the connections that it has accepted be made, then accepts all that are established, and closes the socket in the same step.

HttpServer has no repr any more: in debug mode asyncio prints the callback of a reader that is removed, and with it the whole process, which took seconds.

--- a/packages/kernel/bulrushspur_kernel/http_server.py
+++ b/packages/kernel/bulrushspur_kernel/http_server.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import socket
 import time
@@ -43,6 +44,9 @@
 MAX_CONNECTIONS_FACTOR: t.Final = 2
 # Multiple of the read buffer of a connection that its socket may hold besides.
 SOCKET_BUFFER_FACTOR: t.Final = 1
+BACKLOG_CONNECTIONS: t.Final = 1024
+# Turns of the event loop until it has made all of a connection that it has accepted.
+ACCEPT_TURNS: t.Final = 3
 DRAIN_POLL_INTERVAL_S: t.Final = 0.02
 CONNECTION_CLOSE_TIMEOUT_S: t.Final = 0.5
 # For callers to read the last answers.
@@ -65,7 +69,7 @@
     caller_disconnected: bool
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(repr=False)
 class HttpServer:
     """A listening socket with its open connections.
 
@@ -76,6 +80,7 @@
     send_refusal: RefusalSender
     bounds: Bounds
     server: asyncio.Server | None = None
+    listening_socket: socket.socket | None = None
     connection_tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
     exchanges: set[Exchange] = dataclasses.field(default_factory=set)
     # Responses by status.
@@ -98,22 +103,26 @@
 
     async def listen(self, host: str, port: int) -> None:
         """Start to listen on an address; raises OSError."""
-        loop = asyncio.get_running_loop()
-
-        def make_protocol() -> asyncio.StreamReaderProtocol:
-            reader = EofNotifyingReader(limit=self.bounds.buffer_bytes, loop=loop)
-            return asyncio.StreamReaderProtocol(
-                reader, self._handle_connection, loop=loop
-            )
-
-        self.server = await loop.create_server(
-            make_protocol, host, port, backlog=1024, start_serving=False
-        )
-        for sock in self.server.sockets:
+        sock = socket.socket()
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             # What the system holds of each connection; accepted sockets inherit it.
             size = self.bounds.buffer_bytes * SOCKET_BUFFER_FACTOR
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
-        await self.server.start_serving()
+            sock.bind((host, port))
+            loop = asyncio.get_running_loop()
+            self.server = await loop.create_server(
+                self._make_protocol, sock=sock, backlog=BACKLOG_CONNECTIONS
+            )
+        except BaseException:
+            sock.close()
+            raise
+        self.listening_socket = sock
+
+    def _make_protocol(self) -> asyncio.StreamReaderProtocol:
+        loop = asyncio.get_running_loop()
+        reader = EofNotifyingReader(limit=self.bounds.buffer_bytes, loop=loop)
+        return asyncio.StreamReaderProtocol(reader, self._handle_connection, loop=loop)
 
     @property
     def port(self) -> int:
@@ -293,10 +302,7 @@
         caller that connected last can still send its request and be refused.
         """
         self.begin_close()
-        # One turn of the event loop accepts connections that are established already.
-        await asyncio.sleep(0)
-        await asyncio.sleep(0)
-        self.stop_listening()
+        await self._accept_last()
         await self._wait_requests(drain_s)
         self._end_requests()
         await self._wait_connections(CONNECTION_CLOSE_TIMEOUT_S)
@@ -308,6 +314,21 @@
             task.cancel()
         await self._wait_connections(CONNECTION_CLOSE_TIMEOUT_S)
 
+    async def _accept_last(self) -> None:
+        """Stop listening, and accept all connections that are established by then."""
+        sock = self.listening_socket
+        if sock is None or sock.fileno() < 0:
+            return
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(sock)
+        # The server forgets a connection that it has accepted just before its close.
+        for _ in range(ACCEPT_TURNS):
+            await asyncio.sleep(0)
+        accepted = _accept_established(sock)
+        self.stop_listening()
+        for connection in accepted:
+            await loop.connect_accepted_socket(self._make_protocol, connection)
+
     async def _wait_requests(self, timeout_s: float) -> None:
         deadline_s = time.monotonic() + timeout_s
         while self.active_requests and time.monotonic() < deadline_s:
@@ -322,6 +343,14 @@
             await asyncio.wait(list(self.connection_tasks), timeout=timeout_s)
 
 
+def _accept_established(listening_socket: socket.socket) -> list[socket.socket]:
+    rv = []
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            rv.append(listening_socket.accept()[0])
+    return rv
+
+
 def make_http_server(
     handler: Handler, send_refusal: RefusalSender, bounds: Bounds
 ) -> HttpServer:
--- a/tests/test_http_close.py
+++ b/tests/test_http_close.py
@@ -1,10 +1,11 @@
 """Test that an HTTP server that closes answers each request that it has read.
 
 The tests guard against connections that end without an answer: to a request under way,
-behind another one, or with a slow body.
+behind another one, with a slow body, or in the backlog of the listening socket.
 """
 
 import asyncio
+import socket
 import time
 import unittest
 
@@ -18,6 +19,7 @@
 GET_OK = b"GET /ok HTTP/1.1\r\nHost: a\r\n\r\n"
 GET_ENDLESS = b"GET /endless HTTP/1.1\r\nHost: a\r\n\r\n"
 HALF_BODY = b"POST /ok HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf"
+BACKLOG_COUNT = 30
 
 
 class HttpCloseTest(unittest.IsolatedAsyncioTestCase):
@@ -95,6 +97,18 @@
         self.assertIn(b"HTTP/1.1 504", answer)
         self.assertIn(b"HTTP/1.1 200", answer)
 
+    # Guards against: connections that are reset as nobody has accepted them yet.
+    async def test_request_in_the_backlog_is_answered(self):
+        address = ("127.0.0.1", self.server.port)
+        clients = [socket.create_connection(address, 5) for _ in range(BACKLOG_COUNT)]
+        for client in clients:
+            self.addCleanup(client.close)
+            client.sendall(GET_OK)
+        await self.server.close(0.5)
+        answers = [await asyncio.to_thread(client.recv, 4096) for client in clients]
+        statuses = [answer[:12] for answer in answers]
+        self.assertEqual(statuses, [b"HTTP/1.1 200"] * BACKLOG_COUNT)
+
     async def test_idle_connection_ends_without_a_reset(self):
         reader, writer = await self.open(GET_OK)
         await reader.readuntil(b"/ok")
