Refuse what a stopping process cannot answer in time, and answer the rest by then

A process that stopped read and handled requests as ever until `drain_s`, each with its caller's deadline alone, whatever time was left until its own end. Nothing decided at the arrival of a request whether it could still be answered.

One owner decides now: `make_stop_schedule` says until when answers are due, by the grace period of the site (new setting `grace_s`, from the deploy file), on the clock that counts suspension. The gateway refuses at once, as not run, what comes too late for the time that submissions have taken (`stopping`, 503, Retry-After), and `LeaderClient` lets no wait outlast the schedule, also those that began before the stop. `drain_s` stays the longest time for requests. All servers close at once, the balancer's last. The line `stop` counts how requests ended since the signal, and each connection that ends without an answer has a line `unanswered`.

As long as time is ample, requests are served as before.

--- a/packages/daemon/bulrushspur_daemon/gateway.py
+++ b/packages/daemon/bulrushspur_daemon/gateway.py
@@ -3,7 +3,8 @@
 Submissions, queries and cancellations go in; each gets one result with an outcome.
 The queues, the API keys and the final job states that this process has passed on are
 known here; the leader is asked for all else. A submission that got no reply but may
-have been stored is answered as in doubt; its caller may send it again.
+have been stored is answered as in doubt; its caller may send it again. While the
+process stops, what would take too long is refused at once.
 """
 
 import dataclasses
@@ -17,12 +18,14 @@
     LeaderClient,
     LeaderUnavailableError,
 )
+from bulrushspur_daemon.stop_schedule import StopSchedule
 from bulrushspur_kernel.logs import EventLog
 from bulrushspur_kernel.messages import Cancel, Outcome, Query, Reply, Submit
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_scheduler.config import Account, Queue
 from bulrushspur_scheduler.job_specs import JobSpec
 from bulrushspur_scheduler.jobs import FINAL_STATES, Job
+from bulrushspur_scheduler.latency import LatencyEstimate
 from bulrushspur_scheduler.records import encode_job
 
 # A new leader is expected within this time after the old one is lost.
@@ -42,6 +45,10 @@
 # The leader forgets a final state after a time; then another job may have the id.
 MAX_FINAL_AGE_S: t.Final = 10.0
 
+# The leader answers these after a write to the store.
+STORING_OPERATIONS: t.Final = frozenset({"submit", "cancel"})
+STOPPING_REASON: t.Final = "this entry process stops"
+
 ANONYMOUS_ACCOUNT: t.Final = Account("")
 
 _FINAL_STATES: t.Final = frozenset(state.value for state in FINAL_STATES)
@@ -51,8 +58,8 @@
 class Result:
     """The answer to a caller.
 
-    ``outcome`` is ok, rejected, unknown_job, unavailable or in_doubt; ``reason`` says
-    why not ok, or why the job failed.
+    ``outcome`` is ok, rejected, unknown_job, unavailable, stopping or in_doubt;
+    ``reason`` says why not ok, or why the job failed.
     """
 
     outcome: str
@@ -73,6 +80,12 @@
     final_results: dict[str, tuple[Result, float]] = dataclasses.field(
         default_factory=dict
     )
+    # Set once the process stops.
+    stop_schedule: StopSchedule | None = None
+    # Of requests that the leader answers once they are stored.
+    storing_latency: LatencyEstimate = dataclasses.field(
+        default_factory=lambda: LatencyEstimate(SUBMIT_TIMEOUT_S)
+    )
 
     @property
     def has_config(self) -> bool:
@@ -84,6 +97,11 @@
         if self.config_watch.is_behind():
             await self.config_watch.catch_up()
 
+    def begin_stop(self, schedule: StopSchedule) -> None:
+        """Answer all requests by the times of a stop, also those under way."""
+        self.stop_schedule = schedule
+        self.leader_client.limit_waits(lambda: schedule.remaining_s(boottime_s()))
+
     @property
     def max_body_bytes(self) -> int:
         """Return the size of the largest request body accepted."""
@@ -181,17 +199,10 @@
         deadline_s: float,
     ) -> Result:
         began_s = monotonic_s()
-        wait_s = max(deadline_s - DEADLINE_MARGIN_S, 0.05)
-        try:
-            reply = await self.leader_client.request(
-                make_request, wait_s, self._leader_wait_s()
-            )
-            result = _make_result(reply)
-        except LeaderUnavailableError as exc:
-            # Only a submission that may be stored is in doubt.
-            in_doubt = exc.in_doubt and operation == "submit"
-            outcome = "in_doubt" if in_doubt else "unavailable"
-            result = Result(outcome, "", "no leader answers", RETRY_AFTER_S)
+        if self._comes_too_late(operation):
+            result = Result("stopping", "", STOPPING_REASON, RETRY_AFTER_S)
+        else:
+            result = await self._ask_leader(operation, make_request, deadline_s)
         if result.retry_after_s:
             remaining_s = began_s + deadline_s - monotonic_s()
             result = dataclasses.replace(
@@ -201,6 +212,8 @@
         if result.state in _FINAL_STATES:
             self._cache_final_result(job_id, result)
         took_s = monotonic_s() - began_s
+        if operation in STORING_OPERATIONS and result.outcome in ("ok", "in_doubt"):
+            self.storing_latency.observe(took_s)
         self.metrics.record_duration(f"caller_{operation}", took_s)
         self.metrics.count(f"caller_{operation}_{result.outcome}")
         if operation != "query" or result.outcome != "ok":
@@ -218,6 +231,32 @@
             )
         return result
 
+    def _comes_too_late(self, operation: str) -> bool:
+        """Return whether the process stops before it could answer a request."""
+        if self.stop_schedule is None:
+            return False
+        is_stored = operation in STORING_OPERATIONS
+        expected_s = self.storing_latency.late_s if is_stored else 0.0
+        return self.stop_schedule.must_refuse(expected_s, boottime_s())
+
+    async def _ask_leader(
+        self,
+        operation: str,
+        make_request: t.Callable[[int], t.Any],
+        deadline_s: float,
+    ) -> Result:
+        wait_s = max(deadline_s - DEADLINE_MARGIN_S, 0.05)
+        try:
+            reply = await self.leader_client.request(
+                make_request, wait_s, self._leader_wait_s()
+            )
+        except LeaderUnavailableError as exc:
+            # Only a submission that may be stored is in doubt.
+            in_doubt = exc.in_doubt and operation == "submit"
+            outcome = "in_doubt" if in_doubt else "unavailable"
+            return Result(outcome, "", "no leader answers", RETRY_AFTER_S)
+        return _make_result(reply)
+
     def _leader_wait_s(self) -> float:
         """Return how long to wait for a new leader, less the time since the loss."""
         lost_s = max(self.leader_client.heartbeat_age_s() - HEARTBEAT_TIMEOUT_S, 0.0)
--- a/packages/daemon/bulrushspur_daemon/leader_client.py
+++ b/packages/daemon/bulrushspur_daemon/leader_client.py
@@ -8,6 +8,7 @@
 import asyncio
 import dataclasses
 import itertools
+import math
 import os
 import typing as t
 
@@ -92,6 +93,8 @@
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     request_ids: t.Iterator[int] = dataclasses.field(default_factory=_make_request_ids)
     on_config_version: t.Callable[[int], None] = lambda version: None
+    # The time left for all requests; of a process that stops, until answers are due.
+    find_time_left_s: t.Callable[[], float] = lambda: math.inf
 
     def handle_heartbeat(
         self,
@@ -199,7 +202,7 @@
 
         The request is given up after ``timeout_s``, or already after ``leader_wait_s``
         if no leader is available and none can have received it. A leader that recovers
-        gets MAX_RECOVERY_WAIT_S.
+        gets MAX_RECOVERY_WAIT_S. No request outlasts the time left.
 
         Raises LeaderUnavailableError.
         """
@@ -207,6 +210,7 @@
         in_doubt = False
         while True:
             remaining_s = began_s + timeout_s - monotonic_s()
+            remaining_s = min(remaining_s, self.find_time_left_s())
             if not self.is_available():
                 wait_s = remaining_s
                 if not in_doubt:
@@ -228,6 +232,11 @@
                 in_doubt = True
             await asyncio.sleep(min(NOT_READY_RETRY_INTERVAL_S, max(remaining_s, 0.0)))
 
+    def limit_waits(self, find_time_left_s: t.Callable[[], float]) -> None:
+        """Let no request wait longer than the time left, also those that wait now."""
+        self.find_time_left_s = find_time_left_s
+        self._notify_change()
+
     async def _wait_for_change(self, wait_s: float) -> bool:
         """Wait for a change of the leader; return whether to look at it again.
 
--- a/packages/daemon/bulrushspur_daemon/lifecycle.py
+++ b/packages/daemon/bulrushspur_daemon/lifecycle.py
@@ -4,13 +4,16 @@
 """
 
 import asyncio
+import dataclasses
 import math
 import os
 import signal
 import typing as t
 
-from bulrushspur_daemon.clock import monotonic_s
+from bulrushspur_daemon.clock import boottime_s
 from bulrushspur_daemon.process import Process, make_process
+from bulrushspur_daemon.stop_report import StopReport, make_stop_report
+from bulrushspur_daemon.stop_schedule import StopSchedule, make_stop_schedule
 from bulrushspur_kernel.errors import Refusal
 from bulrushspur_kernel.http_exchange import Exchange
 from bulrushspur_kernel.http_server import make_http_server
@@ -19,10 +22,26 @@
 from bulrushspur_kernel.settings import Settings, load_settings, split_address
 
 DRAIN_CHECK_INTERVAL_S: t.Final = 0.05
+# For requests that are being answered when all answers are due.
+LAST_ANSWERS_TIMEOUT_S: t.Final = 0.2
 # A slow store takes a second or more for a claim.
 HANDOVER_TIMEOUT_S: t.Final = 2.5
 
 
+@dataclasses.dataclass
+class StopRequest:
+    """Whether a process was told to stop, and when first, suspension counted."""
+
+    requested: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    requested_s: float = 0.0
+
+    def request(self) -> None:
+        """Record that the process was told to stop."""
+        if not self.requested.is_set():
+            self.requested_s = boottime_s()
+            self.requested.set()
+
+
 async def run_process(settings: Settings, path: str) -> None:
     """Run an entry process until SIGTERM, SIGINT or an error in a background loop.
 
@@ -40,9 +59,9 @@
     incarnation = os.urandom(6).hex()
     process = make_process(settings, log, incarnation)
     loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
+    stop = StopRequest()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.request)
     loop.add_signal_handler(signal.SIGHUP, lambda: reload_settings(process, path))
     loops = make_background_loops(process, incarnation)
     tasks = [
@@ -50,11 +69,11 @@
     ]
     try:
         await listen(process)
-        await stop.wait()
-        await shut_down(process)
+        await stop.requested.wait()
+        report = await shut_down(process, stop.requested_s)
     finally:
         await end_process(process, tasks)
-    log.event("stop", urgent=True)
+    report.log_end()
 
 
 def make_background_loops(
@@ -83,7 +102,7 @@
 
 
 async def _stop_on_error(
-    coroutine: t.Coroutine[t.Any, t.Any, None], log: EventLog, stop: asyncio.Event
+    coroutine: t.Coroutine[t.Any, t.Any, None], log: EventLog, stop: StopRequest
 ) -> None:
     try:
         await coroutine
@@ -91,7 +110,7 @@
         raise
     except Exception as exc:
         log.event("fault", urgent=True, reason=repr(exc))
-        stop.set()
+        stop.request()
         raise
 
 
@@ -123,23 +142,56 @@
     process.servers[0].is_ready = process.is_ready
 
 
-async def shut_down(process: Process) -> None:
-    """Hand over if this process leads, let open requests finish and close servers.
+async def shut_down(process: Process, requested_s: float | None = None) -> StopReport:
+    """Hand over if this process leads, answer all requests and close the servers.
 
-    Callers' requests have ``drain_s`` seconds of the settings to finish.
+    All of it ends within the grace period, which began at ``requested_s`` (default:
+    now). Returns what became of the requests.
     """
+    if requested_s is None:
+        requested_s = boottime_s()
+    schedule = begin_stop(process, requested_s)
+    report = make_stop_report(process.servers[0], process.log, requested_s)
+    if process.term is not None:
+        timeout_s = min(HANDOVER_TIMEOUT_S, schedule.remaining_s(boottime_s()))
+        await process.term.hand_over(timeout_s)
+    await _wait_for_callers(process, schedule)
+    await _close_servers(process)
+    return report
+
+
+def begin_stop(process: Process, requested_s: float) -> StopSchedule:
+    """Take no new connections from the balancer, and limit the time of each request."""
+    settings = process.settings
+    schedule = make_stop_schedule(
+        settings.site.grace_s, requested_s, settings.bounds.drain_s
+    )
     process.stopping = True
     process.election.stopping = True
-    process.log.event("stopping", urgent=True, leads=process.term is not None)
+    process.gateway.begin_stop(schedule)
+    process.log.event(
+        "stopping",
+        urgent=True,
+        leads=process.term is not None,
+        late_ms=round((boottime_s() - requested_s) * 1000),
+    )
+    process.servers[0].begin_close()
+    return schedule
+
+
+async def _wait_for_callers(process: Process, schedule: StopSchedule) -> None:
+    """Wait until callers have no connection any more, or answers are due."""
     callers_server = process.servers[0]
-    callers_server.begin_close()
-    deadline_s = monotonic_s() + process.settings.bounds.drain_s
-    if process.term is not None:
-        await process.term.hand_over(HANDOVER_TIMEOUT_S)
-    while callers_server.connection_tasks and monotonic_s() < deadline_s:
+    while callers_server.connection_tasks and schedule.remaining_s(boottime_s()):
         await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
-    for server in process.servers:
-        await server.close(0.2)
+
+
+async def _close_servers(process: Process) -> None:
+    """Close all servers at the same time, the one for the balancer last."""
+    callers_server, ready_server, *others = process.servers
+    closing = [s.close(LAST_ANSWERS_TIMEOUT_S) for s in (callers_server, *others)]
+    await asyncio.gather(*closing)
+    await ready_server.close(0.0)
 
 
 async def end_process(process: Process, tasks: list[asyncio.Task[None]]) -> None:
--- a/packages/daemon/bulrushspur_daemon/native_interface.py
+++ b/packages/daemon/bulrushspur_daemon/native_interface.py
@@ -291,6 +291,7 @@
 _REFUSALS: t.Final = {
     "rejected": (ErrorKind.QUEUE_FULL, Ran.NO),
     "unavailable": (ErrorKind.NO_OWNER, Ran.NO),
+    "stopping": (ErrorKind.STOPPING, Ran.NO),
     "unknown_job": (ErrorKind.UNKNOWN_REQUEST, Ran.NO),
     "in_doubt": (ErrorKind.PEER_LOST, Ran.MAYBE),
 }
--- a/packages/kernel/bulrushspur_kernel/settings.py
+++ b/packages/kernel/bulrushspur_kernel/settings.py
@@ -28,7 +28,8 @@
     """Limits of an HTTP server on connections, sizes and times.
 
     ``buffer_bytes`` applies to the read buffer and to the write buffer of each
-    connection. ``drain_s`` is the time that connections get to end at shutdown.
+    connection. ``drain_s`` is the longest time that requests get to end at shutdown;
+    ``grace_s`` of the site may allow them less.
     """
 
     connections: PositiveInt = 1500
@@ -54,6 +55,8 @@
     lease_most_ms: PositiveInt = 10_000
     # A smaller capacity of a worker counts for so long after it is in the store.
     capacity_notice_ms: PositiveInt = 3000
+    # A process that is told to stop is killed after this time.
+    grace_s: PositiveFloat = 6.0
     # How long the state of a job that has ended is reported.
     status_s: PositiveFloat = 120.0
     far_factor: PositiveFloat = 2.0
--- /dev/null
+++ b/tests/test_gateway_stop.py
@@ -0,0 +1,134 @@
+"""Test that a gateway answers each request in time once its process stops.
+
+The tests guard against requests that are passed on too late to be answered, refusals of
+requests that a leader may have, and waits that outlast the process.
+"""
+
+import asyncio
+import time
+import unittest
+
+from bulrushspur_daemon.clock import boottime_s
+from bulrushspur_daemon.gateway import Gateway
+from bulrushspur_daemon.leader_client import LeaderClient
+from bulrushspur_daemon.stop_schedule import make_stop_schedule
+from bulrushspur_kernel.messages import Heartbeat, Outcome, Reply, Submit
+from bulrushspur_kernel.metrics import Metrics
+from bulrushspur_scheduler.config import Account
+from tests.cell_fixtures import QUEUES, make_test_job
+from tests.test_config_watch import NullEventLog
+
+ACCOUNT = Account("team")
+GRACE_S = 6.0
+DEADLINE_S = 30.0
+# The event loop of a loaded machine is late.
+LATE_S = 0.4
+
+
+class GatewayStopTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.sent = []
+        self.client = LeaderClient(self.send)
+        self.gateway = Gateway(None, self.client, NullEventLog(), Metrics())
+        self.answers = False
+        self.has_leader()
+
+    def has_leader(self):
+        self.client.handle_heartbeat(Heartbeat(1, "n1", True, 1, 0, {}), b"n1")
+
+    def send(self, identity, message):
+        self.sent.append(message)
+        if self.answers:
+            reply = Reply(message.request_id, Outcome.OK)
+            asyncio.get_running_loop().call_soon(self.client.handle_reply, reply)
+        return True
+
+    def begin_stop(self, age_s=0.0, drain_s=60.0):
+        schedule = make_stop_schedule(GRACE_S, boottime_s() - age_s, drain_s)
+        self.gateway.begin_stop(schedule)
+
+    def submit(self):
+        spec = make_test_job().spec
+        return self.gateway.submit(QUEUES[0], ACCOUNT, spec, DEADLINE_S)
+
+    def list_requests(self):
+        gateway = self.gateway
+        return [
+            self.submit(),
+            gateway.query("j1", DEADLINE_S),
+            gateway.cancel(ACCOUNT, "j1", DEADLINE_S),
+        ]
+
+    async def get_timed(self, request):
+        began_s = time.monotonic()
+        result = await request
+        return result, time.monotonic() - began_s
+
+    async def test_request_that_comes_too_late_is_refused_and_not_passed_on(self):
+        self.begin_stop(age_s=GRACE_S - 1.0)
+        for request in self.list_requests():
+            result, took_s = await self.get_timed(request)
+            self.assertEqual(result.outcome, "stopping")
+            self.assertGreater(result.retry_after_s, 0.0)
+            self.assertLess(took_s, LATE_S)
+        self.assertEqual(self.sent, [])
+
+    async def test_request_is_served_while_time_is_ample(self):
+        self.answers = True
+        self.begin_stop()
+        for request in self.list_requests():
+            self.assertEqual((await request).outcome, "ok")
+        self.assertEqual(len(self.sent), 3)
+
+    async def test_submissions_are_refused_earlier_beside_a_slow_store(self):
+        self.answers = True
+        for _ in range(20):
+            self.gateway.storing_latency.observe(1.5)
+        self.begin_stop(drain_s=1.4)
+        submission, query, cancel = self.list_requests()
+        self.assertEqual((await submission).outcome, "stopping")
+        self.assertEqual((await query).outcome, "ok")
+        self.assertEqual((await cancel).outcome, "stopping")
+
+    async def test_time_that_submissions_take_is_learned(self):
+        self.answers = True
+        latency = self.gateway.storing_latency
+        send = self.client.send
+
+        def send_late(identity, message):
+            asyncio.get_running_loop().call_later(0.3, send, identity, message)
+            return True
+
+        self.client.send = send_late
+        await self.submit()
+        self.assertGreater(latency.late_s, 0.3)
+
+    async def test_request_that_a_leader_may_have_is_answered_in_doubt_in_time(self):
+        self.begin_stop(drain_s=0.7)
+        result, took_s = await self.get_timed(self.submit())
+        self.assertEqual(result.outcome, "in_doubt")
+        self.assertLess(took_s, 0.7 + LATE_S)
+        self.assertIsInstance(self.sent[0], Submit)
+
+    async def test_request_that_no_leader_has_is_refused_in_time(self):
+        self.client.serving = False
+        self.begin_stop(drain_s=0.7)
+        result, took_s = await self.get_timed(self.submit())
+        self.assertEqual(result.outcome, "unavailable")
+        self.assertLess(took_s, 0.7 + LATE_S)
+
+    # Guards against: a wait that began before the stop, by its caller's deadline.
+    async def test_request_under_way_is_answered_in_time(self):
+        query = asyncio.create_task(self.gateway.query("j1", DEADLINE_S))
+        await asyncio.sleep(0.1)
+        self.client.serving = False
+        self.client._drop_replies()
+        await asyncio.sleep(0.1)
+        self.begin_stop(drain_s=0.3)
+        result, took_s = await self.get_timed(query)
+        self.assertEqual(result.outcome, "unavailable")
+        self.assertLess(took_s, 0.3 + LATE_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from bulrushspur_daemon.clock import boottime_s
 from bulrushspur_daemon.lifecycle import shut_down
 from oracle.clients import observe_request
 from tests.cluster import API_KEY, HOST, InProcessCluster, job_id, make_job_body
@@ -33,6 +34,7 @@
         await self.cluster.start(nodes=3, workers=4)
         self.submitted = 0
         self.stopping = None
+        self.report = None
 
     async def submit_until_closed(self, node):
         """Submit jobs on one connection after the other until none can be opened."""
@@ -62,8 +64,11 @@
         await observe_request(observations, "POST", target, body, API_KEY, send)
         return attempts[0]
 
-    async def stop_beside_clients(self, node, append_delay_s):
-        """Stop an entry process as SIGTERM does; return the attempts, and the time."""
+    async def stop_beside_clients(self, node, append_delay_s, late_s):
+        """Stop an entry process as SIGTERM does; return the attempts, and the time.
+
+        The signal is handled ``late_s`` seconds late.
+        """
         self.cluster.store.append_delay_s = append_delay_s
         clients = [
             asyncio.create_task(self.submit_until_closed(node))
@@ -71,19 +76,21 @@
         ]
         await asyncio.sleep(2.0)
         began_s = time.monotonic()
-        self.stopping = asyncio.create_task(shut_down(node.process))
-        await self.stopping
-        took_s = time.monotonic() - began_s
+        requested_s = boottime_s() - late_s
+        self.stopping = asyncio.create_task(shut_down(node.process, requested_s))
+        self.report = await self.stopping
+        took_s = time.monotonic() - began_s + late_s
         del self.cluster.nodes[node.process.settings.name]
         await node.kill()
         self.cluster.store.append_delay_s = 0.0
         attempts = [a for client in await asyncio.gather(*clients) for a in client]
         return [a for a in attempts if a.ended_s > began_s], took_s
 
-    async def check_stop(self, node, append_delay_s):
-        attempts, took_s = await self.stop_beside_clients(node, append_delay_s)
+    async def check_stop(self, node, append_delay_s, late_s=0.0):
+        attempts, took_s = await self.stop_beside_clients(node, append_delay_s, late_s)
         self.assertEqual([a for a in attempts if a.is_given_up(SLACK_S)], [])
         self.assertLess(took_s, MAX_STOP_S)
+        self.assertEqual(node.events("unanswered"), [])
 
     def find_follower(self):
         leader = self.cluster.find_leader()
@@ -95,6 +102,25 @@
     async def test_leader_gives_up_no_request_beside_a_slow_store(self):
         await self.check_stop(self.cluster.find_leader(), 1.0)
 
+    async def test_leader_gives_up_no_request_beside_a_very_slow_store(self):
+        await self.check_stop(self.cluster.find_leader(), 2.5)
+
+    async def test_follower_gives_up_no_request_if_the_signal_is_handled_late(self):
+        await self.check_stop(self.find_follower(), 0.7, late_s=2.0)
+
+    # Guards against: connections that are reset as the process stops listening.
+    async def test_follower_gives_up_no_request_until_it_is_gone(self):
+        node = self.find_follower()
+        # Keeps the process from ending as soon as no other connection is open.
+        idle = await open_kept_connection(node.address)
+        self.addAsyncCleanup(idle.close)
+        await self.check_stop(node, 0.02)
+        self.report.log_end()
+        (row,) = node.events("stop")
+        self.assertGreater(row["answered"], 100)
+        self.assertGreater(row["refused"], 0)
+        self.assertEqual(row["unanswered"], 0)
+
 
 if __name__ == "__main__":
     unittest.main()
