Count suspension in the wait for the next leader

Callers of a leader on a VM that was suspended while it handed over would wait on: the limit of 2.5 s counted the time in which the VM ran, and the grace period counts all. The wait reads the clock that counts suspension now.

--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -12,7 +12,7 @@
 
 from bulrushspur_daemon.advice_dispatcher import AdviceDispatcher
 from bulrushspur_daemon.claim_log import ClaimLog
-from bulrushspur_daemon.clock import boottime_s, monotonic_s
+from bulrushspur_daemon.clock import boottime_s
 from bulrushspur_daemon.leader_requests import LeaderRequest, LeaderRequestHandler
 from bulrushspur_daemon.liveness_watch import LivenessWatch
 from bulrushspur_daemon.plan_loop import PlanLoop
@@ -207,8 +207,8 @@
         """Ask the other processes to claim; return once one has, or after a time."""
         self.heartbeats.stopping = True
         self.heartbeats.send()
-        deadline_s = monotonic_s() + timeout_s
-        while not self.ended and monotonic_s() < deadline_s:
+        deadline_s = boottime_s() + timeout_s
+        while not self.ended and boottime_s() < deadline_s:
             await asyncio.sleep(HANDOVER_CHECK_INTERVAL_S)
         self.heartbeats.stopping = self.is_leaving
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -5,8 +5,10 @@
 """
 
 import asyncio
+import itertools
 import time
 import unittest
+from unittest import mock
 
 from bulrushspur_daemon.lifecycle import shut_down
 from tests.cluster import InProcessCluster, job_id
@@ -67,6 +69,17 @@
         accepted = [e for e in leader.events("accept") if e["t"] > stopping["t"]]
         self.assertGreater(len(accepted), 0)
 
+    # Guards against: the wait goes on after a suspension that used up the grace period.
+    async def test_wait_for_a_successor_counts_suspension(self):
+        leader = self.cluster.find_leader()
+        self.cluster.store.append_delay_s = 2.0
+        clock = mock.Mock(side_effect=itertools.count(0.0, 100.0))
+        began_s = time.monotonic()
+        with mock.patch("bulrushspur_daemon.term.boottime_s", clock):
+            await leader.process.term.hand_over(60.0)
+        self.assertLess(time.monotonic() - began_s, 1.0)
+        self.cluster.store.append_delay_s = 0.0
+
     async def test_three_stops_in_a_row_start_nothing_twice(self):
         cluster = self.cluster
         for number in range(1000, 1012):
