Count the grace period from when the signal came, not from when it was handled

Callers of a process that was suspended, or whose event loop was late, when SIGTERM came got no answer: its stop lasted as long as ever from the moment it handled the signal, and SIGKILL came before. With a real process that is suspended for 2 s it ended 6.05 s after the signal, beyond the grace period of 6 s.

The handler runs between two instructions now instead of in the event loop, and records the time. If the event loop had not turned for over a second before (it is looked at twice a second), the signal counts from that turn: it may have come then. The same process ends within 5 s; the schedule then leaves less time to requests and refuses sooner. A second signal changes nothing, as before.

--- a/packages/daemon/bulrushspur_daemon/lifecycle.py
+++ b/packages/daemon/bulrushspur_daemon/lifecycle.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import dataclasses
 import math
 import os
 import signal
@@ -13,6 +12,7 @@
 from bulrushspur_daemon.clock import boottime_s
 from bulrushspur_daemon.process import Process, make_process
 from bulrushspur_daemon.stop_report import StopReport, make_stop_report
+from bulrushspur_daemon.stop_request import StopRequest
 from bulrushspur_daemon.stop_schedule import StopSchedule, make_stop_schedule
 from bulrushspur_kernel.errors import Refusal
 from bulrushspur_kernel.http_exchange import Exchange
@@ -28,20 +28,6 @@
 HANDOVER_TIMEOUT_S: t.Final = 2.5
 
 
-@dataclasses.dataclass
-class StopRequest:
-    """Whether a process was told to stop, and when first, suspension counted."""
-
-    requested: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
-    requested_s: float = 0.0
-
-    def request(self) -> None:
-        """Record that the process was told to stop."""
-        if not self.requested.is_set():
-            self.requested_s = boottime_s()
-            self.requested.set()
-
-
 async def run_process(settings: Settings, path: str) -> None:
     """Run an entry process until SIGTERM, SIGINT or an error in a background loop.
 
@@ -60,10 +46,9 @@
     process = make_process(settings, log, incarnation)
     loop = asyncio.get_running_loop()
     stop = StopRequest()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.request)
+    stop.handle_signals()
     loop.add_signal_handler(signal.SIGHUP, lambda: reload_settings(process, path))
-    loops = make_background_loops(process, incarnation)
+    loops = [*make_background_loops(process, incarnation), stop.watch_turns()]
     tasks = [
         asyncio.create_task(_stop_on_error(coroutine, log, stop)) for coroutine in loops
     ]
