--- a/packages/kernel/bulrushspur_kernel/log_importance.py
+++ b/packages/kernel/bulrushspur_kernel/log_importance.py
@@ -31,6 +31,7 @@
         "finish",
         "job_given_up",
         "reject",
+        "unanswered",
         # What counts against a job: lost runs, crashes, faults and unreadable records.
         "crash_of_trial",
         "record_fault",
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -229,12 +229,14 @@
     def run_process(self, **parts):
         """Run a process of which only the log is real."""
         log = mock.Mock()
+        report = mock.Mock()
+        report.log_end.side_effect = lambda: log.event("stop", urgent=True)
         parts = {
             "configure_logging": mock.Mock(return_value=log),
             "make_process": mock.Mock(),
             "make_background_loops": mock.Mock(return_value=[]),
             "listen": mock.AsyncMock(),
-            "shut_down": mock.AsyncMock(),
+            "shut_down": mock.AsyncMock(return_value=report),
             "end_process": mock.AsyncMock(),
             **parts,
         }
