Start nothing that requires a label on a worker whose labels are of a former incarnation

Cause: a worker takes work once its new incarnation has reported, 0.04 s after its restart. Its labels were those of its entry, which is read up to 0.4 s later, and nothing compared whose entry it was.

Change: a worker has labels only while its entry is that of the incarnation that reported last. Placement, gangs, reservations, preemption, advice and the last check of a start go by that, the check for members of gangs, too. Work that requires no label starts as before; so does what is accepted. An entry without the start of its incarnation is believed.

--- a/fuzz/links.py
+++ b/fuzz/links.py
@@ -10,6 +10,7 @@
 from bulrushspur_scheduler.cell import StartOrder, StopOrder
 from bulrushspur_scheduler.incarnations import describe_order, record_answer_clock
 from bulrushspur_scheduler.job_specs import TaskKey
+from bulrushspur_scheduler.jobs import Step
 from bulrushspur_scheduler.leases import extend_lease
 from bulrushspur_scheduler.open_starts import (
     record_answered_lease,
@@ -82,6 +83,10 @@
         """Return whether a leader may start work on a worker."""
         return self._reaches(leader, name)
 
+    def has_label(self, step: Step, name: str) -> bool:
+        """Return whether a worker has the label that a step requires."""
+        return True
+
     def _delay_s(self) -> float:
         return self.rng.choice((0.002, 0.005, 0.02, 0.1))
 
--- a/fuzz/standing.py
+++ b/fuzz/standing.py
@@ -140,6 +140,8 @@
     for name, worker in simulation.workers.items():
         if not worker.alive or not simulation.takes_work(leader, name):
             continue
+        if not simulation.has_label(step, name):
+            continue
         used = sum(cpu for _, cpu in _list_running(worker, simulation.now_s))
         slots = (worker.cpu_milli - used) // step.spec.resources.cpu_milli
         rv += min(slots, step.spec.max_per_worker or slots)
--- a/packages/scheduler/bulrushspur_scheduler/advice.py
+++ b/packages/scheduler/bulrushspur_scheduler/advice.py
@@ -62,7 +62,7 @@
         for worker in pool.workers
         if worker.id not in step.evaluated_workers
         and worker.entry.capacity.can_fit(spec.resources)
-        and spec.accepts_labels(worker.entry.labels)
+        and spec.accepts_labels(worker.labels)
     ]
     candidates.sort(
         key=lambda worker: (
--- a/packages/scheduler/bulrushspur_scheduler/placement.py
+++ b/packages/scheduler/bulrushspur_scheduler/placement.py
@@ -61,7 +61,7 @@
         worker
         for worker in workers
         if (not ticketed or has_ticket(step, worker, now_s))
-        and spec.accepts_labels(worker.entry.labels)
+        and spec.accepts_labels(worker.labels)
         and (worker.isolated_for == step.key or may_share(worker, step, pool, now_s))
         and (
             worker.reserved_for in (None, step.key)
@@ -189,9 +189,7 @@
     if worker.failure_score >= 1.0:
         failure_rank += 1
     leftover = _leftover_share(worker, spec.resources)
-    off_rack = (
-        bool(spec.preferred_rack) and spec.preferred_rack not in worker.entry.labels
-    )
+    off_rack = bool(spec.preferred_rack) and spec.preferred_rack not in worker.labels
     late_rank, signed_speed = speed_rank(worker, step.needed_speed)
     return (
         failure_rank,
--- a/packages/scheduler/bulrushspur_scheduler/preemption.py
+++ b/packages/scheduler/bulrushspur_scheduler/preemption.py
@@ -90,7 +90,7 @@
     for worker in pool.workers:
         if worker.reserved_for not in (None, step.key):
             continue
-        if not step.spec.accepts_labels(worker.entry.labels):
+        if not step.spec.accepts_labels(worker.labels):
             continue
         if needs_approval and worker.id not in step.approved_workers:
             continue
--- a/packages/scheduler/bulrushspur_scheduler/reservations.py
+++ b/packages/scheduler/bulrushspur_scheduler/reservations.py
@@ -196,7 +196,7 @@
     return [
         worker
         for worker in workers
-        if worker.reserved_for is None and step.spec.accepts_labels(worker.entry.labels)
+        if worker.reserved_for is None and step.spec.accepts_labels(worker.labels)
     ]
 
 
--- a/packages/scheduler/bulrushspur_scheduler/rotation.py
+++ b/packages/scheduler/bulrushspur_scheduler/rotation.py
@@ -45,7 +45,7 @@
     for worker in pool.workers + pool.doubted_workers + pool.isolated_workers:
         free = worker.free
         cpu_milli = max(free.cpu_milli, 0)
-        for label in {"", *worker.entry.labels}:
+        for label in {"", *worker.labels}:
             room = rv.get(label, _NO_ROOM)
             rv[label] = Room(
                 max(room.max_cpu_milli, cpu_milli),
--- a/packages/scheduler/bulrushspur_scheduler/start_checks.py
+++ b/packages/scheduler/bulrushspur_scheduler/start_checks.py
@@ -36,14 +36,14 @@
         return "worker silent"
     if must_drop_start(cell, worker, run, now_s):
         return "domain evacuated"
+    if not step.spec.accepts_labels(worker.labels):
+        return "worker without the label"
     if step.spec.gang and now_s - run.ordered_s <= MAX_GANG_ORDER_AGE_S:
         return ""
     if not is_available(worker, now_s):
         return "worker not available"
     if worker.entry.service != step.job.service:
         return "worker of another service"
-    if not step.spec.accepts_labels(worker.entry.labels):
-        return "worker without the label"
     free = worker.free
     if min(free.cpu_milli, free.memory_mb, free.gpus) < 0:
         return "worker full"
--- a/packages/scheduler/bulrushspur_scheduler/waiting.py
+++ b/packages/scheduler/bulrushspur_scheduler/waiting.py
@@ -189,7 +189,11 @@
     if ticketed:
         listed = [worker for worker in listed if worker.id in step.approved_workers]
     outside = [worker for worker in listed if not is_evacuated(cell, worker)]
-    schedulable = [worker for worker in outside if is_schedulable(worker, now_s)]
+    schedulable = [
+        worker
+        for worker in outside
+        if is_schedulable(worker, now_s) and step.spec.accepts_labels(worker.labels)
+    ]
     pool = Pool(schedulable, now_s, {worker.id: worker for worker in schedulable})
     eligible = eligible_workers(cell, step, pool, now_s, ticketed)
     unisolated = [
--- a/packages/scheduler/bulrushspur_scheduler/workers.py
+++ b/packages/scheduler/bulrushspur_scheduler/workers.py
@@ -150,10 +150,27 @@
         """Return the machine, or the id of a worker that names none."""
         return self.entry.machine or self.entry.id
 
+    @property
+    def has_own_entry(self) -> bool:
+        """Return whether the entry is that of the incarnation that reported last.
+
+        One without the start of its incarnation is taken for it.
+        """
+        entry_start_ms = self.entry.incarnation_start_ms
+        return entry_start_ms in (0, self.incarnation_start_ms)
+
+    @property
+    def labels(self) -> tuple[str, ...]:
+        """Return the labels of the present incarnation; none while they are unknown.
+
+        A worker that is back under its id may be of another kind.
+        """
+        return self.entry.labels if self.has_own_entry else ()
+
     @property
     def rack(self) -> str:
         """Return the rack label, the last of the worker's labels."""
-        return self.entry.labels[-1] if self.entry.labels else ""
+        return self.labels[-1] if self.labels else ""
 
     @property
     def has_unsized_orphan(self) -> bool:
