--- a/packages/scheduler/bulrushspur_scheduler/placement.py
+++ b/packages/scheduler/bulrushspur_scheduler/placement.py
@@ -61,7 +61,7 @@
         worker
         for worker in workers
         if (not ticketed or has_ticket(step, worker, now_s))
-        and spec.accepts_labels(worker.labels)
+        and (not spec.required_label or spec.accepts_labels(worker.labels))
         and (worker.isolated_for == step.key or may_share(worker, step, pool, now_s))
         and (
             worker.reserved_for in (None, step.key)
