Answer a cancellation that a leader may carry out as in doubt

Callers of the native interface were told `no_owner`, "not run", of a cancellation that had been sent to a leader whose reply did not come in time; it may be carried out. The gateway took only submissions as in doubt. A cancellation gets the same answer now (504, native 502 `peer_lost`, may have run); it is idempotent, so its caller may repeat it as before.

--- a/packages/daemon/bulrushspur_daemon/gateway.py
+++ b/packages/daemon/bulrushspur_daemon/gateway.py
@@ -2,9 +2,9 @@
 
 Submissions, queries and cancellations go in; each gets one result with an outcome.
 The queues, the API keys and the final job states that this process has passed on are
-known here; the leader is asked for all else. A submission that got no reply but may
-have been stored is answered as in doubt; its caller may send it again. While the
-process stops, what would take too long is refused at once.
+known here; the leader is asked for all else. A submission or cancellation that got no
+reply but may have been stored is answered as in doubt; its caller may send it again.
+While the process stops, what would take too long is refused at once.
 """
 
 import dataclasses
@@ -251,8 +251,8 @@
                 make_request, wait_s, self._leader_wait_s()
             )
         except LeaderUnavailableError as exc:
-            # Only a submission that may be stored is in doubt.
-            in_doubt = exc.in_doubt and operation == "submit"
+            # A query changes nothing, so it is never in doubt.
+            in_doubt = exc.in_doubt and operation in STORING_OPERATIONS
             outcome = "in_doubt" if in_doubt else "unavailable"
             return Result(outcome, "", "no leader answers", RETRY_AFTER_S)
         return _make_result(reply)
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -110,6 +110,12 @@
         self.assertLess(took_s, 0.7 + LATE_S)
         self.assertIsInstance(self.sent[0], Submit)
 
+    # Guards against: "not run" for a cancellation that a leader carries out.
+    async def test_cancellation_that_a_leader_may_have_is_answered_in_doubt(self):
+        self.begin_stop(drain_s=0.7)
+        result = await self.gateway.cancel(ACCOUNT, "j1", DEADLINE_S)
+        self.assertEqual(result.outcome, "in_doubt")
+
     async def test_request_that_no_leader_has_is_refused_in_time(self):
         self.client.serving = False
         self.begin_stop(drain_s=0.7)
