Close the HTTP server also if a last connection cannot be accepted

Callers with requests under way would get no answer: an error of accept(), such as too many open files, ended the close before it answered them. The one of a caller that has left is skipped, others are logged.

--- a/packages/kernel/bulrushspur_kernel/http_server.py
+++ b/packages/kernel/bulrushspur_kernel/http_server.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import collections
-import contextlib
 import dataclasses
 import socket
 import time
@@ -348,10 +347,17 @@
 
 def _accept_established(listening_socket: socket.socket) -> list[socket.socket]:
     rv = []
-    with contextlib.suppress(BlockingIOError):
-        while True:
+    while True:
+        try:
             rv.append(listening_socket.accept()[0])
-    return rv
+        except BlockingIOError:
+            return rv
+        except ConnectionAbortedError:
+            # Its caller has left already.
+            continue
+        except OSError as exc:
+            log.warning(f"The last connections cannot be accepted: {exc}.")
+            return rv
 
 
 def make_http_server(
--- a/tests/test_http_close.py
+++ b/tests/test_http_close.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+import errno
 import socket
 import time
 import unittest
+import unittest.mock
 
 from bulrushspur_kernel.http_server import make_http_server
 from bulrushspur_kernel.settings import Bounds
@@ -109,6 +111,17 @@
         statuses = [answer[:12] for answer in answers]
         self.assertEqual(statuses, [b"HTTP/1.1 200"] * BACKLOG_COUNT)
 
+    # Guards against: an error of accept() cuts the requests on other connections.
+    async def test_close_goes_on_without_connections_that_cannot_be_accepted(self):
+        reader, _ = await self.open(GET_ENDLESS)
+        await self.handled.wait()
+        errors = [ConnectionAbortedError(), OSError(errno.EMFILE, "too many files")]
+        listening_socket = self.server.listening_socket
+        self.server.listening_socket = unittest.mock.Mock(wraps=listening_socket)
+        self.server.listening_socket.accept.side_effect = errors
+        await self.server.close(0.1)
+        self.assertIn(b"HTTP/1.1 504", await self.read_all(reader))
+
     async def test_idle_connection_ends_without_a_reset(self):
         reader, writer = await self.open(GET_OK)
         await reader.readuntil(b"/ok")
