Let a process that stops ask for a successor to a term that it has just won

Callers were answered 503 for 5 to 6 s: nobody led. A process that got SIGTERM while its claim was on its way to the store won a term and did not serve it, and the others waited for its heartbeats.

Cause: the claim was sent without another look at whether the process stops, and the term that it won was ignored.

The process looks again before it claims, and leads a term that it wins all the same, but asks for a successor at once; what is left of it at the end it resigns.

--- a/packages/daemon/bulrushspur_daemon/election.py
+++ b/packages/daemon/bulrushspur_daemon/election.py
@@ -160,7 +160,7 @@
             # the last read.
             await self.claim_log.read()
             view = self.make_leader_view()
-            if not is_leader_lost(view):
+            if self.stopping or not is_leader_lost(view):
                 return
             if (
                 monotonic_s() - began_s > SLOW_STORE_THRESHOLD_S
--- a/packages/daemon/bulrushspur_daemon/lifecycle.py
+++ b/packages/daemon/bulrushspur_daemon/lifecycle.py
@@ -147,6 +147,9 @@
         await process.term.hand_over(timeout_s)
     await _wait_for_callers(process, schedule)
     await _close_servers(process)
+    if process.term is not None:
+        # Its claim was stored after the stop began.
+        await process.term.hand_over(0.0)
     return report
 
 
--- a/packages/daemon/bulrushspur_daemon/process.py
+++ b/packages/daemon/bulrushspur_daemon/process.py
@@ -81,13 +81,17 @@
     servers: list[HttpServer] = dataclasses.field(default_factory=list)
 
     def handle_new_term(self) -> None:
-        """Start a term if the newest claim is our own; end one that it supersedes."""
+        """Start a term if the newest claim is our own; end one that it supersedes.
+
+        A process that stops leads, too, but asks for a successor at once: the others
+        would wait for its heartbeats.
+        """
         if self.term is not None:
             if self.claim_log.term > self.term.number:
                 self.term.stop("a later claim was read")
             else:
                 return
-        if not self.election.holds_newest_claim() or self.stopping:
+        if not self.election.holds_newest_claim():
             return
         number = self.claim_log.term
         name = self.settings.name
@@ -132,6 +136,8 @@
         peers.update()
         self.node_registry.request_read()
         self.term.start()
+        if self.stopping:
+            self.term.begin_leave()
 
     def _handle_local_heartbeat(self, heartbeat: Heartbeat) -> None:
         self.leader_client.handle_heartbeat(heartbeat, b"", self.term)
--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -196,13 +196,18 @@
 
     async def hand_over(self, timeout_s: float) -> None:
         """Lead until another process has claimed, for ``timeout_s`` at most."""
-        self.is_leaving = True
+        self.begin_leave()
         if self.peers.clients:
             await self._ask_for_successor(timeout_s)
         if not self.ended:
             self.peers.resign(self.number)
             self.stop("the process stops")
 
+    def begin_leave(self) -> None:
+        """Ask the other processes to claim until one has."""
+        self.is_leaving = True
+        self.heartbeats.stopping = True
+
     async def _ask_for_successor(self, timeout_s: float = YIELD_TIMEOUT_S) -> None:
         """Ask the other processes to claim; return once one has, or after a time."""
         self.heartbeats.stopping = True
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -15,6 +15,8 @@
 
 SLOW_STORE_DELAY_S = 0.24
 SUBMISSION_INTERVAL_S = 0.05
+# From a claim on: its append, that of the next one and its recovery.
+MAX_SUCCESSION_S = 2.0
 
 
 class HandoverTest(unittest.IsolatedAsyncioTestCase):
@@ -80,6 +82,32 @@
         self.assertLess(time.monotonic() - began_s, 1.0)
         self.cluster.store.append_delay_s = 0.0
 
+    def find_claimant(self):
+        """Return a process that has claimed since ``count_claims``, or None."""
+        counts = self.count_claims()
+        names = [name for name in counts if counts[name] > self.claim_counts[name]]
+        return self.cluster.nodes[names[0]] if names else None
+
+    def count_claims(self):
+        nodes = self.cluster.nodes.items()
+        return {name: len(node.events("claim")) for name, node in nodes}
+
+    # Guards against: a claim that is stored after SIGTERM wins a term nobody serves.
+    async def test_process_that_stops_while_it_claims_is_replaced_soon(self):
+        cluster = self.cluster
+        self.claim_counts = self.count_claims()
+        cluster.store.append_delay_s = SLOW_STORE_DELAY_S
+        await cluster.kill(cluster.find_leader())
+        await cluster.wait_for(self.find_claimant)
+        claimant, began_s = self.find_claimant(), time.monotonic()
+        stopping = asyncio.create_task(shut_down(claimant.process))
+        await cluster.wait_for(lambda: cluster.find_leader() not in (None, claimant))
+        succession_s = time.monotonic() - began_s
+        await stopping
+        del cluster.nodes[claimant.process.settings.name]
+        await claimant.kill()
+        self.assertLess(succession_s, MAX_SUCCESSION_S)
+
     async def test_three_stops_in_a_row_start_nothing_twice(self):
         cluster = self.cluster
         for number in range(1000, 1012):
