Store of each failed run where it was and which term recorded it

Callers see nothing new. Change: FailedRun has number, worker, start of the incarnation and term, in place of failed_run_numbers. It is stored in a field of its own after the others: older leaders go on reading the numbers, and records of older versions decode as runs of an unknown worker. Whether the store has acknowledged a run is known, too. The ends of runs and the attempts have modules of their own (run_ends.py, attempts.py). Tests that set or read the bare numbers set and read the records instead; the round trip compares all fields.

--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -20,6 +20,7 @@
     record_late_submission,
 )
 from bulrushspur_scheduler.eviction import evict_runs
+from bulrushspur_scheduler.failed_runs import mark_stored, take_unstored
 from bulrushspur_scheduler.job_specs import JobSpec
 from bulrushspur_scheduler.jobs import Job, JobState
 from bulrushspur_scheduler.leases import expire_leases, max_hold_s
@@ -377,6 +378,7 @@
             if job_id in cell.jobs:
                 job = cell.jobs[job_id]
                 job.stored_crash_version = job.crash_version
+                mark_stored(take_unstored(job))
             finished = cell.finished_jobs.get(job_id)
             if finished is not None:
                 self.store.records.pop(JOB_KEY_PREFIX + job_id, None)
--- a/packages/daemon/bulrushspur_daemon/record_writer.py
+++ b/packages/daemon/bulrushspur_daemon/record_writer.py
@@ -25,6 +25,7 @@
     WriterIdentity,
 )
 from bulrushspur_scheduler.cell import Cell
+from bulrushspur_scheduler.failed_runs import FailedRun, mark_stored, take_unstored
 from bulrushspur_scheduler.progress_records import PROGRESS_KEY_PREFIX, encode_progress
 from bulrushspur_scheduler.records import JOB_KEY_PREFIX
 from bulrushspur_scheduler.takeover import set_aside_unreadable_job
@@ -64,6 +65,8 @@
     job_ids: set[str] = dataclasses.field(default_factory=set)
     # The crashes that the rows have, by job id.
     crash_versions: dict[str, int] = dataclasses.field(default_factory=dict)
+    # Those that no earlier batch has.
+    failed_runs: list[FailedRun] = dataclasses.field(default_factory=list)
     waiters: list[asyncio.Future[None]] = dataclasses.field(default_factory=list)
     size_bytes: int = 0
 
@@ -178,6 +181,7 @@
             for job_id, crash_version in batch.crash_versions.items():
                 if job_id in self.cell.jobs:
                     self.cell.jobs[job_id].stored_crash_version = crash_version
+            mark_stored(batch.failed_runs)
             for waiter in batch.waiters:
                 if not waiter.done():
                     waiter.set_result(None)
@@ -216,6 +220,7 @@
         job = self.cell.jobs.get(job_id)
         if job is not None:
             batch.crash_versions[job_id] = job.crash_version
+            batch.failed_runs += take_unstored(job)
 
     def _progress_rows(self, job_id: str) -> list[Row]:
         progress = encode_progress(self.cell, job_id)
--- a/packages/scheduler/bulrushspur_scheduler/adoption.py
+++ b/packages/scheduler/bulrushspur_scheduler/adoption.py
@@ -62,7 +62,7 @@
         not task.done
         and task.unreconciled
         and not task.runs
-        and number not in task.failed_run_numbers
+        and number not in task.failed_runs
     )
 
 
--- a/packages/scheduler/bulrushspur_scheduler/crashes.py
+++ b/packages/scheduler/bulrushspur_scheduler/crashes.py
@@ -172,7 +172,7 @@
     step = run.task.step
     if not step.spec.gang:
         return run.state is RunState.RUNNING
-    if run.number in (step.crashed_gang_run_number, *step.failed_run_numbers):
+    if run.number in (step.crashed_gang_run_number, *step.failed_runs):
         return False
     if run.state is RunState.RUNNING:
         return True
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -11,6 +11,7 @@
 import typing as t
 
 from bulrushspur_scheduler.config import Queue
+from bulrushspur_scheduler.failed_runs import FailedRun, FailedRuns
 from bulrushspur_scheduler.job_specs import JobSpec, StepKey, StepSpec, TaskKey
 
 
@@ -120,7 +121,7 @@
     step: "Step"
     last_run_number: int = 0
     runs: list[Run] = dataclasses.field(default_factory=list)
-    failed_run_numbers: set[int] = dataclasses.field(default_factory=set)
+    failed_runs: FailedRuns = dataclasses.field(default_factory=dict)
     failed_worker_ids: set[str] = dataclasses.field(default_factory=set)
     overdue_stop_count: int = 0
     preemption_count: int = 0
@@ -170,7 +171,8 @@
     done_count: int = 0
     ready: bool = False
     ready_s: float = 0.0
-    failed_run_numbers: set[int] = dataclasses.field(default_factory=set)
+    # Of a gang, whose tasks have none of their own.
+    failed_runs: FailedRuns = dataclasses.field(default_factory=dict)
     gang_run_number: int = 0
     # The last run of the gang that lost a worker by a crash.
     crashed_gang_run_number: int = 0
@@ -284,6 +286,8 @@
     # Increased by each crash under one of its tasks, and the last that is stored.
     crash_version: int = 0
     stored_crash_version: int = 0
+    # Recorded by this term, and not handed to the store yet.
+    unstored_failed_runs: list[FailedRun] = dataclasses.field(default_factory=list)
 
     @property
     def id(self) -> str:
--- a/packages/scheduler/bulrushspur_scheduler/progress.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress.py
@@ -218,7 +218,7 @@
     """Return how many runs have failed of the task, or gang, that failed most often."""
     return max(
         (
-            len(counted.failed_run_numbers)
+            len(counted.failed_runs)
             for step in job.steps()
             for counted in (step, *step.tasks)
         ),
@@ -226,28 +226,6 @@
     )
 
 
-def record_failed_run(cell: Cell, task: Task, number: int, now_s: float) -> None:
-    """Count a failed run against the attempts of its task, or of its gang as a whole.
-
-    The job fails when the attempts are used up; long-running steps have no limit.
-    """
-    step = task.step
-    failed_run_numbers = (
-        step.failed_run_numbers if step.spec.gang else task.failed_run_numbers
-    )
-    if step.spec.long_running:
-        # It may fail for years; later runs have higher numbers than the last one.
-        number = max({number, *failed_run_numbers})
-        failed_run_numbers.clear()
-    failed_run_numbers.add(number)
-    job = step.job
-    cell.dirty_jobs.add(job.id)
-    if step.spec.long_running or job.id not in cell.jobs:
-        return
-    if len(failed_run_numbers) >= cell.max_attempts(job):
-        fail_job(cell, job, FailureReason.ATTEMPTS, now_s)
-
-
 def purge_finished_jobs(cell: Cell, now_s: float) -> list[str]:
     """Remove final states after their retention; return the job ids."""
     retention_s = cell.timing_limits.final_state_retention_s
--- a/packages/scheduler/bulrushspur_scheduler/progress_records.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress_records.py
@@ -11,6 +11,12 @@
 
 from bulrushspur_kernel.decoding import Count, SmallInt, make_msgpack_decoder
 from bulrushspur_scheduler.cell import Cell, FinishedJob
+from bulrushspur_scheduler.failed_run_records import (
+    FailedRunOrigin,
+    collect_failed_run_numbers,
+    collect_failed_run_origins,
+    restore_failed_runs,
+)
 from bulrushspur_scheduler.jobs import (
     FINAL_STATES,
     Job,
@@ -31,12 +37,12 @@
     """Progress of one occurrence.
 
     ``done_bits`` has an integer for each step, in little-endian bytes: bit N is set if
-    task N is done. The keys of ``failed_run_numbers`` are ``STEP`` for the runs of a
-    gang and ``STEP.TASK`` for those of a single task. ``crash_counts`` has, by
-    ``STEP.TASK``, the crashes under a task, those of which it is a suspect, and a
-    number that only older versions use; ``crash_evidence`` has the evidence, its
-    crashes, those of isolated workers, and whether the trial was confirmed; ``trials``
-    has the id, machine and start of the worker incarnation that runs a suspect.
+    task N is done. ``failed_run_numbers`` and ``failed_run_origins`` are explained in
+    ``failed_run_records.py``. ``crash_counts`` has, by ``STEP.TASK``, the crashes under
+    a task, those of which it is a suspect, and a number that only older versions use;
+    ``crash_evidence`` has the evidence, its crashes, those of isolated workers, and
+    whether the trial was confirmed; ``trials`` has the id, machine and start of the
+    worker incarnation that runs a suspect.
     """
 
     number: Count
@@ -45,6 +51,7 @@
     crash_counts: dict[str, tuple[SmallInt, SmallInt, SmallInt]] = {}
     trials: dict[str, tuple[str, str, Count]] = {}
     crash_evidence: dict[str, tuple[SmallInt, SmallInt, SmallInt, bool]] = {}
+    failed_run_origins: dict[str, list[FailedRunOrigin]] = {}
 
 
 class ProgressRecord(msgspec.Struct, array_like=True, omit_defaults=True):
@@ -88,10 +95,11 @@
         OccurrenceRecord(
             occurrence.number,
             [_encode_done_bits(step) for step in occurrence.steps],
-            _collect_failed_run_numbers(occurrence.steps),
+            collect_failed_run_numbers(occurrence.steps),
             _collect_crash_counts(occurrence.steps),
             _collect_trials(occurrence.steps),
             _collect_crash_evidence(occurrence.steps),
+            collect_failed_run_origins(occurrence.steps),
         )
         for occurrence in job.occurrences.values()
         if occurrence.number not in job.completed_occurrences
@@ -109,18 +117,6 @@
     return bits.to_bytes((bits.bit_length() + 7) // 8, "little")
 
 
-def _collect_failed_run_numbers(steps: list[Step]) -> dict[str, list[int]]:
-    rv: dict[str, list[int]] = {}
-    for step in steps:
-        if step.failed_run_numbers:
-            rv[f"{step.key.step}"] = sorted(step.failed_run_numbers)
-        for task in step.tasks:
-            if task.failed_run_numbers:
-                path = f"{step.key.step}.{task.key.index}"
-                rv[path] = sorted(task.failed_run_numbers)
-    return rv
-
-
 def _list_suspects(steps: list[Step]) -> t.Iterator[tuple[str, Task]]:
     """Yield the tasks under which workers crashed, with their paths in a record."""
     for step in steps:
@@ -183,16 +179,7 @@
                 if done >> task.key.index & 1:
                     task.done = True
                     step.done_count += 1
-        for path, numbers in row.failed_run_numbers.items():
-            step_index, _, task_index = path.partition(".")
-            step = occurrence.steps[int(step_index)]
-            if task_index:
-                task = step.tasks[int(task_index)]
-                task.failed_run_numbers = set(numbers)
-                _skip_run_numbers([task], numbers)
-            else:
-                step.failed_run_numbers = set(numbers)
-                _skip_run_numbers(step.tasks, numbers)
+        restore_failed_runs(occurrence, row.failed_run_numbers, row.failed_run_origins)
         for path, counts in row.crash_counts.items():
             task = _find_task(occurrence, path)
             task.step.has_suspects = True
@@ -210,12 +197,6 @@
     return None
 
 
-def _skip_run_numbers(tasks: list[Task], numbers: list[int]) -> None:
-    """Let later runs have higher numbers; a number that comes again would not count."""
-    for task in tasks:
-        task.last_run_number = max([task.last_run_number, *numbers])
-
-
 def _find_task(occurrence: Occurrence, path: str) -> Task:
     step_index, _, task_index = path.partition(".")
     return occurrence.steps[int(step_index)].tasks[int(task_index)]
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -11,12 +11,11 @@
 import dataclasses
 import typing as t
 
-from bulrushspur_scheduler import health
 from bulrushspur_scheduler.adoption import adopt_or_stop_run
 from bulrushspur_scheduler.cell import Cell, StopOrder
 from bulrushspur_scheduler.crashes import record_crash
 from bulrushspur_scheduler.job_specs import TaskKey
-from bulrushspur_scheduler.jobs import Run, RunOutcome, RunState, Step
+from bulrushspur_scheduler.jobs import Run, RunState
 from bulrushspur_scheduler.leases import (
     assume_first_lease,
     assume_longest_lease,
@@ -27,27 +26,11 @@
 from bulrushspur_scheduler.orphans import (
     await_confirmation,
     remove_lost_orphan,
-    remove_orphan,
-)
-from bulrushspur_scheduler.progress import (
-    mark_job_running,
-    mark_task_done,
-    record_failed_run,
-    requeue_step,
-    stop_other_runs,
-)
-from bulrushspur_scheduler.runs import (
-    GANG_BROKEN,
-    release_run,
-    repeat_start,
-    stop_run,
-    stop_step,
 )
+from bulrushspur_scheduler.progress import mark_job_running
+from bulrushspur_scheduler.run_ends import RunEnd, apply_end
+from bulrushspur_scheduler.runs import release_run, repeat_start, stop_run
 from bulrushspur_scheduler.suspects import confirm_trial
-from bulrushspur_scheduler.takeover import (
-    find_reported_task,
-    unreconcile_dependents,
-)
 from bulrushspur_scheduler.workers import Worker
 
 # A worker reports at most this many ends at once. A report that reaches the limit may
@@ -68,17 +51,6 @@
     load: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunEnd:
-    """A reported end; ``sequence`` numbers the ends of one worker incarnation."""
-
-    sequence: int
-    key: TaskKey
-    number: int
-    outcome: RunOutcome
-    checkpoint: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerReport:
     """A worker's answer to a lease renewal.
@@ -133,7 +105,7 @@
         assume_longest_lease(cell, worker, report.clock_ms, read_s, now_s)
     for end in report.ended:
         if end.sequence > worker.applied_end_sequence:
-            _apply_end(cell, worker, end, now_s)
+            apply_end(cell, worker, end, now_s)
             worker.applied_end_sequence = end.sequence
     listed = {(status.key, status.number): status for status in report.running}
     is_complete = len(report.ended) < MAX_REPORTED_ENDS
@@ -279,55 +251,3 @@
         repeat_start(cell, run)
     elif run.state is RunState.RUNNING:
         run.state = RunState.UNCONFIRMED
-
-
-def _apply_end(cell: Cell, worker: Worker, end: RunEnd, now_s: float) -> None:
-    """Release an ended run, and record its outcome for its task and its worker."""
-    run = worker.runs.get((end.key, end.number))
-    if run is not None:
-        if end.checkpoint and run.task.step.spec.checkpointing:
-            run.checkpoint = end.checkpoint
-        release_run(cell, run)
-    remove_orphan(cell, worker, (end.key, end.number))
-    task = find_reported_task(cell, end.key)
-    if task is None:
-        return
-    task.last_run_number = max(task.last_run_number, end.number)
-    cell.log(
-        "end",
-        end.key.job,
-        task=end.key.path,
-        run=end.number,
-        worker=worker.id,
-        how=end.outcome.value,
-        ran_ms=round((now_s - run.confirmed_s) * 1000) if run else None,
-    )
-    if end.outcome is RunOutcome.DONE and not task.step.spec.long_running:
-        if run is not None:
-            health.record_success(cell, worker, run, now_s)
-        else:
-            unreconcile_dependents(cell, task.step)
-        mark_task_done(cell, task, now_s)
-        stop_other_runs(cell, task, end.number)
-        return
-    if end.outcome is RunOutcome.FAILED:
-        task.failed_worker_ids.add(worker.id)
-        health.record_failure(cell, worker, run, now_s)
-        if not task.done:
-            record_failed_run(cell, task, end.number, now_s)
-    if end.checkpoint and task.step.spec.checkpointing and not task.done:
-        task.checkpoint = end.checkpoint
-    if task.done:
-        return
-    if run is not None and run.adopted and not cell.reconciled:
-        # A worker that has not reported yet may have an earlier end of the task.
-        task.unreconciled = True
-    if task.step.spec.gang:
-        _stop_broken_gang(cell, task.step, end.number)
-    requeue_step(cell, task.step)
-
-
-def _stop_broken_gang(cell: Cell, step: Step, number: int) -> None:
-    """Stop the remaining members of a gang run after one member has ended."""
-    if any(run.number == number for run in step.runs()):
-        stop_step(cell, step, GANG_BROKEN)
--- a/tests/cell_fixtures.py
+++ b/tests/cell_fixtures.py
@@ -1,8 +1,10 @@
 """Make cells with workers and jobs, to test the decisions without processes."""
 
 from bulrushspur_scheduler.advice import apply_advice
+from bulrushspur_scheduler.attempts import record_failed_run
 from bulrushspur_scheduler.cell import make_cell
 from bulrushspur_scheduler.config import Account, AdvicePolicy, Queue, make_config
+from bulrushspur_scheduler.failed_runs import FailedRun
 from bulrushspur_scheduler.job_specs import JobSpec, StepSpec, TaskKey
 from bulrushspur_scheduler.jobs import Job, RunOutcome
 from bulrushspur_scheduler.order_results import StartResult, handle_start_result
@@ -163,3 +165,9 @@
     first = worker.applied_end_sequence + 1
     ends = [(first + index, *run.key, "done") for index, run in enumerate(due)]
     apply_worker_report(cell, name, now_s, running, ends)
+
+
+def fail_run(cell, task, number, now_s, worker_id="w0"):
+    """Record that a run of a task has failed on a worker."""
+    run = FailedRun(number, worker_id, 1, cell.fencing_token)
+    record_failed_run(cell, task, run, now_s)
--- a/tests/odd_entries.py
+++ b/tests/odd_entries.py
@@ -133,6 +133,9 @@
         "deep further field": add_deep_field(ProgressRecord(0, "a", "q", [], [], "r")),
         "large occurrence": encode(large, []),
         "large failed run": encode(0, [], {"0.0": [large]}),
+        "large term": encode(
+            0, [], {"0.0": [1]}, {}, {}, {}, {"0.0": [("w0", 1, large)]}
+        ),
         "large crash count": encode(0, [], {}, {"0.0": (large, large, large)}),
         "large trial": encode(0, [], {}, {}, {"0.0": ("w0", "m", large)}),
         "unknown state": msgspec.msgpack.encode(ProgressRecord(99, "a", "q")),
--- a/tests/test_orphans.py
+++ b/tests/test_orphans.py
@@ -7,6 +7,7 @@
 import unittest
 
 from bulrushspur_scheduler import takeover
+from bulrushspur_scheduler.failed_runs import FailedRun
 from bulrushspur_scheduler.leases import expire_leases
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress_records import encode_progress
@@ -33,7 +34,7 @@
     """Recover a job of which a run with a number has failed; no worker has reported."""
     cell = make_test_cell(1)
     job = add_test_job(cell, long_running=True)
-    next(job.steps()).tasks[0].failed_run_numbers.add(number)
+    next(job.steps()).tasks[0].failed_runs[number] = FailedRun(number)
     stored = {"jj1": encode_job(job), "sj1": encode_progress(cell, "j1")}
     cell = make_test_cell(0)
     for name in ("w0", "w1"):
--- a/tests/test_poisoned_input.py
+++ b/tests/test_poisoned_input.py
@@ -220,7 +220,7 @@
 
     async def test_report_that_cannot_be_applied_leaves_the_other_workers_in_use(self):
         cluster = self.cluster
-        apply_end = reports._apply_end
+        apply_end = reports.apply_end
 
         def apply_or_fail(cell, worker, end, now_s):
             if worker.id == "w0":
@@ -228,7 +228,7 @@
             apply_end(cell, worker, end, now_s)
 
         await cluster.start(nodes=2, workers=3)
-        with unittest.mock.patch.object(reports, "_apply_end", apply_or_fail):
+        with unittest.mock.patch.object(reports, "apply_end", apply_or_fail):
             for number in range(4):
                 await cluster.submit(job_id(number), count=3, run_time_ms=50)
             for number in range(4):
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -10,6 +10,7 @@
 from bulrushspur_daemon.record_writer import RecordWriter
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_scheduler.config import make_config
+from bulrushspur_scheduler.failed_runs import FailedRun
 from bulrushspur_scheduler.headroom import UrgentCpu
 from bulrushspur_scheduler.job_specs import TaskKey
 from bulrushspur_scheduler.jobs import FailureReason, JobState
@@ -19,7 +20,6 @@
     finish_job,
     mark_task_done,
     purge_finished_jobs,
-    record_failed_run,
 )
 from bulrushspur_scheduler.progress_records import encode_progress
 from bulrushspur_scheduler.queue_changes import apply_queue
@@ -30,6 +30,7 @@
     acknowledge_starts,
     add_test_job,
     apply_worker_report,
+    fail_run,
     make_test_cell,
     make_test_job,
     task_key,
@@ -56,7 +57,7 @@
     for number in range(first, first + MAX_RUNS):
         if job.state is JobState.FAILED:
             return number - first
-        record_failed_run(cell, step.tasks[0], number, 1.0)
+        fail_run(cell, step.tasks[0], number, 1.0)
     return MAX_RUNS
 
 
@@ -77,7 +78,7 @@
         cell = make_test_cell(1)
         job = add_test_job(cell)
         (step,) = job.steps()
-        record_failed_run(cell, step.tasks[0], 1, 1.0)
+        fail_run(cell, step.tasks[0], 1, 1.0)
         configure(cell, change_heavy(max_attempts=1))
         self.assertEqual(count_failed_runs(cell, job, 2), 2)
 
@@ -111,7 +112,7 @@
         job = add_test_job(cell, count=2)
         task = task_of(job)
         for number in (2, 3):
-            record_failed_run(cell, task, number, 1.0)
+            fail_run(cell, task, number, 1.0)
         mark_task_done(cell, task, 1.0)
         # This worker was cut off, and its lease had expired when run 2 started.
         apply_worker_report(cell, "w0", 2.0, ended=[(1, task.key, 1, "failed")])
@@ -121,18 +122,18 @@
         cell = make_test_cell(1)
         past = add_test_job(cell)
         # Its second run is on a worker that is cut off.
-        record_failed_run(cell, task_of(past), 1, 1.0)
+        fail_run(cell, task_of(past), 1, 1.0)
         finish_job(cell, past, JobState.CANCELLED, 2.0)
         purge_finished_jobs(cell, 1000.0)
         job = add_test_job(cell, now_s=1000.0)
         apply_worker_report(cell, "w0", 1001.0, ended=[(1, task_key(), 2, "failed")])
-        self.assertEqual(task_of(job).failed_run_numbers, set())
+        self.assertEqual(task_of(job).failed_runs, {})
 
     def test_run_numbers_of_two_terms_differ_however_many_starts_there_were(self):
         cell = make_test_cell(1)
         job = add_test_job(cell)
         past_number = 5 * RUN_NUMBERS_PER_TERM + RUN_NUMBERS_PER_TERM + 1
-        task_of(job).failed_run_numbers = {past_number}
+        task_of(job).failed_runs = {past_number: FailedRun(past_number)}
         stored = {
             f"j{job.id}": encode_job(job),
             f"s{job.id}": encode_progress(cell, job.id),
@@ -151,7 +152,7 @@
         size_bytes = len(encode_progress(cell, job.id))
         self.fail_runs(cell, job, 100)
         self.assertEqual(len(encode_progress(cell, job.id)), size_bytes)
-        self.assertEqual(task_of(job).failed_run_numbers, {100})
+        self.assertEqual(list(task_of(job).failed_runs), [100])
 
     def recover_older(self, config):
         """Let a leader recover a job that an older version accepted."""
@@ -163,7 +164,7 @@
 
     def fail_runs(self, cell, job, count):
         for number in range(1, count + 1):
-            record_failed_run(cell, task_of(job), number, 1.0)
+            fail_run(cell, task_of(job), number, 1.0)
 
     def test_job_of_an_older_version_does_not_fail_while_its_queue_is_unknown(self):
         cell, job = self.recover_older(make_config(2))
@@ -198,7 +199,7 @@
         cell = make_test_cell(1)
         job = add_test_job(cell, count=2)
         (step,) = job.steps()
-        record_failed_run(cell, step.tasks[1], 9, 1.0)
+        fail_run(cell, step.tasks[1], 9, 1.0)
         count_failed_runs(cell, job)
         fields = self.find_finish(cell)
         self.assertEqual((fields["failed_runs"], fields["max_attempts"]), (3, 3))
@@ -207,7 +208,7 @@
         cell = make_test_cell(1)
         job = add_test_job(cell, count=2, gang=True)
         (step,) = job.steps()
-        record_failed_run(cell, step.tasks[1], 9, 1.0)
+        fail_run(cell, step.tasks[1], 9, 1.0)
         fail_job(cell, job, FailureReason.CRASHES, 2.0)
         fields = self.find_finish(cell)
         self.assertEqual((fields["failed_runs"], fields["max_attempts"]), (1, 3))
--- a/tests/test_record_writer.py
+++ b/tests/test_record_writer.py
@@ -19,9 +19,10 @@
 from bulrushspur_kernel.store import StoreUnavailableError
 from bulrushspur_scheduler.cell import FinishedJob, make_cell
 from bulrushspur_scheduler.config import make_config
+from bulrushspur_scheduler.failed_runs import FailedRun
 from bulrushspur_scheduler.jobs import JobState
 from bulrushspur_scheduler.suspects import awaits_storage
-from tests.cell_fixtures import add_test_job
+from tests.cell_fixtures import add_test_job, fail_run
 from tests.test_config_watch import NullEventLog
 
 
@@ -73,7 +74,8 @@
         for name in ("bad", "good"):
             job = add_test_job(cell, name)
             task = job.occurrences[0].steps[0].tasks[0]
-            task.failed_run_numbers.add(2**70 if name == "bad" else 1)
+            number = 2**70 if name == "bad" else 1
+            task.failed_runs[number] = FailedRun(number)
             cell.dirty_jobs.add(name)
         async with asyncio.timeout(2):
             await writer.wait_durable()
@@ -96,6 +98,20 @@
         self.assertEqual(job.stored_crash_version, 1)
         self.assertTrue(awaits_storage(step))
 
+    async def test_failed_run_counts_as_stored_only_once_its_append_is_done(self):
+        store, cell, writer = self.make_writer()
+        task = add_test_job(cell).occurrences[0].steps[0].tasks[0]
+        fail_run(cell, task, 1, 1.0)
+        writer.request_write()
+        while not store.appends:
+            self.assertFalse(task.failed_runs[1].is_stored)
+            await asyncio.sleep(0)
+        # This one is not in the append that was just made.
+        fail_run(cell, task, 2, 1.0)
+        await asyncio.sleep(0.01)
+        self.assertTrue(task.failed_runs[1].is_stored)
+        self.assertFalse(task.failed_runs[2].is_stored)
+
     async def test_append_that_an_outage_has_silenced_is_repeated_once_it_is_over(self):
         store, cell, writer = self.make_writer()
         store.last_answer_s = -1e9
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from bulrushspur_scheduler.failed_runs import FailedRun
 from bulrushspur_scheduler.job_specs import StepSpec
 from bulrushspur_scheduler.jobs import FailureReason, JobState, make_occurrence
 from bulrushspur_scheduler.progress import fail_job, mark_task_done
@@ -18,7 +19,13 @@
 from bulrushspur_scheduler.records import decode_job, encode_job
 from bulrushspur_scheduler.resources import Resources
 from bulrushspur_scheduler.suspects import confirm_trial, set_trial
-from tests.cell_fixtures import QUEUES, add_test_job, make_test_cell, make_test_job
+from tests.cell_fixtures import (
+    QUEUES,
+    add_test_job,
+    fail_run,
+    make_test_cell,
+    make_test_job,
+)
 
 OldJobRecord = msgspec.defstruct(
     "OldJobRecord",
@@ -70,7 +77,8 @@
             for task in tasks[::3]:
                 if width > 1:
                     mark_task_done(cell, task, 1.0)
-            tasks[-1].failed_run_numbers = {1, 130}
+            runs = [FailedRun(130, "w1", 7_000, 3), FailedRun(1, "w0", 2**41, 2)]
+            tasks[-1].failed_runs = {run.number: run for run in runs}
             data = encode_progress(cell, "j1")
             decoded = decode_job("j1", encode_job(job), 0.0, 0.0)
             make_occurrence(decoded, 0)
@@ -80,7 +88,24 @@
                 [task.done for task in step.tasks], [task.done for task in tasks]
             )
             self.assertEqual(step.done_count, sum(task.done for task in tasks))
-            self.assertEqual(step.tasks[-1].failed_run_numbers, {1, 130})
+            self.assertEqual(step.tasks[-1].failed_runs, tasks[-1].failed_runs)
+
+    def test_failed_runs_that_an_older_version_stored_count_still(self):
+        state = list(JobState).index(JobState.RUNNING)
+        row = [0, [b""], {"0.0": [1, 130]}]
+        record = msgspec.msgpack.encode([state, "team", "heavy", [row]])
+        job = make_test_job()
+        self.assertIsNone(apply_progress(job, record))
+        (task,) = job.occurrences[0].steps[0].tasks
+        self.assertEqual(task.failed_runs, {1: FailedRun(1), 130: FailedRun(130)})
+
+    def test_older_version_reads_the_numbers_of_failed_runs(self):
+        cell = make_test_cell(0)
+        job = add_test_job(cell)
+        for number in (130, 1):
+            fail_run(cell, job.occurrences[0].steps[0].tasks[0], number, 1.0)
+        (row,) = msgspec.msgpack.decode(encode_progress(cell, "j1"))[3]
+        self.assertEqual(row[2], {"0.0": [1, 130]})
 
     def test_end_of_a_gang_is_stored_for_all_its_members(self):
         cell = make_test_cell(0)
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -10,6 +10,7 @@
 from bulrushspur_scheduler import takeover
 from bulrushspur_scheduler.crash_causes import SURVIVAL_S
 from bulrushspur_scheduler.crashes import COUNT_DELAY_S
+from bulrushspur_scheduler.failed_runs import FailedRun
 from bulrushspur_scheduler.jobs import RunState
 from bulrushspur_scheduler.leases import expire_leases, extend_lease
 from bulrushspur_scheduler.order_results import (
@@ -132,9 +133,8 @@
             apply_worker_report(
                 self.cell, "w0", now_s, ended=[(1, key, number, "failed")]
             )
-        self.assertEqual(
-            self.job.occurrences[0].steps[0].tasks[0].failed_run_numbers, {1}
-        )
+        (run,) = self.job.occurrences[0].steps[0].tasks[0].failed_runs.values()
+        self.assertEqual(run, FailedRun(1, "w0", 1, self.cell.fencing_token))
 
     def test_done_gang_member_completes_all_tasks(self):
         self.start_job(gang=True, count=3)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -19,7 +19,6 @@
     mark_incarnation_ended,
 )
 from bulrushspur_scheduler.planning import plan
-from bulrushspur_scheduler.progress import record_failed_run
 from bulrushspur_scheduler.progress_records import encode_progress
 from bulrushspur_scheduler.records import encode_job
 from bulrushspur_scheduler.resources import Resources
@@ -29,6 +28,7 @@
     add_test_job,
     add_worker,
     apply_worker_report,
+    fail_run,
     make_test_cell,
     make_test_job,
     task_key,
@@ -86,7 +86,7 @@
         """Record a failed run of the only task; return whether its job has failed."""
         (job,) = cell.jobs.values()
         (step,) = job.steps()
-        record_failed_run(cell, step.tasks[0], number, 1.0)
+        fail_run(cell, step.tasks[0], number, 1.0)
         return job.state is JobState.FAILED
 
     def test_next_leader_without_the_queue_keeps_the_attempts(self):
