--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -121,6 +121,8 @@
     step: "Step"
     last_run_number: int = 0
     runs: list[Run] = dataclasses.field(default_factory=list)
+    # The worker of each run that this term has started, by run number.
+    started_worker_ids: dict[int, str] = dataclasses.field(default_factory=dict)
     failed_runs: FailedRuns = dataclasses.field(default_factory=dict)
     failed_worker_ids: set[str] = dataclasses.field(default_factory=set)
     overdue_stop_count: int = 0
