Tell and store which failed runs a verdict of failure was made from

Change: finish of a failed job names the task or gang, the term that gives the verdict, and for each run that counted its number, worker, incarnation, the term that recorded it, and whether it was stored by an earlier term, before the verdict or only with it. The same is stored with the final state, in one more field at the end, so that the next leader has it; final states of older versions have none.

--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -21,6 +21,7 @@
 from bulrushspur_scheduler.job_specs import StepKey, TaskKey
 from bulrushspur_scheduler.jobs import Job, JobState, Run, Step, Task
 from bulrushspur_scheduler.resources import Usage
+from bulrushspur_scheduler.verdicts import Verdict
 from bulrushspur_scheduler.workers import Worker
 
 if t.TYPE_CHECKING:
@@ -113,6 +114,8 @@
     reason: str = ""
     # Of what was submitted (``content_digests.py``); empty if that is not known.
     content_digest: bytes = b""
+    # None of jobs that did not fail, or for another reason than their attempts.
+    verdict: Verdict | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/scheduler/bulrushspur_scheduler/failed_run_records.py
+++ b/packages/scheduler/bulrushspur_scheduler/failed_run_records.py
@@ -8,7 +8,7 @@
 import typing as t
 
 from bulrushspur_kernel.decoding import Count
-from bulrushspur_scheduler.failed_runs import FailedRun, FailedRuns
+from bulrushspur_scheduler.failed_runs import FailedRun, FailedRuns, sort_failed_runs
 from bulrushspur_scheduler.jobs import Occurrence, Step, Task
 
 # Worker id, start of the worker's incarnation in Unix milliseconds, and the term that
@@ -32,11 +32,6 @@
     }
 
 
-def sort_failed_runs(runs: FailedRuns) -> list[FailedRun]:
-    """Sort failed runs by their number."""
-    return [runs[number] for number in sorted(runs)]
-
-
 def _list_failed_runs(steps: list[Step]) -> t.Iterator[tuple[str, FailedRuns]]:
     """Yield the failed runs of gangs and tasks that have some, with their paths."""
     for step in steps:
--- a/packages/scheduler/bulrushspur_scheduler/failed_runs.py
+++ b/packages/scheduler/bulrushspur_scheduler/failed_runs.py
@@ -52,6 +52,11 @@
     return True
 
 
+def sort_failed_runs(runs: FailedRuns) -> list[FailedRun]:
+    """Sort failed runs by their number."""
+    return [runs[number] for number in sorted(runs)]
+
+
 def take_unstored(job: "Job") -> list[FailedRun]:
     """Return the failed runs of a job that are about to be stored, each one once."""
     rv, job.unstored_failed_runs = job.unstored_failed_runs, []
--- a/packages/scheduler/bulrushspur_scheduler/progress.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress.py
@@ -8,6 +8,7 @@
 """
 
 import math
+import typing as t
 
 from bulrushspur_scheduler.cell import Cell, FinishedJob
 from bulrushspur_scheduler.content_digests import digest_content
@@ -24,6 +25,7 @@
 from bulrushspur_scheduler.queue_changes import apply_queue
 from bulrushspur_scheduler.runs import stop_run
 from bulrushspur_scheduler.unobserved_usage import keep_usage_of_finished_job
+from bulrushspur_scheduler.verdicts import describe_verdict, make_verdict
 
 MAX_OCCURRENCE_LEAD_S = 0.05
 
@@ -179,14 +181,10 @@
     if job.id not in cell.jobs:
         return
     job.state = state
-    for step in job.steps():
-        cell.waiting_steps.pop(step.key, None)
-        for task in step.tasks:
-            for run in list(task.runs):
-                if not task.done:
-                    stop_run(cell, run, state.value)
+    _stop_unfinished_tasks(cell, job, state.value)
     keep_usage_of_finished_job(cell, job)
     del cell.jobs[job.id]
+    is_of_attempts = reason == FailureReason.ATTEMPTS.value
     cell.finished_jobs[job.id] = FinishedJob(
         state,
         job.account,
@@ -194,16 +192,31 @@
         now_s,
         reason,
         content_digest=digest_content(job.spec),
+        verdict=make_verdict(job, cell.fencing_token) if is_of_attempts else None,
     )
     cell.dirty_jobs.add(job.id)
-    failure: dict[str, int] = {}
-    if state is JobState.FAILED:
-        failure["failed_runs"] = _max_failed_runs(job)
+    _log_finish(cell, job, reason, now_s)
+
+
+def _stop_unfinished_tasks(cell: Cell, job: Job, reason: str) -> None:
+    for step in job.steps():
+        cell.waiting_steps.pop(step.key, None)
+        for task in step.tasks:
+            for run in list(task.runs):
+                if not task.done:
+                    stop_run(cell, run, reason)
+
+
+def _log_finish(cell: Cell, job: Job, reason: str, now_s: float) -> None:
+    """Log a final state, and for one that failed what was counted."""
+    failure: dict[str, t.Any] = {}
+    if job.state is JobState.FAILED:
+        failure = describe_verdict(make_verdict(job, cell.fencing_token))
         failure["max_attempts"] = cell.max_attempts(job)
     cell.log(
         "finish",
         job.id,
-        state=state.value,
+        state=job.state.value,
         reason=reason,
         took_ms=round((now_s - job.accepted_s) * 1000),
         objective_ms=round(job.objective_s * 1000),
@@ -214,18 +227,6 @@
     )
 
 
-def _max_failed_runs(job: Job) -> int:
-    """Return how many runs have failed of the task, or gang, that failed most often."""
-    return max(
-        (
-            len(counted.failed_runs)
-            for step in job.steps()
-            for counted in (step, *step.tasks)
-        ),
-        default=0,
-    )
-
-
 def purge_finished_jobs(cell: Cell, now_s: float) -> list[str]:
     """Remove final states after their retention; return the job ids."""
     retention_s = cell.timing_limits.final_state_retention_s
--- a/packages/scheduler/bulrushspur_scheduler/progress_records.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress_records.py
@@ -27,6 +27,11 @@
     Trial,
     make_occurrence,
 )
+from bulrushspur_scheduler.verdicts import (
+    VerdictRecord,
+    make_verdict_record,
+    restore_verdict,
+)
 
 PROGRESS_KEY_PREFIX: t.Final = "s"
 # A state is stored as its index here.
@@ -68,6 +73,8 @@
     content_digest: bytes = b""
     # Where the queue is sent to, if that is not what the job record has.
     service: str = ""
+    # Which failed runs made the job fail.
+    verdict: VerdictRecord | None = None
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -86,6 +93,7 @@
                 finished.queue,
                 reason=finished.reason,
                 content_digest=finished.content_digest,
+                verdict=make_verdict_record(finished.verdict),
             )
         )
     job = cell.jobs.get(job_id)
@@ -228,4 +236,5 @@
         0.0,
         record.reason,
         record.content_digest,
+        restore_verdict(record.verdict),
     )
