Give no verdict on a job while its promised attempts are unknown

Callers saw jobs that an older version had accepted fail after three runs while their queue was unknown, whatever it allowed; and after a change of the leader a lowered configuration counted. Cause: an unknown queue allowed three attempts, and what a configuration told later was kept in memory alone. Change: while the attempts are unknown no number of failed runs gives a verdict, and a task or gang that has failed as often as the default allows (3) is not started again, so the budget of starts holds. Once a configuration tells the attempts, the job is judged at once, and the promise is stored with its progress.

--- a/fuzz/terms.py
+++ b/fuzz/terms.py
@@ -15,9 +15,9 @@
 import random
 import typing as t
 
+from bulrushspur_scheduler.attempts import follow_configuration
 from bulrushspur_scheduler.config import CellConfig, Queue, make_config
 from bulrushspur_scheduler.job_specs import JobSpec
-from bulrushspur_scheduler.queue_changes import apply_queue
 from fuzz.histories import play_history, submit_random_job
 from fuzz.leaders import SimLeader
 from fuzz.series import CONFIG, SeriesSimulation
@@ -69,8 +69,7 @@
                 self.add_trace(f"term {leader.term} learns {config.version}")
                 leader.cell.config = config
                 self.on_learned(leader)
-                for job in leader.cell.jobs.values():
-                    apply_queue(leader.cell, job)
+                follow_configuration(leader.cell, self.now_s)
 
         self.schedule(outage_s + delay_s, learn)
 
--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -48,13 +48,14 @@
     Store,
     StoreFencedError,
 )
+from bulrushspur_scheduler.attempts import follow_configuration
 from bulrushspur_scheduler.cell import Cell, TimingLimits, make_cell
 from bulrushspur_scheduler.config import CellConfig
 from bulrushspur_scheduler.evacuation import log_changes
 from bulrushspur_scheduler.machine_speeds import MachineSpeeds
 from bulrushspur_scheduler.overload import Backlog
 from bulrushspur_scheduler.past_use import make_past_use
-from bulrushspur_scheduler.queue_changes import apply_queue, log_moved_queues
+from bulrushspur_scheduler.queue_changes import log_moved_queues
 
 HANDOVER_CHECK_INTERVAL_S: t.Final = 0.02
 # A leader that only wants a larger VM in its place leads on after this time.
@@ -189,8 +190,7 @@
         """Replace the configuration, and plan again with it."""
         before, self.cell.config = self.cell.config, config
         log_changes(self.cell, before)
-        for job in self.cell.jobs.values():
-            apply_queue(self.cell, job)
+        follow_configuration(self.cell, monotonic_s())
         log_moved_queues(self.cell, before)
         self.request_plan()
 
--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -268,12 +268,15 @@
         queue = self.config.queue_by_name.get(job.queue)
         return queue or job.accepted_queue or UNKNOWN_QUEUE
 
-    def max_attempts(self, job: Job) -> int:
+    def max_attempts(self, job: Job) -> int | None:
         """Return the number of failed runs of a task at which its job fails.
 
-        It was promised at acceptance, so later configurations do not change it.
+        It was promised at acceptance, so later configurations do not change it. None
+        while it is unknown: then no number of failed runs gives a verdict.
         """
-        return (job.accepted_queue or UNKNOWN_QUEUE).max_attempts
+        if job.accepted_queue is None:
+            return None
+        return job.accepted_queue.max_attempts
 
     def account_of(self, name: str) -> Account | None:
         """Return an account of the configuration, or None."""
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -10,7 +10,7 @@
 import math
 import typing as t
 
-from bulrushspur_scheduler.config import Queue
+from bulrushspur_scheduler.config import DEFAULT_MAX_ATTEMPTS, Queue
 from bulrushspur_scheduler.failed_runs import FailedRun, FailedRuns
 from bulrushspur_scheduler.job_specs import JobSpec, StepKey, StepSpec, TaskKey
 
@@ -158,6 +158,17 @@
         """Return whether a worker may run it although it has no run here."""
         return self.unreconciled or self.orphan_count > 0
 
+    @property
+    def awaits_promise(self) -> bool:
+        """Return whether it must not start before its job's attempts are known.
+
+        It, or its gang, has failed as often as is allowed where nothing is told.
+        """
+        if self.step.job.accepted_queue is not None:
+            return False
+        failed_runs = self.step.failed_runs or self.failed_runs
+        return len(failed_runs) >= DEFAULT_MAX_ATTEMPTS
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Step:
@@ -231,7 +242,10 @@
         return [
             task
             for task in self.tasks
-            if not task.done and not task.runs and not task.may_be_at_work
+            if not task.done
+            and not task.runs
+            and not task.may_be_at_work
+            and not task.awaits_promise
         ]
 
 
@@ -270,6 +284,8 @@
     # The queue as it was at acceptance, with the attempts that were promised; None if
     # neither the record nor a configuration has told it yet.
     accepted_queue: Queue | None = None
+    # A configuration told it after a takeover, so the job record lacks it.
+    has_late_promise: bool = False
     # Its queue was sent to another service than the job record has.
     has_moved: bool = False
     # Arrived beyond its account's share.
--- a/packages/scheduler/bulrushspur_scheduler/planning.py
+++ b/packages/scheduler/bulrushspur_scheduler/planning.py
@@ -188,7 +188,7 @@
         return True
     if startable:
         _try_step(cell, step, startable, pool, now_s)
-    elif not any(task.may_be_at_work for task in step.tasks):
+    elif not any(task.may_be_at_work or task.awaits_promise for task in step.tasks):
         # Such tasks may become startable, so their step stays.
         cell.waiting_steps.pop(step.key, None)
     return True
--- a/packages/scheduler/bulrushspur_scheduler/progress_records.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress_records.py
@@ -10,6 +10,11 @@
 import msgspec
 
 from bulrushspur_kernel.decoding import Count, SmallInt, make_msgpack_decoder
+from bulrushspur_scheduler.accepted_queues import (
+    AcceptedQueueRecord,
+    make_accepted_queue,
+    make_accepted_queue_record,
+)
 from bulrushspur_scheduler.cell import Cell, FinishedJob
 from bulrushspur_scheduler.failed_run_records import (
     FailedRunOrigin,
@@ -75,6 +80,8 @@
     service: str = ""
     # Which failed runs made the job fail.
     verdict: VerdictRecord | None = None
+    # What the queue promised, if the job record lacks it.
+    accepted_queue: AcceptedQueueRecord | None = None
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -115,8 +122,17 @@
     state = JOB_STATES.index(job.state)
     completed = sorted(job.completed_occurrences)
     service = job.service if job.has_moved else ""
+    promised = job.accepted_queue if job.has_late_promise else None
     return _encode(
-        ProgressRecord(state, job.account, job.queue, rows, completed, service=service)
+        ProgressRecord(
+            state,
+            job.account,
+            job.queue,
+            rows,
+            completed,
+            service=service,
+            accepted_queue=make_accepted_queue_record(promised),
+        )
     )
 
 
@@ -178,6 +194,7 @@
     job.state = state
     if record.service:
         job.service, job.has_moved = record.service, True
+    _restore_promise(job, record)
     job.completed_occurrences = set(record.completed_occurrences)
     for row in record.occurrences:
         occurrence = job.occurrences.get(row.number) or make_occurrence(job, row.number)
@@ -205,6 +222,16 @@
     return None
 
 
+def _restore_promise(job: Job, record: ProgressRecord) -> None:
+    """Give a job what was promised to it, if the job record did not."""
+    if record.accepted_queue is None or job.accepted_queue is not None:
+        return
+    job.accepted_queue = make_accepted_queue(
+        record.accepted_queue, job.queue, job.service
+    )
+    job.has_late_promise = True
+
+
 def _find_task(occurrence: Occurrence, path: str) -> Task:
     step_index, _, task_index = path.partition(".")
     return occurrence.steps[int(step_index)].tasks[int(task_index)]
--- a/packages/scheduler/bulrushspur_scheduler/queue_changes.py
+++ b/packages/scheduler/bulrushspur_scheduler/queue_changes.py
@@ -8,7 +8,7 @@
 import math
 
 from bulrushspur_scheduler.cell import Cell
-from bulrushspur_scheduler.config import CellConfig
+from bulrushspur_scheduler.config import CellConfig, Queue
 from bulrushspur_scheduler.estimates import predict_duration
 from bulrushspur_scheduler.job_specs import critical_path_s
 from bulrushspur_scheduler.jobs import Job, JobState
@@ -22,8 +22,8 @@
     first configuration that has the queue.
     """
     configured = cell.config.queue_by_name.get(job.queue)
-    if job.accepted_queue is None:
-        job.accepted_queue = configured
+    if job.accepted_queue is None and configured is not None:
+        _keep_promise(cell, job, configured)
     if configured is not None and configured.service != job.service:
         _move_job(cell, job, configured.service)
     queue = cell.queue_of(job)
@@ -36,6 +36,17 @@
     job.priority = queue.priority
 
 
+def _keep_promise(cell: Cell, job: Job, queue: Queue) -> None:
+    """Take a queue for what was promised to a job whose record does not tell it.
+
+    That is stored: the next leader's configuration may tell something else, or nothing.
+    """
+    job.accepted_queue = queue
+    if job.is_recovered:
+        job.has_late_promise = True
+        cell.dirty_jobs.add(job.id)
+
+
 def _move_job(cell: Cell, job: Job, service: str) -> None:
     """Let the other tasks of a job start at another service; its runs go on.
 
--- a/packages/scheduler/bulrushspur_scheduler/takeover.py
+++ b/packages/scheduler/bulrushspur_scheduler/takeover.py
@@ -8,6 +8,7 @@
 
 import typing as t
 
+from bulrushspur_scheduler.attempts import judge_job
 from bulrushspur_scheduler.cell import Cell, FinishedJob
 from bulrushspur_scheduler.early_cancels import (
     EARLY_CANCEL_KEY_PREFIX,
@@ -116,6 +117,7 @@
         _mark_unreconciled(cell, job)
         add_job(cell, job, now_s, unix_s)
         restore_suspects(cell, job, now_s)
+        judge_job(cell, job, now_s)
     return finished
 
 
--- a/packages/scheduler/bulrushspur_scheduler/waiting.py
+++ b/packages/scheduler/bulrushspur_scheduler/waiting.py
@@ -37,6 +37,8 @@
 
     EARLIER_STEPS = "earlier_steps"
     UNRECONCILED = "unreconciled"
+    # Its job is of an older version, and no configuration has told its attempts yet.
+    ATTEMPTS_UNKNOWN = "attempts_unknown"
     RUNNING = "running"
     PLANNING_FAULT = "planning_fault"
     UNOBSERVED_USAGE = "unobserved_usage"
@@ -122,6 +124,8 @@
         return WaitReason.EARLIER_STEPS
     if any(task.may_be_at_work for task in step.tasks):
         return WaitReason.UNRECONCILED
+    if any(task.awaits_promise for task in step.tasks):
+        return WaitReason.ATTEMPTS_UNKNOWN
     if not startable:
         return WaitReason.RUNNING
     if step.job.id in cell.faulted_jobs:
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -9,7 +9,8 @@
 
 from bulrushspur_daemon.record_writer import RecordWriter
 from bulrushspur_kernel.metrics import Metrics
-from bulrushspur_scheduler.config import make_config
+from bulrushspur_scheduler.attempts import follow_configuration
+from bulrushspur_scheduler.config import DEFAULT_MAX_ATTEMPTS, make_config
 from bulrushspur_scheduler.failed_runs import FailedRun
 from bulrushspur_scheduler.headroom import UrgentCpu
 from bulrushspur_scheduler.job_specs import TaskKey
@@ -43,8 +44,7 @@
 def configure(cell, *queues):
     """Put a configuration with these queues in force, as a term does."""
     cell.config = make_config(2, queues, accounts=cell.config.accounts)
-    for job in cell.jobs.values():
-        apply_queue(cell, job)
+    follow_configuration(cell, 1.0)
 
 
 def change_heavy(**fields):
@@ -88,10 +88,43 @@
         configure(cell, change_heavy(max_attempts=5))
         self.assertEqual(count_failed_runs(cell, job), 3)
 
-    def test_job_of_an_unknown_queue_survives_one_failed_run(self):
+    def fail_while_unknown(self, **fields):
+        """Let a task fail as often as the default allows, its queue being unknown."""
         cell = make_test_cell(1)
         configure(cell)
-        self.assertEqual(count_failed_runs(cell, add_test_job(cell)), 3)
+        job = add_test_job(cell, **fields)
+        for number in range(1, DEFAULT_MAX_ATTEMPTS + 1):
+            plan(cell, 0.1)
+            self.assertTrue(acknowledge_starts(cell, 0.1))
+            ended = [(number, task_of(job).key, number, "failed")]
+            apply_worker_report(cell, "w0", 0.1, ended=ended)
+            # Workers with failures are in quarantine.
+            cell.workers["w0"].quarantined_until_s = 0.0
+        plan(cell, 0.2)
+        return cell, job
+
+    def test_job_of_an_unknown_queue_neither_fails_nor_starts_beyond_the_default(self):
+        for gang in (False, True):
+            with self.subTest(gang=gang):
+                cell, job = self.fail_while_unknown(gang=gang)
+                self.assertIsNot(job.state, JobState.FAILED)
+                self.assertEqual(cell.start_orders, [])
+
+    def test_job_of_an_unknown_queue_fails_as_soon_as_its_attempts_are_told(self):
+        for gang in (False, True):
+            with self.subTest(gang=gang):
+                cell, job = self.fail_while_unknown(gang=gang)
+                configure(cell, change_heavy(max_attempts=3))
+                self.assertIs(job.state, JobState.FAILED)
+
+    def test_job_of_an_unknown_queue_goes_on_once_more_attempts_are_told(self):
+        for gang in (False, True):
+            with self.subTest(gang=gang):
+                cell, job = self.fail_while_unknown(gang=gang)
+                configure(cell, change_heavy(max_attempts=4))
+                self.assertIsNot(job.state, JobState.FAILED)
+                plan(cell, 0.3)
+                self.assertEqual(len(cell.start_orders), 1)
 
     def test_job_of_an_unknown_queue_keeps_the_first_attempts_that_are_told(self):
         cell = make_test_cell(1)
