Check in all fuzzed histories by what evidence a job is shown as failed

Callers see nothing new. The fuzzer asked only whether a job that is shown as failed had failed often enough. Now it reads the final state as the next leader would: the verdict there must name as many distinct runs of one task, or gang, as the queue allowed at acceptance, each of which a stand-in worker really ended as failed, in that incarnation, recorded by a term no later than the verdict's.

--- a/fuzz/evidence.py
+++ b/fuzz/evidence.py
@@ -16,21 +16,42 @@
 MIN_CRASHES: t.Final = 2
 
 
+class ReportedRun(t.NamedTuple):
+    """A run that ended as failed, and the worker incarnation on which it did."""
+
+    number: int
+    worker_id: str
+    incarnation_start_ms: int
+
+
 @dataclasses.dataclass
 class FailureEvidence:
-    """The numbers of the failed runs of a task, or of a gang under its first task."""
+    """The failed runs of a task, or of a gang under its first task."""
 
     max_attempts: dict[str, int] = dataclasses.field(default_factory=dict)
     failed_runs: collections.defaultdict[TaskKey, set[int]] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(set)
     )
+    reported_runs: collections.defaultdict[TaskKey, set[ReportedRun]] = (
+        dataclasses.field(default_factory=lambda: collections.defaultdict(set))
+    )
     crash_counts: collections.Counter[TaskKey] = dataclasses.field(
         default_factory=collections.Counter
     )
 
-    def record_failed_run(self, key: TaskKey, number: int, is_gang: bool) -> None:
+    def record_failed_run(
+        self,
+        key: TaskKey,
+        number: int,
+        is_gang: bool,
+        worker_id: str = "",
+        incarnation_start_ms: int = 0,
+    ) -> None:
         """Record that a run has ended as failed on its worker."""
-        self.failed_runs[key._replace(index=0) if is_gang else key].add(number)
+        counted_key = key._replace(index=0) if is_gang else key
+        self.failed_runs[counted_key].add(number)
+        run = ReportedRun(number, worker_id, incarnation_start_ms)
+        self.reported_runs[counted_key].add(run)
 
     def record_crash(self, keys: t.Iterable[TaskKey]) -> None:
         """Record that a worker crashed on which these tasks were running."""
--- a/fuzz/recorder.py
+++ b/fuzz/recorder.py
@@ -1,8 +1,9 @@
 """Record what happens in a fuzzed cell, and the violations found.
 
 The clauses of ``oracle/`` judge ``Oracle.observations`` at the end of a history.
-Checked at once: a job is shown as failed only with cause (``evidence.py``), and no
-final state changes. Violations are recorded, not raised.
+Checked at once: a job is shown as failed only with cause (``evidence.py``) and with
+evidence in the store (``verdicts.py``), and no final state changes. Violations are
+recorded, not raised.
 """
 
 import dataclasses
@@ -10,6 +11,7 @@
 
 from bulrushspur_scheduler.job_specs import TaskKey
 from fuzz.evidence import FailureEvidence
+from fuzz.verdicts import find_verdict_fault
 from oracle.observations import Observations
 from oracle.rules import find_violations
 
@@ -41,6 +43,14 @@
         self.observations.end_at(now_s)
         self.violations += map(str, find_violations(self.observations))
 
+    def check_stored_verdict(self, job_id: str, record: bytes, now_s: float) -> None:
+        """Check the final state of a job as the store has it."""
+        fault = find_verdict_fault(self.evidence, self.jobs[job_id], record)
+        if fault:
+            self.record_violation(
+                f"{job_id} is shown as failed at {now_s:.2f} without evidence: {fault}"
+            )
+
     def publish_final_state(self, job_id: str, state: str, now_s: float) -> None:
         """Record the final state of a job that a leader has stored, and check it."""
         previous = self.published_final_states.setdefault(job_id, state)
--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -384,6 +384,8 @@
                 self.store.records.pop(JOB_KEY_PREFIX + job_id, None)
                 state = finished.state.value
                 self.oracle.publish_final_state(job_id, state, self.now_s)
+                stored = self.store.records[PROGRESS_KEY_PREFIX + job_id]
+                self.oracle.check_stored_verdict(job_id, stored, self.now_s)
         leader.unstored_jobs.clear()
         return True
 
--- a/fuzz/workers.py
+++ b/fuzz/workers.py
@@ -173,7 +173,9 @@
             self.oracle.done_tasks.add(run.key)
         elif outcome is RunOutcome.FAILED:
             is_gang = self._step_spec(run.key).gang
-            self.oracle.evidence.record_failed_run(run.key, run.number, is_gang)
+            self.oracle.evidence.record_failed_run(
+                run.key, run.number, is_gang, self.id, self.incarnation
+            )
         self.last_end_sequence += 1
         name = ".".join(map(str, run.key))
         self.oracle.trace.append(f"end {name} run {run.number} on {self.id} {outcome}")
--- a/tests/test_failure_evidence.py
+++ b/tests/test_failure_evidence.py
@@ -7,9 +7,16 @@
 import random
 import unittest
 
+import msgspec
+
 from bulrushspur_scheduler.job_specs import TaskKey
+from bulrushspur_scheduler.jobs import FailureReason, JobState
+from bulrushspur_scheduler.progress_records import ProgressRecord
+from bulrushspur_scheduler.verdicts import VerdictRecord
 from fuzz.deadly import make_job
+from fuzz.evidence import FailureEvidence
 from fuzz.recorder import Oracle
+from fuzz.verdicts import find_verdict_fault
 from fuzz.workers import SimWorker
 
 TASK = TaskKey("j", 0, 0, 0)
@@ -83,5 +90,46 @@
         self.assertIn("failed, then as completed", oracle.violations[1])
 
 
+class StoredVerdictTest(unittest.TestCase):
+    """A job of two attempts, of which a task has failed twice on one worker."""
+
+    def setUp(self):
+        self.evidence = FailureEvidence({"j": 2})
+        for number in (1, 2):
+            self.evidence.record_failed_run(TASK, number, False, "w", 7)
+
+    def find_fault(self, *runs, path="0.0.0", reason=FailureReason.ATTEMPTS.value):
+        rows = VerdictRecord(path, 5, [(run, "w", 7, 4) for run in runs])
+        state = list(JobState).index(JobState.FAILED)
+        record = ProgressRecord(state, "team", "q", reason=reason, verdict=rows)
+        data = msgspec.msgpack.encode(record)
+        return find_verdict_fault(self.evidence, make_job("j", 2), data)
+
+    def test_runs_that_a_worker_reported_are_evidence(self):
+        self.assertEqual(self.find_fault(1, 2), "")
+
+    def test_too_few_runs_are_a_fault_also_if_one_is_named_twice(self):
+        for runs in ((1,), (1, 1)):
+            self.assertIn("1 of 2 runs", self.find_fault(*runs))
+
+    def test_run_that_no_worker_reported_is_a_fault(self):
+        self.assertIn("no worker reported", self.find_fault(1, 3))
+        self.assertIn("no worker reported", self.find_fault(1, 2, path="0.0.1"))
+
+    def test_run_of_another_incarnation_is_a_fault(self):
+        self.evidence.reported_runs[TASK] = {
+            run._replace(incarnation_start_ms=8)
+            for run in self.evidence.reported_runs[TASK]
+        }
+        self.assertIn("no worker reported", self.find_fault(1, 2))
+
+    def test_final_state_without_a_verdict_is_a_fault(self):
+        state = list(JobState).index(JobState.FAILED)
+        reason = FailureReason.ATTEMPTS.value
+        data = msgspec.msgpack.encode(ProgressRecord(state, "t", "q", reason=reason))
+        fault = find_verdict_fault(self.evidence, make_job("j", 2), data)
+        self.assertIn("does not have", fault)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -3,6 +3,7 @@
 The tests guard against a verdict of which nobody can tell later what it was made from.
 """
 
+import asyncio
 import unittest
 
 import msgspec
@@ -14,6 +15,7 @@
 from bulrushspur_scheduler.records import encode_job
 from bulrushspur_scheduler.takeover import recover_jobs
 from tests.cell_fixtures import add_test_job, fail_run, make_test_cell
+from tests.cluster import InProcessCluster, job_id
 
 
 def find_finish(cell):
@@ -100,5 +102,45 @@
         self.assertIsNone(decode_finished(record).verdict)
 
 
+class OutageTest(unittest.IsolatedAsyncioTestCase):
+    """Real entry processes, of which all are killed in an outage of the store."""
+
+    async def asyncSetUp(self):
+        self.cluster = InProcessCluster()
+        await self.cluster.start(nodes=2, workers=3)
+        self.addAsyncCleanup(self.cluster.stop)
+
+    async def replace_all_nodes_in_an_outage(self):
+        cluster = self.cluster
+        cluster.store.faults.forced_status = 503
+        for node in list(cluster.nodes.values()):
+            await cluster.kill(node)
+        # They have no configuration until the store is back.
+        for name in ("n2", "n3"):
+            await cluster.add_node(name)
+        await asyncio.sleep(1.0)
+        cluster.store.faults.forced_status = 0
+
+    async def test_leader_that_started_in_an_outage_fails_a_job_with_evidence(self):
+        cluster = self.cluster
+        await cluster.submit(job_id(1), count=1, run_time_ms=300, outcome="failed")
+        await cluster.wait_for(lambda: len(self.list_failed_runs()) == 1)
+        await self.replace_all_nodes_in_an_outage()
+        await cluster.wait_leader(wait_s=20.0)
+        await cluster.wait_job_state(job_id(1), "failed", wait_s=40.0)
+        (finish,) = cluster.find_finishes(job_id(1))
+        counted = {row["run"] for row in finish["counted_runs"]}
+        self.assertEqual((len(counted), finish["max_attempts"]), (3, 3))
+        self.assertEqual(counted, set(self.list_failed_runs()))
+
+    def list_failed_runs(self):
+        """List the numbers of the runs that workers ended as failed."""
+        return [
+            number
+            for numbers in self.cluster.oracle.failed_runs.values()
+            for number in numbers
+        ]
+
+
 if __name__ == "__main__":
     unittest.main()
