Withdraw the crash of a worker that answers again as the same incarnation

Callers could see a job fail for crashes that did not happen: the platform's list lacked a worker that was only cut off, and the crash counted though the same incarnation reported again. Cause: a crash waits 0.9 s and a little more before it counts, and nothing could refute it meanwhile. Change: the answer of the same known incarnation to a request that was sent after the worker was seen to have ended withdraws the crash, its part in common causes, and the wait of its tasks. An answer to an earlier request may be older than the crash and withdraws nothing. A crash that has counted already stays.

--- a/packages/scheduler/bulrushspur_scheduler/crashes.py
+++ b/packages/scheduler/bulrushspur_scheduler/crashes.py
@@ -50,6 +50,8 @@
 class Crash:
     """A crash of a worker: when it was heard last, and its runs at that time.
 
+    ``seen_s`` is when it was seen to have ended.
+
     The early runs were not seen to survive their start. The tasks of the awaited runs
     do not start before the crash is counted. ``evidence`` has the runs that were on the
     worker when it crashed. ``isolated_for`` is the step that it was isolated for, if
@@ -57,8 +59,11 @@
     """
 
     worker: Worker
+    incarnation_start_ms: int
     reason: str
     heard_s: float
+    seen_s: float
+    loss: PastCrash
     isolated_for: StepKey | None
     runs: list[Run]
     early: list[Run]
@@ -121,19 +126,21 @@
     steps = frozenset(run.task.step.key for run in awaited)
     isolated = [run for run in runs if run.is_isolated and _keeps_apart(run, worker)]
     isolated_for = _find_isolated_step(worker, early, now_s)
-    cell.crashes.append(
-        PastCrash(
-            worker.machine,
-            worker.entry.service,
-            worker.last_report_s,
-            steps,
-            isolated_for is not None,
-        )
+    loss = PastCrash(
+        worker.machine,
+        worker.entry.service,
+        worker.last_report_s,
+        steps,
+        isolated_for is not None,
     )
+    cell.crashes.append(loss)
     crash = Crash(
         worker,
+        worker.incarnation_start_ms,
         reason,
         worker.last_report_s,
+        now_s,
+        loss,
         isolated_for,
         runs,
         early,
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -31,6 +31,7 @@
 from bulrushspur_scheduler.run_ends import RunEnd, apply_end
 from bulrushspur_scheduler.runs import release_run, repeat_start, stop_run
 from bulrushspur_scheduler.suspects import confirm_trial
+from bulrushspur_scheduler.withdrawn_crashes import withdraw_crash
 from bulrushspur_scheduler.workers import Worker
 
 # A worker reports at most this many ends at once. A report that reaches the limit may
@@ -81,6 +82,8 @@
         and report.incarnation_start_ms != worker.incarnation_start_ms
     ):
         handle_worker_restart(cell, worker, report, now_s)
+    elif worker.ended and report.incarnation_start_ms:
+        withdraw_crash(cell, worker, report.request_sent_s)
     worker.ended = False
     worker.incarnation_start_ms = (
         report.incarnation_start_ms or worker.incarnation_start_ms
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -14,7 +14,7 @@
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.resources import Resources
 from bulrushspur_scheduler.runs import stop_step
-from bulrushspur_scheduler.suspects import judge_suspects
+from bulrushspur_scheduler.suspects import awaits_verdict, judge_suspects
 from bulrushspur_scheduler.workers import WorkerEntry
 from tests.cell_fixtures import (
     acknowledge_starts,
@@ -159,6 +159,24 @@
         count_all(cell, 1.2 + COUNT_DELAY_S)
         self.assertEqual(task.crash_evidence, 0)
 
+    def test_worker_that_reported_just_before_it_crashed_has_crashed(self):
+        cell, worker, task, run = self.start_run()
+        cell.worker_list_s = 1.0
+        mark_incarnation_ended(cell, worker, "gone", 1.0)
+        # This answer was on its way when the worker ended.
+        apply_worker_report(cell, "w0", 1.2, [run.key], request_sent_s=0.9)
+        count_all(cell, 1.2 + COUNT_DELAY_S)
+        self.assertGreater(task.crash_evidence, 0)
+
+    def test_task_of_a_worker_that_reports_again_waits_no_longer(self):
+        cell, worker, task, run = self.start_run()
+        cell.worker_list_s = 1.0
+        mark_incarnation_ended(cell, worker, "not listed", 1.0)
+        self.assertTrue(awaits_verdict(task))
+        apply_worker_report(cell, "w0", 1.2, [run.key])
+        self.assertFalse(awaits_verdict(task))
+        self.assertEqual(len(cell.crashes), 0)
+
     def test_lease_that_was_over_before_the_crash_was_seen_is_no_evidence(self):
         cell, worker, task, run = self.start_run()
         # A long poll: the lease counts from its request on.
