Count no crash for a suspect on a worker that drained between two leaders

Callers could see a job fail for a crash that was a planned stop: the next leader finds that the worker of a stored trial has ended, and the entry that said it drained is gone. Cause: what is stored of a trial does not tell that its worker drains, while a leader that sees the end itself counts no crash then. Evidence: test_worker_that_drained_between_two_leaders_has_not_crashed (KNOWN-RED until now). Change: with the first report after it drains the trials on a worker are withdrawn, and that is stored. A drain that begins after the leader's last report from it is still taken for a crash.

--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -31,7 +31,7 @@
 from bulrushspur_scheduler.run_ends import RunEnd, apply_end
 from bulrushspur_scheduler.runs import release_run, repeat_start, stop_run
 from bulrushspur_scheduler.suspects import confirm_trial
-from bulrushspur_scheduler.withdrawn_crashes import withdraw_crash
+from bulrushspur_scheduler.withdrawn_crashes import withdraw_crash, withdraw_trials
 from bulrushspur_scheduler.workers import Worker
 
 # A worker reports at most this many ends at once. A report that reaches the limit may
@@ -125,6 +125,8 @@
         adopt_or_stop_run(
             cell, worker, status.key, status.number, status.checkpoint, now_s
         )
+    if worker.draining:
+        withdraw_trials(cell, worker)
     # Last: a worker whose report can't be applied has not reported.
     worker.has_reported = True
     worker.last_report_s = now_s
--- a/packages/scheduler/bulrushspur_scheduler/withdrawn_crashes.py
+++ b/packages/scheduler/bulrushspur_scheduler/withdrawn_crashes.py
@@ -1,7 +1,8 @@
 """Withdraw crashes that did not happen, before they count.
 
 The input is a worker that has reported. One that was seen to have ended, and answers a
-later request as the same incarnation, has not crashed.
+later request as the same incarnation, has not crashed. One that drains is going to end:
+that will be no crash, whichever leader sees it.
 """
 
 from bulrushspur_scheduler.cell import Cell
@@ -42,3 +43,15 @@
     for run in crash.runs:
         run.is_crash_recorded = False
     cell.log("crash_withdrawn", worker=crash.worker.id, runs=len(crash.runs))
+
+
+def withdraw_trials(cell: Cell, worker: Worker) -> None:
+    """Forget the stored trials on a worker that drains.
+
+    The next leader may not learn that it drained, and would count a crash.
+    """
+    for run in worker.runs.values():
+        task = run.task
+        if task.trial is not None and task.trial.worker_id == worker.id:
+            task.trial = None
+            cell.dirty_jobs.add(task.step.job.id)
