Count no crash for a run that only the next incarnation has begun

Callers could see a job fail for crashes that were not under its tasks: a worker that is back under its id answers a start before its first report, and the run counted as if the incarnation before had crashed under it. Cause: a crash counted for all runs that the worker was ordered to begin. Change: a run that the next incarnation lists, or has ended, and of which there was one order, which is not open, was begun there, as an order is carried out once. It does not count for the crash before, and a crash of the incarnation that has it counts. Runs with a repeated or open start, and adopted ones, count as before.

--- a/packages/scheduler/bulrushspur_scheduler/crashes.py
+++ b/packages/scheduler/bulrushspur_scheduler/crashes.py
@@ -30,7 +30,7 @@
 from bulrushspur_scheduler.job_specs import StepKey
 from bulrushspur_scheduler.jobs import Run, RunState
 from bulrushspur_scheduler.runs import GANG_STOP_REASONS
-from bulrushspur_scheduler.workers import Worker
+from bulrushspur_scheduler.workers import RunKey, Worker
 
 # Evidence of a crash that this leader saw, and where the run may have ended before it,
 # without a report.
@@ -97,9 +97,17 @@
     return not has_survived_start(run, worker)
 
 
-def record_crash(cell: Cell, worker: Worker, reason: str, now_s: float) -> None:
+def record_crash(
+    cell: Cell,
+    worker: Worker,
+    reason: str,
+    now_s: float,
+    begun_since: frozenset[RunKey] = frozenset(),
+) -> None:
     """Count a crash for the tasks that may have run on a worker.
 
+    The runs ``begun_since`` are those that only its next incarnation has begun.
+
     A worker that drains was going to end: that is no crash. One that was heard just now
     is counted later, by ``judge_suspects``: others may have crashed with it.
     """
@@ -110,6 +118,7 @@
         for run in worker.runs.values()
         if not run.task.done
         and not run.is_crash_recorded
+        and run.key not in begun_since
         and run.task.step.job.id in cell.jobs
     ]
     evidence = {
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -32,7 +32,7 @@
 from bulrushspur_scheduler.runs import release_run, repeat_start, stop_run
 from bulrushspur_scheduler.suspects import confirm_trial
 from bulrushspur_scheduler.withdrawn_crashes import withdraw_crash, withdraw_trials
-from bulrushspur_scheduler.workers import Worker
+from bulrushspur_scheduler.workers import RunKey, Worker
 
 # A worker reports at most this many ends at once. A report that reaches the limit may
 # be incomplete: a run that it does not list may have an end that is not reported yet.
@@ -144,7 +144,8 @@
     by its report, as for any other worker.
     """
     if not worker.ended:
-        record_crash(cell, worker, "restarted under its id", now_s)
+        begun_since = _find_begun_since(worker, report)
+        record_crash(cell, worker, "restarted under its id", now_s, begun_since)
     for run in worker.runs.values():
         run.is_worker_restarted = True
         run.stop_acknowledged_s = 0.0
@@ -171,6 +172,23 @@
     )
 
 
+def _find_begun_since(worker: Worker, report: WorkerReport) -> frozenset[RunKey]:
+    """Return the runs that the next incarnation of a worker has begun, and no other.
+
+    Each had one start order, which was answered, so it was carried out once.
+    """
+    listed = {(status.key, status.number) for status in report.running}
+    listed |= {(end.key, end.number) for end in report.ended}
+    return frozenset(
+        key
+        for key, run in worker.runs.items()
+        if key in listed
+        and key not in worker.open_starts
+        and not run.adopted
+        and not run.repeated_count
+    )
+
+
 def _find_open_lease_age_ms(worker: Worker, now_s: float) -> int | None:
     if not worker.open_lease_times_s:
         return None
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -139,6 +139,27 @@
         self.assertEqual(len(task_of(job).runs), 1)
         self.assertEqual(task_of(job).crash_evidence, 0)
 
+    def restart_with_listed_run(self, repeated_count):
+        """Let a worker restart; its next incarnation lists the run that it had."""
+        cell, worker, task, run = self.start_run()
+        run.repeated_count = repeated_count
+        apply_worker_report(cell, "w0", 1.0, [run.key], incarnation_start_ms=2)
+        count_all(cell, 1.0 + COUNT_DELAY_S)
+        return cell, worker, task, run
+
+    def test_run_that_both_incarnations_may_have_begun_is_evidence(self):
+        _, _, task, _ = self.restart_with_listed_run(repeated_count=1)
+        self.assertGreater(task.crash_evidence, 0)
+
+    def test_crash_of_the_incarnation_that_began_a_run_counts(self):
+        cell, worker, task, _ = self.restart_with_listed_run(repeated_count=0)
+        self.assertEqual(task.crash_count, 0)
+        cell.worker_list_s = 3.0
+        mark_incarnation_ended(cell, worker, "gone", 3.0)
+        count_all(cell, 3.0 + COUNT_DELAY_S)
+        self.assertEqual(task.crash_count, 1)
+        self.assertGreater(task.crash_evidence, 0)
+
     def test_incarnation_that_drained_has_not_crashed_under_the_same_id(self):
         cell, worker, task, run = self.start_run()
         worker.draining = True
