Adopt no run of a past job for a later one with its id

Callers could see a job run what a past one with its id had asked for, and, since the ends of past jobs count for nothing, its task would have stood still after that run's end. Cause: while the own run of a task is missing, and the store has not confirmed the term since, any run of the task that a worker lists was adopted. Evidence: test_run_of_a_past_job_is_stopped_while_the_own_one_is_missing fails without the change. Change: a job that was accepted in this term adopts only runs that this term started on that worker; others are stopped as orphans. The same rule as for ends, in Task.may_have_had.

--- a/packages/scheduler/bulrushspur_scheduler/adoption.py
+++ b/packages/scheduler/bulrushspur_scheduler/adoption.py
@@ -26,7 +26,7 @@
     """Adopt a run of an earlier term, or stop it as an orphan if it is not needed."""
     task = find_reported_task(cell, key)
     is_orphan = (key, number) in worker.orphan_runs
-    if task is not None and not is_orphan and _is_adoptable(task, number):
+    if task is not None and not is_orphan and _is_adoptable(task, worker.id, number):
         run = Run(task, number, worker.id, RunState.RUNNING, now_s, now_s)
         run.last_progress_s = now_s
         if task.step.spec.checkpointing:
@@ -57,12 +57,13 @@
     )
 
 
-def _is_adoptable(task: Task, number: int) -> bool:
+def _is_adoptable(task: Task, worker_id: str, number: int) -> bool:
     return (
         not task.done
         and task.unreconciled
         and not task.runs
         and number not in task.failed_runs
+        and task.may_have_had(worker_id, number)
     )
 
 
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -158,6 +158,17 @@
         """Return whether a worker may run it although it has no run here."""
         return self.unreconciled or self.orphan_count > 0
 
+    def may_have_had(self, worker_id: str, number: int) -> bool:
+        """Return whether a run on a worker may be of this job, and not of a past one.
+
+        An id may be used again once its job is forgotten. A job that was accepted in
+        this term has only the runs that this term started, each on one worker. Which
+        runs earlier terms started is not stored, so all may be of a recovered job.
+        """
+        if self.step.job.is_recovered:
+            return True
+        return self.started_worker_ids.get(number) == worker_id
+
     @property
     def awaits_promise(self) -> bool:
         """Return whether it must not start before its job's attempts are known.
--- a/packages/scheduler/bulrushspur_scheduler/run_ends.py
+++ b/packages/scheduler/bulrushspur_scheduler/run_ends.py
@@ -11,7 +11,7 @@
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.failed_runs import FailedRun
 from bulrushspur_scheduler.job_specs import TaskKey
-from bulrushspur_scheduler.jobs import RunOutcome, Step, Task
+from bulrushspur_scheduler.jobs import RunOutcome, Step
 from bulrushspur_scheduler.orphans import remove_orphan
 from bulrushspur_scheduler.progress import (
     mark_task_done,
@@ -49,7 +49,7 @@
     if task is None:
         return
     task.last_run_number = max(task.last_run_number, end.number)
-    if not _may_be_of_job(task, worker, end.number):
+    if not task.may_have_had(worker.id, end.number):
         _log_foreign_end(cell, worker, end)
         return
     cell.log(
@@ -87,18 +87,6 @@
     requeue_step(cell, task.step)
 
 
-def _may_be_of_job(task: Task, worker: Worker, number: int) -> bool:
-    """Return whether a run of a task may be of its job, and not of a past one.
-
-    An id may be used again once its job is forgotten. A job that was accepted in this
-    term has only the runs that this term started, each on one worker. Which runs
-    earlier terms started is not stored, so all may be of a recovered job.
-    """
-    if task.step.job.is_recovered:
-        return True
-    return task.started_worker_ids.get(number) == worker.id
-
-
 def _log_foreign_end(cell: Cell, worker: Worker, end: RunEnd) -> None:
     cell.log(
         "foreign_end",
--- a/tests/test_failed_runs.py
+++ b/tests/test_failed_runs.py
@@ -52,6 +52,15 @@
         self.report("cut", self.run.number, "done")
         self.assertIs(self.job.state, JobState.RUNNING)
 
+    def test_run_of_a_past_job_is_stopped_while_the_own_one_is_missing(self):
+        # Its worker lists it no longer, and the store has not confirmed the term since.
+        apply_worker_report(self.cell, "w0", 0.3)
+        self.assertTrue(task_of(self.job).unreconciled)
+        apply_worker_report(self.cell, "cut", 0.4, [(task_key(), self.run.number)])
+        self.assertEqual(task_of(self.job).runs, [])
+        (order,) = self.cell.stop_orders
+        self.assertEqual(order.worker_id, "cut")
+
     def test_later_runs_have_higher_numbers_than_those_of_a_past_job(self):
         self.report("cut", 7, "failed")
         self.report("w0", self.run.number, "failed")
