--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -20,6 +20,7 @@
     record_late_submission,
 )
 from bulrushspur_scheduler.eviction import evict_runs
+from bulrushspur_scheduler.failed_runs import mark_stored, take_unstored
 from bulrushspur_scheduler.job_specs import JobSpec
 from bulrushspur_scheduler.jobs import Job, JobState
 from bulrushspur_scheduler.leases import expire_leases, max_hold_s
@@ -377,11 +378,14 @@
             if job_id in cell.jobs:
                 job = cell.jobs[job_id]
                 job.stored_crash_version = job.crash_version
+                mark_stored(take_unstored(job))
             finished = cell.finished_jobs.get(job_id)
             if finished is not None:
                 self.store.records.pop(JOB_KEY_PREFIX + job_id, None)
                 state = finished.state.value
                 self.oracle.publish_final_state(job_id, state, self.now_s)
+                stored = self.store.records[PROGRESS_KEY_PREFIX + job_id]
+                self.oracle.check_stored_verdict(job_id, stored, self.now_s)
         leader.unstored_jobs.clear()
         return True
 
--- a/packages/scheduler/bulrushspur_scheduler/crashes.py
+++ b/packages/scheduler/bulrushspur_scheduler/crashes.py
@@ -30,7 +30,7 @@
 from bulrushspur_scheduler.job_specs import StepKey
 from bulrushspur_scheduler.jobs import Run, RunState
 from bulrushspur_scheduler.runs import GANG_STOP_REASONS
-from bulrushspur_scheduler.workers import Worker
+from bulrushspur_scheduler.workers import RunKey, Worker
 
 # Evidence of a crash that this leader saw, and where the run may have ended before it,
 # without a report.
@@ -50,6 +50,8 @@
 class Crash:
     """A crash of a worker: when it was heard last, and its runs at that time.
 
+    ``seen_s`` is when it was seen to have ended.
+
     The early runs were not seen to survive their start. The tasks of the awaited runs
     do not start before the crash is counted. ``evidence`` has the runs that were on the
     worker when it crashed. ``isolated_for`` is the step that it was isolated for, if
@@ -57,8 +59,11 @@
     """
 
     worker: Worker
+    incarnation_start_ms: int
     reason: str
     heard_s: float
+    seen_s: float
+    loss: PastCrash
     isolated_for: StepKey | None
     runs: list[Run]
     early: list[Run]
@@ -92,9 +97,17 @@
     return not has_survived_start(run, worker)
 
 
-def record_crash(cell: Cell, worker: Worker, reason: str, now_s: float) -> None:
+def record_crash(
+    cell: Cell,
+    worker: Worker,
+    reason: str,
+    now_s: float,
+    begun_since: frozenset[RunKey] = frozenset(),
+) -> None:
     """Count a crash for the tasks that may have run on a worker.
 
+    The runs ``begun_since`` are those that only its next incarnation has begun.
+
     A worker that drains was going to end: that is no crash. One that was heard just now
     is counted later, by ``judge_suspects``: others may have crashed with it.
     """
@@ -105,6 +118,7 @@
         for run in worker.runs.values()
         if not run.task.done
         and not run.is_crash_recorded
+        and run.key not in begun_since
         and run.task.step.job.id in cell.jobs
     ]
     evidence = {
@@ -121,19 +135,21 @@
     steps = frozenset(run.task.step.key for run in awaited)
     isolated = [run for run in runs if run.is_isolated and _keeps_apart(run, worker)]
     isolated_for = _find_isolated_step(worker, early, now_s)
-    cell.crashes.append(
-        PastCrash(
-            worker.machine,
-            worker.entry.service,
-            worker.last_report_s,
-            steps,
-            isolated_for is not None,
-        )
+    loss = PastCrash(
+        worker.machine,
+        worker.entry.service,
+        worker.last_report_s,
+        steps,
+        isolated_for is not None,
     )
+    cell.crashes.append(loss)
     crash = Crash(
         worker,
+        worker.incarnation_start_ms,
         reason,
         worker.last_report_s,
+        now_s,
+        loss,
         isolated_for,
         runs,
         early,
@@ -172,7 +188,7 @@
     step = run.task.step
     if not step.spec.gang:
         return run.state is RunState.RUNNING
-    if run.number in (step.crashed_gang_run_number, *step.failed_run_numbers):
+    if run.number in (step.crashed_gang_run_number, *step.failed_runs):
         return False
     if run.state is RunState.RUNNING:
         return True
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -10,7 +10,8 @@
 import math
 import typing as t
 
-from bulrushspur_scheduler.config import Queue
+from bulrushspur_scheduler.config import DEFAULT_MAX_ATTEMPTS, Queue
+from bulrushspur_scheduler.failed_runs import FailedRun, FailedRuns
 from bulrushspur_scheduler.job_specs import JobSpec, StepKey, StepSpec, TaskKey
 
 
@@ -120,7 +121,9 @@
     step: "Step"
     last_run_number: int = 0
     runs: list[Run] = dataclasses.field(default_factory=list)
-    failed_run_numbers: set[int] = dataclasses.field(default_factory=set)
+    # The worker of each run that this term has started, by run number.
+    started_worker_ids: dict[int, str] = dataclasses.field(default_factory=dict)
+    failed_runs: FailedRuns = dataclasses.field(default_factory=dict)
     failed_worker_ids: set[str] = dataclasses.field(default_factory=set)
     overdue_stop_count: int = 0
     preemption_count: int = 0
@@ -155,6 +158,28 @@
         """Return whether a worker may run it although it has no run here."""
         return self.unreconciled or self.orphan_count > 0
 
+    def may_have_had(self, worker_id: str, number: int) -> bool:
+        """Return whether a run on a worker may be of this job, and not of a past one.
+
+        An id may be used again once its job is forgotten. A job that was accepted in
+        this term has only the runs that this term started, each on one worker. Which
+        runs earlier terms started is not stored, so all may be of a recovered job.
+        """
+        if self.step.job.is_recovered:
+            return True
+        return self.started_worker_ids.get(number) == worker_id
+
+    @property
+    def awaits_promise(self) -> bool:
+        """Return whether it must not start before its job's attempts are known.
+
+        It, or its gang, has failed as often as is allowed where nothing is told.
+        """
+        if self.step.job.accepted_queue is not None:
+            return False
+        failed_runs = self.step.failed_runs or self.failed_runs
+        return len(failed_runs) >= DEFAULT_MAX_ATTEMPTS
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Step:
@@ -170,7 +195,8 @@
     done_count: int = 0
     ready: bool = False
     ready_s: float = 0.0
-    failed_run_numbers: set[int] = dataclasses.field(default_factory=set)
+    # Of a gang, whose tasks have none of their own.
+    failed_runs: FailedRuns = dataclasses.field(default_factory=dict)
     gang_run_number: int = 0
     # The last run of the gang that lost a worker by a crash.
     crashed_gang_run_number: int = 0
@@ -227,7 +253,10 @@
         return [
             task
             for task in self.tasks
-            if not task.done and not task.runs and not task.may_be_at_work
+            if not task.done
+            and not task.runs
+            and not task.may_be_at_work
+            and not task.awaits_promise
         ]
 
 
@@ -266,6 +295,8 @@
     # The queue as it was at acceptance, with the attempts that were promised; None if
     # neither the record nor a configuration has told it yet.
     accepted_queue: Queue | None = None
+    # A configuration told it after a takeover, so the job record lacks it.
+    has_late_promise: bool = False
     # Its queue was sent to another service than the job record has.
     has_moved: bool = False
     # Arrived beyond its account's share.
@@ -284,6 +315,8 @@
     # Increased by each crash under one of its tasks, and the last that is stored.
     crash_version: int = 0
     stored_crash_version: int = 0
+    # Recorded by this term, and not handed to the store yet.
+    unstored_failed_runs: list[FailedRun] = dataclasses.field(default_factory=list)
 
     @property
     def id(self) -> str:
--- a/packages/scheduler/bulrushspur_scheduler/progress_records.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress_records.py
@@ -10,7 +10,18 @@
 import msgspec
 
 from bulrushspur_kernel.decoding import Count, SmallInt, make_msgpack_decoder
+from bulrushspur_scheduler.accepted_queues import (
+    AcceptedQueueRecord,
+    make_accepted_queue,
+    make_accepted_queue_record,
+)
 from bulrushspur_scheduler.cell import Cell, FinishedJob
+from bulrushspur_scheduler.failed_run_records import (
+    FailedRunOrigin,
+    collect_failed_run_numbers,
+    collect_failed_run_origins,
+    restore_failed_runs,
+)
 from bulrushspur_scheduler.jobs import (
     FINAL_STATES,
     Job,
@@ -21,6 +32,11 @@
     Trial,
     make_occurrence,
 )
+from bulrushspur_scheduler.verdicts import (
+    VerdictRecord,
+    make_verdict_record,
+    restore_verdict,
+)
 
 PROGRESS_KEY_PREFIX: t.Final = "s"
 # A state is stored as its index here.
@@ -31,12 +47,12 @@
     """Progress of one occurrence.
 
     ``done_bits`` has an integer for each step, in little-endian bytes: bit N is set if
-    task N is done. The keys of ``failed_run_numbers`` are ``STEP`` for the runs of a
-    gang and ``STEP.TASK`` for those of a single task. ``crash_counts`` has, by
-    ``STEP.TASK``, the crashes under a task, those of which it is a suspect, and a
-    number that only older versions use; ``crash_evidence`` has the evidence, its
-    crashes, those of isolated workers, and whether the trial was confirmed; ``trials``
-    has the id, machine and start of the worker incarnation that runs a suspect.
+    task N is done. ``failed_run_numbers`` and ``failed_run_origins`` are explained in
+    ``failed_run_records.py``. ``crash_counts`` has, by ``STEP.TASK``, the crashes under
+    a task, those of which it is a suspect, and a number that only older versions use;
+    ``crash_evidence`` has the evidence, its crashes, those of isolated workers, and
+    whether the trial was confirmed; ``trials`` has the id, machine and start of the
+    worker incarnation that runs a suspect.
     """
 
     number: Count
@@ -45,6 +61,7 @@
     crash_counts: dict[str, tuple[SmallInt, SmallInt, SmallInt]] = {}
     trials: dict[str, tuple[str, str, Count]] = {}
     crash_evidence: dict[str, tuple[SmallInt, SmallInt, SmallInt, bool]] = {}
+    failed_run_origins: dict[str, list[FailedRunOrigin]] = {}
 
 
 class ProgressRecord(msgspec.Struct, array_like=True, omit_defaults=True):
@@ -61,6 +78,10 @@
     content_digest: bytes = b""
     # Where the queue is sent to, if that is not what the job record has.
     service: str = ""
+    # Which failed runs made the job fail.
+    verdict: VerdictRecord | None = None
+    # What the queue promised, if the job record lacks it.
+    accepted_queue: AcceptedQueueRecord | None = None
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -79,6 +100,7 @@
                 finished.queue,
                 reason=finished.reason,
                 content_digest=finished.content_digest,
+                verdict=make_verdict_record(finished.verdict),
             )
         )
     job = cell.jobs.get(job_id)
@@ -88,10 +110,11 @@
         OccurrenceRecord(
             occurrence.number,
             [_encode_done_bits(step) for step in occurrence.steps],
-            _collect_failed_run_numbers(occurrence.steps),
+            collect_failed_run_numbers(occurrence.steps),
             _collect_crash_counts(occurrence.steps),
             _collect_trials(occurrence.steps),
             _collect_crash_evidence(occurrence.steps),
+            collect_failed_run_origins(occurrence.steps),
         )
         for occurrence in job.occurrences.values()
         if occurrence.number not in job.completed_occurrences
@@ -99,8 +122,17 @@
     state = JOB_STATES.index(job.state)
     completed = sorted(job.completed_occurrences)
     service = job.service if job.has_moved else ""
+    promised = job.accepted_queue if job.has_late_promise else None
     return _encode(
-        ProgressRecord(state, job.account, job.queue, rows, completed, service=service)
+        ProgressRecord(
+            state,
+            job.account,
+            job.queue,
+            rows,
+            completed,
+            service=service,
+            accepted_queue=make_accepted_queue_record(promised),
+        )
     )
 
 
@@ -109,18 +141,6 @@
     return bits.to_bytes((bits.bit_length() + 7) // 8, "little")
 
 
-def _collect_failed_run_numbers(steps: list[Step]) -> dict[str, list[int]]:
-    rv: dict[str, list[int]] = {}
-    for step in steps:
-        if step.failed_run_numbers:
-            rv[f"{step.key.step}"] = sorted(step.failed_run_numbers)
-        for task in step.tasks:
-            if task.failed_run_numbers:
-                path = f"{step.key.step}.{task.key.index}"
-                rv[path] = sorted(task.failed_run_numbers)
-    return rv
-
-
 def _list_suspects(steps: list[Step]) -> t.Iterator[tuple[str, Task]]:
     """Yield the tasks under which workers crashed, with their paths in a record."""
     for step in steps:
@@ -174,6 +194,7 @@
     job.state = state
     if record.service:
         job.service, job.has_moved = record.service, True
+    _restore_promise(job, record)
     job.completed_occurrences = set(record.completed_occurrences)
     for row in record.occurrences:
         occurrence = job.occurrences.get(row.number) or make_occurrence(job, row.number)
@@ -183,16 +204,7 @@
                 if done >> task.key.index & 1:
                     task.done = True
                     step.done_count += 1
-        for path, numbers in row.failed_run_numbers.items():
-            step_index, _, task_index = path.partition(".")
-            step = occurrence.steps[int(step_index)]
-            if task_index:
-                task = step.tasks[int(task_index)]
-                task.failed_run_numbers = set(numbers)
-                _skip_run_numbers([task], numbers)
-            else:
-                step.failed_run_numbers = set(numbers)
-                _skip_run_numbers(step.tasks, numbers)
+        restore_failed_runs(occurrence, row.failed_run_numbers, row.failed_run_origins)
         for path, counts in row.crash_counts.items():
             task = _find_task(occurrence, path)
             task.step.has_suspects = True
@@ -210,10 +222,14 @@
     return None
 
 
-def _skip_run_numbers(tasks: list[Task], numbers: list[int]) -> None:
-    """Let later runs have higher numbers; a number that comes again would not count."""
-    for task in tasks:
-        task.last_run_number = max([task.last_run_number, *numbers])
+def _restore_promise(job: Job, record: ProgressRecord) -> None:
+    """Give a job what was promised to it, if the job record did not."""
+    if record.accepted_queue is None or job.accepted_queue is not None:
+        return
+    job.accepted_queue = make_accepted_queue(
+        record.accepted_queue, job.queue, job.service
+    )
+    job.has_late_promise = True
 
 
 def _find_task(occurrence: Occurrence, path: str) -> Task:
@@ -247,4 +263,5 @@
         0.0,
         record.reason,
         record.content_digest,
+        restore_verdict(record.verdict),
     )
