--- a/packages/daemon/bulrushspur_daemon/term.py
+++ b/packages/daemon/bulrushspur_daemon/term.py
@@ -12,7 +12,7 @@
 
 from bulrushspur_daemon.advice_dispatcher import AdviceDispatcher
 from bulrushspur_daemon.claim_log import ClaimLog
-from bulrushspur_daemon.clock import boottime_s
+from bulrushspur_daemon.clock import boottime_s, monotonic_s
 from bulrushspur_daemon.leader_requests import LeaderRequest, LeaderRequestHandler
 from bulrushspur_daemon.liveness_watch import LivenessWatch
 from bulrushspur_daemon.plan_loop import PlanLoop
