Keep log lines of ends and crashes that are not counted as long as those that are

Each refusal of a process that stops was decisive, up to thousands of lines that its line stop counts; they are ordinary now.

--- a/packages/kernel/bulrushspur_kernel/log_importance.py
+++ b/packages/kernel/bulrushspur_kernel/log_importance.py
@@ -34,6 +34,8 @@
         "unanswered",
         # What counts against a job: lost runs, crashes, faults and unreadable records.
         "crash_of_trial",
+        "crash_withdrawn",
+        "foreign_end",
         "record_fault",
         "record_unreadable",
         "request_fault",
@@ -67,7 +69,8 @@
 
 
 def _has_failed(fields: Fields) -> bool:
-    return fields.get("outcome") != "ok"
+    """Return whether a caller got no success; the line ``stop`` counts refusals."""
+    return fields.get("outcome") not in ("ok", "stopping")
 
 
 # Of these, the lines are decisive whose fields satisfy the condition.
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -266,6 +266,18 @@
 
 
 class ImportanceTest(unittest.TestCase):
+    # Guards against: counted too little, and a dropped line, look the same in the log.
+    def test_ends_and_crashes_that_are_not_counted_are_decisive(self):
+        for event in ("foreign_end", "crash_withdrawn"):
+            with self.subTest(event=event):
+                importance = find_importance(event, {"how": "failed"})
+                self.assertIs(importance, Importance.DECISIVE)
+
+    # Guards against: the refusals of a stop push out what decides a job's fate.
+    def test_refusals_of_a_stop_are_ordinary(self):
+        importance = find_importance("caller_submit", {"outcome": "stopping"})
+        self.assertIs(importance, Importance.ORDINARY)
+
     # Guards against: an event is renamed, and its lines are ordinary from then on.
     def test_decisive_events_are_names_of_the_log(self):
         events = set()
