--- a/packages/scheduler/bulrushspur_scheduler/adoption.py
+++ b/packages/scheduler/bulrushspur_scheduler/adoption.py
@@ -63,7 +63,7 @@
         and task.unreconciled
         and not task.runs
         and number not in task.failed_runs
-        and task.may_have_had(worker_id, number)
+        and task.may_be_own_run(worker_id, number)
     )
 
 
--- a/packages/scheduler/bulrushspur_scheduler/attempts.py
+++ b/packages/scheduler/bulrushspur_scheduler/attempts.py
@@ -11,13 +11,13 @@
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.failed_runs import (
     FailedRun,
-    FailedRuns,
     add_failed_run,
     replace_failed_run,
 )
 from bulrushspur_scheduler.jobs import FailureReason, Job, RunOutcome, Task
 from bulrushspur_scheduler.progress import fail_job
 from bulrushspur_scheduler.queue_changes import apply_queue
+from bulrushspur_scheduler.verdicts import make_verdict
 
 # Ends that count as attempts; a run that was stopped, lapsed or broken is none.
 COUNTED_OUTCOMES: t.Final = frozenset({RunOutcome.FAILED})
@@ -38,9 +38,10 @@
 def judge_job(cell: Cell, job: Job, now_s: float) -> None:
     """Let a job fail if one of its tasks, or gangs, has used up its attempts."""
     for step in job.steps():
-        if any(_has_used_attempts(cell, job, task) for task in step.tasks):
-            fail_job(cell, job, FailureReason.ATTEMPTS, now_s)
-            return
+        for task in step.tasks:
+            if _has_used_attempts(cell, task):
+                _fail_job_for(cell, task, now_s)
+                return
 
 
 def record_failed_run(cell: Cell, task: Task, run: FailedRun, now_s: float) -> None:
@@ -49,24 +50,26 @@
     The job fails when the attempts are used up.
     """
     job = task.step.job
-    runs = _counted_runs_of(task)
+    runs = task.counted_runs
     add = replace_failed_run if task.step.spec.long_running else add_failed_run
     if add(runs, run):
         job.unstored_failed_runs.append(run)
     cell.dirty_jobs.add(job.id)
-    if _has_used_attempts(cell, job, task):
-        fail_job(cell, job, FailureReason.ATTEMPTS, now_s)
+    if _has_used_attempts(cell, task):
+        _fail_job_for(cell, task, now_s)
 
 
-def _counted_runs_of(task: Task) -> FailedRuns:
-    """Return the failed runs that count for a task: those of its gang, or its own."""
-    return task.step.failed_runs if task.step.spec.gang else task.failed_runs
+def _fail_job_for(cell: Cell, task: Task, now_s: float) -> None:
+    """Let a job fail because of a task, or of its gang."""
+    verdict = make_verdict(task, cell.fencing_token)
+    fail_job(cell, task.step.job, FailureReason.ATTEMPTS, now_s, verdict)
 
 
-def _has_used_attempts(cell: Cell, job: Job, task: Task) -> bool:
-    if task.step.spec.long_running or job.id not in cell.jobs:
+def _has_used_attempts(cell: Cell, task: Task) -> bool:
+    job = task.step.job
+    if task.done or task.step.spec.long_running or job.id not in cell.jobs:
         return False
     max_attempts = cell.max_attempts(job)
     if max_attempts is None:
         return False
-    return len(_counted_runs_of(task)) >= max_attempts
+    return len(task.counted_runs) >= max_attempts
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -14,6 +14,9 @@
 from bulrushspur_scheduler.failed_runs import FailedRun, FailedRuns
 from bulrushspur_scheduler.job_specs import JobSpec, StepKey, StepSpec, TaskKey
 
+# Starts that are kept of a task that lasts: more than may be open at a time.
+MAX_LASTING_STARTS: t.Final = 32
+
 
 class JobState(enum.Enum):
     """The state of a job as callers see it."""
@@ -158,7 +161,7 @@
         """Return whether a worker may run it although it has no run here."""
         return self.unreconciled or self.orphan_count > 0
 
-    def may_have_had(self, worker_id: str, number: int) -> bool:
+    def may_be_own_run(self, worker_id: str, number: int) -> bool:
         """Return whether a run on a worker may be of this job, and not of a past one.
 
         An id may be used again once its job is forgotten. A job that was accepted in
@@ -169,16 +172,32 @@
             return True
         return self.started_worker_ids.get(number) == worker_id
 
+    def record_start(self, worker_id: str, number: int) -> None:
+        """Record which worker a run is started on; of a step that lasts the last ones.
+
+        It may start for years. Ends of runs before those need not be known.
+        """
+        if self.step.job.is_recovered:
+            return
+        self.started_worker_ids[number] = worker_id
+        if self.step.spec.long_running:
+            while len(self.started_worker_ids) > MAX_LASTING_STARTS:
+                del self.started_worker_ids[next(iter(self.started_worker_ids))]
+
+    @property
+    def counted_runs(self) -> FailedRuns:
+        """Return the failed runs that count for it: those of its gang, or its own."""
+        return self.step.failed_runs if self.step.spec.gang else self.failed_runs
+
     @property
     def awaits_promise(self) -> bool:
         """Return whether it must not start before its job's attempts are known.
 
         It, or its gang, has failed as often as is allowed where nothing is told.
         """
-        if self.step.job.accepted_queue is not None:
+        if self.done or self.step.job.accepted_queue is not None:
             return False
-        failed_runs = self.step.failed_runs or self.failed_runs
-        return len(failed_runs) >= DEFAULT_MAX_ATTEMPTS
+        return len(self.counted_runs) >= DEFAULT_MAX_ATTEMPTS
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -250,14 +269,14 @@
 
     def startable_tasks(self) -> list[Task]:
         """List the tasks that may be started now."""
-        return [
+        rv = [
             task
             for task in self.tasks
-            if not task.done
-            and not task.runs
-            and not task.may_be_at_work
-            and not task.awaits_promise
+            if not task.done and not task.runs and not task.may_be_at_work
         ]
+        if self.job.accepted_queue is None:
+            rv = [task for task in rv if not task.awaits_promise]
+        return rv
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -333,6 +352,11 @@
         for occurrence in self.occurrences.values():
             yield from occurrence.steps
 
+    def tasks(self) -> t.Iterator[Task]:
+        """Yield all tasks of all open occurrences."""
+        for step in self.steps():
+            yield from step.tasks
+
 
 def make_occurrence(job: Job, number: int, unreconciled: bool = False) -> Occurrence:
     """Add an occurrence with its steps and tasks to a job, and return it.
--- a/packages/scheduler/bulrushspur_scheduler/progress.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress.py
@@ -25,7 +25,7 @@
 from bulrushspur_scheduler.queue_changes import apply_queue
 from bulrushspur_scheduler.runs import stop_run
 from bulrushspur_scheduler.unobserved_usage import keep_usage_of_finished_job
-from bulrushspur_scheduler.verdicts import describe_verdict, make_verdict
+from bulrushspur_scheduler.verdicts import Verdict, describe_failure
 
 MAX_OCCURRENCE_LEAD_S = 0.05
 
@@ -166,13 +166,24 @@
         finish_job(cell, job, JobState.COMPLETED, now_s)
 
 
-def fail_job(cell: Cell, job: Job, reason: FailureReason, now_s: float) -> None:
+def fail_job(
+    cell: Cell,
+    job: Job,
+    reason: FailureReason,
+    now_s: float,
+    verdict: Verdict | None = None,
+) -> None:
     """Let a job fail, and stop its runs; callers are told why."""
-    finish_job(cell, job, JobState.FAILED, now_s, reason.value)
+    finish_job(cell, job, JobState.FAILED, now_s, reason.value, verdict)
 
 
 def finish_job(
-    cell: Cell, job: Job, state: JobState, now_s: float, reason: str = ""
+    cell: Cell,
+    job: Job,
+    state: JobState,
+    now_s: float,
+    reason: str = "",
+    verdict: Verdict | None = None,
 ) -> None:
     """Move a job to a final state, and stop the runs of its unfinished tasks.
 
@@ -184,7 +195,6 @@
     _stop_unfinished_tasks(cell, job, state.value)
     keep_usage_of_finished_job(cell, job)
     del cell.jobs[job.id]
-    is_of_attempts = reason == FailureReason.ATTEMPTS.value
     cell.finished_jobs[job.id] = FinishedJob(
         state,
         job.account,
@@ -192,10 +202,10 @@
         now_s,
         reason,
         content_digest=digest_content(job.spec),
-        verdict=make_verdict(job, cell.fencing_token) if is_of_attempts else None,
+        verdict=verdict,
     )
     cell.dirty_jobs.add(job.id)
-    _log_finish(cell, job, reason, now_s)
+    _log_finish(cell, job, reason, verdict, now_s)
 
 
 def _stop_unfinished_tasks(cell: Cell, job: Job, reason: str) -> None:
@@ -207,11 +217,13 @@
                     stop_run(cell, run, reason)
 
 
-def _log_finish(cell: Cell, job: Job, reason: str, now_s: float) -> None:
+def _log_finish(
+    cell: Cell, job: Job, reason: str, verdict: Verdict | None, now_s: float
+) -> None:
     """Log a final state, and for one that failed what was counted."""
     failure: dict[str, t.Any] = {}
     if job.state is JobState.FAILED:
-        failure = describe_verdict(make_verdict(job, cell.fencing_token))
+        failure = describe_failure(job, verdict, cell.fencing_token)
         failure["max_attempts"] = cell.max_attempts(job)
     cell.log(
         "finish",
--- a/packages/scheduler/bulrushspur_scheduler/run_ends.py
+++ b/packages/scheduler/bulrushspur_scheduler/run_ends.py
@@ -49,7 +49,7 @@
     if task is None:
         return
     task.last_run_number = max(task.last_run_number, end.number)
-    if not task.may_have_had(worker.id, end.number):
+    if not task.may_be_own_run(worker.id, end.number):
         _log_foreign_end(cell, worker, end)
         return
     cell.log(
--- a/packages/scheduler/bulrushspur_scheduler/runs.py
+++ b/packages/scheduler/bulrushspur_scheduler/runs.py
@@ -25,7 +25,7 @@
     run.checkpoint = run.resumed_from = task.checkpoint
     is_suspect = task.suspected_crash_count > 0
     run.is_isolated = is_suspect and worker.isolated_for == task.step.key
-    task.started_worker_ids[number] = worker.id
+    task.record_start(worker.id, number)
     allocate_run(cell, run, worker)
     _order_start(cell, run)
     job = task.step.job
--- a/packages/scheduler/bulrushspur_scheduler/verdicts.py
+++ b/packages/scheduler/bulrushspur_scheduler/verdicts.py
@@ -12,8 +12,8 @@
 import msgspec
 
 from bulrushspur_kernel.decoding import Count
-from bulrushspur_scheduler.failed_runs import FailedRun, FailedRuns, sort_failed_runs
-from bulrushspur_scheduler.jobs import Job
+from bulrushspur_scheduler.failed_runs import FailedRun, sort_failed_runs
+from bulrushspur_scheduler.jobs import Job, Task
 
 
 class StoredSince(enum.Enum):
@@ -45,23 +45,28 @@
     failed_runs: list[tuple[Count, str, Count, Count]] = []
 
 
-def make_verdict(job: Job, term: int) -> Verdict:
-    """Make the verdict of the task, or gang, of a job that failed most often."""
-    path, runs = max(_list_failed_runs(job), key=lambda row: len(row[1]))
-    return Verdict(path, term, tuple(sort_failed_runs(runs)))
+def make_verdict(task: Task, term: int) -> Verdict:
+    """Make the verdict on the job of a task that, or whose gang, made it fail."""
+    path = task.key.path
+    if task.step.spec.gang:
+        path = f"{task.key.occurrence}.{task.key.step}"
+    return Verdict(path, term, tuple(sort_failed_runs(task.counted_runs)))
 
 
-def _list_failed_runs(job: Job) -> t.Iterator[tuple[str, FailedRuns]]:
-    """Yield the failed runs of all gangs and tasks, with their paths."""
-    yield "", {}
-    for step in job.steps():
-        yield f"{step.key.occurrence}.{step.key.step}", step.failed_runs
-        for task in step.tasks:
-            yield task.key.path, task.failed_runs
+def describe_failure(job: Job, verdict: Verdict | None, term: int) -> dict[str, t.Any]:
+    """Return the fields of the log that tell why a job failed.
 
-
-def describe_verdict(verdict: Verdict) -> dict[str, t.Any]:
-    """Return the fields of the log that tell a verdict."""
+    Without a verdict it did not fail for its attempts; ``failed_runs`` is how often one
+    of its tasks, or gangs, has failed at most.
+    """
+    if verdict is None:
+        most = max((len(task.counted_runs) for task in job.tasks()), default=0)
+        return {
+            "failed_task": "",
+            "failed_runs": most,
+            "counted_runs": [],
+            "fence": term,
+        }
     return {
         "failed_task": verdict.path,
         "failed_runs": len(verdict.failed_runs),
--- a/tests/test_failed_runs.py
+++ b/tests/test_failed_runs.py
@@ -6,7 +6,7 @@
 import unittest
 
 from bulrushspur_scheduler.job_specs import TaskKey
-from bulrushspur_scheduler.jobs import JobState, RunOutcome
+from bulrushspur_scheduler.jobs import MAX_LASTING_STARTS, JobState, RunOutcome
 from bulrushspur_scheduler.leases import expire_leases
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.records import encode_job
@@ -28,6 +28,21 @@
     return job.occurrences[0].steps[0].tasks[0]
 
 
+class LastingTest(unittest.TestCase):
+    # Guards against: a task that fails for years takes more and more memory.
+    def test_starts_of_a_task_that_lasts_are_not_all_kept(self):
+        cell = make_test_cell(1)
+        task = task_of(add_test_job(cell, long_running=True))
+        for number in range(1, 201):
+            plan(cell, number * 1.0)
+            (order,) = acknowledge_starts(cell, number * 1.0)
+            ended = [(number, task.key, order.run.number, "failed")]
+            apply_worker_report(cell, "w0", number * 1.0, ended=ended)
+            cell.workers["w0"].quarantined_until_s = 0.0
+        self.assertEqual(len(task.started_worker_ids), MAX_LASTING_STARTS)
+        self.assertTrue(task.may_be_own_run("w0", task.last_run_number))
+
+
 class PastJobTest(unittest.TestCase):
     """A job with an id that a past one had, whose run goes on behind a cut."""
 
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -187,9 +187,9 @@
         self.assertEqual(len(encode_progress(cell, job.id)), size_bytes)
         self.assertEqual(list(task_of(job).failed_runs), [100])
 
-    def recover_older(self, config):
+    def recover_older(self, config, **fields):
         """Let a leader recover a job that an older version accepted."""
-        job = make_test_job(queue="four")
+        job = make_test_job(queue="four", **fields)
         cell = make_test_cell(1)
         cell.config = config
         recover_jobs(cell, {"jj1": encode_job(job)}, 1.0, 1.0)
@@ -207,6 +207,18 @@
         apply_queue(cell, job)
         self.assertIsNot(job.state, JobState.FAILED)
 
+    # Guards against: a verdict on a task that is done, from the runs before that.
+    def test_job_whose_task_failed_and_is_done_is_not_judged_by_it(self):
+        allows_two = dataclasses.replace(QUEUES[1], name="four", max_attempts=2)
+        cell, job = self.recover_older(make_config(2), count=2)
+        self.fail_runs(cell, job, 2)
+        mark_task_done(cell, task_of(job), 1.0)
+        stored = {"jj1": encode_job(job), "sj1": encode_progress(cell, "j1")}
+        cell = make_test_cell(1)
+        cell.config = make_config(3, (allows_two,))
+        recover_jobs(cell, stored, 2.0, 2.0)
+        self.assertIn("j1", cell.jobs)
+
     def test_attempts_of_a_job_of_an_older_version_outlast_the_leader(self):
         four = dataclasses.replace(QUEUES[1], name="four", max_attempts=4)
         cell, job = self.recover_older(make_config(2, (four,)))
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -4,15 +4,18 @@
 """
 
 import asyncio
+import dataclasses
 import unittest
 
 import msgspec
 
 from bulrushspur_scheduler.failed_runs import FailedRun, mark_stored, take_unstored
+from bulrushspur_scheduler.job_specs import StepSpec
 from bulrushspur_scheduler.jobs import FailureReason, JobState
 from bulrushspur_scheduler.progress import fail_job
 from bulrushspur_scheduler.progress_records import decode_finished, encode_progress
 from bulrushspur_scheduler.records import encode_job
+from bulrushspur_scheduler.resources import Resources
 from bulrushspur_scheduler.takeover import recover_jobs
 from tests.cell_fixtures import add_test_job, fail_run, make_test_cell
 from tests.cluster import InProcessCluster, job_id
@@ -72,6 +75,26 @@
         fields = find_finish(fail_in_two_terms(gang=True))
         self.assertEqual((fields["failed_task"], fields["failed_runs"]), ("0.0", 3))
 
+    # Guards against: a task that lasts, and has no limit, is named in place of another.
+    def test_verdict_names_the_task_that_used_up_its_attempts(self):
+        cell = make_test_cell(1)
+        lasting = StepSpec(1, Resources(100, 10), 1.0, long_running=True)
+        ending = dataclasses.replace(lasting, long_running=False)
+        job = add_test_job(cell, steps=(lasting, ending))
+        job.accepted_queue = dataclasses.replace(job.accepted_queue, max_attempts=1)
+        first, second = job.tasks()
+        fail_run(cell, first, 1, 1.0)
+        fail_run(cell, second, 1, 2.0)
+        self.assertEqual(cell.finished_jobs["j1"].verdict.path, "0.1.0")
+
+    def test_finish_by_crashes_names_no_task_that_has_failed(self):
+        cell = make_test_cell(1)
+        job = add_test_job(cell, count=2)
+        fail_run(cell, next(job.tasks()), 1, 1.0)
+        fail_job(cell, job, FailureReason.CRASHES, 1.0)
+        fields = find_finish(cell)
+        self.assertEqual((fields["failed_task"], fields["failed_runs"]), ("", 1))
+
     def test_finish_without_a_failed_run_tells_none(self):
         cell = make_test_cell(1)
         job = add_test_job(cell)
