Judge requests to stopping processes in the oracle: the rule LOST

Two new ones: each request whose last byte was sent to a process from a contact span before SIGTERM until it was gone gets a whole answer or its connection ends within 0.2 s of that byte, but for the client's deadline and disruptions of that process, its links or the store; and the process is gone 6 s after SIGTERM.

--- a/oracle/observations.py
+++ b/oracle/observations.py
@@ -17,6 +17,7 @@
     make_task_id,
 )
 from oracle.runs import Checkpoint, Run, RunKey, Stop
+from oracle.shutdowns import EntryRequest, Shutdown
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,6 +32,10 @@
     noted_s: float = 1.0
     # From when on a capacity that has shrunk counts.
     capacity_s: float = 4.5
+    # A connection may end so soon after a request without an answer to it.
+    loss_slack_s: float = 0.2
+    # From SIGTERM to SIGKILL.
+    grace_s: float = 6.0
 
 
 @dataclasses.dataclass
@@ -64,6 +69,13 @@
     capacities: dict[tuple[str, int], list[tuple[float, int]]] = dataclasses.field(
         default_factory=dict
     )
+    # Requests to entry processes, their stops, and by entry process the disruptions
+    # of it, its links or the store.
+    entry_requests: list[EntryRequest] = dataclasses.field(default_factory=list)
+    shutdowns: list[Shutdown] = dataclasses.field(default_factory=list)
+    entry_disruptions: dict[str, list[Disruption]] = dataclasses.field(
+        default_factory=dict
+    )
     # When a job was first shown as completed.
     completed_s: dict[str, float] = dataclasses.field(default_factory=dict)
     # When the observation ended; until then the runs without an end went on.
@@ -212,6 +224,28 @@
         self.contact_losses.setdefault(term, []).append(loss)
         return loss
 
+    def record_entry_request(
+        self, entry: str, description: str, **fields: t.Any
+    ) -> EntryRequest:
+        """Record a request to an entry process; its times may be set later."""
+        request = EntryRequest(entry, description, **fields)
+        self.entry_requests.append(request)
+        return request
+
+    def record_shutdown(self, entry: str, signaled_s: float) -> Shutdown:
+        """Record SIGTERM to an entry process; ``gone_s`` of it may be set later."""
+        shutdown = Shutdown(entry, signaled_s)
+        self.shutdowns.append(shutdown)
+        self._extend(signaled_s)
+        return shutdown
+
+    def record_entry_disruption(
+        self, entry: str, from_s: float, until_s: float = math.inf
+    ) -> None:
+        """Record a disruption of an entry process, its links or the store."""
+        rows = self.entry_disruptions.setdefault(entry, [])
+        rows.append(Disruption(from_s, until_s))
+
     def is_in_contact(self, run: Run, bounds: Bounds) -> bool:
         """Return whether the starter of a run may know what happened ``contact_s`` ago.
 
--- a/oracle/rules.py
+++ b/oracle/rules.py
@@ -2,14 +2,14 @@
 
 import typing as t
 
-from oracle import limits, refused, twice, unasked
+from oracle import limits, lost, refused, twice, unasked
 from oracle.observations import Bounds, Observations, Violation
 
 Clause = t.Callable[[Observations, Bounds], list[Violation]]
 
 CLAUSES: t.Final[dict[str, Clause]] = {
     f"{module.RULE} ({name})": clause
-    for module in (unasked, refused, twice, limits)
+    for module in (unasked, refused, twice, limits, lost)
     for name, clause in module.CLAUSES.items()
 }
 
