Stop entry processes in series in the soak, beside clients that stay to the end

AIM=stops plays stops of followers and leaders, in series and two at a time, beside a slow store, suspended and slow processes, a second SIGTERM or a fresh start; 24 clients use their connections until the process is gone, most of them one that stops, and record each request for the rule LOST.

--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -12,6 +12,8 @@
 from oracle.observations import Disruption, Observations
 
 STORE: t.Final = "store"
+# The name of a disruption that is planned work: it excuses no request.
+STOP: t.Final = "stop"
 # What a link held back arrives within this time of the end of its fault.
 LINK_FLUSH_S: t.Final = 0.6
 LAG_INTERVAL_S: t.Final = 0.1
--- a/soak/entry_faults.py
+++ b/soak/entry_faults.py
@@ -5,6 +5,7 @@
 import typing as t
 
 from bench.processes import EntryProcess
+from soak.disruptions import STOP
 from soak.recording import record_claims
 
 if t.TYPE_CHECKING:
@@ -15,7 +16,8 @@
 LEADER_SHARE: t.Final = 0.4
 
 
-def _list_undisrupted(soak: "Soak") -> list[EntryProcess]:
+def list_undisrupted(soak: "Soak") -> list[EntryProcess]:
+    """List the running entry processes that no fault or stop befalls now."""
     return [
         entry
         for entry in soak.cluster.entries
@@ -25,16 +27,16 @@
 
 def _draw_entry(soak: "Soak") -> EntryProcess | None:
     """Draw an entry process that is not disrupted; the newest leader more often."""
-    entries = _list_undisrupted(soak)
+    entries = list_undisrupted(soak)
     if not entries:
         return None
-    leader = _find_leader(soak, entries)
+    leader = find_leader(soak, entries)
     if leader is not None and soak.rng.random() < LEADER_SHARE:
         return leader
     return soak.rng.choice(entries)
 
 
-def _find_leader(soak: "Soak", entries: list[EntryProcess]) -> EntryProcess | None:
+def find_leader(soak: "Soak", entries: list[EntryProcess]) -> EntryProcess | None:
     """Return the entry process that claimed to lead last, if it is one of these."""
     record_claims(soak)
     leader_name = soak.term_holders.get(max(soak.term_holders, default=0))
@@ -74,7 +76,7 @@
 
 async def kill_leader(soak: "Soak") -> None:
     """Kill the leader with SIGKILL and restart it, unless it is disrupted already."""
-    leader = _find_leader(soak, _list_undisrupted(soak))
+    leader = find_leader(soak, list_undisrupted(soak))
     if leader is not None:
         await _disrupt(soak, leader, "kill")
 
@@ -86,7 +88,7 @@
 
 async def restart_entry_gracefully(soak: "Soak") -> None:
     """Stop an entry process with SIGTERM and restart it."""
-    await _signal_entry(soak, "stop")
+    await _signal_entry(soak, STOP)
 
 
 async def pause_entry(soak: "Soak") -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,7 @@
     entry_faults,
     link_faults,
     restart_faults,
+    stop_faults,
     store_faults,
     worker_faults,
 )
@@ -85,6 +86,9 @@
         (_OPERATION_WEIGHTS, profile.max_operation_interval_s),
         (failure_weights, profile.max_failure_interval_s),
     ]
+    if profile.has_stops:
+        await stop_faults.stop_in_series(soak)
+        return
     if profile.has_aim:
         await _restart_in_series(soak)
         return
--- a/soak/jobs.py
+++ b/soak/jobs.py
@@ -29,6 +29,8 @@
 # Up to longer than the longest lease.
 LONG_RUNS_MS: t.Final = (5000, 9500, 12_000)
 CHECKPOINT_INTERVAL_MS: t.Final = 300
+SMALL_CPU_MILLI: t.Final = 200
+SMALL_RUN_MS: t.Final = 100
 
 
 @dataclasses.dataclass(frozen=True)
@@ -91,6 +93,15 @@
     return SoakJob(job_id, queue, msgspec.json.encode(body), **declare_job(body))
 
 
+def make_small_job(job_id: str) -> SoakJob:
+    """Make a job with one small task."""
+    step = DeclaredStep(1)
+    payload = f"{SMALL_CPU_MILLI} {SMALL_RUN_MS} done:{job_id}"
+    row = _encode_step(step, SMALL_CPU_MILLI, SMALL_RUN_MS)
+    body = {"spec": payload, "steps": [row]}
+    return SoakJob(job_id, "assess", msgspec.json.encode(body), **declare_job(body))
+
+
 def _draw_wide_step(rng: random.Random) -> DeclaredStep:
     return DeclaredStep(rng.randint(MIN_WIDE_TASKS, MAX_WIDE_TASKS))
 
--- a/soak/profile.py
+++ b/soak/profile.py
@@ -13,6 +13,8 @@
 
 # One seed of so many has the large cluster.
 LARGE_RUN_INTERVAL: t.Final = 8
+# The aim of a run in which entry processes stop; no seed has it by itself.
+STOPS_AIM: t.Final = "stops"
 
 
 class Emphasis(enum.Enum):
@@ -63,6 +65,13 @@
     completion_s: float = 40.0
     restarts: RestartMix = dataclasses.field(default_factory=RestartMix)
     has_aim: bool = False
+    # Entry processes stop in series, and nothing else disturbs the run.
+    has_stops: bool = False
+
+    @property
+    def label(self) -> str:
+        """Return what the run has most of, in a word or two."""
+        return STOPS_AIM if self.has_stops else self.emphasis.value
 
 
 _PROFILES: t.Final = {
@@ -204,8 +213,22 @@
     )
 
 
+_STOPS_PROFILE: t.Final = Profile(
+    Emphasis.MIXED,
+    # Two stop at a time, and the others lead and serve.
+    entry_count=4,
+    client_count=24,
+    max_pause_s=0.8,
+    run_s=16.0,
+    has_aim=True,
+    has_stops=True,
+)
+
+
 def draw_profile(seed: int, rng: random.Random, aim: str = "") -> Profile:
     """Return the profile of a seed, or that of an aim; raises KeyError."""
+    if aim == STOPS_AIM:
+        return _STOPS_PROFILE
     if aim:
         return _make_aimed_profile(AIMS[aim])
     emphases = list(Emphasis)
--- a/soak/recording.py
+++ b/soak/recording.py
@@ -17,7 +17,7 @@
 )
 from oracle.observations import Bounds
 from oracle.runs import Run
-from soak.disruptions import LINK_FLUSH_S, STORE
+from soak.disruptions import LINK_FLUSH_S, STOP, STORE
 
 if t.TYPE_CHECKING:
     from soak.run import Soak
@@ -40,6 +40,12 @@
         for subject in (STORE, soak.store_link_by_entry[name]):
             for row in soak.disruptions.by_subject.get(subject, ()):
                 soak.observations.record_contact_loss(term, row.from_s, row.until_s)
+    for name, link in soak.store_link_by_entry.items():
+        for subject in (STORE, link, name):
+            for row in soak.disruptions.by_subject.get(subject, ()):
+                if row.name == STOP:
+                    continue
+                soak.observations.record_entry_disruption(name, row.from_s, row.until_s)
     soak.observations.end_at(time.monotonic())
 
 
@@ -66,6 +72,8 @@
         "orders": _encode_rows(observations.orders),
         "stops": _encode_rows(observations.stops),
         "disruptions": _encode_rows(observations.disruptions),
+        "entry_requests": _encode_rows(observations.entry_requests),
+        "shutdowns": _encode_rows(observations.shutdowns),
     }
     path = soak.cluster.folder / "observations.json"
     path.write_bytes(msgspec.json.encode(data))
--- a/soak/run.py
+++ b/soak/run.py
@@ -35,6 +35,7 @@
 from soak.profile import draw_profile
 from soak.proxy import FaultProxy
 from soak.recording import write_observations
+from soak.stop_clients import list_requests_to_stopping, run_stop_client
 from soak.store_faults import DOMAINS, EVACUATION_BOUND_S
 from tests.cluster import CONFIG
 from tests.odd_entries import list_odd_entries
@@ -91,6 +92,8 @@
         # Domain, and when nothing may start there, on the monotonic clock.
         self.evacuations: list[tuple[str, float, float]] = []
         self.evacuations_until_s = 0.0
+        # Of the stops under way: how long appends to the store take.
+        self.append_delays_s: list[float] = []
 
     def proxy_of(self, worker: WorkerStandin) -> FaultProxy:
         """Return the link from the entry processes to a worker."""
@@ -107,10 +110,11 @@
             await self._start()
             names = [entry.name for entry in self.cluster.entries]
             watch = asyncio.create_task(watch_lag(self.disruptions, names))
+            run = run_stop_client if self.profile.has_stops else run_client
             async with asyncio.TaskGroup() as group:
                 group.create_task(inject_faults(self))
                 for number in range(self.profile.client_count):
-                    group.create_task(run_client(self, number))
+                    group.create_task(run(self, number))
             await cancel_long_running_jobs(self)
             await check_jobs(self)
             await check_runs(self)
@@ -270,12 +274,26 @@
     accepted_jobs = list_accepted_jobs(soak)
     cancelled_count = sum(map(bool, soak.observations.cancels.values()))
     return (
-        f"seed {seed}: {profile.emphasis.value}, {profile.entry_count} entries, "
+        f"seed {seed}: {profile.label}, {profile.entry_count} entries, "
         f"{profile.worker_count} workers, {len(soak.fault_log)} faults, "
         f"{len(accepted_jobs)} of {len(soak.jobs)} jobs accepted, {cancelled_count} "
         f"cancelled, {len(soak.failed_jobs)} failed with cause, "
         f"{len(soak.observations.runs)} starts, {len(violations)} violations, "
-        f"{len(soak.known_violations)} known ones"
+        f"{len(soak.known_violations)} known ones" + describe_stops(soak)
+    )
+
+
+def describe_stops(soak: Soak) -> str:
+    """Return how many stops and requests to stopping processes there were, if any."""
+    observations = soak.observations
+    if not observations.shutdowns:
+        return ""
+    took_s = [row.gone_s - row.signaled_s for row in observations.shutdowns]
+    requests = list_requests_to_stopping(soak)
+    refused = [request for request in requests if request.status == 503]
+    return (
+        f", {len(took_s)} stops of up to {max(took_s):.2f} s, {len(requests)} requests "
+        f"sent meanwhile, {len(refused)} of them refused"
     )
 
 
--- a/tests/test_soak_parts.py
+++ b/tests/test_soak_parts.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import random
 import subprocess
 import time
@@ -29,6 +30,8 @@
 from soak.residuals import Logged, list_known_starts, make_log_key
 from soak.restart_plans import MAX_LATE_S, RestartMix
 from soak.restart_plans import draw_plan as draw_restart_plan
+from soak.stop_plans import Beside, draw_stop_plan
+from tests.kept_connections import open_kept_connection
 
 JOB = "00000000000000aa"
 
@@ -134,6 +137,25 @@
                 self.assertLessEqual(plan.cut_s, MAX_LATE_S)
 
 
+class StopPlanTest(unittest.TestCase):
+    def test_plans_have_all_circumstances(self):
+        rng = random.Random(1)
+        plans = [draw_stop_plan(rng) for _ in range(300)]
+        self.assertEqual({plan.beside for plan in plans}, set(Beside))
+        for name, is_present in (
+            ("is_leader", bool),
+            ("append_delay_s", bool),
+            ("is_beside_other", bool),
+            ("again_delay_s", bool),
+            ("fresh_delay_s", lambda delay_s: delay_s >= 0),
+            ("next_delay_s", math.isfinite),
+        ):
+            with self.subTest(name=name):
+                values = {is_present(getattr(plan, name)) for plan in plans}
+                self.assertEqual(values, {False, True})
+        self.assertLess(max(plan.suspension_s for plan in plans), 1.0)
+
+
 class KnownStartTest(unittest.TestCase):
     """The start of a run is a known fault if an earlier incarnation had ended it."""
 
@@ -235,6 +257,64 @@
         self.assertTrue(self.is_in_contact(end_s + LINK_FLUSH_S + 0.1))
 
 
+class KeptConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """What the clients of stopping processes record is what the server did."""
+
+    async def asyncSetUp(self):
+        self.server = make_server(self.handle, Faults(), random.Random(1))
+        await self.server.listen("127.0.0.1", 0)
+        self.connection = await open_kept_connection(f"127.0.0.1:{self.server.port}")
+
+    async def asyncTearDown(self):
+        await self.connection.close()
+        await self.server.close(0.0)
+
+    async def handle(self, request, body):
+        if request.path == "/late":
+            await asyncio.sleep(2.0)
+        return json_answer(200, {"path": request.path, "size": len(body)})
+
+    async def test_requests_sent_together_have_an_answer_each(self):
+        requests = [("POST", f"/{n}", [("host", "x")], b"{}") for n in range(2)]
+        for _ in range(2):
+            attempts = await self.connection.send_all(requests)
+            paths = [msgspec.json.decode(row.body)["path"] for row in attempts]
+            self.assertEqual(paths, ["/0", "/1"])
+            self.assertEqual([row.status for row in attempts], [200, 200])
+        self.assertTrue(self.connection.is_open)
+
+    async def test_request_counts_from_its_last_byte(self):
+        began_s = time.monotonic()
+        attempt = await self.connection.send(
+            "POST", "/", [("host", "x")], b"{}", pause_s=0.3
+        )
+        self.assertEqual(attempt.status, 200)
+        self.assertGreaterEqual(attempt.sent_s - began_s, 0.3)
+        self.assertEqual(msgspec.json.decode(attempt.body)["size"], 2)
+
+    async def test_request_on_a_connection_that_is_cut_has_no_answer(self):
+        request = asyncio.create_task(
+            self.connection.send("POST", "/late", [("host", "x")], b"{}")
+        )
+        await asyncio.sleep(0.3)
+        for task in self.server.connection_tasks:
+            task.cancel()
+        attempt = await request
+        self.assertTrue(attempt.is_given_up(0.2))
+        self.assertFalse(self.connection.is_open)
+
+    async def test_request_whose_last_byte_was_not_sent_is_not_given_up(self):
+        request = asyncio.create_task(
+            self.connection.send("POST", "/", [("host", "x")], b"{}", pause_s=2.0)
+        )
+        await asyncio.sleep(0.3)
+        for task in self.server.connection_tasks:
+            task.cancel()
+        attempt = await request
+        self.assertEqual((attempt.status, attempt.sent_s), (0, math.inf))
+        self.assertFalse(attempt.is_given_up(0.2))
+
+
 class ProxyTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.handled = []
