--- a/packages/kernel/bulrushspur_kernel/http_server.py
+++ b/packages/kernel/bulrushspur_kernel/http_server.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import collections
-import contextlib
 import dataclasses
 import socket
 import time
@@ -87,6 +86,8 @@
     response_counts: collections.Counter[int] = dataclasses.field(
         default_factory=collections.Counter
     )
+    # Connections so far.
+    accepted_count: int = 0
     active_requests: int = 0
     handler_errors: int = 0
     closing: bool = False
@@ -136,6 +137,7 @@
         task = asyncio.current_task()
         assert task is not None
         self.connection_tasks.add(task)
+        self.accepted_count += 1
         writer.transport.set_write_buffer_limits(high=self.bounds.buffer_bytes)
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.bounds.head_bytes
@@ -345,10 +347,17 @@
 
 def _accept_established(listening_socket: socket.socket) -> list[socket.socket]:
     rv = []
-    with contextlib.suppress(BlockingIOError):
-        while True:
+    while True:
+        try:
             rv.append(listening_socket.accept()[0])
-    return rv
+        except BlockingIOError:
+            return rv
+        except ConnectionAbortedError:
+            # Its caller has left already.
+            continue
+        except OSError as exc:
+            log.warning(f"The last connections cannot be accepted: {exc}.")
+            return rv
 
 
 def make_http_server(
