Refute four mutants of the stop in the soak

S1 waits for requests without limit, S2 cuts what is under way at the end, S3 says of submissions that were passed on that they have not run, S4 drops pipelined requests.

--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -5,7 +5,9 @@
 processes all lack the defence; the soak has to find a violation.
 """
 
+import dataclasses
 import inspect
+import math
 import signal
 import sys
 import types
@@ -16,9 +18,15 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 from bench.processes import DAEMON_COMMAND
-from bulrushspur_daemon import term_recovery, worker_orders
+from bulrushspur_daemon import lifecycle, term_recovery, worker_orders
 from bulrushspur_daemon.clock import monotonic_s
+from bulrushspur_daemon.gateway import Gateway, Result
 from bulrushspur_daemon.main import main as run_daemon
+from bulrushspur_daemon.stop_schedule import StopSchedule
+from bulrushspur_kernel import http_server
+from bulrushspur_kernel.http_exchange import Exchange
+from bulrushspur_kernel.http_refusals import make_stopping_refusal
+from bulrushspur_kernel.http_server import HttpServer
 from bulrushspur_scheduler import leases, reports
 from bulrushspur_scheduler.cell import Cell, TimingLimits
 from bulrushspur_scheduler.jobs import Run, RunState
@@ -29,16 +37,16 @@
 
 
 def _replace(
-    module: types.ModuleType, name: str, function: t.Callable[..., t.Any]
+    owner: types.ModuleType | type, name: str, function: t.Callable[..., t.Any]
 ) -> None:
-    """Replace a function of a module.
+    """Replace a function of a module, or a method of a class.
 
     Raises AttributeError if there is none, TypeError if it has other parameters.
     """
-    replaced = inspect.signature(getattr(module, name))
+    replaced = inspect.signature(getattr(owner, name))
     if list(replaced.parameters) != list(inspect.signature(function).parameters):
-        raise TypeError(f"{module.__name__}.{name}{replaced} has other parameters")
-    setattr(module, name, function)
+        raise TypeError(f"{owner.__name__}.{name}{replaced} has other parameters")
+    setattr(owner, name, function)
 
 
 def forget_open_starts_in_silence() -> None:
@@ -87,12 +95,62 @@
     )
 
 
+def _limit_no_request_at_a_stop() -> None:
+    """Handle requests of a process that stops as any others."""
+    _replace(Gateway, "begin_stop", lambda self, schedule: None)
+
+
+def wait_for_requests_without_limit() -> None:
+    """Refuse nothing at a stop, and wait until callers have no connection any more."""
+    _limit_no_request_at_a_stop()
+
+    def make_endless_schedule(
+        grace_s: float, now_s: float, max_drain_s: float = math.inf
+    ) -> StopSchedule:
+        return StopSchedule(now_s, math.inf, math.inf)
+
+    _replace(lifecycle, "make_stop_schedule", make_endless_schedule)
+
+
+def cut_requests_at_a_stop() -> None:
+    """Refuse nothing at a stop, and cut what is under way at its end."""
+    _limit_no_request_at_a_stop()
+    _replace(HttpServer, "_end_requests", lambda self: None)
+
+
+def drop_pipelined_requests() -> None:
+    """Close a connection after the next response, whatever was received behind it."""
+    _replace(Exchange, "has_next_request", lambda self: False)
+
+
+def deny_interrupted_requests() -> None:
+    """Say that a submission has not run when it was passed on and got no reply."""
+    _replace(http_server, "make_interrupted_refusal", make_stopping_refusal)
+    ask_leader = Gateway._ask_leader
+
+    async def deny(
+        self: Gateway,
+        operation: str,
+        make_request: t.Callable[[int], t.Any],
+        deadline_s: float,
+    ) -> Result:
+        result = await ask_leader(self, operation, make_request, deadline_s)
+        is_denied = self.stop_schedule is not None and result.outcome == "in_doubt"
+        return dataclasses.replace(result, outcome="stopping") if is_denied else result
+
+    _replace(Gateway, "_ask_leader", deny)
+
+
 MUTANTS: t.Final = {
     "R1": forget_open_starts_in_silence,
     "R2": lose_unlisted_runs,
     "R3": assume_no_late_lease,
     "R4": recover_after_usual_lease,
     "R7": believe_any_stop_answer,
+    "S1": wait_for_requests_without_limit,
+    "S2": cut_requests_at_a_stop,
+    "S3": deny_interrupted_requests,
+    "S4": drop_pipelined_requests,
 }
 
 
