--- a/packages/daemon/bulrushspur_daemon/introspection.py
+++ b/packages/daemon/bulrushspur_daemon/introspection.py
@@ -17,6 +17,7 @@
     WaitReason.EARLIER_STEPS: "earlier steps",
     WaitReason.UNRECONCILED: "workers that the last leader may have started it on",
     WaitReason.RUNNING: "its tasks, which run",
+    WaitReason.ATTEMPTS_UNKNOWN: "a configuration that tells its attempts",
     WaitReason.PLANNING_FAULT: "another try after an error of the scheduler",
     WaitReason.UNOBSERVED_USAGE: "what its client account may run on silent workers",
     WaitReason.ACCOUNT_CAP: "the cap of its client account",
