Part the states of jobs and runs from jobs.py

The enumerations of states, outcomes and reasons, which nearly every module imports, are job_states.py now; no behaviour changes.

--- a/fuzz/calls.py
+++ b/fuzz/calls.py
@@ -17,7 +17,8 @@
     is_still_present,
     record_answer_clock,
 )
-from bulrushspur_scheduler.jobs import Run, RunState
+from bulrushspur_scheduler.job_states import RunState
+from bulrushspur_scheduler.jobs import Run
 from bulrushspur_scheduler.leases import extend_lease
 from bulrushspur_scheduler.open_starts import (
     SentStart,
--- a/fuzz/simulation.py
+++ b/fuzz/simulation.py
@@ -22,7 +22,8 @@
 from bulrushspur_scheduler.eviction import evict_runs
 from bulrushspur_scheduler.failed_runs import mark_stored, take_unstored
 from bulrushspur_scheduler.job_specs import JobSpec
-from bulrushspur_scheduler.jobs import Job, JobState
+from bulrushspur_scheduler.job_states import JobState
+from bulrushspur_scheduler.jobs import Job
 from bulrushspur_scheduler.leases import expire_leases, max_hold_s
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import add_job, finish_job
--- a/fuzz/verdicts.py
+++ b/fuzz/verdicts.py
@@ -7,7 +7,7 @@
 """
 
 from bulrushspur_scheduler.job_specs import JobSpec, TaskKey
-from bulrushspur_scheduler.jobs import FailureReason, JobState
+from bulrushspur_scheduler.job_states import FailureReason, JobState
 from bulrushspur_scheduler.progress_records import decode_finished
 from bulrushspur_scheduler.verdicts import Verdict
 from fuzz.evidence import FailureEvidence, ReportedRun
--- a/fuzz/workers.py
+++ b/fuzz/workers.py
@@ -11,7 +11,7 @@
 import typing as t
 
 from bulrushspur_scheduler.job_specs import TaskKey
-from bulrushspur_scheduler.jobs import RunOutcome
+from bulrushspur_scheduler.job_states import RunOutcome
 from bulrushspur_scheduler.order_results import StartResult
 from bulrushspur_scheduler.reports import RunEnd, RunStatus, WorkerReport
 from fuzz.recorder import Oracle
--- a/packages/daemon/bulrushspur_daemon/gateway.py
+++ b/packages/daemon/bulrushspur_daemon/gateway.py
@@ -24,7 +24,8 @@
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_scheduler.config import Account, Queue
 from bulrushspur_scheduler.job_specs import JobSpec
-from bulrushspur_scheduler.jobs import FINAL_STATES, Job
+from bulrushspur_scheduler.job_states import FINAL_STATES
+from bulrushspur_scheduler.jobs import Job
 from bulrushspur_scheduler.latency import LatencyEstimate
 from bulrushspur_scheduler.records import encode_job
 
--- a/packages/daemon/bulrushspur_daemon/leader_cancels.py
+++ b/packages/daemon/bulrushspur_daemon/leader_cancels.py
@@ -21,7 +21,8 @@
     is_cancelled_early,
     record_late_submission,
 )
-from bulrushspur_scheduler.jobs import FINAL_STATES, Job, JobState
+from bulrushspur_scheduler.job_states import FINAL_STATES, JobState
+from bulrushspur_scheduler.jobs import Job
 from bulrushspur_scheduler.progress import finish_job
 
 
--- a/packages/daemon/bulrushspur_daemon/leader_requests.py
+++ b/packages/daemon/bulrushspur_daemon/leader_requests.py
@@ -21,7 +21,8 @@
 from bulrushspur_scheduler import admission, advice, ranking
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.content_digests import declares_other_job
-from bulrushspur_scheduler.jobs import Job, JobState, make_occurrence
+from bulrushspur_scheduler.job_states import JobState
+from bulrushspur_scheduler.jobs import Job, make_occurrence
 from bulrushspur_scheduler.pools import find_recent_pool
 from bulrushspur_scheduler.progress import add_job
 from bulrushspur_scheduler.queue_changes import apply_queue
--- a/packages/scheduler/bulrushspur_scheduler/adoption.py
+++ b/packages/scheduler/bulrushspur_scheduler/adoption.py
@@ -6,7 +6,8 @@
 
 from bulrushspur_scheduler.cell import Cell, StopOrder
 from bulrushspur_scheduler.job_specs import TaskKey
-from bulrushspur_scheduler.jobs import Run, RunState, Task
+from bulrushspur_scheduler.job_states import RunState
+from bulrushspur_scheduler.jobs import Run, Task
 from bulrushspur_scheduler.orphans import add_orphan
 from bulrushspur_scheduler.progress import mark_job_running
 from bulrushspur_scheduler.resources import Usage
--- a/packages/scheduler/bulrushspur_scheduler/attempts.py
+++ b/packages/scheduler/bulrushspur_scheduler/attempts.py
@@ -14,7 +14,8 @@
     add_failed_run,
     replace_failed_run,
 )
-from bulrushspur_scheduler.jobs import FailureReason, Job, RunOutcome, Task
+from bulrushspur_scheduler.job_states import FailureReason, RunOutcome
+from bulrushspur_scheduler.jobs import Job, Task
 from bulrushspur_scheduler.progress import fail_job
 from bulrushspur_scheduler.queue_changes import apply_queue
 from bulrushspur_scheduler.verdicts import make_verdict
--- a/packages/scheduler/bulrushspur_scheduler/cell.py
+++ b/packages/scheduler/bulrushspur_scheduler/cell.py
@@ -19,7 +19,8 @@
 from bulrushspur_scheduler.estimates import DurationModel
 from bulrushspur_scheduler.headroom import UrgentCpu
 from bulrushspur_scheduler.job_specs import StepKey, TaskKey
-from bulrushspur_scheduler.jobs import Job, JobState, Run, Step, Task
+from bulrushspur_scheduler.job_states import JobState
+from bulrushspur_scheduler.jobs import Job, Run, Step, Task
 from bulrushspur_scheduler.resources import Usage
 from bulrushspur_scheduler.verdicts import Verdict
 from bulrushspur_scheduler.workers import Worker
--- a/packages/scheduler/bulrushspur_scheduler/crashes.py
+++ b/packages/scheduler/bulrushspur_scheduler/crashes.py
@@ -28,7 +28,8 @@
 )
 from bulrushspur_scheduler.estimates import predict_duration
 from bulrushspur_scheduler.job_specs import StepKey
-from bulrushspur_scheduler.jobs import Run, RunState
+from bulrushspur_scheduler.job_states import RunState
+from bulrushspur_scheduler.jobs import Run
 from bulrushspur_scheduler.runs import GANG_STOP_REASONS
 from bulrushspur_scheduler.workers import RunKey, Worker
 
--- a/packages/scheduler/bulrushspur_scheduler/early_cancels.py
+++ b/packages/scheduler/bulrushspur_scheduler/early_cancels.py
@@ -13,7 +13,7 @@
 from bulrushspur_kernel.decoding import UnixMs, make_msgpack_decoder
 from bulrushspur_scheduler.cell import Cell, EarlyCancel, FinishedJob
 from bulrushspur_scheduler.content_digests import digest_record
-from bulrushspur_scheduler.jobs import JobState
+from bulrushspur_scheduler.job_states import JobState
 
 EARLY_CANCEL_KEY_PREFIX: t.Final = "c"
 MAX_EARLY_CANCELS: t.Final = 10_000
--- a/packages/scheduler/bulrushspur_scheduler/eviction.py
+++ b/packages/scheduler/bulrushspur_scheduler/eviction.py
@@ -8,7 +8,7 @@
 
 from bulrushspur_scheduler import health
 from bulrushspur_scheduler.cell import Cell
-from bulrushspur_scheduler.jobs import RunState
+from bulrushspur_scheduler.job_states import RunState
 from bulrushspur_scheduler.reservations import expected_end_s
 from bulrushspur_scheduler.runs import stop_run
 from bulrushspur_scheduler.workers import Worker
--- a/packages/scheduler/bulrushspur_scheduler/gangs.py
+++ b/packages/scheduler/bulrushspur_scheduler/gangs.py
@@ -10,7 +10,8 @@
 
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.isolation import choose_isolated_gang_workers
-from bulrushspur_scheduler.jobs import Run, RunState, Step, Task
+from bulrushspur_scheduler.job_states import RunState
+from bulrushspur_scheduler.jobs import Run, Step, Task
 from bulrushspur_scheduler.limits import is_within_limits
 from bulrushspur_scheduler.placement import choose_gang_workers
 from bulrushspur_scheduler.pools import Pool
--- a/packages/scheduler/bulrushspur_scheduler/health.py
+++ b/packages/scheduler/bulrushspur_scheduler/health.py
@@ -23,7 +23,8 @@
     record_duration,
 )
 from bulrushspur_scheduler.job_specs import StepKey
-from bulrushspur_scheduler.jobs import Run, RunState, Step
+from bulrushspur_scheduler.job_states import RunState
+from bulrushspur_scheduler.jobs import Run, Step
 from bulrushspur_scheduler.workers import Worker, is_trial
 
 # A worker is quarantined at this failure score. A failure adds at most 1, a success
--- a/packages/scheduler/bulrushspur_scheduler/isolation.py
+++ b/packages/scheduler/bulrushspur_scheduler/isolation.py
@@ -15,7 +15,8 @@
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.crash_causes import is_quiet
 from bulrushspur_scheduler.crashes import SEEN_EVIDENCE, list_isolated_runs
-from bulrushspur_scheduler.jobs import RunState, Step, Task
+from bulrushspur_scheduler.job_states import RunState
+from bulrushspur_scheduler.jobs import Step, Task
 from bulrushspur_scheduler.limits import is_within_limits
 from bulrushspur_scheduler.placement import assign_tasks, free_slots_on
 from bulrushspur_scheduler.pools import Pool, end_isolation
--- a/packages/scheduler/bulrushspur_scheduler/jobs.py
+++ b/packages/scheduler/bulrushspur_scheduler/jobs.py
@@ -6,68 +6,18 @@
 """
 
 import dataclasses
-import enum
 import math
 import typing as t
 
 from bulrushspur_scheduler.config import DEFAULT_MAX_ATTEMPTS, Queue
 from bulrushspur_scheduler.failed_runs import FailedRun, FailedRuns
 from bulrushspur_scheduler.job_specs import JobSpec, StepKey, StepSpec, TaskKey
+from bulrushspur_scheduler.job_states import JobState, RunState
 
 # Starts that are kept of a task that lasts: more than may be open at a time.
 MAX_LASTING_STARTS: t.Final = 32
 
 
-class JobState(enum.Enum):
-    """The state of a job as callers see it."""
-
-    QUEUED = "queued"
-    RUNNING = "running"
-    COMPLETED = "completed"
-    FAILED = "failed"
-    CANCELLED = "cancelled"
-
-
-FINAL_STATES: t.Final = frozenset(
-    {JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED}
-)
-
-
-class FailureReason(enum.Enum):
-    """Why a job failed; the values are told to callers and stored.
-
-    Records of earlier versions may have other texts.
-    """
-
-    ATTEMPTS = "a task failed as often as it may"
-    CRASHES = "workers crashed under a task, and so did one that ran nothing else new"
-
-
-class RunState(enum.Enum):
-    """The state of a run as known to the scheduler."""
-
-    STARTING = "starting"
-    # The start order was not answered; the worker may or may not run it.
-    UNCONFIRMED = "unconfirmed"
-    RUNNING = "running"
-    STOPPING = "stopping"
-
-
-class RunOutcome(enum.Enum):
-    """How a run ended, as reported by its worker; the values are those on the wire."""
-
-    DONE = "done"
-    FAILED = "failed"
-    STOPPED = "stopped"
-    LEASE_EXPIRED = "lapsed"
-    # Another member of its gang failed, was stopped or was lost.
-    GANG_BROKEN = "broken"
-    # The other members of its gang did not start in time.
-    GANG_INCOMPLETE = "alone"
-    # The worker says something else; the run is over.
-    UNKNOWN = "unknown"
-
-
 @dataclasses.dataclass(slots=True, eq=False)
 class Run:
     """One attempt to run a task, on one worker."""
--- a/packages/scheduler/bulrushspur_scheduler/order_results.py
+++ b/packages/scheduler/bulrushspur_scheduler/order_results.py
@@ -9,7 +9,8 @@
 
 from bulrushspur_scheduler import health
 from bulrushspur_scheduler.cell import Cell, StopOrder
-from bulrushspur_scheduler.jobs import Run, RunState
+from bulrushspur_scheduler.job_states import RunState
+from bulrushspur_scheduler.jobs import Run
 from bulrushspur_scheduler.leases import mark_run_lost
 from bulrushspur_scheduler.reports import mark_run_running
 from bulrushspur_scheduler.runs import GANG_REFUSED, stop_run, stop_step
--- a/packages/scheduler/bulrushspur_scheduler/preemption.py
+++ b/packages/scheduler/bulrushspur_scheduler/preemption.py
@@ -11,7 +11,8 @@
 import typing as t
 
 from bulrushspur_scheduler.cell import Cell
-from bulrushspur_scheduler.jobs import Run, RunState, Step
+from bulrushspur_scheduler.job_states import RunState
+from bulrushspur_scheduler.jobs import Run, Step
 from bulrushspur_scheduler.placement import needs_advice
 from bulrushspur_scheduler.pools import Pool
 from bulrushspur_scheduler.ranking import cached_remaining_s, latest_start_s
--- a/packages/scheduler/bulrushspur_scheduler/progress.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress.py
@@ -13,15 +13,8 @@
 from bulrushspur_scheduler.cell import Cell, FinishedJob
 from bulrushspur_scheduler.content_digests import digest_content
 from bulrushspur_scheduler.job_bounds import max_open_occurrences
-from bulrushspur_scheduler.jobs import (
-    FailureReason,
-    Job,
-    JobState,
-    Occurrence,
-    Step,
-    Task,
-    make_occurrence,
-)
+from bulrushspur_scheduler.job_states import FailureReason, JobState
+from bulrushspur_scheduler.jobs import Job, Occurrence, Step, Task, make_occurrence
 from bulrushspur_scheduler.queue_changes import apply_queue
 from bulrushspur_scheduler.runs import stop_run
 from bulrushspur_scheduler.unobserved_usage import keep_usage_of_finished_job
--- a/packages/scheduler/bulrushspur_scheduler/progress_records.py
+++ b/packages/scheduler/bulrushspur_scheduler/progress_records.py
@@ -22,10 +22,9 @@
     collect_failed_run_origins,
     restore_failed_runs,
 )
+from bulrushspur_scheduler.job_states import FINAL_STATES, JobState
 from bulrushspur_scheduler.jobs import (
-    FINAL_STATES,
     Job,
-    JobState,
     Occurrence,
     Step,
     Task,
--- a/packages/scheduler/bulrushspur_scheduler/queue_changes.py
+++ b/packages/scheduler/bulrushspur_scheduler/queue_changes.py
@@ -11,7 +11,8 @@
 from bulrushspur_scheduler.config import CellConfig, Queue
 from bulrushspur_scheduler.estimates import predict_duration
 from bulrushspur_scheduler.job_specs import critical_path_s
-from bulrushspur_scheduler.jobs import Job, JobState
+from bulrushspur_scheduler.job_states import JobState
+from bulrushspur_scheduler.jobs import Job
 
 
 def apply_queue(cell: Cell, job: Job) -> None:
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -15,7 +15,8 @@
 from bulrushspur_scheduler.cell import Cell, StopOrder
 from bulrushspur_scheduler.crashes import record_crash
 from bulrushspur_scheduler.job_specs import TaskKey
-from bulrushspur_scheduler.jobs import Run, RunState
+from bulrushspur_scheduler.job_states import RunState
+from bulrushspur_scheduler.jobs import Run
 from bulrushspur_scheduler.leases import (
     assume_first_lease,
     assume_longest_lease,
--- a/packages/scheduler/bulrushspur_scheduler/reservations.py
+++ b/packages/scheduler/bulrushspur_scheduler/reservations.py
@@ -24,7 +24,8 @@
 from bulrushspur_scheduler.estimates import predict_step_duration
 from bulrushspur_scheduler.evacuation import is_evacuated
 from bulrushspur_scheduler.job_specs import StepKey
-from bulrushspur_scheduler.jobs import Run, RunState, Step
+from bulrushspur_scheduler.job_states import RunState
+from bulrushspur_scheduler.jobs import Run, Step
 from bulrushspur_scheduler.placement import NO_LIMIT, needs_advice
 from bulrushspur_scheduler.pools import Pool, is_released
 from bulrushspur_scheduler.resources import Resources, Usage, count_fitting_tasks
--- a/packages/scheduler/bulrushspur_scheduler/run_ends.py
+++ b/packages/scheduler/bulrushspur_scheduler/run_ends.py
@@ -11,7 +11,8 @@
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.failed_runs import FailedRun
 from bulrushspur_scheduler.job_specs import TaskKey
-from bulrushspur_scheduler.jobs import RunOutcome, Step
+from bulrushspur_scheduler.job_states import RunOutcome
+from bulrushspur_scheduler.jobs import Step
 from bulrushspur_scheduler.orphans import remove_orphan
 from bulrushspur_scheduler.progress import (
     mark_task_done,
--- a/packages/scheduler/bulrushspur_scheduler/runs.py
+++ b/packages/scheduler/bulrushspur_scheduler/runs.py
@@ -9,7 +9,8 @@
 
 from bulrushspur_scheduler.cell import Cell, StartOrder, StopOrder
 from bulrushspur_scheduler.headroom import add_urgent_cpu
-from bulrushspur_scheduler.jobs import Run, RunState, Step, Task
+from bulrushspur_scheduler.job_states import RunState
+from bulrushspur_scheduler.jobs import Run, Step, Task
 from bulrushspur_scheduler.workers import Worker
 
 # The reasons to stop members of a gang because others have ended.
--- a/packages/scheduler/bulrushspur_scheduler/start_checks.py
+++ b/packages/scheduler/bulrushspur_scheduler/start_checks.py
@@ -7,7 +7,8 @@
 
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.evacuation import MAX_GANG_ORDER_AGE_S, must_drop_start
-from bulrushspur_scheduler.jobs import Run, RunState
+from bulrushspur_scheduler.job_states import RunState
+from bulrushspur_scheduler.jobs import Run
 from bulrushspur_scheduler.limits import is_over_cap
 from bulrushspur_scheduler.workers import Worker, is_available
 
--- a/packages/scheduler/bulrushspur_scheduler/suspects.py
+++ b/packages/scheduler/bulrushspur_scheduler/suspects.py
@@ -17,15 +17,8 @@
 from bulrushspur_scheduler.cell import Cell
 from bulrushspur_scheduler.crash_causes import has_common_cause, list_losses
 from bulrushspur_scheduler.crashes import SEEN_EVIDENCE, count_crashes
-from bulrushspur_scheduler.jobs import (
-    FailureReason,
-    Job,
-    Run,
-    RunState,
-    Step,
-    Task,
-    Trial,
-)
+from bulrushspur_scheduler.job_states import FailureReason, RunState
+from bulrushspur_scheduler.jobs import Job, Run, Step, Task, Trial
 from bulrushspur_scheduler.progress import fail_job
 from bulrushspur_scheduler.workers import Worker
 
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -29,7 +29,8 @@
 from bulrushspur_kernel.http_server import HttpServer
 from bulrushspur_scheduler import leases, reports
 from bulrushspur_scheduler.cell import Cell, TimingLimits
-from bulrushspur_scheduler.jobs import Run, RunState
+from bulrushspur_scheduler.job_states import RunState
+from bulrushspur_scheduler.jobs import Run
 from bulrushspur_scheduler.leases import mark_run_lost
 from bulrushspur_scheduler.orphans import await_confirmation
 from bulrushspur_scheduler.runs import stop_run
--- a/tests/cell_fixtures.py
+++ b/tests/cell_fixtures.py
@@ -6,7 +6,8 @@
 from bulrushspur_scheduler.config import Account, AdvicePolicy, Queue, make_config
 from bulrushspur_scheduler.failed_runs import FailedRun
 from bulrushspur_scheduler.job_specs import JobSpec, StepSpec, TaskKey
-from bulrushspur_scheduler.jobs import Job, RunOutcome
+from bulrushspur_scheduler.job_states import RunOutcome
+from bulrushspur_scheduler.jobs import Job
 from bulrushspur_scheduler.order_results import StartResult, handle_start_result
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import add_job
--- a/tests/load_simulation.py
+++ b/tests/load_simulation.py
@@ -17,7 +17,8 @@
 from bulrushspur_scheduler.eviction import evict_runs
 from bulrushspur_scheduler.headroom import observe_urgent_cpu
 from bulrushspur_scheduler.job_specs import JobSpec, StepSpec
-from bulrushspur_scheduler.jobs import Job, RunOutcome, RunState
+from bulrushspur_scheduler.job_states import RunOutcome, RunState
+from bulrushspur_scheduler.jobs import Job
 from bulrushspur_scheduler.lanes import AdviceQueue
 from bulrushspur_scheduler.order_results import StartResult, handle_start_result
 from bulrushspur_scheduler.planning import plan
--- a/tests/test_cancel_links.py
+++ b/tests/test_cancel_links.py
@@ -17,7 +17,7 @@
 from bulrushspur_kernel.messages import Cancel, Outcome
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_platform.workers import make_worker_client
-from bulrushspur_scheduler.jobs import JobState, RunState
+from bulrushspur_scheduler.job_states import JobState, RunState
 from bulrushspur_scheduler.leases import expire_leases
 from bulrushspur_scheduler.order_results import StartResult
 from bulrushspur_scheduler.planning import plan
--- a/tests/test_cancelled_runs.py
+++ b/tests/test_cancelled_runs.py
@@ -7,7 +7,7 @@
 
 import unittest
 
-from bulrushspur_scheduler.jobs import JobState
+from bulrushspur_scheduler.job_states import JobState
 from bulrushspur_scheduler.leases import expire_leases
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import finish_job
--- a/tests/test_checkpoints.py
+++ b/tests/test_checkpoints.py
@@ -8,7 +8,8 @@
 import unittest
 
 from bulrushspur_scheduler.job_specs import JobSpec, StepSpec, TaskKey
-from bulrushspur_scheduler.jobs import Job, RunOutcome
+from bulrushspur_scheduler.job_states import RunOutcome
+from bulrushspur_scheduler.jobs import Job
 from bulrushspur_scheduler.leases import mark_worker_lost
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import add_job
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -32,7 +32,7 @@
 from bulrushspur_platform.store import LogStore
 from bulrushspur_scheduler.config import Service, make_config
 from bulrushspur_scheduler.job_specs import StepKey, TaskKey
-from bulrushspur_scheduler.jobs import RunOutcome, RunState
+from bulrushspur_scheduler.job_states import RunOutcome, RunState
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.reports import apply_report
 from bulrushspur_scheduler.workers import WorkerEntry, is_available
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -21,7 +21,7 @@
     log_changes,
     must_drop_start,
 )
-from bulrushspur_scheduler.jobs import RunState
+from bulrushspur_scheduler.job_states import RunState
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.resources import Resources
 from bulrushspur_scheduler.waiting import WaitReason, find_wait_reason
--- a/tests/test_failed_runs.py
+++ b/tests/test_failed_runs.py
@@ -6,7 +6,8 @@
 import unittest
 
 from bulrushspur_scheduler.job_specs import TaskKey
-from bulrushspur_scheduler.jobs import MAX_LASTING_STARTS, JobState, RunOutcome
+from bulrushspur_scheduler.job_states import JobState, RunOutcome
+from bulrushspur_scheduler.jobs import MAX_LASTING_STARTS
 from bulrushspur_scheduler.leases import expire_leases
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.records import encode_job
--- a/tests/test_failure_evidence.py
+++ b/tests/test_failure_evidence.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from bulrushspur_scheduler.job_specs import TaskKey
-from bulrushspur_scheduler.jobs import FailureReason, JobState
+from bulrushspur_scheduler.job_states import FailureReason, JobState
 from bulrushspur_scheduler.progress_records import ProgressRecord
 from bulrushspur_scheduler.verdicts import VerdictRecord
 from fuzz.deadly import make_job
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -14,7 +14,7 @@
 from bulrushspur_kernel.messages import Outcome, Reply
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_scheduler.config import Account
-from bulrushspur_scheduler.jobs import JobState
+from bulrushspur_scheduler.job_states import JobState
 from bulrushspur_scheduler.records import decode_job
 from tests.cell_fixtures import QUEUES, make_test_job
 from tests.test_config_watch import NullEventLog
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -20,7 +20,7 @@
 )
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_platform.workers import make_worker_client
-from bulrushspur_scheduler.jobs import RunOutcome
+from bulrushspur_scheduler.job_states import RunOutcome
 from bulrushspur_scheduler.leases import (
     expire_leases,
     extend_lease,
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -11,7 +11,7 @@
 from bulrushspur_scheduler.crash_causes import SURVIVAL_S
 from bulrushspur_scheduler.crashes import COUNT_DELAY_S, SEEN_EVIDENCE
 from bulrushspur_scheduler.isolation import HOLD_S
-from bulrushspur_scheduler.jobs import JobState
+from bulrushspur_scheduler.job_states import JobState
 from bulrushspur_scheduler.leases import mark_incarnation_ended
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import finish_job
--- a/tests/test_open_starts.py
+++ b/tests/test_open_starts.py
@@ -12,7 +12,7 @@
 from bulrushspur_daemon.worker_orders import OrderTarget, WorkerOrders
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_scheduler.cell import StopOrder
-from bulrushspur_scheduler.jobs import RunState
+from bulrushspur_scheduler.job_states import RunState
 from bulrushspur_scheduler.leases import (
     awaits_confirmation,
     expire_leases,
--- a/tests/test_poisoned_input.py
+++ b/tests/test_poisoned_input.py
@@ -17,7 +17,8 @@
 from bulrushspur_scheduler import planning, reports, step_advice, takeover
 from bulrushspur_scheduler.config import Account, make_config
 from bulrushspur_scheduler.job_specs import StepSpec
-from bulrushspur_scheduler.jobs import JobState, Step
+from bulrushspur_scheduler.job_states import JobState
+from bulrushspur_scheduler.jobs import Step
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import requeue_step
 from bulrushspur_scheduler.progress_records import (
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -14,7 +14,7 @@
 from bulrushspur_scheduler.failed_runs import FailedRun
 from bulrushspur_scheduler.headroom import UrgentCpu
 from bulrushspur_scheduler.job_specs import TaskKey
-from bulrushspur_scheduler.jobs import FailureReason, JobState
+from bulrushspur_scheduler.job_states import FailureReason, JobState
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import (
     fail_job,
--- a/tests/test_record_writer.py
+++ b/tests/test_record_writer.py
@@ -20,7 +20,7 @@
 from bulrushspur_scheduler.cell import FinishedJob, make_cell
 from bulrushspur_scheduler.config import make_config
 from bulrushspur_scheduler.failed_runs import FailedRun
-from bulrushspur_scheduler.jobs import JobState
+from bulrushspur_scheduler.job_states import JobState
 from bulrushspur_scheduler.suspects import awaits_storage
 from tests.cell_fixtures import add_test_job, fail_run
 from tests.test_config_watch import NullEventLog
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -9,7 +9,8 @@
 
 from bulrushspur_scheduler.failed_runs import FailedRun
 from bulrushspur_scheduler.job_specs import StepSpec
-from bulrushspur_scheduler.jobs import FailureReason, JobState, make_occurrence
+from bulrushspur_scheduler.job_states import FailureReason, JobState
+from bulrushspur_scheduler.jobs import make_occurrence
 from bulrushspur_scheduler.progress import fail_job, mark_task_done
 from bulrushspur_scheduler.progress_records import (
     apply_progress,
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -15,7 +15,8 @@
 from bulrushspur_scheduler.cell import make_cell
 from bulrushspur_scheduler.content_digests import digest_content
 from bulrushspur_scheduler.job_specs import JobSpec, StepSpec
-from bulrushspur_scheduler.jobs import Job, JobState
+from bulrushspur_scheduler.job_states import JobState
+from bulrushspur_scheduler.jobs import Job
 from bulrushspur_scheduler.progress import finish_job, purge_finished_jobs
 from bulrushspur_scheduler.progress_records import PROGRESS_KEY_PREFIX, decode_finished
 from bulrushspur_scheduler.records import encode_job
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -11,7 +11,7 @@
 from bulrushspur_scheduler.crash_causes import SURVIVAL_S
 from bulrushspur_scheduler.crashes import COUNT_DELAY_S
 from bulrushspur_scheduler.failed_runs import FailedRun
-from bulrushspur_scheduler.jobs import RunState
+from bulrushspur_scheduler.job_states import RunState
 from bulrushspur_scheduler.leases import expire_leases, extend_lease
 from bulrushspur_scheduler.order_results import (
     StartResult,
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -11,7 +11,7 @@
 from unittest import mock
 
 from bulrushspur_scheduler import reservations
-from bulrushspur_scheduler.jobs import JobState
+from bulrushspur_scheduler.job_states import JobState
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import finish_job
 from bulrushspur_scheduler.reservations import (
--- a/tests/test_start_checks.py
+++ b/tests/test_start_checks.py
@@ -14,7 +14,7 @@
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_scheduler.config import Account, make_config
 from bulrushspur_scheduler.evacuation import MAX_GANG_ORDER_AGE_S
-from bulrushspur_scheduler.jobs import JobState
+from bulrushspur_scheduler.job_states import JobState
 from bulrushspur_scheduler.order_results import StartResult
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.progress import finish_job, mark_task_done
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -12,7 +12,7 @@
 from bulrushspur_scheduler.advice import apply_advice
 from bulrushspur_scheduler.config import make_config
 from bulrushspur_scheduler.job_specs import StepSpec
-from bulrushspur_scheduler.jobs import JobState
+from bulrushspur_scheduler.job_states import JobState
 from bulrushspur_scheduler.leases import (
     expire_leases,
     extend_lease,
--- a/tests/test_unobserved_usage.py
+++ b/tests/test_unobserved_usage.py
@@ -10,7 +10,7 @@
 from bulrushspur_scheduler import takeover
 from bulrushspur_scheduler.cell import FinishedJob
 from bulrushspur_scheduler.config import Account, make_config
-from bulrushspur_scheduler.jobs import JobState
+from bulrushspur_scheduler.job_states import JobState
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.records import encode_job
 from bulrushspur_scheduler.resources import Resources
--- a/tests/test_verdict_mutants.py
+++ b/tests/test_verdict_mutants.py
@@ -11,7 +11,7 @@
 from bulrushspur_scheduler.config import make_config
 from bulrushspur_scheduler.failed_runs import FailedRun, add_failed_run
 from bulrushspur_scheduler.job_specs import JobSpec, StepSpec
-from bulrushspur_scheduler.jobs import RunOutcome
+from bulrushspur_scheduler.job_states import RunOutcome
 from bulrushspur_scheduler.resources import Resources
 from fuzz.simulation import CONFIG, Simulation
 from fuzz.terms import run_terms_history
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -11,7 +11,7 @@
 
 from bulrushspur_scheduler.failed_runs import FailedRun, mark_stored, take_unstored
 from bulrushspur_scheduler.job_specs import StepSpec
-from bulrushspur_scheduler.jobs import FailureReason, JobState
+from bulrushspur_scheduler.job_states import FailureReason, JobState
 from bulrushspur_scheduler.progress import fail_job
 from bulrushspur_scheduler.progress_records import decode_finished, encode_progress
 from bulrushspur_scheduler.records import encode_job
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -4,7 +4,7 @@
 
 from bulrushspur_scheduler.config import Account
 from bulrushspur_scheduler.health import quarantine_worker
-from bulrushspur_scheduler.jobs import RunState
+from bulrushspur_scheduler.job_states import RunState
 from bulrushspur_scheduler.planning import plan
 from bulrushspur_scheduler.resources import Resources, Usage
 from bulrushspur_scheduler.waiting import (
