Listen for callers after a handover, and until the balancer has noticed the stop

A leader whose handover took over 0.5 s stopped listening at once: callers that connect again 0.4 s after each answer were refused a connection. The quiet time began with the stop, and connections counted only from the end of the handover on.

The quiet time begins when the handover has ended, so all connections accepted since the stop began lie before it. A process listens for 2 s at least, unless answers are due sooner: the balancer checks each second, and sends until it missed two checks.

--- a/packages/daemon/bulrushspur_daemon/lifecycle.py
+++ b/packages/daemon/bulrushspur_daemon/lifecycle.py
@@ -24,6 +24,8 @@
 DRAIN_CHECK_INTERVAL_S: t.Final = 0.05
 # A caller whose connection was closed opens the next one within this time, if at all.
 QUIET_TIME_S: t.Final = 0.5
+# The balancer checks each second, and sends new connections until it missed two.
+MIN_LISTENING_TIME_S: t.Final = 2.0
 # For requests that are being answered when all answers are due.
 LAST_ANSWERS_TIMEOUT_S: t.Final = 0.2
 # A slow store takes a second or more for a claim.
@@ -141,11 +143,12 @@
     if requested_s is None:
         requested_s = boottime_s()
     schedule = begin_stop(process, requested_s)
+    listens_until_s = boottime_s() + MIN_LISTENING_TIME_S
     report = make_stop_report(process.servers[0], process.log, requested_s)
     if process.term is not None:
         timeout_s = min(HANDOVER_TIMEOUT_S, schedule.remaining_s(boottime_s()))
         await process.term.hand_over(timeout_s)
-    await _wait_for_callers(process, schedule)
+    await _wait_for_callers(process, schedule, listens_until_s)
     await _close_servers(process)
     if process.term is not None:
         # Its claim was stored after the stop began.
@@ -172,16 +175,23 @@
     return schedule
 
 
-async def _wait_for_callers(process: Process, schedule: StopSchedule) -> None:
-    """Wait until callers open no connections any more, or answers are due."""
+async def _wait_for_callers(
+    process: Process, schedule: StopSchedule, listens_until_s: float
+) -> None:
+    """Wait until callers open no connections any more, or answers are due.
+
+    The quiet time begins now, after a handover, as callers came meanwhile; it ends at
+    ``listens_until_s`` at the earliest.
+    """
     callers_server = process.servers[0]
     accepted_count = callers_server.accepted_count
-    last_open_s = schedule.began_s
+    last_open_s = boottime_s()
     while schedule.remaining_s(boottime_s()):
+        now_s = boottime_s()
         has_accepted = callers_server.accepted_count > accepted_count
         if callers_server.connection_tasks or has_accepted:
-            last_open_s = boottime_s()
-        elif boottime_s() - last_open_s >= QUIET_TIME_S:
+            last_open_s = now_s
+        elif now_s >= max(last_open_s + QUIET_TIME_S, listens_until_s):
             return
         accepted_count = callers_server.accepted_count
         await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -25,6 +25,33 @@
     ("bulrushspur-credential", API_KEY),
     ("bulrushspur-deadline-ms", "3000"),
 ]
+# Longer than a process listens in any case.
+HANDOVER_S = 2.2
+# The balancer's readiness check.
+CHECK_INTERVAL_S = 1.0
+
+
+class SlowTerm:
+    """A term whose handover takes a while."""
+
+    def __init__(self, handover_s):
+        self.handover_s = handover_s
+        self.handed_over_count = 0
+
+    async def hand_over(self, timeout_s):
+        self.handed_over_count += 1
+        await asyncio.sleep(min(self.handover_s, timeout_s))
+
+
+class StoppingProcess:
+    """A process with another term; all else is that of the process itself."""
+
+    def __init__(self, process, term):
+        self.process = process
+        self.term = term
+
+    def __getattr__(self, name):
+        return getattr(self.process, name)
 
 
 class StopTest(unittest.IsolatedAsyncioTestCase):
@@ -132,6 +159,35 @@
         await self.stopping
         self.assertLess(time.monotonic() - began_s, 3.0)
 
+    # Guards against: callers that come during a handover count for nothing after it.
+    async def test_caller_during_a_slow_handover_is_not_refused_a_connection(self):
+        node = self.find_follower()
+        term = SlowTerm(HANDOVER_S)
+        process = StoppingProcess(node.process, term)
+        self.stopping = asyncio.create_task(shut_down(process))
+        began_s = time.monotonic()
+        while time.monotonic() - began_s < 3.0:
+            connection = await open_kept_connection(node.address)
+            attempt = await self.submit(connection)
+            self.assertEqual(attempt.status, 200)
+            await connection.close()
+            await asyncio.sleep(0.4)
+        await self.stopping
+        self.assertEqual(term.handed_over_count, 2)
+
+    # Guards against: a process is gone while the balancer still sends to it.
+    async def test_process_listens_until_the_balancer_has_missed_two_checks(self):
+        node = self.find_follower()
+        self.stopping = asyncio.create_task(shut_down(node.process))
+        began_s = time.monotonic()
+        await asyncio.sleep(2 * CHECK_INTERVAL_S - 0.1)
+        connection = await open_kept_connection(node.address)
+        attempt = await self.submit(connection)
+        self.assertEqual(attempt.status, 200)
+        await connection.close()
+        await self.stopping
+        self.assertLess(time.monotonic() - began_s, 3.5)
+
 
 if __name__ == "__main__":
     unittest.main()
