Close all servers of a process that stops also after an error in the stop

An error in the handover, or of one server's close, skipped the rest of the stop: callers' connections were cancelled, and requests on them got no answer.

shut_down logs the error (fault), waits for callers, closes all servers, and raises the first error then, as before. One server's error does not end the wait for the others.

test_lifecycle: an incomplete request gets 503 beside a failed handover, and beside a failed close of the balancer's server; before, its connection got nothing in 0.2 s.

--- a/packages/daemon/bulrushspur_daemon/lifecycle.py
+++ b/packages/daemon/bulrushspur_daemon/lifecycle.py
@@ -101,7 +101,7 @@
     except asyncio.CancelledError:
         raise
     except Exception as exc:
-        log.event("fault", urgent=True, reason=repr(exc))
+        _log_fault(log, exc)
         stop.request()
         raise
 
@@ -138,18 +138,26 @@
     """Hand over if this process leads, answer all requests and close the servers.
 
     All of it ends within the grace period, which began at ``requested_s`` (default:
-    now). Returns what became of the requests.
+    now). Returns what became of the requests. An error of the handover or of a server
+    is raised once all servers are closed.
     """
     if requested_s is None:
         requested_s = boottime_s()
     schedule = begin_stop(process, requested_s)
     listens_until_s = boottime_s() + MIN_LISTENING_TIME_S
     report = make_stop_report(process.servers[0], process.log, requested_s)
+    errors = []
     if process.term is not None:
         timeout_s = min(HANDOVER_TIMEOUT_S, schedule.remaining_s(boottime_s()))
-        await process.term.hand_over(timeout_s)
+        try:
+            await process.term.hand_over(timeout_s)
+        except Exception as exc:
+            _log_fault(process.log, exc)
+            errors.append(exc)
     await _wait_for_callers(process, schedule, listens_until_s)
-    await _close_servers(process)
+    errors += await _close_servers(process)
+    if errors:
+        raise errors[0]
     if process.term is not None:
         # Its claim was stored after the stop began.
         await process.term.hand_over(0.0)
@@ -197,10 +205,21 @@
         await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
 
 
-async def _close_servers(process: Process) -> None:
-    """Close all servers at the same time, so that their times do not add up."""
+async def _close_servers(process: Process) -> list[Exception]:
+    """Close all servers at the same time, so that their times do not add up.
+
+    Returns the errors; none of them keeps another server from being closed.
+    """
     closing = [server.close(LAST_ANSWERS_TIMEOUT_S) for server in process.servers]
-    await asyncio.gather(*closing)
+    results = await asyncio.gather(*closing, return_exceptions=True)
+    errors = [result for result in results if isinstance(result, Exception)]
+    for exc in errors:
+        _log_fault(process.log, exc)
+    return errors
+
+
+def _log_fault(log: EventLog, exc: Exception) -> None:
+    log.event("fault", urgent=True, reason=repr(exc))
 
 
 async def end_process(process: Process, tasks: list[asyncio.Task[None]]) -> None:
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -14,6 +14,7 @@
 from oracle.clients import observe_request
 from tests.cluster import API_KEY, HOST, InProcessCluster, job_id, make_job_body
 from tests.kept_connections import open_kept_connection
+from tests.test_http_close import HALF_BODY
 
 # A connection may end so soon after a request was sent without an answer to it.
 SLACK_S = 0.2
@@ -43,6 +44,13 @@
         await asyncio.sleep(min(self.handover_s, timeout_s))
 
 
+class FaultyTerm:
+    """A term whose handover fails."""
+
+    async def hand_over(self, timeout_s):
+        raise RuntimeError("expected")
+
+
 class StoppingProcess:
     """A process with another term; all else is that of the process itself."""
 
@@ -188,6 +196,40 @@
         await self.stopping
         self.assertLess(time.monotonic() - began_s, 3.5)
 
+    async def check_stop_with_error(self, process, node):
+        """Check that an incomplete request is answered, and the error is raised."""
+        host, _, port = node.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        writer.write(HALF_BODY)
+        with self.assertRaisesRegex(RuntimeError, "^expected$"):
+            await shut_down(process)
+        async with asyncio.timeout(SLACK_S):
+            answer = await reader.read(-1)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503"), answer)
+        reasons = [row["reason"] for row in node.events("fault")]
+        self.assertEqual(reasons, ["RuntimeError('expected')"])
+        for server in node.process.servers:
+            self.assertFalse(server.server.is_serving())
+
+    # Guards against: an error in the handover cuts the requests of all callers.
+    async def test_error_in_the_handover_cuts_no_request(self):
+        node = self.find_follower()
+        process = StoppingProcess(node.process, FaultyTerm())
+        await self.check_stop_with_error(process, node)
+
+    # Guards against: an error while one server closes cuts the requests of another.
+    async def test_error_of_the_balancers_server_cuts_no_request(self):
+        node = self.find_follower()
+        server = node.process.servers[1]
+
+        async def close_with_error(*args):
+            server.stop_listening()
+            raise RuntimeError("expected")
+
+        server.close = close_with_error
+        await self.check_stop_with_error(node.process, node)
+
 
 if __name__ == "__main__":
     unittest.main()
