Answer a request in doubt also when it is sent again and none can say what became of it

A caller whose submission got 504 (may have run) and who sent it again to the same process got 503, not run, once the process stopped, or if no leader answered: false if the try before was stored.

Meanwhile what would be answered as not run is answered 504. Of other processes' answers it knows nothing.

test_gateway_stop: the three tests of a request sent again fail with 'stopping' and 'unavailable' without it.

--- a/packages/daemon/bulrushspur_daemon/gateway.py
+++ b/packages/daemon/bulrushspur_daemon/gateway.py
@@ -13,6 +13,7 @@
 
 from bulrushspur_daemon.clock import boottime_s, monotonic_s, unix_s
 from bulrushspur_daemon.config_watch import ConfigWatch
+from bulrushspur_daemon.doubtful_requests import DoubtfulRequests
 from bulrushspur_daemon.leader_client import (
     HEARTBEAT_TIMEOUT_S,
     LeaderClient,
@@ -48,6 +49,7 @@
 
 # The leader answers these after a write to the store.
 STORING_OPERATIONS: t.Final = frozenset({"submit", "cancel"})
+NOT_RUN_OUTCOMES: t.Final = frozenset({"unavailable", "stopping"})
 STOPPING_REASON: t.Final = "this entry process stops"
 
 ANONYMOUS_ACCOUNT: t.Final = Account("")
@@ -87,6 +89,9 @@
     storing_durations: RecentDurations = dataclasses.field(
         default_factory=RecentDurations
     )
+    doubtful_requests: DoubtfulRequests = dataclasses.field(
+        default_factory=DoubtfulRequests
+    )
 
     @property
     def has_config(self) -> bool:
@@ -204,6 +209,10 @@
             result = Result("stopping", "", STOPPING_REASON, RETRY_AFTER_S)
         else:
             result = await self._ask_leader(operation, make_request, deadline_s)
+        took_s = monotonic_s() - began_s
+        if operation in STORING_OPERATIONS:
+            self._learn_duration(result, min(took_s, deadline_s))
+            result = self._keep_doubt(operation, job_id, result)
         if result.retry_after_s:
             remaining_s = began_s + deadline_s - monotonic_s()
             result = dataclasses.replace(
@@ -212,11 +221,6 @@
             )
         if result.state in _FINAL_STATES:
             self._cache_final_result(job_id, result)
-        took_s = monotonic_s() - began_s
-        if operation in STORING_OPERATIONS and result.outcome in ("ok", "in_doubt"):
-            # An answer in doubt tells that storing takes as long as was waited for it.
-            waited_s = min(took_s, deadline_s, SUBMIT_TIMEOUT_S)
-            self.storing_durations.add(waited_s, boottime_s())
         self.metrics.record_duration(f"caller_{operation}", took_s)
         self.metrics.count(f"caller_{operation}_{result.outcome}")
         if operation != "query" or result.outcome != "ok":
@@ -234,6 +238,28 @@
             )
         return result
 
+    def _learn_duration(self, result: Result, waited_s: float) -> None:
+        if result.outcome in ("ok", "in_doubt"):
+            # An answer in doubt tells that storing takes as long as was waited for it.
+            waited_s = min(waited_s, SUBMIT_TIMEOUT_S)
+            self.storing_durations.add(waited_s, boottime_s())
+
+    def _keep_doubt(self, operation: str, job_id: str, result: Result) -> Result:
+        """Return a result that does not say "not run" of what was in doubt before.
+
+        Its caller sends it again; the try before may have been stored.
+        """
+        requests = self.doubtful_requests
+        if result.outcome in NOT_RUN_OUTCOMES:
+            if not requests.has(operation, job_id, boottime_s()):
+                return result
+            return dataclasses.replace(result, outcome="in_doubt")
+        if result.outcome == "in_doubt":
+            requests.add(operation, job_id, boottime_s())
+        else:
+            requests.forget(operation, job_id)
+        return result
+
     def _comes_too_late(self, operation: str) -> bool:
         """Return whether the process stops before it could answer a request."""
         if self.stop_schedule is None:
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -5,12 +5,18 @@
 """
 
 import asyncio
+import dataclasses
 import time
 import unittest
 import unittest.mock
 
 from bulrushspur_daemon import gateway as gateway_module
 from bulrushspur_daemon.clock import boottime_s
+from bulrushspur_daemon.doubtful_requests import (
+    MAX_AGE_S,
+    MAX_REQUESTS,
+    DoubtfulRequests,
+)
 from bulrushspur_daemon.gateway import Gateway
 from bulrushspur_daemon.leader_client import LeaderClient
 from bulrushspur_daemon.stop_schedule import make_stop_schedule
@@ -49,9 +55,12 @@
         schedule = make_stop_schedule(GRACE_S, boottime_s() - age_s, drain_s)
         self.gateway.begin_stop(schedule)
 
-    def submit(self):
-        spec = make_test_job().spec
-        return self.gateway.submit(QUEUES[0], ACCOUNT, spec, DEADLINE_S)
+    def submit(self, job_id="j1", deadline_s=DEADLINE_S):
+        spec = dataclasses.replace(make_test_job().spec, id=job_id)
+        return self.gateway.submit(QUEUES[0], ACCOUNT, spec, deadline_s)
+
+    def cancel(self, job_id="j1", deadline_s=DEADLINE_S):
+        return self.gateway.cancel(ACCOUNT, job_id, deadline_s)
 
     def list_requests(self):
         gateway = self.gateway
@@ -167,6 +176,54 @@
         self.assertEqual(result.outcome, "unavailable")
         self.assertLess(took_s, 0.3 + LATE_S)
 
+    async def leave_in_doubt(self, job_id="j1"):
+        """Get answers in doubt to a submission and a cancellation."""
+        for request in (self.submit(job_id, 0.3), self.cancel(job_id, 0.3)):
+            self.assertEqual((await request).outcome, "in_doubt")
+
+    # Guards against: "not run" for what a leader may have stored at a try before.
+    async def test_retry_of_a_request_in_doubt_is_in_doubt_when_it_comes_too_late(self):
+        await self.leave_in_doubt()
+        self.begin_stop(age_s=GRACE_S - 1.0)
+        for request in (self.submit(), self.cancel()):
+            result = await request
+            self.assertEqual(result.outcome, "in_doubt")
+            self.assertGreater(result.retry_after_s, 0.0)
+        self.assertEqual((await self.submit("j2")).outcome, "stopping")
+
+    async def test_retry_of_a_request_in_doubt_is_in_doubt_while_no_leader_serves(self):
+        await self.leave_in_doubt()
+        self.client.serving = False
+        for request in (self.submit("j1", 0.3), self.cancel("j1", 0.3)):
+            self.assertEqual((await request).outcome, "in_doubt")
+        self.assertEqual((await self.submit("j2", 0.3)).outcome, "unavailable")
+
+    async def test_request_is_in_doubt_no_more_once_a_leader_has_answered(self):
+        await self.leave_in_doubt()
+        self.answers = True
+        self.assertEqual((await self.submit()).outcome, "ok")
+        self.begin_stop(age_s=GRACE_S - 1.0)
+        self.assertEqual((await self.submit()).outcome, "stopping")
+        self.assertEqual((await self.cancel()).outcome, "in_doubt")
+
+
+class DoubtfulRequestsTest(unittest.TestCase):
+    def setUp(self):
+        self.requests = DoubtfulRequests()
+
+    # Guards against: memory that grows with each request while the store is away.
+    def test_latest_requests_are_remembered(self):
+        for number in range(MAX_REQUESTS + 1):
+            self.requests.add("submit", str(number), 100.0)
+        self.assertEqual(len(self.requests.answered_s), MAX_REQUESTS)
+        self.assertFalse(self.requests.has("submit", "0", 100.0))
+        self.assertTrue(self.requests.has("submit", str(MAX_REQUESTS), 100.0))
+
+    def test_request_is_forgotten_after_a_time(self):
+        self.requests.add("submit", "j1", 100.0)
+        self.assertTrue(self.requests.has("submit", "j1", 99.0 + MAX_AGE_S))
+        self.assertFalse(self.requests.has("submit", "j1", 100.0 + MAX_AGE_S))
+
 
 if __name__ == "__main__":
     unittest.main()
