Answer pipelined requests behind one whose handler reads no body while closing

While a server closed, one of three pipelined GETs was answered if the handler reads no body, as those of readiness and of operators' GETs: its answer closed the connection, and no line told of the others, nor of one that was cut.

h11 counts a request as complete once its end is read, also where it has no body. The exchange takes that end with the head now, and keeps it for a handler that reads it. A request that has a body which its handler does not read is as before.

test_http_close: 1 of 4 pipelined requests was answered, and a cut one not reported; both hold now. test_http_close and test_http_server pass (31 tests).

--- a/packages/kernel/bulrushspur_kernel/http_exchange.py
+++ b/packages/kernel/bulrushspur_kernel/http_exchange.py
@@ -28,6 +28,8 @@
 # A connection that has parsed so many parts of a request lets others go on.
 EVENTS_PER_TURN: t.Final = 64
 LINGER_TIMEOUT_S: t.Final = 1.0
+# A request without these has no body.
+BODY_HEADERS: t.Final = frozenset({b"content-length", b"transfer-encoding"})
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -122,6 +124,8 @@
     limits: SharedLimits
     response_started: bool = False
     event_count: int = 0
+    # The end of a request without body, until a handler reads it.
+    unread_end: h11.EndOfMessage | None = None
     body: HeldBody | None = None
     # Why the rest of the request is not waited for.
     given_up: Refusal | None = None
@@ -143,6 +147,9 @@
         await self._take_turn()
         if self.given_up is not None:
             raise TimeoutError
+        if self.unread_end is not None:
+            end, self.unread_end = self.unread_end, None
+            return end
         event = self.connection.next_event()
         if event is not h11.NEED_DATA:
             return event
@@ -214,8 +221,20 @@
             return False
         return self.connection.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
+    def complete_empty_request(self, head: h11.Request) -> None:
+        """Take the end of a request without body, which has come with its head.
+
+        So it is complete also for a handler that reads no body.
+        """
+        names = {name for name, _ in head.headers}
+        if names.isdisjoint(BODY_HEADERS):
+            event = self.connection.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                self.unread_end = event
+
     def begin_request(self) -> None:
         """Forget the request before."""
+        self.unread_end = None
         self.response_started = False
         self.event_count = 0
         self.given_up = None
--- a/packages/kernel/bulrushspur_kernel/http_server.py
+++ b/packages/kernel/bulrushspur_kernel/http_server.py
@@ -249,6 +249,7 @@
             return None
         if not isinstance(event, h11.Request):
             return None
+        exchange.complete_empty_request(event)
         return make_request(event, exchange)
 
     def _prepare_next_request(self, exchange: Exchange) -> bool:
--- a/tests/test_http_close.py
+++ b/tests/test_http_close.py
@@ -30,6 +30,7 @@
 class HttpCloseTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.handled = asyncio.Event()
+        self.reads_body = True
         self.server = make_http_server(self.handle, send_refusal, BOUNDS)
         self.unanswered = []
         self.server.on_unanswered = self.unanswered.append
@@ -37,7 +38,8 @@
         self.addAsyncCleanup(self.server.close, 0.0)
 
     async def handle(self, request, exchange):
-        await request.read_full_body(BOUNDS.body_bytes)
+        if self.reads_body:
+            await request.read_full_body(BOUNDS.body_bytes)
         self.handled.set()
         if request.path == "/slow":
             await asyncio.sleep(0.2)
@@ -116,8 +118,20 @@
 
     async def test_pipelined_requests_are_all_answered_and_the_last_closes(self):
         get_slow = GET_OK.replace(b"/ok", b"/slow")
-        reader, _ = await self.open(get_slow + GET_OK * 3)
-        await self.handled.wait()
+        await self.check_pipelined(get_slow)
+
+    # Guards against: an answer that closes the connection before the next request, as
+    # the handler has not read the end of its own.
+    async def test_pipelined_requests_whose_bodies_are_not_read_are_all_answered(self):
+        self.reads_body = False
+        for first in (GET_OK, GET_OK.replace(b"/ok", b"/slow")):
+            with self.subTest(first=first):
+                await self.check_pipelined(first)
+
+    async def check_pipelined(self, first):
+        reader, _ = await self.open(first + GET_OK * 3)
+        if b"/slow" in first:
+            await self.handled.wait()
         self.server.begin_close()
         answer = await self.read_all(reader)
         self.assertEqual(answer.count(b"HTTP/1.1 200"), 4)
@@ -173,6 +187,14 @@
         await closing
 
     async def test_connection_that_ends_without_an_answer_is_reported(self):
+        await self.check_reported()
+
+    # Guards against: no line of a request whose handler has not read its end.
+    async def test_request_without_answer_whose_body_is_not_read_is_reported(self):
+        self.reads_body = False
+        await self.check_reported()
+
+    async def check_reported(self):
         _, writer = await self.open(GET_ENDLESS)
         await self.handled.wait()
         self.server.begin_close()
