--- a/packages/daemon/bulrushspur_daemon/lifecycle.py
+++ b/packages/daemon/bulrushspur_daemon/lifecycle.py
@@ -207,9 +207,7 @@
         await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
 
 
-async def _close_servers(
-    process: Process, schedule: StopSchedule
-) -> list[Exception]:
+async def _close_servers(process: Process, schedule: StopSchedule) -> list[Exception]:
     """Close all servers at the same time, so that their times do not add up.
 
     They have ended with the schedule. Returns the errors; none of them keeps another
