Wait for the configuration no longer than until answers are due

A request to a process that has not read the configuration for too long waits for it before the gateway decides whether it comes too late: up to 0.6 s beyond the time when answers are due, so it could be interrupted (504, may have run) instead of refused.

The wait ends when answers are due. The configuration is still read first, so that no key is let in that was withdrawn.

--- a/packages/daemon/bulrushspur_daemon/config_watch.py
+++ b/packages/daemon/bulrushspur_daemon/config_watch.py
@@ -102,11 +102,12 @@
             return False
         return boottime_s() - self.read_boottime_s > MAX_UNREAD_S
 
-    async def catch_up(self) -> None:
+    async def catch_up(self, max_wait_s: float = CATCH_UP_TIMEOUT_S) -> None:
         """Read all records now; return after a while in any case."""
         if self.catching_up is None:
             self.catching_up = asyncio.create_task(self._catch_up())
-        await asyncio.wait({self.catching_up}, timeout=CATCH_UP_TIMEOUT_S)
+        timeout_s = min(max_wait_s, CATCH_UP_TIMEOUT_S)
+        await asyncio.wait({self.catching_up}, timeout=timeout_s)
 
     async def _catch_up(self) -> None:
         try:
--- a/packages/daemon/bulrushspur_daemon/gateway.py
+++ b/packages/daemon/bulrushspur_daemon/gateway.py
@@ -99,9 +99,13 @@
         return self.config_watch.current is not None
 
     async def catch_up(self) -> None:
-        """Read the configuration again if this process has not for too long."""
+        """Read the configuration again if this process has not for too long.
+
+        While it stops, that ends when answers are due, so that requests get theirs.
+        """
         if self.config_watch.is_behind():
-            await self.config_watch.catch_up()
+            time_left_s = self.leader_client.find_time_left_s()
+            await self.config_watch.catch_up(time_left_s)
 
     def begin_stop(self, schedule: StopSchedule) -> None:
         """Answer all requests by the times of a stop, also those under way."""
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -12,6 +12,7 @@
 
 from bulrushspur_daemon import gateway as gateway_module
 from bulrushspur_daemon.clock import boottime_s
+from bulrushspur_daemon.config_watch import MAX_UNREAD_S, ConfigWatch
 from bulrushspur_daemon.doubtful_requests import (
     MAX_AGE_S,
     MAX_REQUESTS,
@@ -20,11 +21,12 @@
 from bulrushspur_daemon.gateway import Gateway
 from bulrushspur_daemon.leader_client import LeaderClient
 from bulrushspur_daemon.stop_schedule import make_stop_schedule
+from bulrushspur_kernel.adapter import CallerInterface
 from bulrushspur_kernel.messages import Heartbeat, Outcome, Reply, Submit
 from bulrushspur_kernel.metrics import Metrics
 from bulrushspur_scheduler.config import Account
 from tests.cell_fixtures import QUEUES, make_test_job
-from tests.test_config_watch import NullEventLog
+from tests.test_config_watch import FakeStore, NullEventLog
 
 ACCOUNT = Account("team")
 GRACE_S = 6.0
@@ -33,6 +35,13 @@
 LATE_S = 0.4
 
 
+class StuckStore(FakeStore):
+    """A store that does not answer."""
+
+    async def read_newest(self, topic):
+        await asyncio.sleep(60)
+
+
 class GatewayStopTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.sent = []
@@ -176,6 +185,19 @@
         self.assertEqual(result.outcome, "unavailable")
         self.assertLess(took_s, 0.3 + LATE_S)
 
+    # Guards against: a request is not refused in time as the store does not answer.
+    async def test_configuration_is_not_waited_for_when_answers_are_due(self):
+        watch = ConfigWatch(
+            StuckStore(), CallerInterface("keyed.op", None, None), NullEventLog()
+        )
+        watch.current = self
+        watch.read_boottime_s = boottime_s() - MAX_UNREAD_S
+        self.gateway.config_watch = watch
+        self.begin_stop(drain_s=0.1)
+        _, took_s = await self.get_timed(self.gateway.catch_up())
+        self.assertLess(took_s, 0.1 + LATE_S)
+        watch.catching_up.cancel()
+
     async def leave_in_doubt(self, job_id="j1"):
         """Get answers in doubt to a submission and a cancellation."""
         for request in (self.submit(job_id, 0.3), self.cancel(job_id, 0.3)):
