Let tests of the process's end restore the signal handlers

A run of the tests could not be ended with SIGTERM or Ctrl-C after test_logs: the handlers of a stop are set with signal.signal since, and the test removed those of the event loop alone.

--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -228,6 +228,10 @@
 class ProcessEndTest(unittest.IsolatedAsyncioTestCase):
     def run_process(self, **parts):
         """Run a process of which only the log is real."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+        loop = asyncio.get_running_loop()
+        self.addCleanup(loop.remove_signal_handler, signal.SIGHUP)
         log = mock.Mock()
         report = mock.Mock()
         report.log_end.side_effect = lambda: log.event("stop", urgent=True)
@@ -247,9 +251,6 @@
 
     # Guards against: a process ends, and what it has dropped last is told nowhere.
     async def test_log_is_closed_after_its_last_line(self):
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            self.addCleanup(loop.remove_signal_handler, number)
         log, running = self.run_process()
         task = asyncio.create_task(running)
         await asyncio.sleep(0)
