--- a/packages/scheduler/bulrushspur_scheduler/crashes.py
+++ b/packages/scheduler/bulrushspur_scheduler/crashes.py
@@ -64,7 +64,7 @@
     reason: str
     heard_s: float
     seen_s: float
-    loss: PastCrash
+    past_crash: PastCrash
     isolated_for: StepKey | None
     runs: list[Run]
     early: list[Run]
@@ -103,11 +103,11 @@
     worker: Worker,
     reason: str,
     now_s: float,
-    begun_since: frozenset[RunKey] = frozenset(),
+    begun_by_next: frozenset[RunKey] = frozenset(),
 ) -> None:
     """Count a crash for the tasks that may have run on a worker.
 
-    The runs ``begun_since`` are those that only its next incarnation has begun.
+    The runs ``begun_by_next`` are those that only its next incarnation has begun.
 
     A worker that drains was going to end: that is no crash. One that was heard just now
     is counted later, by ``judge_suspects``: others may have crashed with it.
@@ -119,7 +119,7 @@
         for run in worker.runs.values()
         if not run.task.done
         and not run.is_crash_recorded
-        and run.key not in begun_since
+        and run.key not in begun_by_next
         and run.task.step.job.id in cell.jobs
     ]
     evidence = {
--- a/packages/scheduler/bulrushspur_scheduler/reports.py
+++ b/packages/scheduler/bulrushspur_scheduler/reports.py
@@ -145,8 +145,8 @@
     by its report, as for any other worker.
     """
     if not worker.ended:
-        begun_since = _find_begun_since(worker, report)
-        record_crash(cell, worker, "restarted under its id", now_s, begun_since)
+        begun_by_next = _find_runs_begun_by_next(worker, report)
+        record_crash(cell, worker, "restarted under its id", now_s, begun_by_next)
     for run in worker.runs.values():
         run.is_worker_restarted = True
         run.stop_acknowledged_s = 0.0
@@ -173,7 +173,7 @@
     )
 
 
-def _find_begun_since(worker: Worker, report: WorkerReport) -> frozenset[RunKey]:
+def _find_runs_begun_by_next(worker: Worker, report: WorkerReport) -> frozenset[RunKey]:
     """Return the runs that the next incarnation of a worker has begun, and no other.
 
     Each had one start order, which was answered, so it was carried out once.
--- a/packages/scheduler/bulrushspur_scheduler/withdrawn_crashes.py
+++ b/packages/scheduler/bulrushspur_scheduler/withdrawn_crashes.py
@@ -36,8 +36,8 @@
 
 def _drop(cell: Cell, crash: Crash) -> None:
     cell.uncounted_crashes.remove(crash)
-    if crash.loss in cell.crashes:
-        cell.crashes.remove(crash.loss)
+    if crash.past_crash in cell.crashes:
+        cell.crashes.remove(crash.past_crash)
     for run in crash.awaited:
         run.task.uncounted_crashes -= 1
     for run in crash.runs:
