--- a/tests/test_oracle.py
+++ b/tests/test_oracle.py
@@ -44,6 +44,8 @@
                 "TWICE (done)",
                 "TWICE (noted)",
                 "LIMIT (overcommitted)",
+                "LOST (unanswered)",
+                "LOST (late exit)",
             },
         )
 
