--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -146,21 +146,21 @@
         await self.check_stop(self.cluster.find_leader(), 2.5)
 
     async def test_follower_gives_up_no_request_if_the_signal_is_handled_late(self):
-        await self.check_stop(self.find_follower(), 0.7, late_s=2.0)
+        node = self.find_follower()
+        served_count = CLIENT_COUNT // 2
+        await self.check_stop(node, 0.7, late_s=2.0, min_served_count=served_count)
 
     # Guards against: a leader that refuses all from the start of its stop on.
     async def test_leader_serves_submissions_while_it_stops(self):
-        await self.check_stop(
-            self.cluster.find_leader(), 0.02, min_served_count=CLIENT_COUNT
-        )
+        await self.check_stop(self.cluster.find_leader(), 0.02, min_served_count=100)
 
     # Guards against: connections that are reset as the process stops listening.
     async def test_follower_gives_up_no_request_until_it_is_gone(self):
         node = self.find_follower()
-        await self.check_stop(node, 0.02, min_served_count=CLIENT_COUNT)
+        await self.check_stop(node, 0.02, min_served_count=100)
         self.report.log_end()
         (row,) = node.events("stop")
-        self.assertGreaterEqual(row["answered"], CLIENT_COUNT)
+        self.assertGreater(row["answered"], 100)
         self.assertGreater(row["refused"], 0)
         self.assertEqual(row["unanswered"], 0)
 
